--- /dev/null
+++ b/src/libcumingauge/model/change.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "model/backendserver.h"
+#include "model/preset.h"
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace cumingauge::model {
+
+/// Adds a preset or replaces the one of the same name.
+struct PutPreset {
+  static constexpr const char *Kind = "putPreset";
+  Preset Preset_;
+};
+BOOST_DESCRIBE_STRUCT(PutPreset, (), (Preset_))
+
+/// Puts a preset in force.
+struct ChoosePreset {
+  static constexpr const char *Kind = "choosePreset";
+  std::string Name_;
+};
+BOOST_DESCRIBE_STRUCT(ChoosePreset, (), (Name_))
+
+/// Adds a backend server or replaces the one of the same name.
+struct PutServer {
+  static constexpr const char *Kind = "putServer";
+  BackendServer Server_;
+};
+BOOST_DESCRIBE_STRUCT(PutServer, (), (Server_))
+
+/// Adds or replaces many backend servers at once.
+struct PutServers {
+  static constexpr const char *Kind = "putServers";
+  std::vector<BackendServer> Servers_;
+};
+BOOST_DESCRIBE_STRUCT(PutServers, (), (Servers_))
+
+/// Removes a backend server that has left.
+struct RemoveServer {
+  static constexpr const char *Kind = "removeServer";
+  std::string Name_;
+};
+BOOST_DESCRIBE_STRUCT(RemoveServer, (), (Name_))
+
+/// Marks a backend server as leaving; the mark holds for this VM only.
+struct MarkLeaving {
+  static constexpr const char *Kind = "markLeaving";
+  std::string Name_;
+  std::string Vm_;
+};
+BOOST_DESCRIBE_STRUCT(MarkLeaving, (), (Name_, Vm_))
+
+/// Takes a leaving mark back.
+struct ReturnServer {
+  static constexpr const char *Kind = "returnServer";
+  std::string Name_;
+  std::string Vm_;
+};
+BOOST_DESCRIBE_STRUCT(ReturnServer, (), (Name_, Vm_))
+
+using ChangeAction =
+    std::variant<PutPreset, ChoosePreset, PutServer, PutServers, RemoveServer,
+                 MarkLeaving, ReturnServer>;
+
+/// One entry of the change log. Its version is its place in the log.
+struct Change {
+  std::string Id_; ///< unique, chosen by the writer before the first try
+  std::string Author_;
+  std::uint64_t Version_ = 0;
+  std::uint64_t AcceptedAtMs_ = 0; ///< writer's wall clock, ms since 1970
+  ChangeAction Action_;
+};
+BOOST_DESCRIBE_STRUCT(Change, (),
+                      (Id_, Author_, Version_, AcceptedAtMs_, Action_))
+
+} // namespace cumingauge::model
--- /dev/null
+++ b/src/libcumingauge/model/controlview.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "model/configstate.h"
+#include "model/time.h"
+#include <memory>
+#include <set>
+#include <string>
+
+namespace cumingauge::model {
+
+/// What the control thread hands to the traffic threads. Immutable; replaced
+/// as a whole.
+struct ControlView {
+  std::shared_ptr<const ConfigState> Config_;
+  std::set<std::string> LeavingServers_; ///< by mark, VM list or own word
+  unsigned FleetSize_ = 1; ///< larger of VM list and peers, at least 1
+  unsigned FleetRank_ = 0; ///< place of this process among the members
+  bool Confirmed_ = false; ///< state was seen in the store, not just peers
+};
+
+} // namespace cumingauge::model
--- /dev/null
+++ b/src/libcumingauge/model/time.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <chrono>
+
+namespace cumingauge::model {
+
+/// A reading of the monotonic clock. Decisions take it as an argument.
+using Duration = std::chrono::nanoseconds;
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+} // namespace cumingauge::model
--- /dev/null
+++ b/src/libcumingauge/ports/eventsink.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "model/event.h"
+#include <functional>
+
+namespace cumingauge::ports {
+
+/// Takes an event for the time line; fills in time and process. May be called
+/// from any thread.
+using EventSink = std::function<void(
+    model::EventKind Kind, std::string Subject, std::uint64_t Version,
+    model::ResultCode Reason, std::string Detail)>;
+
+} // namespace cumingauge::ports
--- /dev/null
+++ b/tests/support/testmain.cpp
@@ -0,0 +1,24 @@
+#include <cppunit/BriefTestProgressListener.h>
+#include <cppunit/CompilerOutputter.h>
+#include <cppunit/TestResult.h>
+#include <cppunit/TestResultCollector.h>
+#include <cppunit/TestRunner.h>
+#include <cppunit/extensions/TestFactoryRegistry.h>
+#include <cstdlib>
+#include <iostream>
+
+/// Runs all registered suites, or the one whose path is the first argument.
+/// RC_PARAMS overrides the fixed seed of the property tests.
+int main(int Argc, char **Argv) {
+  setenv("RC_PARAMS", "seed=20261204", /*overwrite=*/0);
+  CppUnit::TestResult Result;
+  CppUnit::TestResultCollector Collector;
+  CppUnit::BriefTestProgressListener Progress;
+  Result.addListener(&Collector);
+  Result.addListener(&Progress);
+  CppUnit::TestRunner Runner;
+  Runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
+  Runner.run(Result, Argc > 1 ? Argv[1] : "");
+  CppUnit::CompilerOutputter(&Collector, std::cerr).write();
+  return Collector.wasSuccessful() && Collector.runTests() > 0 ? 0 : 1;
+}
