--- /dev/null
+++ b/src/libcumingauge/control/peermessage.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "model/change.h"
+#include "model/event.h"
+#include "model/loadreport.h"
+#include "model/member.h"
+#include "model/processstatus.h"
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// Messages on an established link between two entry processes, or between
+/// an operator's client and an entry process.
+namespace cumingauge::control {
+
+using boost::describe::operators::operator==;
+using boost::describe::operators::operator!=;
+
+/// Sent at every heartbeat period: the sender's version and a digest of its
+/// member table.
+struct Heartbeat {
+  static constexpr const char *Kind = "heartbeat";
+  std::uint64_t Version_ = 0;
+  std::uint64_t MembersDigest_ = 0;
+  model::HybridTime At_;
+};
+BOOST_DESCRIBE_STRUCT(Heartbeat, (), (Version_, MembersDigest_, At_))
+
+/// Change log entries in ascending order without gaps.
+struct Entries {
+  static constexpr const char *Kind = "entries";
+  std::vector<model::Change> Changes_;
+  model::HybridTime At_;
+};
+BOOST_DESCRIBE_STRUCT(Entries, (), (Changes_, At_))
+
+/// Asks for the entries after a version; the answer is Entries, or StateChunk
+/// messages where the entries are no longer kept.
+struct WantEntries {
+  static constexpr const char *Kind = "wantEntries";
+  std::uint64_t After_ = 0;
+};
+BOOST_DESCRIBE_STRUCT(WantEntries, (), (After_))
+
+/// One piece of an encoded ConfigState.
+struct StateChunk {
+  static constexpr const char *Kind = "stateChunk";
+  std::uint64_t Version_ = 0;
+  std::uint32_t Index_ = 0;
+  std::uint32_t Count_ = 1;
+  std::string Bytes_;
+};
+BOOST_DESCRIBE_STRUCT(StateChunk, (), (Version_, Index_, Count_, Bytes_))
+
+/// News about members; Full_ when it is the whole table.
+struct MemberNews {
+  static constexpr const char *Kind = "memberNews";
+  std::vector<model::Member> Members_;
+  bool Full_ = false;
+};
+BOOST_DESCRIBE_STRUCT(MemberNews, (), (Members_, Full_))
+
+/// One backend server as seen by one process.
+struct ServerSighting {
+  std::string Server_;
+  std::string Vm_;
+  model::LoadReport Report_;
+};
+BOOST_DESCRIBE_STRUCT(ServerSighting, (), (Server_, Vm_, Report_))
+
+/// Probe results and self-declared leaving, shared between processes.
+struct ServerNews {
+  static constexpr const char *Kind = "serverNews";
+  std::vector<ServerSighting> Sightings_;
+};
+BOOST_DESCRIBE_STRUCT(ServerNews, (), (Sightings_))
+
+/// Operator: asks for the state of this process.
+struct StatusRequest {
+  static constexpr const char *Kind = "statusRequest";
+  bool WithMembers_ = true;
+};
+BOOST_DESCRIBE_STRUCT(StatusRequest, (), (WithMembers_))
+
+struct StatusReply {
+  static constexpr const char *Kind = "statusReply";
+  model::ProcessStatus Status_;
+};
+BOOST_DESCRIBE_STRUCT(StatusReply, (), (Status_))
+
+/// Operator: asks for the events kept by this process since a wall time.
+struct TimelineRequest {
+  static constexpr const char *Kind = "timelineRequest";
+  std::uint64_t SinceMs_ = 0;
+};
+BOOST_DESCRIBE_STRUCT(TimelineRequest, (), (SinceMs_))
+
+struct TimelineReply {
+  static constexpr const char *Kind = "timelineReply";
+  std::vector<model::Event> Events_;
+  std::uint64_t Dropped_ = 0; ///< older events that the ring no longer holds
+};
+BOOST_DESCRIBE_STRUCT(TimelineReply, (), (Events_, Dropped_))
+
+using PeerMessage = std::variant<Heartbeat, Entries, WantEntries, StateChunk,
+                                 MemberNews, ServerNews, StatusRequest,
+                                 StatusReply, TimelineRequest, TimelineReply>;
+
+} // namespace cumingauge::control
--- /dev/null
+++ b/src/libcumingauge/model/processstatus.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "model/describe.h"
+#include "model/member.h"
+#include "model/serveractivity.h"
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cumingauge::model {
+
+/// What one entry process answers to an operator.
+struct ProcessStatus {
+  std::string Process_;
+  std::uint64_t Incarnation_ = 0;
+  std::string Zone_;
+  std::string Region_;
+  std::uint64_t Version_ = 0;
+  std::string Preset_;
+  std::uint64_t ViewAgeMs_ = 0; ///< since the last exchange with peer or store
+  bool Confirmed_ = false;
+  bool Ready_ = false;
+  bool StoreAway_ = false;
+  unsigned FleetSize_ = 0;
+  unsigned Links_ = 0;
+  std::vector<ServerActivity> Servers_;
+  std::vector<Member> Members_;
+};
+BOOST_DESCRIBE_STRUCT(ProcessStatus, (),
+                      (Process_, Incarnation_, Zone_, Region_, Version_,
+                       Preset_, ViewAgeMs_, Confirmed_, Ready_, StoreAway_,
+                       FleetSize_, Links_, Servers_, Members_))
+
+} // namespace cumingauge::model
