--- /dev/null
+++ b/src/libcumingauge/policy/balancerstate.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "model/controlview.h"
+#include "policy/balancer.h"
+#include "policy/serverrecord.h"
+#include "policy/servicerecord.h"
+#include <memory>
+#include <pcg_random.hpp>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cumingauge::policy {
+
+/// All that one traffic thread remembers between decisions.
+struct BalancerState {
+  std::string Zone_;
+  unsigned Threads_ = 1;
+  pcg32 Random_;
+  std::shared_ptr<const model::ControlView> View_;
+  model::Preset Preset_; ///< in force, or defaults before the first choice
+  std::vector<ServerRecord> Servers_; ///< by handle
+  std::vector<ServiceRecord> Services_;
+  std::unordered_map<std::string, std::uint32_t> ServiceByName_;
+  std::unordered_map<std::string, ServerHandle> ServerByIdentity_;
+};
+
+/// Key of a server in ServerByIdentity_.
+std::string identityKey(const std::string &Name, const std::string &Vm);
+
+} // namespace cumingauge::policy
