--- /dev/null
+++ b/scripts/check-layers.sh
@@ -0,0 +1,27 @@
+#!/usr/bin/env bash
+# Fails when a folder of the core library includes one that it must not know.
+set -eu
+cd "$(dirname "$0")/../src/libcumingauge"
+STATUS=0
+
+# forbid FOLDER PATTERN: no file of FOLDER may include a header that matches.
+forbid() {
+  if grep -rnE "#include [<\"]($2)" "$1"; then
+    echo "$1 must not include $2" >&2
+    STATUS=1
+  fi
+}
+
+IO='boost/(asio|beast|log|thread)|websocketpp|prometheus|thread>|mutex>|sys/|unistd|time\.h>|fstream>|iostream>'
+forbid model "(policy|control|traffic|ports|adapters|codec|emulator)/|$IO"
+forbid ports "(policy|control|traffic|adapters|codec|emulator)/|$IO"
+forbid policy "(control|traffic|adapters|emulator)/|$IO"
+forbid control "(policy|traffic|adapters|emulator)/|$IO"
+forbid codec "(policy|control|traffic|adapters|ports|emulator)/|$IO"
+forbid traffic "(adapters|emulator)/|$IO"
+forbid adapters "emulator/"
+if grep -rnE '(steady|system|high_resolution)_clock::now' model policy control codec traffic; then
+  echo "time is passed in; only adapters read a clock" >&2
+  STATUS=1
+fi
+exit $STATUS
