--- /dev/null
+++ b/src/libcumingauge/adapters/storeprotocol.cpp
@@ -0,0 +1,192 @@
+#include "adapters/storeprotocol.h"
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <openssl/evp.h>
+#include <optional>
+
+namespace cumingauge::adapters::storeprotocol {
+
+namespace {
+
+using Json = nlohmann::json;
+using model::ResultCode;
+using ports::StoreOperation;
+using ports::StoreRequest;
+using ports::StoreResponse;
+
+constexpr unsigned HttpOk = 200;
+constexpr unsigned HttpNotFound = 404;
+constexpr unsigned HttpTooManyRequests = 429;
+constexpr unsigned HttpInternalError = 500;
+constexpr unsigned HttpServiceUnavailable = 503;
+
+StoreResponse failed(ResultCode Code) {
+  StoreResponse Out;
+  Out.Code_ = Code;
+  return Out;
+}
+
+/// The answer to a write has no definite meaning.
+StoreResponse unreadable(const StoreRequest &Request) {
+  return failed(isWrite(Request.Operation_) ? ResultCode::StoreTimeout
+                                            : ResultCode::StoreAnswerInvalid);
+}
+
+std::optional<std::string> decodeBase64(const std::string &Text) {
+  if (Text.size() % 4 != 0)
+    return std::nullopt;
+  std::string Out(Text.size() / 4 * 3, '\0');
+  const int Length =
+      EVP_DecodeBlock(reinterpret_cast<unsigned char *>(Out.data()),
+                      reinterpret_cast<const unsigned char *>(Text.data()),
+                      static_cast<int>(Text.size()));
+  if (Length < 0)
+    return std::nullopt;
+  std::size_t Padding = 0;
+  while (Padding < 2 && Padding < Text.size() &&
+         Text[Text.size() - 1 - Padding] == '=')
+    ++Padding;
+  Out.resize(static_cast<std::size_t>(Length) - Padding);
+  return Out;
+}
+
+StoreResponse readValue(const StoreRequest &Request, const HttpAnswer &Answer) {
+  const Json Document = Json::parse(Answer.Body_, nullptr, false);
+  if (!Document.is_array() || Document.size() != 1 || !Document[0].is_object())
+    return unreadable(Request);
+  const Json &Entry = Document[0];
+  const auto Index = Entry.find("ModifyIndex");
+  const auto Value = Entry.find("Value");
+  if (Index == Entry.end() || !Index->is_number_unsigned() ||
+      Value == Entry.end() || !(Value->is_string() || Value->is_null()))
+    return unreadable(Request);
+  const std::optional<std::string> Bytes =
+      Value->is_null() ? std::string()
+                       : decodeBase64(Value->get_ref<const std::string &>());
+  if (!Bytes)
+    return unreadable(Request);
+  StoreResponse Out;
+  Out.Found_ = true;
+  Out.Value_ = *Bytes;
+  Out.Index_ = Index->get<std::uint64_t>();
+  return Out;
+}
+
+StoreResponse readWritten(const StoreRequest &Request,
+                          const HttpAnswer &Answer) {
+  const Json Document = Json::parse(Answer.Body_, nullptr, false);
+  if (!Document.is_boolean())
+    return unreadable(Request);
+  StoreResponse Out;
+  Out.Written_ = Document.get<bool>();
+  return Out;
+}
+
+std::string textOf(const Json &Object, const char *Key) {
+  if (!Object.is_object())
+    return {};
+  const auto Entry = Object.find(Key);
+  return Entry != Object.end() && Entry->is_string() ? Entry->get<std::string>()
+                                                     : std::string();
+}
+
+StoreResponse readVms(const StoreRequest &Request, const HttpAnswer &Answer) {
+  const Json Document = Json::parse(Answer.Body_, nullptr, false);
+  if (!Document.is_array())
+    return unreadable(Request);
+  StoreResponse Out;
+  for (const Json &Node : Document) {
+    if (!Node.is_object() || textOf(Node, "Node").empty())
+      return unreadable(Request);
+    const Json Meta = Node.value("Meta", Json::object());
+    if (!Meta.is_object() && !Meta.is_null())
+      return unreadable(Request);
+    Out.Vms_.push_back({textOf(Node, "Node"), textOf(Meta, "leaving") == "true",
+                        textOf(Meta, "role")});
+  }
+  return Out;
+}
+
+StoreResponse readSuccess(const StoreRequest &Request,
+                          const HttpAnswer &Answer) {
+  switch (Request.Operation_) {
+  case StoreOperation::Get:
+  case StoreOperation::Watch:
+    return readValue(Request, Answer);
+  case StoreOperation::CreateIfAbsent:
+  case StoreOperation::CompareAndSwap:
+  case StoreOperation::Delete:
+    return readWritten(Request, Answer);
+  case StoreOperation::ListVms:
+    return readVms(Request, Answer);
+  }
+  return unreadable(Request);
+}
+
+bool readsKey(StoreOperation Operation) {
+  return Operation == StoreOperation::Get || Operation == StoreOperation::Watch;
+}
+
+StoreResponse readServerError(const StoreRequest &Request, unsigned Status) {
+  // Only 503 says that the service did not take the call up; after another
+  // server error a write may still have been applied.
+  const bool MayHaveRun =
+      isWrite(Request.Operation_) && Status != HttpServiceUnavailable;
+  return failed(MayHaveRun ? ResultCode::StoreTimeout
+                           : ResultCode::StoreUnavailable);
+}
+
+} // namespace
+
+bool isWrite(StoreOperation Operation) {
+  return Operation == StoreOperation::CreateIfAbsent ||
+         Operation == StoreOperation::CompareAndSwap ||
+         Operation == StoreOperation::Delete;
+}
+
+HttpCall httpCallFor(const StoreRequest &Request) {
+  const std::string Path = "/v1/kv/" + Request.Key_;
+  switch (Request.Operation_) {
+  case StoreOperation::Get:
+    return {"GET", Path};
+  case StoreOperation::Watch:
+    // Index 0 would make the service answer at once.
+    return {"GET",
+            Path + "?index=" +
+                std::to_string(std::max<std::uint64_t>(Request.Index_, 1)) +
+                "&wait=" + std::to_string(Request.Wait_.count()) + "ms"};
+  case StoreOperation::CreateIfAbsent:
+    return {"PUT", Path + "?cas=0"};
+  case StoreOperation::CompareAndSwap:
+    return {"PUT", Path + "?cas=" + std::to_string(Request.Index_)};
+  case StoreOperation::Delete:
+    return {"DELETE", Path};
+  case StoreOperation::ListVms:
+    return {"GET", "/v1/catalog/nodes"};
+  }
+  return {"GET", Path};
+}
+
+StoreResponse readAnswer(const StoreRequest &Request,
+                         const HttpAnswer &Answer) {
+  if (Answer.Status_ == HttpOk)
+    return readSuccess(Request, Answer);
+  if (Answer.Status_ == HttpNotFound && readsKey(Request.Operation_)) {
+    StoreResponse Absent;
+    Absent.Index_ = Answer.ConsulIndex_;
+    return Absent;
+  }
+  if (Answer.Status_ == HttpTooManyRequests)
+    return failed(ResultCode::StoreRateLimited);
+  if (Answer.Status_ >= HttpInternalError)
+    return readServerError(Request, Answer.Status_);
+  return failed(ResultCode::StoreAnswerInvalid);
+}
+
+StoreResponse withoutAnswer(const StoreRequest &Request, bool BytesLeft) {
+  return failed(BytesLeft && isWrite(Request.Operation_)
+                    ? ResultCode::StoreTimeout
+                    : ResultCode::StoreUnavailable);
+}
+
+} // namespace cumingauge::adapters::storeprotocol
--- a/src/libcumingauge/ports/store.h
+++ b/src/libcumingauge/ports/store.h
@@ -31,6 +31,7 @@
 struct VmEntry {
   std::string Vm_;
   bool Leaving_ = false;
+  std::string Role_; ///< "cumingauge" for entry VMs, "backend" or empty
 };
 
 /// Code_ is Ok (definite answer), StoreUnavailable (definitely not done),
