--- a/src/libcumingauge/adapters/cborshape.cpp
+++ b/src/libcumingauge/adapters/cborshape.cpp
@@ -27,7 +27,7 @@
     return std::nullopt;
   const auto First = static_cast<unsigned char>(Bytes[At++]);
   const unsigned Info = First & 0x1fU;
-  ItemHead Head{First >> 5U, Info};
+  ItemHead Head{static_cast<unsigned>(First) >> 5U, Info};
   if (Info < OneByteFollows)
     return Head;
   if (Info > EightBytesFollow)
