Add a stand-in for the platform's key-value service

The path from an operator's choice to the entry processes needs a store to run against. cumingauge-fakestore answers the published Consul paths for keys, leases and nodes, counts every call and limits rates; POST /control makes it go down, answer slowly, lose the answer of a write that took effect or let a write land later.

describedjson passes a JSON value through unchanged, for control bodies inside other documents.

--- a/src/libcumingauge/codec/describedjson.h
+++ b/src/libcumingauge/codec/describedjson.h
@@ -182,7 +182,9 @@
 } // namespace detail
 
 template <class T> Json toJson(const T &Value) {
-  if constexpr (detail::IsDuration<T>::value) {
+  if constexpr (std::is_same_v<T, Json>) {
+    return Value;
+  } else if constexpr (detail::IsDuration<T>::value) {
     return Value.count();
   } else if constexpr (std::is_enum_v<T>) {
     return detail::lowerFirst(boost::describe::enum_to_string(Value, ""));
@@ -214,7 +216,9 @@
 template <class T>
 void fromJson(const Json &In, const std::string &Path, T &Out,
               model::Problems &Found) {
-  if constexpr (detail::IsDuration<T>::value) {
+  if constexpr (std::is_same_v<T, Json>) {
+    Out = In;
+  } else if constexpr (detail::IsDuration<T>::value) {
     typename T::rep Count{};
     const std::size_t Before = Found.size();
     fromJson(In, Path, Count, Found);
--- /dev/null
+++ b/src/libcumingauge/emulator/storeservice.cpp
@@ -0,0 +1,345 @@
+#include "emulator/storeservice.h"
+#include "codec/describedjson.h"
+#include "emulator/jsonanswer.h"
+#include "emulator/ratelimiter.h"
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <list>
+#include <openssl/evp.h>
+
+namespace cumingauge::emulator {
+
+using codec::Json;
+using model::milliseconds;
+using ExchangePtr = std::shared_ptr<HttpExchange>;
+
+namespace {
+
+constexpr milliseconds LeaseCheckPeriod{100};
+constexpr milliseconds DefaultWait{300000};
+constexpr milliseconds DefaultLease{10000};
+const std::string KeyPath = "/v1/kv/";
+
+model::TimePoint now() { return std::chrono::steady_clock::now(); }
+
+std::string base64(const std::string &Bytes) {
+  std::string Out(4 * ((Bytes.size() + 2) / 3) + 1, '\0');
+  const int Length =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Out.data()),
+                      reinterpret_cast<const unsigned char *>(Bytes.data()),
+                      static_cast<int>(Bytes.size()));
+  Out.resize(static_cast<std::size_t>(Length));
+  return Out;
+}
+
+/// Reads "10s", "500ms" or "2m"; \p Default for anything else.
+milliseconds parseWait(const std::string &Text, milliseconds Default) {
+  std::size_t Used = 0;
+  long Number = 0;
+  try {
+    Number = std::stol(Text, &Used);
+  } catch (const std::exception &) {
+    return Default;
+  }
+  const std::string Unit = Text.substr(Used);
+  if (Unit == "ms")
+    return milliseconds(Number);
+  if (Unit == "s")
+    return std::chrono::seconds(Number);
+  return Unit == "m" ? milliseconds(std::chrono::minutes(Number)) : Default;
+}
+
+/// A watch that waits for a write or for its time to pass.
+struct Waiter {
+  ExchangePtr Exchange_;
+  Target Target_;
+  std::uint64_t Seen_ = 0;
+  model::TimePoint Deadline_;
+};
+
+} // namespace
+
+struct StoreService::State : std::enable_shared_from_this<State> {
+  State(boost::asio::io_context &Context, const StoreSettings &Settings)
+      : Context_(Context), Timer_(Context), Settings_(Settings),
+        Faults_(Settings.Faults_), ServedVms_(Settings.Faults_.Vms_) {
+    Writes_.PerSecond_ = Writes_.Tokens_ = Settings.WritesPerSecond_;
+    Reads_.PerSecond_ = Reads_.Tokens_ = Settings.ReadsPerSecond_;
+    Writes_.Updated_ = Reads_.Updated_ = now();
+  }
+
+  void handle(const ExchangePtr &Exchange) {
+    const HttpRequest &Request = Exchange->Request_;
+    const auto Parsed = parseTarget(Request.Target_);
+    if (!Parsed)
+      return Exchange->Answer_(textAnswer(400, "bad target"));
+    if (Parsed->Path_ == "/control" && Request.Method_ == "POST")
+      return control(Exchange);
+    if (Parsed->Path_ == "/control/counters")
+      return Exchange->Answer_(jsonAnswer(200, codec::toJson(counters())));
+    if (Faults_.Down_) {
+      ++Counters_.Dropped_;
+      return Exchange->Drop_(false);
+    }
+    const bool IsWrite =
+        Request.Method_ == "PUT" || Request.Method_ == "DELETE";
+    ++(IsWrite ? Counters_.Writes_ : Counters_.Reads_);
+    if (!takeToken(IsWrite ? Writes_ : Reads_, now())) {
+      ++Counters_.RateLimited_;
+      return Exchange->Answer_(textAnswer(429, "rate limited"));
+    }
+    if (IsWrite)
+      return write(Exchange, *Parsed);
+    read(Exchange, *Parsed);
+  }
+
+  void read(const ExchangePtr &Exchange, const Target &Where) {
+    if (Where.Path_ == "/v1/catalog/nodes") {
+      ++Counters_.VmLists_;
+      return answer(Exchange, jsonAnswer(200, vmList()));
+    }
+    if (Where.Path_.rfind(KeyPath, 0) != 0)
+      return answer(Exchange, textAnswer(404, "no such path"));
+    if (!Where.has("index"))
+      return answer(Exchange, keyAnswer(Where));
+    ++Counters_.Watches_;
+    const milliseconds Wait = parseWait(Where.value("wait"), DefaultWait);
+    Waiter New{Exchange, Where, Where.number("index", 0), now() + Wait};
+    if (isDue(New))
+      return answer(Exchange, keyAnswer(Where));
+    const auto Place = Waiters_.insert(Waiters_.end(), New);
+    Exchange->OnGone_ = [this, Place] { Waiters_.erase(Place); };
+    arm();
+  }
+
+  bool isDue(const Waiter &Watch) const {
+    return isWatchDue(Model_, Watch.Target_.Path_.substr(KeyPath.size()),
+                      Watch.Target_.has("recurse") || Watch.Target_.has("keys"),
+                      Watch.Seen_);
+  }
+
+  HttpAnswer keyAnswer(const Target &Where) const {
+    const std::string Key = Where.Path_.substr(KeyPath.size());
+    const bool Recurse = Where.has("recurse") || Where.has("keys");
+    std::vector<std::string> Keys;
+    if (Recurse)
+      Keys = keysWithPrefix(Model_, Key);
+    else if (findKey(Model_, Key))
+      Keys = {Key};
+    Json List = Json::array();
+    for (const std::string &Found : Keys)
+      List.push_back(Where.has("keys") ? Json(Found) : keyEntry(Found));
+    HttpAnswer Answer =
+        Keys.empty() ? textAnswer(404, "") : jsonAnswer(200, List);
+    const std::uint64_t Index = watchIndex(Model_, Key, Recurse);
+    Answer.Fields_.push_back(
+        {"X-Consul-Index", std::to_string(Index ? Index : Model_.Index_)});
+    return Answer;
+  }
+
+  Json keyEntry(const std::string &Key) const {
+    const StoredValue &Stored = Model_.Values_.at(Key);
+    Json Entry = {{"Key", Key},
+                  {"Value", base64(Stored.Value_)},
+                  {"Flags", 0},
+                  {"CreateIndex", Stored.CreateIndex_},
+                  {"ModifyIndex", Stored.ModifyIndex_}};
+    if (!Stored.Session_.empty())
+      Entry["Session"] = Stored.Session_;
+    return Entry;
+  }
+
+  Json vmList() const {
+    Json List = Json::array();
+    for (const ListedVm &Vm : ServedVms_)
+      List.push_back({{"Node", Vm.Vm_},
+                      {"Address", Vm.Address_},
+                      {"Meta",
+                       {{"leaving", Vm.Leaving_ ? "true" : "false"},
+                        {"role", Vm.Role_}}}});
+    return List;
+  }
+
+  void write(const ExchangePtr &Exchange, const Target &Where) {
+    if (Exchange->Request_.BodyBytes_ > Settings_.MaxValueBytes_)
+      return answer(Exchange, textAnswer(413, "value too large"));
+    if (Faults_.LandLate_ > 0) {
+      --Faults_.LandLate_;
+      ++Counters_.Dropped_;
+      after(Faults_.LandLateBy_,
+            [Self = shared_from_this(), Request = Exchange->Request_, Where] {
+              Self->applyWrite(Request, Where);
+            });
+      return Exchange->Drop_(false);
+    }
+    const HttpAnswer Answer = applyWrite(Exchange->Request_, Where);
+    if (Faults_.LoseAnswers_ > 0) {
+      --Faults_.LoseAnswers_;
+      ++Counters_.Dropped_;
+      return Exchange->Drop_(false);
+    }
+    answer(Exchange, Answer);
+  }
+
+  HttpAnswer applyWrite(const HttpRequest &Request, const Target &Where) {
+    expireLeases(Model_, now());
+    HttpAnswer Answer = Where.Path_.rfind("/v1/session/", 0) == 0
+                            ? applyToLease(Request, Where)
+                            : applyToKey(Request, Where);
+    wakeWaiters();
+    return Answer;
+  }
+
+  HttpAnswer applyToKey(const HttpRequest &Request, const Target &Where) {
+    if (Where.Path_.rfind(KeyPath, 0) != 0 ||
+        Where.Path_.size() == KeyPath.size())
+      return textAnswer(404, "no such path");
+    const std::string Key = Where.Path_.substr(KeyPath.size());
+    std::optional<std::uint64_t> Cas;
+    if (Where.has("cas"))
+      Cas = Where.number("cas", 0);
+    if (Request.Method_ == "DELETE")
+      return textAnswer(200, removeKey(Model_, Key, Cas) ? "true" : "false");
+    const bool Written =
+        writeKey(Model_, {Key, Request.Body_, Cas, Where.value("acquire"),
+                          Where.value("release")});
+    return textAnswer(200, Written ? "true" : "false");
+  }
+
+  HttpAnswer applyToLease(const HttpRequest &Request, const Target &Where) {
+    if (Where.Path_ == "/v1/session/create") {
+      const Json Body = Json::parse(Request.Body_, nullptr, false);
+      const std::string Ttl =
+          Body.is_object() ? Body.value("TTL", std::string()) : "";
+      const std::string Id =
+          createLease(Model_, parseWait(Ttl, DefaultLease), now());
+      return jsonAnswer(200, {{"ID", Id}});
+    }
+    const std::size_t Slash = Where.Path_.rfind('/');
+    const std::string Id = Where.Path_.substr(Slash + 1);
+    const std::string Verb = Where.Path_.substr(0, Slash);
+    if (Verb == "/v1/session/renew")
+      return renewLease(Model_, Id, now())
+                 ? jsonAnswer(200, Json::array({{{"ID", Id}}}))
+                 : textAnswer(404, "no such session");
+    if (Verb != "/v1/session/destroy")
+      return textAnswer(404, "no such path");
+    destroyLease(Model_, Id);
+    return textAnswer(200, "true");
+  }
+
+  void wakeWaiters() {
+    for (auto It = Waiters_.begin(); It != Waiters_.end();) {
+      if (!isDue(*It) && It->Deadline_ > now()) {
+        ++It;
+        continue;
+      }
+      It->Exchange_->OnGone_ = nullptr;
+      answer(It->Exchange_, keyAnswer(It->Target_));
+      It = Waiters_.erase(It);
+    }
+  }
+
+  /// Wakes up for the next watch that ends or lease that lapses.
+  void arm() {
+    model::TimePoint Next = now() + LeaseCheckPeriod;
+    for (const Waiter &Watch : Waiters_)
+      Next = std::min(Next, Watch.Deadline_);
+    Timer_.expires_at(Next);
+    Timer_.async_wait([Weak = weak_from_this()](auto Error) {
+      const auto Self = Weak.lock();
+      if (Error || !Self)
+        return;
+      expireLeases(Self->Model_, now());
+      Self->wakeWaiters();
+      Self->arm();
+    });
+  }
+
+  void answer(const ExchangePtr &Exchange, const HttpAnswer &Answer) {
+    if (Faults_.Slow_.count() == 0)
+      return Exchange->Answer_(Answer);
+    after(Faults_.Slow_, [Exchange, Answer] { Exchange->Answer_(Answer); });
+  }
+
+  void after(milliseconds Delay, std::function<void()> Then) {
+    auto Timer = std::make_shared<boost::asio::steady_timer>(Context_, Delay);
+    Timer->async_wait([Timer, Then = std::move(Then)](auto Error) {
+      if (!Error)
+        Then();
+    });
+  }
+
+  void control(const ExchangePtr &Exchange) {
+    const Json Body = Json::parse(Exchange->Request_.Body_, nullptr, false);
+    StoreFaults Next = Faults_;
+    model::Problems Found;
+    codec::fromJson(Body, "", Next, Found);
+    if (!Found.empty())
+      return Exchange->Answer_(jsonAnswer(400, codec::toJson(Found)));
+    if (Next.Vms_ != Faults_.Vms_)
+      after(Next.VmListLag_, [Self = shared_from_this(), Vms = Next.Vms_] {
+        Self->ServedVms_ = Vms;
+      });
+    Faults_ = Next;
+    if (Faults_.Down_)
+      dropWaiters();
+    Exchange->Answer_(jsonAnswer(200, codec::toJson(Faults_)));
+  }
+
+  void dropWaiters() {
+    for (Waiter &Watch : Waiters_) {
+      Watch.Exchange_->OnGone_ = nullptr;
+      Watch.Exchange_->Drop_(false);
+    }
+    Waiters_.clear();
+  }
+
+  StoreCounters counters() const {
+    StoreCounters Out = Counters_;
+    Out.Index_ = Model_.Index_;
+    Out.Keys_ = Model_.Values_.size();
+    Out.Waiting_ = Waiters_.size();
+    return Out;
+  }
+
+  boost::asio::io_context &Context_;
+  boost::asio::steady_timer Timer_;
+  const StoreSettings Settings_;
+  StoreFaults Faults_;
+  std::vector<ListedVm> ServedVms_;
+  StoreModel Model_;
+  RateLimiter Writes_;
+  RateLimiter Reads_;
+  StoreCounters Counters_;
+  std::list<Waiter> Waiters_;
+  std::unique_ptr<HttpServer> Server_;
+};
+
+StoreService::StoreService(boost::asio::io_context &Context,
+                           const StoreSettings &Settings)
+    : State_(std::make_shared<State>(Context, Settings)) {}
+
+std::uint16_t StoreService::start() {
+  State *Raw = State_.get();
+  HttpServerOptions Options;
+  Options.KeptBodyBytes_ = State_->Settings_.MaxValueBytes_;
+  State_->Server_ = std::make_unique<HttpServer>(
+      State_->Context_,
+      [Raw](const ExchangePtr &Exchange) { Raw->handle(Exchange); }, Options);
+  const std::uint16_t Port = State_->Server_->listen(
+      State_->Settings_.Listen_.Host_, State_->Settings_.Listen_.Port_);
+  State_->arm();
+  return Port;
+}
+
+void StoreService::stop() {
+  State_->Timer_.cancel();
+  State_->dropWaiters();
+  State_->Server_.reset();
+}
+
+StoreCounters StoreService::counters() const { return State_->counters(); }
+
+} // namespace cumingauge::emulator
