--- a/src/libcumingauge/adapters/eventring.cpp
+++ b/src/libcumingauge/adapters/eventring.cpp
@@ -3,19 +3,16 @@
 
 namespace cumingauge::adapters {
 
-namespace {
-
-std::uint64_t wallMs() {
+std::uint64_t systemWallMs() {
   using namespace std::chrono;
   return static_cast<std::uint64_t>(
       duration_cast<milliseconds>(system_clock::now().time_since_epoch())
           .count());
 }
 
-} // namespace
-
-EventRing::EventRing(std::string Process, std::size_t Capacity)
-    : Process_(std::move(Process)), Events_(Capacity) {}
+EventRing::EventRing(std::string Process, std::size_t Capacity, WallClock Clock)
+    : Process_(std::move(Process)), Clock_(std::move(Clock)),
+      Events_(Capacity) {}
 
 void EventRing::record(model::EventKind Kind, std::string Subject,
                        std::uint64_t Version, model::ResultCode Reason,
@@ -61,7 +58,7 @@
 }
 
 model::HybridTime EventRing::advance() {
-  const std::uint64_t Wall = wallMs();
+  const std::uint64_t Wall = Clock_();
   if (Wall > Last_.WallMs_)
     Last_ = {Wall, 0};
   else
--- a/src/libcumingauge/adapters/eventring.h
+++ b/src/libcumingauge/adapters/eventring.h
@@ -4,17 +4,23 @@
 #include "ports/eventsink.h"
 #include <boost/circular_buffer.hpp>
 #include <cstdint>
+#include <functional>
 #include <mutex>
 #include <string>
 #include <vector>
 
 namespace cumingauge::adapters {
 
+/// Reads the wall clock in ms since 1970.
+using WallClock = std::function<std::uint64_t()>;
+std::uint64_t systemWallMs();
+
 /// Bounded memory of this process's events with hybrid logical time. Safe for
 /// use from any thread.
 class EventRing {
 public:
-  EventRing(std::string Process, std::size_t Capacity);
+  EventRing(std::string Process, std::size_t Capacity,
+            WallClock Clock = systemWallMs);
 
   void record(model::EventKind Kind, std::string Subject, std::uint64_t Version,
               model::ResultCode Reason, std::string Detail);
@@ -37,6 +43,7 @@
   model::HybridTime advance();
 
   const std::string Process_;
+  const WallClock Clock_;
   mutable std::mutex Mutex_;
   boost::circular_buffer<model::Event> Events_;
   model::HybridTime Last_;
