--- a/src/libcumingauge/policy/entryqueue.cpp
+++ b/src/libcumingauge/policy/entryqueue.cpp
@@ -30,7 +30,7 @@
 
 CallFacts takeAt(EntryQueue &Queue, PriorityClass &Class,
                  std::list<CallerLane>::iterator Lane,
-                 std::deque<CallFacts>::iterator Place) {
+                 const std::deque<CallFacts>::iterator &Place) {
   CallFacts Call = std::move(*Place);
   Lane->Calls_.erase(Place);
   --Class.Size_;
