Add the control core: fold, change log, store follower, spreading, membership, change writer

Cause: the fleet needs one configuration that is accepted once and in force on every VM within seconds. Change: the core behind control/core.h as a state machine without socket, clock or thread. A change names the digest of the log it was written on, so that one entry vouches for all before it and a process notices another history at the next entry. A heartbeat echoes the peer's last one, so that what was buffered during a pause proves nothing.

--- /dev/null
+++ b/src/libcumingauge/control/actioncheck.cpp
@@ -0,0 +1,132 @@
+#include "control/fold.h"
+#include <algorithm>
+#include <set>
+
+namespace cumingauge::control {
+
+namespace {
+
+using model::ConfigState;
+using model::Problems;
+using model::ResultCode;
+
+void require(bool Holds, const std::string &Path, const std::string &Message,
+             Problems &Found) {
+  if (!Holds)
+    Found.push_back({Path, Message});
+}
+
+void checkServer(const model::BackendServer &Server, const std::string &Path,
+                 Problems &Found) {
+  const char *Empty = "must not be empty";
+  require(!Server.Name_.empty(), Path + "/name", Empty, Found);
+  require(!Server.Vm_.empty(), Path + "/vm", Empty, Found);
+  require(!Server.Service_.empty(), Path + "/service", Empty, Found);
+  require(!Server.Zone_.empty(), Path + "/zone", Empty, Found);
+  require(!Server.Host_.empty(), Path + "/host", Empty, Found);
+  require(Server.Port_ > 0, Path + "/port", "must be 1 to 65535", Found);
+  require(Server.Slots_ > 0, Path + "/slots", "must be at least 1", Found);
+}
+
+/// Finds the server and checks that it is on the VM that the operator meant.
+const model::BackendServer *findOnVm(const std::string &Name,
+                                     const std::string &Vm,
+                                     const ConfigState &State,
+                                     Problems &Found) {
+  const auto Entry = State.Servers_.find(Name);
+  if (Entry == State.Servers_.end()) {
+    Found.push_back({"/name", "no backend server is called '" + Name + "'"});
+    return nullptr;
+  }
+  if (Entry->second.Vm_ != Vm) {
+    Found.push_back({"/vm", "the server is on VM '" + Entry->second.Vm_ + "'"});
+    return nullptr;
+  }
+  return &Entry->second;
+}
+
+bool isLastOfService(const model::BackendServer &Server,
+                     const ConfigState &State) {
+  return std::none_of(State.Servers_.begin(), State.Servers_.end(),
+                      [&](const auto &Entry) {
+                        return Entry.second.Service_ == Server.Service_ &&
+                               Entry.first != Server.Name_ &&
+                               !isMarkedLeaving(State, Entry.second);
+                      });
+}
+
+/// One check for each kind of action; adds what it finds.
+struct ActionCheck {
+  const ConfigState &State_;
+  Problems &Found_;
+  Problems &ToConfirm_;
+
+  void operator()(const model::PutPreset &Action) const {
+    Found_ = checkPreset(Action.Preset_, "/preset");
+  }
+
+  void operator()(const model::ChoosePreset &Action) const {
+    require(State_.Presets_.count(Action.Name_) > 0, "/name",
+            "no preset is called '" + Action.Name_ + "'", Found_);
+  }
+
+  void operator()(const model::PutServer &Action) const {
+    checkServer(Action.Server_, "/server", Found_);
+  }
+
+  void operator()(const model::PutServers &Action) const {
+    require(!Action.Servers_.empty(), "/servers", "must not be empty", Found_);
+    std::set<std::string> Names;
+    for (std::size_t I = 0; I < Action.Servers_.size(); ++I) {
+      const std::string Path = "/servers/" + std::to_string(I);
+      checkServer(Action.Servers_[I], Path, Found_);
+      require(Names.insert(Action.Servers_[I].Name_).second, Path + "/name",
+              "stands twice in the list", Found_);
+    }
+  }
+
+  void operator()(const model::RemoveServer &Action) const {
+    const auto Entry = State_.Servers_.find(Action.Name_);
+    if (Entry == State_.Servers_.end())
+      Found_.push_back(
+          {"/name", "no backend server is called '" + Action.Name_ + "'"});
+    else if (!isMarkedLeaving(State_, Entry->second))
+      ToConfirm_.push_back({"/name", "the server is not marked as leaving"});
+  }
+
+  void operator()(const model::MarkLeaving &Action) const {
+    const model::BackendServer *Server =
+        findOnVm(Action.Name_, Action.Vm_, State_, Found_);
+    if (Server && !isMarkedLeaving(State_, *Server) &&
+        isLastOfService(*Server, State_))
+      ToConfirm_.push_back({"/name", "last server of service '" +
+                                         Server->Service_ +
+                                         "' that is not leaving"});
+  }
+
+  void operator()(const model::ReturnServer &Action) const {
+    const model::BackendServer *Server =
+        findOnVm(Action.Name_, Action.Vm_, State_, Found_);
+    require(!Server || isMarkedLeaving(State_, *Server), "/name",
+            "the server is not marked as leaving", Found_);
+  }
+};
+
+} // namespace
+
+boost::leaf::result<void> checkAction(const model::ChangeAction &Action,
+                                      const ConfigState &State,
+                                      bool Confirmed) {
+  Problems Found;
+  Problems ToConfirm;
+  std::visit(ActionCheck{State, Found, ToConfirm}, Action);
+  if (!Found.empty())
+    return boost::leaf::new_error(
+        ChangeFault{ResultCode::ChangeRefused, std::move(Found)});
+  if (!ToConfirm.empty() && !Confirmed)
+    return boost::leaf::new_error(
+        ChangeFault{ResultCode::ConfirmationNeeded, std::move(ToConfirm)});
+  return {};
+}
+
+} // namespace cumingauge::control
--- /dev/null
+++ b/src/libcumingauge/control/changelog.cpp
@@ -0,0 +1,85 @@
+#include "control/changelog.h"
+#include "control/fold.h"
+
+namespace cumingauge::control {
+
+namespace {
+
+bool contradicts(const ChangeLog &Log, const model::Change &Entry) {
+  const model::Change *Kept = findEntry(Log, Entry.Version_);
+  return Kept && *Kept != Entry;
+}
+
+void keep(ChangeLog &Log, const model::Change &Entry) {
+  Log.Kept_.push_back(std::make_shared<const model::Change>(Entry));
+  while (Log.Kept_.size() > Log.KeptLimit_)
+    Log.Kept_.pop_front();
+}
+
+} // namespace
+
+Offer offerEntries(ChangeLog &Log, const std::vector<model::Change> &Entries) {
+  Offer Out = Offer::Known;
+  std::shared_ptr<model::ConfigState> Next;
+  for (const model::Change &Entry : Entries) {
+    const model::ConfigState &Current = Next ? *Next : *Log.State_;
+    if (Entry.Version_ <= Current.Version_) {
+      if (contradicts(Log, Entry)) {
+        Out = Offer::Disagrees;
+        break;
+      }
+      continue;
+    }
+    if (Entry.Version_ != Current.Version_ + 1) {
+      Out = Next ? Offer::Applied : Offer::Gap;
+      break;
+    }
+    if (Entry.BasisDigest_ != Current.LogDigest_) {
+      Out = Offer::Disagrees;
+      break;
+    }
+    if (!Next)
+      Next = std::make_shared<model::ConfigState>(*Log.State_);
+    auto Applied = apply(Entry, std::move(*Next));
+    *Next = std::move(Applied.value()); // version and basis were checked above
+    keep(Log, Entry);
+    Out = Offer::Applied;
+  }
+  if (Next)
+    Log.State_ = std::move(Next);
+  return Out;
+}
+
+bool adoptState(ChangeLog &Log, model::ConfigState State,
+                const std::vector<model::Change> &Entries) {
+  const model::ConfigState &Current = *Log.State_;
+  if (State.Version_ < Current.Version_ ||
+      (State.Version_ == Current.Version_ &&
+       State.LogDigest_ == Current.LogDigest_))
+    return false;
+  Log.Kept_.clear();
+  for (const model::Change &Entry : Entries)
+    keep(Log, Entry);
+  Log.State_ = std::make_shared<const model::ConfigState>(std::move(State));
+  return true;
+}
+
+std::vector<model::Change>
+entriesAfter(const ChangeLog &Log, std::uint64_t Version, std::size_t Limit) {
+  std::vector<model::Change> Out;
+  if (Log.Kept_.empty() || Log.Kept_.front()->Version_ > Version + 1)
+    return Out;
+  for (const auto &Entry : Log.Kept_)
+    if (Entry->Version_ > Version && Out.size() < Limit)
+      Out.push_back(*Entry);
+  return Out;
+}
+
+const model::Change *findEntry(const ChangeLog &Log, std::uint64_t Version) {
+  if (Log.Kept_.empty() || Version < Log.Kept_.front()->Version_)
+    return nullptr;
+  const std::uint64_t Index = Version - Log.Kept_.front()->Version_;
+  return Index < Log.Kept_.size() ? Log.Kept_[Index].get() : nullptr;
+}
+
+} // namespace cumingauge::control
--- /dev/null
+++ b/src/libcumingauge/control/core.cpp
@@ -0,0 +1,195 @@
+#include "control/core.h"
+#include "control/corestate.h"
+#include "control/heartbeats.h"
+#include "control/linkkeeper.h"
+#include "control/membership.h"
+#include "control/serverwords.h"
+#include "control/spreading.h"
+#include "control/viewpublisher.h"
+
+namespace cumingauge::control {
+
+namespace {
+
+using model::EventKind;
+
+/// A gap between two steps that counts as a pause of the process.
+constexpr model::seconds PauseThreshold{1};
+
+/// After a pause nothing known before it proves that this process is up to
+/// date, and the silence of the peers was its own.
+void endPause(CoreState &State, model::Duration Gap) {
+  State.PauseEndedAt_ = State.Now_;
+  State.LastExchange_.reset();
+  State.Follower_.Failures_ = 0;
+  State.Follower_.Away_ = false;
+  hurryStore(State);
+  forgetHeartbeats(State);
+  for (auto &[Id, Value] : State.Links_.Links_)
+    Value.LastHeard_ = State.Now_;
+  record(State, EventKind::PauseFound, State.Members_.Self_, versionOf(State),
+         model::ResultCode::Ok,
+         std::to_string(
+             std::chrono::duration_cast<model::milliseconds>(Gap).count()) +
+             " ms");
+  beatNow(State);
+}
+
+void noteTime(CoreState &State, model::TimePoint Now) {
+  State.Now_ = std::max(State.Now_, Now);
+  if (State.LastStep_ && State.Now_ - *State.LastStep_ >= PauseThreshold)
+    endPause(State, State.Now_ - *State.LastStep_);
+  State.LastStep_ = State.Now_;
+}
+
+/// Messages that a peer or an operator may send.
+struct PeerInput {
+  CoreState &State_;
+  Link &From_;
+
+  void operator()(const Heartbeat &Message) const {
+    takeHeartbeat(State_, From_, Message);
+  }
+  void operator()(const Entries &Message) const {
+    if (Message.Changes_.empty())
+      return;
+    From_.PeerVersion_ =
+        std::max(From_.PeerVersion_, Message.Changes_.back().Version_);
+    takeEntries(State_, Message.Changes_, From_.Id_);
+  }
+  void operator()(const WantEntries &Message) const {
+    takeWantEntries(State_, From_, Message);
+  }
+  void operator()(const StateChunk &Message) const {
+    takeStateChunk(State_, From_, Message);
+  }
+  void operator()(const MemberNews &Message) const {
+    if (!From_.Operator_)
+      takeMemberNews(State_, From_, Message);
+  }
+  void operator()(const ServerNews &Message) const {
+    takeServerNews(State_, From_, Message);
+  }
+  void operator()(const StatusRequest &Message) const {
+    give(State_, AnswerOperator{From_.Id_, Message});
+  }
+  void operator()(const TimelineRequest &Message) const {
+    give(State_, AnswerOperator{From_.Id_, Message});
+  }
+  void operator()(const StatusReply & /*Message*/) const {}
+  void operator()(const TimelineReply & /*Message*/) const {}
+};
+
+struct InputHandler {
+  CoreState &State_;
+
+  void operator()(const Started & /*Input*/) const {
+    State_.StartedAt_ = State_.Now_;
+    record(State_, EventKind::ProcessStarted, State_.Members_.Self_);
+    tick();
+  }
+  void operator()(const Ticked & /*Input*/) const { tick(); }
+  void operator()(const StoreAnswered &Input) const {
+    if (takeStoreAnswer(State_, Input.Call_, Input.Response_))
+      followStore(State_);
+    else if (!takeSnapshotAnswer(State_, Input.Call_, Input.Response_))
+      takeVmListAnswer(State_, Input.Call_, Input.Response_);
+  }
+  void operator()(const LinkOpened &Input) const {
+    takeLinkOpened(State_, Input);
+  }
+  void operator()(const LinkClosed &Input) const {
+    takeLinkClosed(State_, Input);
+  }
+  void operator()(const LinkFailed &Input) const {
+    takeLinkFailed(State_, Input);
+  }
+  void operator()(const PeerSaid &Input) const {
+    Link *From = findLink(State_.Links_, Input.Link_);
+    if (!From)
+      return;
+    From->LastHeard_ = State_.Now_;
+    std::visit(PeerInput{State_, *From}, Input.Message_);
+  }
+  void operator()(const ServerSaid &Input) const {
+    takeServerSaid(State_, Input.Sighting_);
+  }
+  void operator()(const Stopping & /*Input*/) const {
+    record(State_, EventKind::ProcessStopping, State_.Members_.Self_);
+    sayGoodbye(State_);
+  }
+
+  void tick() const {
+    if (!State_.StartedAt_ || State_.IsStopping_)
+      return;
+    keepLinks(State_);
+    beat(State_);
+    superviseMembers(State_);
+    fillGaps(State_);
+    followStore(State_);
+    pollVmList(State_);
+    writeSnapshots(State_);
+    shareSightings(State_);
+  }
+};
+
+} // namespace
+
+std::shared_ptr<CoreState> makeCore(const CoreSettings &Settings,
+                                    std::uint64_t Seed) {
+  auto Out = std::make_shared<CoreState>();
+  Out->Settings_ = Settings;
+  Out->Random_ = pcg32(Seed);
+  Out->Log_.KeptLimit_ = Settings.KeptEntries_;
+  Out->Members_.Self_ = Settings.Self_.Process_;
+  Out->Members_.Records_[Settings.Self_.Process_] = {Settings.Self_, {}};
+  return Out;
+}
+
+std::vector<CoreOrder> step(CoreState &State, const CoreInput &Input,
+                            model::TimePoint Now) {
+  noteTime(State, Now);
+  std::visit(InputHandler{State}, Input);
+  publishView(State);
+  return std::exchange(State.Orders_, {});
+}
+
+model::TimePoint lastExchange(const CoreState &State) {
+  return State.LastExchange_.value_or(model::TimePoint());
+}
+
+FreshnessFacts freshnessFacts(const CoreState &State) {
+  FreshnessFacts Out;
+  Out.LastStep_ = State.LastStep_.value_or(model::TimePoint());
+  Out.LastExchange_ = State.LastExchange_;
+  Out.StoreAway_ = State.Follower_.Away_;
+  Out.HasLinks_ = !peerLinks(State.Links_).empty();
+  Out.OthersKnown_ = !State.Settings_.SeedPeers_.empty() ||
+                     listedEntryVms(State) > 1 || isAnyOtherKnown(State);
+  return Out;
+}
+
+model::ProcessStatus describeCore(const CoreState &State,
+                                  model::TimePoint Now) {
+  model::ProcessStatus Out;
+  const model::Member &Self =
+      findMember(State.Members_, State.Members_.Self_)->Member_;
+  Out.Process_ = Self.Process_;
+  Out.Incarnation_ = Self.Incarnation_;
+  Out.Zone_ = Self.Zone_;
+  Out.Region_ = Self.Region_;
+  Out.Version_ = versionOf(State);
+  Out.Preset_ = State.Log_.State_->PresetInForce_;
+  Out.ViewAgeMs_ = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<model::milliseconds>(Now - lastExchange(State))
+          .count());
+  Out.Confirmed_ = State.Confirmed_;
+  Out.StoreAway_ = State.Follower_.Away_;
+  Out.FleetSize_ = fleetSize(State);
+  Out.Links_ = static_cast<unsigned>(peerLinks(State.Links_).size());
+  for (const auto &[Name, Record] : State.Members_.Records_)
+    Out.Members_.push_back(Record.Member_);
+  return Out;
+}
+
+} // namespace cumingauge::control
--- a/src/libcumingauge/control/core.h
+++ b/src/libcumingauge/control/core.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/freshness.h"
 #include "control/peermessage.h"
 #include "model/controlview.h"
 #include "model/event.h"
@@ -46,6 +47,7 @@
   LinkId Link_ = 0;
   model::Member Peer_;
   bool Operator_ = false; ///< an operator's client, not a member
+  bool Ordered_ = false;  ///< answers an OpenLink order of this process
 };
 struct LinkClosed {
   LinkId Link_ = 0;
@@ -125,6 +127,9 @@
 /// this process is not behind; the epoch before the first one.
 model::TimePoint lastExchange(const CoreState &State);
 
+/// What decides whether new work may be placed; see freshness.h.
+FreshnessFacts freshnessFacts(const CoreState &State);
+
 /// Fills in the control part of a status: version, members, links and so on.
 model::ProcessStatus describeCore(const CoreState &State, model::TimePoint Now);
 
--- /dev/null
+++ b/src/libcumingauge/control/heartbeats.cpp
@@ -0,0 +1,90 @@
+#include "control/heartbeats.h"
+#include "control/corestate.h"
+#include "control/membership.h"
+#include "control/spreading.h"
+#include "control/vmlist.h"
+
+namespace cumingauge::control {
+
+namespace {
+
+constexpr std::size_t MaxHeartbeatsUnderWay = 32;
+
+Heartbeat makeHeartbeat(const CoreState &State) {
+  Heartbeat Out;
+  Out.Version_ = versionOf(State);
+  Out.LogDigest_ = State.Log_.State_->LogDigest_;
+  Out.MembersDigest_ = membersDigest(State.Members_);
+  if (State.Vms_.EntryVmsAt_) {
+    Out.EntryVms_ = listedEntryVms(State);
+    Out.EntryVmsAgeMs_ = static_cast<std::uint32_t>(
+        std::chrono::duration_cast<model::milliseconds>(State.Now_ -
+                                                        *State.Vms_.EntryVmsAt_)
+            .count());
+  }
+  return Out;
+}
+
+void noteEcho(Link &From, std::uint64_t Echo) {
+  auto &Sent = From.SentHeartbeats_;
+  while (!Sent.empty() && Sent.front().Sequence_ <= Echo) {
+    if (Sent.front().Sequence_ == Echo)
+      From.EchoedAt_ = Sent.front().At_;
+    Sent.pop_front();
+  }
+}
+
+void sendNumbered(CoreState &State, Link &To, Heartbeat Message,
+                  bool AnswerNow) {
+  Message.Sequence_ = ++To.SentSequence_;
+  Message.Echo_ = To.HeardSequence_;
+  Message.AnswerNow_ = AnswerNow;
+  To.SentHeartbeats_.push_back({Message.Sequence_, State.Now_});
+  if (To.SentHeartbeats_.size() > MaxHeartbeatsUnderWay)
+    To.SentHeartbeats_.pop_front();
+  send(State, To, Message);
+}
+
+void beatAll(CoreState &State, bool AnswerNow) {
+  const Heartbeat Message = makeHeartbeat(State);
+  for (auto &[Id, To] : State.Links_.Links_)
+    if (!To.Operator_)
+      sendNumbered(State, To, Message, AnswerNow);
+  State.Links_.NextHeartbeat_ =
+      State.Now_ + jittered(State, State.Settings_.HeartbeatPeriod_);
+}
+
+} // namespace
+
+void sendHeartbeat(CoreState &State, Link &To, bool AnswerNow) {
+  sendNumbered(State, To, makeHeartbeat(State), AnswerNow);
+}
+
+void beat(CoreState &State) {
+  if (State.Now_ >= State.Links_.NextHeartbeat_)
+    beatAll(State, /*AnswerNow=*/false);
+}
+
+void beatNow(CoreState &State) { beatAll(State, /*AnswerNow=*/true); }
+
+void takeHeartbeat(CoreState &State, Link &From, const Heartbeat &Message) {
+  if (Message.Sequence_ <= From.HeardSequence_)
+    return; // repeated or overtaken
+  From.HeardSequence_ = Message.Sequence_;
+  noteEcho(From, Message.Echo_);
+  noteEntryVms(State, Message);
+  compareMembers(State, From, Message.MembersDigest_);
+  compareVersions(State, From, Message);
+  noteExchanges(State);
+  if (Message.AnswerNow_)
+    sendHeartbeat(State, From, /*AnswerNow=*/false);
+}
+
+void forgetHeartbeats(CoreState &State) {
+  for (auto &[Id, Value] : State.Links_.Links_) {
+    Value.SentHeartbeats_.clear();
+    Value.EchoedAt_.reset();
+  }
+}
+
+} // namespace cumingauge::control
--- a/src/libcumingauge/control/peermessage.h
+++ b/src/libcumingauge/control/peermessage.h
@@ -24,8 +24,16 @@
   std::uint64_t Version_ = 0;
   std::uint64_t MembersDigest_ = 0;
   model::HybridTime At_;
+  std::uint64_t LogDigest_ = 0; ///< of the sender's state at Version_
+  std::uint64_t Sequence_ = 0;  ///< number of this heartbeat on this link
+  std::uint64_t Echo_ = 0;      ///< highest sequence received on this link
+  bool AnswerNow_ = false;      ///< asks for a heartbeat without delay
+  std::uint32_t EntryVms_ = 0; ///< entry VMs in the platform's list; 0: unknown
+  std::uint32_t EntryVmsAgeMs_ = 0; ///< since the list was fetched
 };
-BOOST_DESCRIBE_STRUCT(Heartbeat, (), (Version_, MembersDigest_, At_))
+BOOST_DESCRIBE_STRUCT(Heartbeat, (),
+                      (Version_, MembersDigest_, At_, LogDigest_, Sequence_,
+                       Echo_, AnswerNow_, EntryVms_, EntryVmsAgeMs_))
 
 /// Change log entries in ascending order without gaps.
 struct Entries {
--- /dev/null
+++ b/src/libcumingauge/control/serverwords.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "control/core.h"
+#include "control/leavingtable.h"
+#include <optional>
+
+/// What backend servers and the VM list say: servers that leave, and reports
+/// shared with the processes of the zone.
+namespace cumingauge::control {
+
+struct CoreState;
+struct Link;
+
+/// Notes that a server leaves and passes it on.
+void takeLeavingWord(CoreState &State, const ServerIdentity &Server,
+                     std::optional<LinkId> From);
+
+/// A server said something to this process.
+void takeServerSaid(CoreState &State, const ServerSighting &Sighting);
+
+void takeServerNews(CoreState &State, const Link &From,
+                    const ServerNews &Message);
+
+/// Sends the reports gathered since the last call to the linked processes of
+/// this zone, and drops what has lapsed. To be called at every tick.
+void shareSightings(CoreState &State);
+
+} // namespace cumingauge::control
--- /dev/null
+++ b/src/libcumingauge/control/spreading.cpp
@@ -0,0 +1,224 @@
+#include "control/spreading.h"
+#include "control/corestate.h"
+#include "control/storecodec.h"
+#include <algorithm>
+
+namespace cumingauge::control {
+
+namespace {
+
+using model::EventKind;
+using model::ResultCode;
+
+constexpr std::size_t MaxEntriesPerMessage = 64;
+constexpr std::uint32_t MaxStateChunks = 4096;
+constexpr model::milliseconds AnswerTimeout{1000};
+constexpr model::milliseconds StateSendInterval{1000};
+constexpr unsigned AsksBeforeReport = 2;
+constexpr model::seconds ClaimBackoff{2};
+constexpr model::seconds MaxClaimBackoff{60};
+constexpr model::seconds AlarmInterval{60};
+
+void noteState(CoreState &State) {
+  State.HasState_ = true;
+  if (!State.FirstStateAt_)
+    State.FirstStateAt_ = State.Now_;
+  State.ViewChanged_ = true;
+  noteExchanges(State);
+}
+
+/// Sends the entries after a version to all links that are not known to have
+/// them.
+void pushEntries(CoreState &State, std::uint64_t After,
+                 std::optional<LinkId> From) {
+  auto Message = std::make_shared<PeerMessage>(
+      Entries{entriesAfter(State.Log_, After, MaxEntriesPerMessage), {}});
+  const auto &Changes = std::get<Entries>(*Message).Changes_;
+  if (Changes.empty())
+    return;
+  const std::uint64_t Last = Changes.back().Version_;
+  for (Link *To : peerLinks(State.Links_)) {
+    if (To->Id_ == From || std::max(To->PeerVersion_, To->SentVersion_) >= Last)
+      continue;
+    To->SentVersion_ = Last;
+    give(State, SendPeer{To->Id_, Message});
+  }
+}
+
+/// The best link to ask: highest version shown among peers that answer.
+Link *chooseSource(CoreState &State) {
+  Link *Best = nullptr;
+  for (Link *Candidate : peerLinks(State.Links_)) {
+    if (Candidate->PeerVersion_ <= versionOf(State))
+      continue;
+    if (State.Links_.Claims_[Candidate->Peer_.Process_].AskAgainAt_ >
+        State.Now_)
+      continue;
+    if (!Best || Candidate->PeerVersion_ > Best->PeerVersion_)
+      Best = Candidate;
+  }
+  return Best;
+}
+
+void noteUnanswered(CoreState &State, const EntryRequest &Request) {
+  PeerClaims &Claims = State.Links_.Claims_[Request.Process_];
+  ++Claims.Unanswered_;
+  const unsigned Doublings = std::min(Claims.Unanswered_ - 1, 5U);
+  Claims.AskAgainAt_ =
+      State.Now_ + std::min(ClaimBackoff * (1 << Doublings), MaxClaimBackoff);
+  hurryStore(State);
+  if (Claims.Unanswered_ < AsksBeforeReport ||
+      !isDue(Claims.ReportedAt_, AlarmInterval, State.Now_))
+    return;
+  Claims.ReportedAt_ = State.Now_;
+  record(State, EventKind::Alarm, Request.Process_, Request.After_ + 1,
+         ResultCode::PeerVersionClaim, "claims a version but sends no entries");
+}
+
+void askForEntries(CoreState &State) {
+  Link *Source = chooseSource(State);
+  if (!Source)
+    return;
+  const std::uint64_t After = versionOf(State);
+  State.Links_.Request_ =
+      EntryRequest{Source->Id_, Source->Peer_.Process_, State.Now_, After};
+  send(State, *Source, WantEntries{After});
+}
+
+void sendState(CoreState &State, Link &To) {
+  if (!isDue(To.StateSentAt_, StateSendInterval, State.Now_))
+    return;
+  To.StateSentAt_ = State.Now_;
+  const auto Chunks =
+      splitBytes(encodeState(*State.Log_.State_), MaxPeerChunkBytes);
+  const auto Count = static_cast<std::uint32_t>(Chunks.size());
+  for (std::uint32_t I = 0; I < Count; ++I)
+    send(State, To, StateChunk{versionOf(State), I, Count, Chunks[I]});
+}
+
+/// Adds a chunk; true when the state is complete.
+bool assemble(StateAssembly &Assembly, const StateChunk &Message) {
+  if (Assembly.Version_ != Message.Version_ ||
+      Assembly.Chunks_.size() != Message.Count_)
+    Assembly = {Message.Version_, std::vector<std::string>(Message.Count_),
+                Message.Count_};
+  std::string &Chunk = Assembly.Chunks_[Message.Index_];
+  if (Chunk.empty() && !Message.Bytes_.empty()) {
+    Chunk = Message.Bytes_;
+    --Assembly.Missing_;
+  }
+  return Assembly.Missing_ == 0;
+}
+
+} // namespace
+
+Offer takeEntries(CoreState &State, const std::vector<model::Change> &Entries,
+                  std::optional<LinkId> From) {
+  const std::uint64_t Before = versionOf(State);
+  const Offer Result = offerEntries(State.Log_, Entries);
+  const Link *Source = From ? findLink(State.Links_, *From) : nullptr;
+  const std::string Name = Source ? Source->Peer_.Process_ : "store";
+  if (versionOf(State) > Before) {
+    State.Links_.Request_.reset();
+    for (const model::Change &Entry :
+         entriesAfter(State.Log_, Before, Entries.size())) {
+      record(State, EventKind::ChangeSeen, Entry.Id_, Entry.Version_,
+             ResultCode::Ok, Name);
+      record(State, EventKind::ChangeApplied, Entry.Id_, Entry.Version_,
+             ResultCode::Ok, Entry.Author_);
+    }
+    noteState(State);
+    pushEntries(State, Before, From);
+  }
+  if (Result == Offer::Disagrees)
+    noteDisagreement(State, Name, Before + 1);
+  if (Result == Offer::Gap)
+    hurryStore(State);
+  return Result;
+}
+
+bool takeState(CoreState &State, model::ConfigState Loaded,
+               const std::vector<model::Change> &Entries,
+               const std::string &Source) {
+  if (!adoptState(State.Log_, std::move(Loaded), Entries))
+    return false;
+  State.Links_.Request_.reset();
+  record(State, EventKind::ChangeApplied, "snapshot", versionOf(State),
+         ResultCode::Ok, Source);
+  noteState(State);
+  return true;
+}
+
+void takeWantEntries(CoreState &State, Link &From, const WantEntries &Message) {
+  if (Message.After_ >= versionOf(State))
+    return;
+  auto Found = entriesAfter(State.Log_, Message.After_, MaxEntriesPerMessage);
+  if (Found.empty()) {
+    sendState(State, From);
+    return;
+  }
+  From.SentVersion_ = std::max(From.SentVersion_, Found.back().Version_);
+  send(State, From, Entries{std::move(Found), {}});
+}
+
+void takeStateChunk(CoreState &State, Link &From, const StateChunk &Message) {
+  if (Message.Count_ == 0 || Message.Count_ > MaxStateChunks ||
+      Message.Index_ >= Message.Count_ ||
+      Message.Version_ <= versionOf(State) || From.Operator_)
+    return;
+  if (State.Links_.Request_ && State.Links_.Request_->Link_ == From.Id_)
+    State.Links_.Request_->At_ = State.Now_; // it is answering
+  if (!assemble(From.Assembly_, Message))
+    return;
+  std::string Bytes;
+  for (const std::string &Chunk : From.Assembly_.Chunks_)
+    Bytes += Chunk;
+  From.Assembly_ = {};
+  auto Loaded = decodeState(Bytes);
+  if (!Loaded || Loaded->Version_ != Message.Version_) {
+    noteDisagreement(State, From.Peer_.Process_, Message.Version_);
+    return;
+  }
+  takeState(State, std::move(*Loaded), {}, From.Peer_.Process_);
+}
+
+void compareVersions(CoreState &State, Link &From, const Heartbeat &Message) {
+  From.PeerVersion_ = Message.Version_;
+  const model::ConfigState &Own = *State.Log_.State_;
+  if (Message.Version_ == Own.Version_ && Message.LogDigest_ != Own.LogDigest_)
+    noteDisagreement(State, From.Peer_.Process_, Own.Version_);
+  if (Message.Version_ > Own.Version_ && !State.Links_.Request_)
+    askForEntries(State);
+}
+
+void fillGaps(CoreState &State) {
+  const auto &Request = State.Links_.Request_;
+  if (Request && State.Now_ - Request->At_ >= AnswerTimeout) {
+    noteUnanswered(State, *Request);
+    State.Links_.Request_.reset();
+  }
+  if (!State.Links_.Request_)
+    askForEntries(State);
+}
+
+void noteExchanges(CoreState &State) {
+  for (const Link *Peer : peerLinks(State.Links_)) {
+    if (!Peer->EchoedAt_ || Peer->PeerVersion_ > versionOf(State))
+      continue;
+    if (!State.LastExchange_ || *State.LastExchange_ < *Peer->EchoedAt_)
+      State.LastExchange_ = Peer->EchoedAt_;
+  }
+}
+
+void noteDisagreement(CoreState &State, const std::string &Source,
+                      std::uint64_t Version) {
+  reloadFromStore(State);
+  if (!isDue(State.DisagreementAt_, AlarmInterval, State.Now_))
+    return;
+  State.DisagreementAt_ = State.Now_;
+  record(State, EventKind::Alarm, Source, Version,
+         ResultCode::StoreAnswerInvalid,
+         "has other content at this version; the store decides");
+}
+
+} // namespace cumingauge::control
--- /dev/null
+++ b/src/libcumingauge/control/subject.cpp
@@ -0,0 +1,61 @@
+#include "control/fold.h"
+#include <algorithm>
+#include <set>
+
+namespace cumingauge::control {
+
+namespace {
+
+/// What an action decides about. Choosing a preset and putting the one chosen
+/// share a name, so that neither is replaced unseen.
+struct Subject {
+  std::set<std::string> Presets_;
+  std::set<std::string> Servers_;
+  bool Choice_ = false;
+};
+
+struct SubjectOf {
+  Subject operator()(const model::PutPreset &Action) const {
+    return {{Action.Preset_.Name_}, {}, false};
+  }
+  Subject operator()(const model::ChoosePreset &Action) const {
+    return {{Action.Name_}, {}, true};
+  }
+  Subject operator()(const model::PutServer &Action) const {
+    return {{}, {Action.Server_.Name_}, false};
+  }
+  Subject operator()(const model::PutServers &Action) const {
+    Subject Out;
+    for (const model::BackendServer &Server : Action.Servers_)
+      Out.Servers_.insert(Server.Name_);
+    return Out;
+  }
+  Subject operator()(const model::RemoveServer &Action) const {
+    return {{}, {Action.Name_}, false};
+  }
+  Subject operator()(const model::MarkLeaving &Action) const {
+    return {{}, {Action.Name_}, false};
+  }
+  Subject operator()(const model::ReturnServer &Action) const {
+    return {{}, {Action.Name_}, false};
+  }
+};
+
+bool shareOne(const std::set<std::string> &Left,
+              const std::set<std::string> &Right) {
+  return std::any_of(Left.begin(), Left.end(), [&](const std::string &Name) {
+    return Right.count(Name) > 0;
+  });
+}
+
+} // namespace
+
+bool isSameSubject(const model::ChangeAction &Left,
+                   const model::ChangeAction &Right) {
+  const Subject L = std::visit(SubjectOf{}, Left);
+  const Subject R = std::visit(SubjectOf{}, Right);
+  return (L.Choice_ && R.Choice_) || shareOne(L.Presets_, R.Presets_) ||
+         shareOne(L.Servers_, R.Servers_);
+}
+
+} // namespace cumingauge::control
--- /dev/null
+++ b/src/libcumingauge/control/viewpublisher.cpp
@@ -0,0 +1,87 @@
+#include "control/viewpublisher.h"
+#include "control/corestate.h"
+#include <algorithm>
+
+namespace cumingauge::control {
+
+namespace {
+
+using model::ControlView;
+
+constexpr std::size_t PeersToCompare = 3;
+constexpr model::seconds MaxComparison{3};
+
+/// Whether a state known only from peers may be acted on: it is as new as
+/// several of them show, or no more of them have come in time.
+bool isNewestAmongPeers(const CoreState &State) {
+  std::size_t Compared = 0;
+  for (const Link *Peer : peerLinks(State.Links_)) {
+    if (Peer->HeardSequence_ == 0)
+      continue;
+    if (Peer->PeerVersion_ <= versionOf(State))
+      ++Compared;
+  }
+  const std::size_t Enough = std::min(PeersToCompare, livePeers(State).size());
+  return (Compared > 0 && Compared >= Enough) ||
+         isDue(State.FirstStateAt_, MaxComparison, State.Now_);
+}
+
+bool mayPublish(const CoreState &State) {
+  if (!State.HasState_)
+    return false;
+  return State.View_ || State.Confirmed_ ||
+         (State.Follower_.Away_ && isNewestAmongPeers(State));
+}
+
+void recordNewlyLeaving(CoreState &State, const std::set<std::string> &Now) {
+  for (const std::string &Server : Now)
+    if (!State.LeavingServers_.count(Server))
+      record(State, model::EventKind::ServerLeaving, Server, versionOf(State));
+}
+
+unsigned fleetRank(const CoreState &State) {
+  const auto Live = liveMembers(State.Members_);
+  return static_cast<unsigned>(
+      std::count_if(Live.begin(), Live.end(), [&](const auto *Value) {
+        return Value->Process_ < State.Members_.Self_;
+      }));
+}
+
+bool isSameView(const ControlView &Left, const ControlView &Right) {
+  return Left.Config_ == Right.Config_ &&
+         Left.LeavingServers_ == Right.LeavingServers_ &&
+         Left.FleetSize_ == Right.FleetSize_ &&
+         Left.FleetRank_ == Right.FleetRank_ &&
+         Left.Confirmed_ == Right.Confirmed_;
+}
+
+} // namespace
+
+void publishView(CoreState &State) {
+  if (!State.ViewChanged_ || !mayPublish(State))
+    return;
+  State.ViewChanged_ = false;
+  auto View = std::make_shared<ControlView>();
+  View->Config_ = State.Log_.State_;
+  View->LeavingServers_ = leavingServers(State.Leaving_, *State.Log_.State_);
+  View->FleetSize_ = fleetSize(State);
+  View->FleetRank_ = fleetRank(State);
+  View->Confirmed_ = State.Confirmed_;
+  if (State.View_ && isSameView(*State.View_, *View))
+    return;
+  recordNewlyLeaving(State, View->LeavingServers_);
+  State.LeavingServers_ = View->LeavingServers_;
+  State.View_ = View;
+  give(State, PublishView{std::move(View)});
+}
+
+bool isAnyOtherKnown(const CoreState &State) {
+  return std::any_of(State.Members_.Records_.begin(),
+                     State.Members_.Records_.end(), [&](const auto &Entry) {
+                       return Entry.first != State.Members_.Self_ &&
+                              Entry.second.Member_.Status_ !=
+                                  model::MemberStatus::Left;
+                     });
+}
+
+} // namespace cumingauge::control
--- a/src/libcumingauge/model/change.h
+++ b/src/libcumingauge/model/change.h
@@ -70,8 +70,12 @@
   std::uint64_t Version_ = 0;
   std::uint64_t AcceptedAtMs_ = 0; ///< writer's wall clock, ms since 1970
   ChangeAction Action_;
+  /// LogDigest_ of the state on top of which it was written, so that one entry
+  /// vouches for the whole log before it.
+  std::uint64_t BasisDigest_ = 0;
 };
 BOOST_DESCRIBE_STRUCT(Change, (),
-                      (Id_, Author_, Version_, AcceptedAtMs_, Action_))
+                      (Id_, Author_, Version_, AcceptedAtMs_, Action_,
+                       BasisDigest_))
 
 } // namespace cumingauge::model
--- a/src/libcumingauge/model/configstate.h
+++ b/src/libcumingauge/model/configstate.h
@@ -17,10 +17,11 @@
   std::map<std::string, BackendServer> Servers_;
   std::map<std::string, std::string> LeavingVms_; ///< server name to VM name
   std::vector<std::string> RecentChangeIds_;      ///< oldest first, bounded
+  std::uint64_t LogDigest_ = 0; ///< chained hash of all changes up to Version_
 };
 BOOST_DESCRIBE_STRUCT(ConfigState, (),
                       (Version_, PresetInForce_, Presets_, Servers_,
-                       LeavingVms_, RecentChangeIds_))
+                       LeavingVms_, RecentChangeIds_, LogDigest_))
 
 /// The preset in force, or null before the first choice.
 const Preset *presetInForce(const ConfigState &State);
--- a/src/libcumingauge/model/event.h
+++ b/src/libcumingauge/model/event.h
@@ -40,13 +40,14 @@
   ProcessStarted,
   ProcessReady,
   ProcessStopping,
+  Alarm, ///< something an operator must look into; the reason says what
 };
 BOOST_DESCRIBE_ENUM(EventKind, ChangeAccepted, ChangeSeen, ChangeApplied,
                     MemberJoined, MemberSuspected, MemberDead, MemberReturned,
                     ServerCold, ServerReady, ServerLeaving, ServerEjected,
                     ServerGone, ServerLastCallEnded, CallRetried, CallHedged,
                     CallRefused, BudgetSpent, PauseFound, StoreAway, StoreBack,
-                    ProcessStarted, ProcessReady, ProcessStopping)
+                    ProcessStarted, ProcessReady, ProcessStopping, Alarm)
 
 /// One event of one process.
 struct Event {
--- /dev/null
+++ b/tests/control/foldtest.cpp
@@ -0,0 +1,122 @@
+#include "control/fold.h"
+#include "control/changelog.h"
+#include "samples.h"
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace cumingauge;
+using namespace cumingauge::control;
+
+namespace {
+
+model::ResultCode checked(const model::ChangeAction &Action,
+                          const model::ConfigState &State,
+                          bool Confirmed = false) {
+  return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<model::ResultCode> {
+        BOOST_LEAF_CHECK(checkAction(Action, State, Confirmed));
+        return model::ResultCode::Ok;
+      },
+      [](const ChangeFault &Fault) { return Fault.Code_; },
+      []() { return model::ResultCode::InternalError; });
+}
+
+model::Change entryOn(const model::ConfigState &State,
+                      model::ChangeAction Action) {
+  const std::uint64_t Version = State.Version_ + 1;
+  return {"id-" + std::to_string(Version),
+          "ops",
+          Version,
+          0,
+          std::move(Action),
+          State.LogDigest_};
+}
+
+/// A log with two servers, two presets and the first of these in force.
+ChangeLog sampleLog() {
+  ChangeLog Log;
+  const auto Add = [&](model::ChangeAction Action) {
+    const auto Entry = entryOn(*Log.State_, std::move(Action));
+    CPPUNIT_ASSERT(offerEntries(Log, {Entry}) == Offer::Applied);
+  };
+  Add(model::PutPreset{samples::preset("ordinary")});
+  Add(model::PutPreset{samples::preset("peak")});
+  Add(model::ChoosePreset{"ordinary"});
+  Add(model::PutServers{
+      {samples::server("s1"), samples::server("s2", "vm-2")}});
+  return Log;
+}
+
+class FoldingTheChangeLog : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FoldingTheChangeLog);
+  CPPUNIT_TEST(refusesWhatDoesNotHold);
+  CPPUNIT_TEST(asksBeforeTheLastServerLeaves);
+  CPPUNIT_TEST(keepsAMarkToItsVm);
+  CPPUNIT_TEST(appliesOnlyTheNextVersion);
+  CPPUNIT_TEST(noticesAnotherHistory);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void refusesWhatDoesNotHold() {
+    const ChangeLog Log = sampleLog();
+    const auto Refused = model::ResultCode::ChangeRefused;
+    model::Preset Bad = samples::preset("bad");
+    Bad.Retry_.Ratio_ = 2;
+    CPPUNIT_ASSERT(checked(model::ChoosePreset{"none"}, *Log.State_) ==
+                   Refused);
+    CPPUNIT_ASSERT(checked(model::PutPreset{Bad}, *Log.State_) == Refused);
+    CPPUNIT_ASSERT(checked(model::MarkLeaving{"s9", "vm-1"}, *Log.State_) ==
+                   Refused);
+    CPPUNIT_ASSERT(checked(model::MarkLeaving{"s1", "vm-9"}, *Log.State_) ==
+                   Refused);
+    CPPUNIT_ASSERT(checked(model::ReturnServer{"s1", "vm-1"}, *Log.State_) ==
+                   Refused);
+    CPPUNIT_ASSERT(checked(model::PutServers{}, *Log.State_) == Refused);
+  }
+
+  void asksBeforeTheLastServerLeaves() {
+    ChangeLog Log = sampleLog();
+    const model::MarkLeaving First{"s1", "vm-1"};
+    CPPUNIT_ASSERT(checked(First, *Log.State_) == model::ResultCode::Ok);
+    offerEntries(Log, {entryOn(*Log.State_, First)});
+    const model::MarkLeaving Last{"s2", "vm-2"};
+    CPPUNIT_ASSERT(checked(Last, *Log.State_) ==
+                   model::ResultCode::ConfirmationNeeded);
+    CPPUNIT_ASSERT(checked(Last, *Log.State_, true) == model::ResultCode::Ok);
+  }
+
+  void keepsAMarkToItsVm() {
+    ChangeLog Log = sampleLog();
+    offerEntries(Log, {entryOn(*Log.State_, model::MarkLeaving{"s1", "vm-1"})});
+    CPPUNIT_ASSERT(isMarkedLeaving(*Log.State_, samples::server("s1")));
+    const auto Replaced = samples::server("s1", "vm-3");
+    offerEntries(Log, {entryOn(*Log.State_, model::PutServer{Replaced})});
+    CPPUNIT_ASSERT(!isMarkedLeaving(*Log.State_, Replaced));
+  }
+
+  void appliesOnlyTheNextVersion() {
+    ChangeLog Log = sampleLog();
+    model::Change Later = entryOn(*Log.State_, model::ChoosePreset{"peak"});
+    ++Later.Version_;
+    CPPUNIT_ASSERT(offerEntries(Log, {Later}) == Offer::Gap);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), Log.State_->Version_);
+    CPPUNIT_ASSERT(offerEntries(Log, entriesAfter(Log, 0, 9)) == Offer::Known);
+    model::ConfigState Older = *Log.State_;
+    Older.Version_ = 3;
+    CPPUNIT_ASSERT(!adoptState(Log, Older, {}));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), Log.State_->Version_);
+  }
+
+  void noticesAnotherHistory() {
+    ChangeLog Log = sampleLog();
+    model::Change Other = *findEntry(Log, 3);
+    Other.Action_ = model::ChoosePreset{"peak"};
+    CPPUNIT_ASSERT(offerEntries(Log, {Other}) == Offer::Disagrees);
+    model::Change Next = entryOn(*Log.State_, model::ChoosePreset{"peak"});
+    Next.BasisDigest_ ^= 1;
+    CPPUNIT_ASSERT(offerEntries(Log, {Next}) == Offer::Disagrees);
+    CPPUNIT_ASSERT_EQUAL(std::string("ordinary"), Log.State_->PresetInForce_);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(FoldingTheChangeLog);
+
+} // namespace
