--- /dev/null
+++ b/src/libcumingauge/traffic/calllifecycle.cpp
@@ -0,0 +1,352 @@
+// The transition table has more rows than the default limit of Boost.MPL.
+#define BOOST_MPL_CFG_NO_PREPROCESSED_HEADERS
+#define BOOST_MPL_LIMIT_LIST_SIZE 30
+#define BOOST_MPL_LIMIT_VECTOR_SIZE 30
+
+#include "traffic/calllifecycle.h"
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace cumingauge::traffic {
+
+using model::ResultCode;
+using policy::AttemptEnd;
+using policy::ServerHandle;
+
+namespace {
+
+namespace msm = boost::msm;
+using msm::front::none;
+using msm::front::Row;
+
+/// What the machine remembers of a call.
+struct CallData {
+  CallRules Rules_;
+  std::vector<AttemptFate> Fates_;
+  std::vector<ServerHandle> Servers_;
+  std::vector<CallAction> Actions_;
+
+  bool isKnown(AttemptNumber Attempt) const {
+    return Attempt >= 1 && Attempt <= Fates_.size();
+  }
+  bool isIn(AttemptNumber Attempt, AttemptFate Fate) const {
+    return isKnown(Attempt) && Fates_[Attempt - 1] == Fate;
+  }
+  bool isLiveAttempt(AttemptNumber Attempt) const {
+    return isKnown(Attempt) && isLive(Fates_[Attempt - 1]);
+  }
+  unsigned liveAttempts() const {
+    unsigned Count = 0;
+    for (const AttemptFate Fate : Fates_)
+      Count += isLive(Fate) ? 1 : 0;
+    return Count;
+  }
+  bool isLastLive(AttemptNumber Attempt) const {
+    return isLiveAttempt(Attempt) && liveAttempts() == 1;
+  }
+
+  void open(ServerHandle Server) {
+    Fates_.push_back(AttemptFate::Connecting);
+    Servers_.push_back(Server);
+    Actions_.push_back(
+        OpenAttempt{static_cast<AttemptNumber>(Fates_.size()), Server});
+  }
+
+  void end(AttemptNumber Attempt, AttemptFate Fate, AttemptEnd End) {
+    Fates_[Attempt - 1] = Fate;
+    Actions_.push_back(ReportAttempt{Attempt, Servers_[Attempt - 1], End});
+  }
+
+  void drop(AttemptNumber Attempt, AttemptEnd End) {
+    const bool Unsent = Fates_[Attempt - 1] == AttemptFate::Connecting;
+    Actions_.push_back(DropAttempt{Attempt});
+    end(Attempt, Unsent ? AttemptFate::NotSent : AttemptFate::Abandoned, End);
+  }
+
+  void dropAllBut(AttemptNumber Kept, AttemptEnd End) {
+    for (AttemptNumber Attempt = 1; Attempt <= Fates_.size(); ++Attempt)
+      if (Attempt != Kept && isLive(Fates_[Attempt - 1]))
+        drop(Attempt, End);
+  }
+
+  void fail(ResultCode NotRunReason) {
+    const ResultCode Code = failureCode(Fates_, NotRunReason);
+    Actions_.push_back(AnswerCaller{Code});
+    Actions_.push_back(EndCall{Code});
+  }
+};
+
+constexpr AttemptNumber NoAttempt = 0;
+
+AttemptEnd endOf(const AttemptFailed &Event) {
+  switch (Event.Fate_) {
+  case AttemptFate::NotSent:
+    return AttemptEnd::ConnectFailed;
+  case AttemptFate::DeclaredNotRun:
+    return Event.Draining_ ? AttemptEnd::Draining : AttemptEnd::Shed;
+  default:
+    return AttemptEnd::Broken;
+  }
+}
+
+ResultCode notRunReason(AttemptFate Fate) {
+  return Fate == AttemptFate::DeclaredNotRun ? ResultCode::NotRunShed
+                                             : ResultCode::NotRunConnectFailed;
+}
+
+struct CallDef : msm::front::state_machine_def<CallDef> {
+  using no_exception_thrown = int;
+  using no_message_queue = int;
+
+  struct Arriving : msm::front::state<> {};
+  struct Deciding : msm::front::state<> {};
+  struct Running : msm::front::state<> {};
+  struct AskingRetry : msm::front::state<> {};
+  struct Forwarding : msm::front::state<> {};
+  struct Ended : msm::front::state<> {};
+  using initial_state = Arriving;
+
+  CallData Data_;
+
+  // Guards.
+  struct IsConnecting {
+    template <class E, class F, class S, class T>
+    bool operator()(const E &Event, F &Fsm, S &, T &) const {
+      return Fsm.Data_.isIn(Event.Attempt_, AttemptFate::Connecting);
+    }
+  };
+  struct IsSent {
+    template <class E, class F, class S, class T>
+    bool operator()(const E &Event, F &Fsm, S &, T &) const {
+      return Fsm.Data_.isIn(Event.Attempt_, AttemptFate::Sent);
+    }
+  };
+  struct IsForwarded {
+    template <class E, class F, class S, class T>
+    bool operator()(const E &Event, F &Fsm, S &, T &) const {
+      return Fsm.Data_.isIn(Event.Attempt_, AttemptFate::Forwarding);
+    }
+  };
+  struct HasOthers {
+    template <class E, class F, class S, class T>
+    bool operator()(const E &Event, F &Fsm, S &, T &) const {
+      return Fsm.Data_.isLiveAttempt(Event.Attempt_) &&
+             Fsm.Data_.liveAttempts() > 1;
+    }
+  };
+  struct MayGoOn {
+    template <class E, class F, class S, class T>
+    bool operator()(const E &Event, F &Fsm, S &, T &) const {
+      return Fsm.Data_.isLastLive(Event.Attempt_) &&
+             mayTryAgain(Fsm.Data_.Rules_, Event.Fate_);
+    }
+  };
+  struct MustEnd {
+    template <class E, class F, class S, class T>
+    bool operator()(const E &Event, F &Fsm, S &, T &) const {
+      return Fsm.Data_.isLastLive(Event.Attempt_) &&
+             !mayTryAgain(Fsm.Data_.Rules_, Event.Fate_);
+    }
+  };
+  struct IsAllowed {
+    template <class E, class F, class S, class T>
+    bool operator()(const E &Event, F &, S &, T &) const {
+      return Event.Allowed_;
+    }
+  };
+  struct IsDenied {
+    template <class E, class F, class S, class T>
+    bool operator()(const E &Event, F &, S &, T &) const {
+      return !Event.Allowed_;
+    }
+  };
+  struct MayHedge {
+    template <class E, class F, class S, class T>
+    bool operator()(const E &, F &Fsm, S &, T &) const {
+      const CallRules &Rules = Fsm.Data_.Rules_;
+      return Rules.Idempotent_ && Rules.Replayable_ &&
+             Fsm.Data_.liveAttempts() == 1;
+    }
+  };
+  struct IsHedge {
+    template <class E, class F, class S, class T>
+    bool operator()(const E &Event, F &Fsm, S &Source, T &Target) const {
+      return Event.Server_ != policy::NoServer &&
+             MayHedge()(Event, Fsm, Source, Target);
+    }
+  };
+
+  // Actions.
+  struct Ask {
+    template <class E, class F, class S, class T>
+    void operator()(const E &, F &Fsm, S &, T &) const {
+      Fsm.Data_.Actions_.push_back(AskBalancer{});
+    }
+  };
+  struct Open {
+    template <class E, class F, class S, class T>
+    void operator()(const E &Event, F &Fsm, S &, T &) const {
+      Fsm.Data_.open(Event.Server_);
+    }
+  };
+  struct Refuse {
+    template <class E, class F, class S, class T>
+    void operator()(const E &Event, F &Fsm, S &, T &) const {
+      Fsm.Data_.fail(Event.Reason_);
+    }
+  };
+  struct Send {
+    template <class E, class F, class S, class T>
+    void operator()(const E &Event, F &Fsm, S &, T &) const {
+      Fsm.Data_.Fates_[Event.Attempt_ - 1] = AttemptFate::Sent;
+      Fsm.Data_.Actions_.push_back(SendRequest{Event.Attempt_});
+    }
+  };
+  struct Forward {
+    template <class E, class F, class S, class T>
+    void operator()(const E &Event, F &Fsm, S &, T &) const {
+      Fsm.Data_.dropAllBut(Event.Attempt_, AttemptEnd::Cancelled);
+      Fsm.Data_.Fates_[Event.Attempt_ - 1] = AttemptFate::Forwarding;
+      Fsm.Data_.Actions_.push_back(ForwardAnswer{Event.Attempt_});
+    }
+  };
+  struct NoteFailure {
+    template <class E, class F, class S, class T>
+    void operator()(const E &Event, F &Fsm, S &, T &) const {
+      Fsm.Data_.end(Event.Attempt_, Event.Fate_, endOf(Event));
+    }
+  };
+  struct ConsiderRetry {
+    template <class E, class F, class S, class T>
+    void operator()(const E &Event, F &Fsm, S &, T &) const {
+      Fsm.Data_.end(Event.Attempt_, Event.Fate_, endOf(Event));
+      Fsm.Data_.Actions_.push_back(AskRetry{endOf(Event)});
+    }
+  };
+  struct GiveUp {
+    template <class E, class F, class S, class T>
+    void operator()(const E &Event, F &Fsm, S &, T &) const {
+      Fsm.Data_.end(Event.Attempt_, Event.Fate_, endOf(Event));
+      Fsm.Data_.fail(notRunReason(Event.Fate_));
+    }
+  };
+  struct DenyRetry {
+    template <class E, class F, class S, class T>
+    void operator()(const E &, F &Fsm, S &, T &) const {
+      Fsm.Data_.fail(ResultCode::NotRunRetryBudget);
+    }
+  };
+  struct ConsiderHedge {
+    template <class E, class F, class S, class T>
+    void operator()(const E &, F &Fsm, S &, T &) const {
+      Fsm.Data_.Actions_.push_back(AskHedge{});
+    }
+  };
+  struct Expire {
+    template <class E, class F, class S, class T>
+    void operator()(const E &, F &Fsm, S &, T &) const {
+      Fsm.Data_.Actions_.push_back(ForgetWaiting{});
+      Fsm.Data_.dropAllBut(NoAttempt, AttemptEnd::TimedOut);
+      Fsm.Data_.fail(ResultCode::NotRunDeadline);
+    }
+  };
+  struct Leave {
+    template <class E, class F, class S, class T>
+    void operator()(const E &, F &Fsm, S &, T &) const {
+      Fsm.Data_.Actions_.push_back(ForgetWaiting{});
+      Fsm.Data_.dropAllBut(NoAttempt, AttemptEnd::Cancelled);
+      Fsm.Data_.Actions_.push_back(EndCall{ResultCode::CallerGone});
+    }
+  };
+  struct Finish {
+    template <class E, class F, class S, class T>
+    void operator()(const E &Event, F &Fsm, S &, T &) const {
+      Fsm.Data_.end(Event.Attempt_, AttemptFate::Answered,
+                    Event.ServerError_ ? AttemptEnd::AnsweredError
+                                       : AttemptEnd::Answered);
+      Fsm.Data_.Actions_.push_back(EndCall{ResultCode::Ok});
+    }
+  };
+  struct Break {
+    template <class E, class F, class S, class T>
+    void operator()(const E &Event, F &Fsm, S &, T &) const {
+      Fsm.Data_.end(Event.Attempt_, Event.Fate_, AttemptEnd::Broken);
+      Fsm.Data_.Actions_.push_back(BreakAnswer{});
+      Fsm.Data_.Actions_.push_back(EndCall{ResultCode::UnknownAnswerBroken});
+    }
+  };
+  struct BreakLate {
+    template <class E, class F, class S, class T>
+    void operator()(const E &, F &Fsm, S &, T &) const {
+      Fsm.Data_.dropAllBut(NoAttempt, AttemptEnd::TimedOut);
+      Fsm.Data_.Actions_.push_back(BreakAnswer{});
+      Fsm.Data_.Actions_.push_back(EndCall{ResultCode::UnknownAnswerBroken});
+    }
+  };
+
+  // The name is what Boost.MSM looks for; the columns are kept by hand.
+  // clang-format off
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  struct transition_table : boost::mpl::vector<
+      //  State        Event             Next         Action         Guard
+      Row<Arriving,    CallArrived,      Deciding,    Ask,           none>,
+      Row<Arriving,    CallerLeft,       Ended,       Leave,         none>,
+      Row<Deciding,    ServerChosen,     Running,     Open,          none>,
+      Row<Deciding,    AdmissionRefused, Ended,       Refuse,        none>,
+      Row<Deciding,    DeadlinePassed,   Ended,       Expire,        none>,
+      Row<Deciding,    CallerLeft,       Ended,       Leave,         none>,
+      Row<Running,     ConnectionReady,  none,        Send,          IsConnecting>,
+      Row<Running,     AnswerStarted,    Forwarding,  Forward,       IsSent>,
+      Row<Running,     AttemptFailed,    none,        NoteFailure,   HasOthers>,
+      Row<Running,     AttemptFailed,    AskingRetry, ConsiderRetry, MayGoOn>,
+      Row<Running,     AttemptFailed,    Ended,       GiveUp,        MustEnd>,
+      Row<Running,     HedgeDue,         none,        ConsiderHedge, MayHedge>,
+      Row<Running,     HedgeDecided,     none,        Open,          IsHedge>,
+      Row<Running,     DeadlinePassed,   Ended,       Expire,        none>,
+      Row<Running,     CallerLeft,       Ended,       Leave,         none>,
+      Row<AskingRetry, RetryDecided,     Deciding,    Ask,           IsAllowed>,
+      Row<AskingRetry, RetryDecided,     Ended,       DenyRetry,     IsDenied>,
+      Row<AskingRetry, DeadlinePassed,   Ended,       Expire,        none>,
+      Row<AskingRetry, CallerLeft,       Ended,       Leave,         none>,
+      Row<Forwarding,  AnswerEnded,      Ended,       Finish,        IsForwarded>,
+      Row<Forwarding,  AttemptFailed,    Ended,       Break,         IsForwarded>,
+      Row<Forwarding,  DeadlinePassed,   Ended,       BreakLate,     none>,
+      Row<Forwarding,  CallerLeft,       Ended,       Leave,         none>> {};
+  // clang-format on
+
+  template <class F, class E> void no_transition(const E &, F &, int) {}
+};
+
+} // namespace
+
+struct CallLifecycle::Machine {
+  msm::back::state_machine<CallDef> Fsm_;
+  bool Ended_ = false;
+};
+
+CallLifecycle::CallLifecycle(CallRules Rules)
+    : Machine_(std::make_unique<Machine>()) {
+  Machine_->Fsm_.Data_.Rules_ = Rules;
+  Machine_->Fsm_.start();
+}
+
+CallLifecycle::CallLifecycle(CallLifecycle &&) noexcept = default;
+CallLifecycle::~CallLifecycle() = default;
+
+std::vector<CallAction> CallLifecycle::process(const CallEvent &Event) {
+  std::vector<CallAction> &Actions = Machine_->Fsm_.Data_.Actions_;
+  Actions.clear();
+  std::visit([this](const auto &E) { Machine_->Fsm_.process_event(E); }, Event);
+  if (!Actions.empty() && std::holds_alternative<EndCall>(Actions.back()))
+    Machine_->Ended_ = true;
+  return Actions;
+}
+
+bool CallLifecycle::isEnded() const { return Machine_->Ended_; }
+
+const std::vector<AttemptFate> &CallLifecycle::fates() const {
+  return Machine_->Fsm_.Data_.Fates_;
+}
+
+} // namespace cumingauge::traffic
--- /dev/null
+++ b/src/libcumingauge/traffic/connectionlifecycle.cpp
@@ -0,0 +1,119 @@
+#include "traffic/connectionlifecycle.h"
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace cumingauge::traffic {
+
+namespace {
+
+namespace msm = boost::msm;
+using msm::front::none;
+using msm::front::Row;
+
+/// Appends its actions in this order.
+template <ConnectionAction... Listed> struct Do {
+  template <class E, class F, class S, class T>
+  void operator()(const E &, F &Fsm, S &, T &) const {
+    (Fsm.Actions_.push_back(Listed), ...);
+  }
+};
+
+struct ConnectionDef : msm::front::state_machine_def<ConnectionDef> {
+  using no_exception_thrown = int;
+  using no_message_queue = int;
+
+  struct Connecting : msm::front::state<> {};
+  struct Idle : msm::front::state<> {};
+  struct Sending : msm::front::state<> {};  ///< request not fully written
+  struct Awaiting : msm::front::state<> {}; ///< request written
+  struct Closed : msm::front::state<> {};
+  using initial_state = Connecting;
+
+  std::vector<ConnectionAction> Actions_;
+
+  struct IsReusable {
+    template <class E, class F, class S, class T>
+    bool operator()(const E &Event, F &, S &, T &) const {
+      return Event.KeepAlive_ && !Event.BytesFollow_;
+    }
+  };
+  struct IsSpent {
+    template <class E, class F, class S, class T>
+    bool operator()(const E &Event, F &, S &, T &) const {
+      return !Event.KeepAlive_ || Event.BytesFollow_;
+    }
+  };
+
+  using Offered = Do<ConnectionAction::Offer>;
+  using Parsed = Do<ConnectionAction::ParseAnswer>;
+  using Shut = Do<ConnectionAction::Close>;
+  using Failed = Do<ConnectionAction::ReportFailed, ConnectionAction::Close>;
+  using EndAndOffer = Do<ConnectionAction::ReportEnd, ConnectionAction::Offer>;
+  using EndAndShut = Do<ConnectionAction::ReportEnd, ConnectionAction::Close>;
+
+  // The name is what Boost.MSM looks for; the columns are kept by hand.
+  // clang-format off
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  struct transition_table : boost::mpl::vector<
+      //  State       Event             Next      Action       Guard
+      Row<Connecting, ConnectSucceeded, Idle,     Offered,     none>,
+      Row<Connecting, ConnectFailed,    Closed,   Failed,      none>,
+      Row<Connecting, Retired,          Closed,   Failed,      none>,
+      Row<Idle,       Leased,           Sending,  none,        none>,
+      Row<Idle,       BytesArrived,     Closed,   Shut,        none>,
+      Row<Idle,       ConnectionBroken, Closed,   Shut,        none>,
+      Row<Idle,       Retired,          Closed,   Shut,        none>,
+      Row<Sending,    RequestSent,      Awaiting, none,        none>,
+      Row<Sending,    BytesArrived,     none,     Parsed,      none>,
+      Row<Sending,    AnswerComplete,   Closed,   EndAndShut,  none>,
+      Row<Sending,    ConnectionBroken, Closed,   Failed,      none>,
+      Row<Sending,    Abandoned,        Closed,   Shut,        none>,
+      Row<Awaiting,   BytesArrived,     none,     Parsed,      none>,
+      Row<Awaiting,   AnswerComplete,   Idle,     EndAndOffer, IsReusable>,
+      Row<Awaiting,   AnswerComplete,   Closed,   EndAndShut,  IsSpent>,
+      Row<Awaiting,   ConnectionBroken, Closed,   Failed,      none>,
+      Row<Awaiting,   Abandoned,        Closed,   Shut,        none>> {};
+  // clang-format on
+
+  template <class F, class E> void no_transition(const E &, F &, int) {}
+};
+
+using ConnectionFsm = msm::back::state_machine<ConnectionDef>;
+
+} // namespace
+
+struct ConnectionLifecycle::Machine {
+  ConnectionFsm Fsm_;
+
+  template <class State> bool isIn() const {
+    using States = ConnectionFsm::stt;
+    return Fsm_.current_state()[0] ==
+           msm::back::get_state_id<States, State>::value;
+  }
+};
+
+ConnectionLifecycle::ConnectionLifecycle()
+    : Machine_(std::make_unique<Machine>()) {
+  Machine_->Fsm_.start();
+}
+
+ConnectionLifecycle::~ConnectionLifecycle() = default;
+
+std::vector<ConnectionAction>
+ConnectionLifecycle::process(const ConnectionEvent &Event) {
+  std::vector<ConnectionAction> &Actions = Machine_->Fsm_.Actions_;
+  Actions.clear();
+  std::visit([this](const auto &E) { Machine_->Fsm_.process_event(E); }, Event);
+  return Actions;
+}
+
+bool ConnectionLifecycle::isIdle() const {
+  return Machine_->isIn<ConnectionDef::Idle>();
+}
+
+bool ConnectionLifecycle::isClosed() const {
+  return Machine_->isIn<ConnectionDef::Closed>();
+}
+
+} // namespace cumingauge::traffic
--- /dev/null
+++ b/src/libcumingauge/traffic/figures.cpp
@@ -0,0 +1,36 @@
+#include "traffic/figures.h"
+#include <algorithm>
+
+namespace cumingauge::traffic {
+
+void noteCall(RouteFigures &Figures, model::ResultCode Code,
+              model::Duration Latency) {
+  ++Figures.Calls_[Code];
+  const auto Bound =
+      std::lower_bound(LatencyBounds.begin(), LatencyBounds.end(), Latency);
+  ++Figures.Latencies_[static_cast<std::size_t>(Bound - LatencyBounds.begin())];
+  Figures.LatencySumMicros_ += static_cast<std::uint64_t>(
+      std::chrono::duration_cast<model::microseconds>(Latency).count());
+}
+
+void addFigures(TrafficFigures &Sum, const TrafficFigures &Part) {
+  for (const auto &[Name, Route] : Part.Routes_) {
+    RouteFigures &Total = Sum.Routes_[Name];
+    for (const auto &[Code, Count] : Route.Calls_)
+      Total.Calls_[Code] += Count;
+    for (std::size_t I = 0; I < Route.Latencies_.size(); ++I)
+      Total.Latencies_[I] += Route.Latencies_[I];
+    Total.LatencySumMicros_ += Route.LatencySumMicros_;
+  }
+  Sum.InFlight_ += Part.InFlight_;
+  Sum.Queued_ += Part.Queued_;
+  Sum.CallerConnections_ += Part.CallerConnections_;
+  Sum.BackendConnections_ += Part.BackendConnections_;
+  Sum.Attempts_ += Part.Attempts_;
+  Sum.Retries_ += Part.Retries_;
+  Sum.Hedges_ += Part.Hedges_;
+  Sum.ProbesSent_ += Part.ProbesSent_;
+  Sum.ProbesFailed_ += Part.ProbesFailed_;
+}
+
+} // namespace cumingauge::traffic
