--- /dev/null
+++ b/src/libcumingauge/adapters/httpcall.cpp
@@ -0,0 +1,295 @@
+#include "adapters/httpcall.h"
+#include "adapters/httptext.h"
+#include "adapters/httpworker.h"
+#include "traffic/headers.h"
+#include <algorithm>
+
+namespace cumingauge::adapters {
+
+using traffic::AttemptFate;
+using traffic::AttemptNumber;
+using traffic::Framing;
+
+namespace {
+
+constexpr unsigned StatusServerError = 500;
+
+traffic::CallRules rulesOf(const HttpCallRequest &Request) {
+  return {Request.Route_->Idempotent_, Request.BodyComplete_};
+}
+
+policy::CallFacts factsOf(const HttpCallRequest &Request, policy::CallId Call) {
+  policy::CallFacts Facts;
+  Facts.Call_ = Call;
+  Facts.Caller_ = Request.Caller_;
+  Facts.Route_ = *Request.Route_;
+  Facts.Arrived_ = Request.Arrived_;
+  Facts.Deadline_ = Request.Deadline_;
+  Facts.Nested_ = Request.Head_.Attempt_ > 1;
+  return Facts;
+}
+
+} // namespace
+
+HttpCall::HttpCall(HttpWorker &Worker,
+                   std::shared_ptr<HttpCallerSession> Session,
+                   HttpCallRequest Incoming)
+    : Worker_(Worker), Session_(std::move(Session)),
+      Request_(std::move(Incoming)),
+      Facts_(factsOf(Request_, Worker.nextCallId())), Life_(rulesOf(Request_)),
+      HedgeAt_(model::TimePoint::max()) {
+  if (Request_.Head_.CallId_.empty())
+    Request_.Head_.CallId_ = Worker.makeCallId(Facts_.Call_);
+}
+
+void HttpCall::start() {
+  Worker_.noteCallStarted();
+  setAlarm();
+  apply(traffic::CallArrived{});
+}
+
+void HttpCall::decide(const policy::Decision &Decision) {
+  if (Decision.Verdict_ == policy::Verdict::Dispatch)
+    apply(traffic::ServerChosen{Decision.Server_});
+  else if (Decision.Verdict_ == policy::Verdict::Refuse)
+    apply(traffic::AdmissionRefused{Decision.Reason_});
+}
+
+void HttpCall::onCallerLeft() { apply(traffic::CallerLeft{}); }
+
+void HttpCall::onAlarm(model::TimePoint Now) {
+  if (Now >= Request_.Deadline_)
+    return apply(traffic::DeadlinePassed{});
+  if (Now >= HedgeAt_) {
+    HedgeAt_ = model::TimePoint::max();
+    apply(traffic::HedgeDue{});
+  }
+  setAlarm();
+}
+
+void HttpCall::setAlarm() {
+  if (!Life_.isEnded())
+    Session_->setAlarm(std::min(Request_.Deadline_, HedgeAt_));
+}
+
+void HttpCall::apply(const traffic::CallEvent &Event) {
+  Pending_.push_back(Event);
+  if (Applying_)
+    return;
+  const auto Self = shared_from_this();
+  Applying_ = true;
+  for (std::size_t I = 0; I < Pending_.size(); ++I) {
+    const traffic::CallEvent Next = Pending_[I];
+    for (const traffic::CallAction &Action : Life_.process(Next))
+      std::visit([this](const auto &A) { perform(A); }, Action);
+  }
+  Pending_.clear();
+  Applying_ = false;
+}
+
+void HttpCall::perform(const traffic::AskBalancer &) {
+  Worker_.admit(shared_from_this());
+}
+
+void HttpCall::perform(const traffic::ForgetWaiting &) {
+  Worker_.forgetWaiting(*this);
+}
+
+void HttpCall::perform(const traffic::OpenAttempt &Action) {
+  const model::TimePoint Now = Worker_.now();
+  Attempt Opened;
+  Opened.Server_ = Action.Server_;
+  Opened.Dispatched_ = Now;
+  Attempts_.push_back(Opened);
+  ++Facts_.Attempts_;
+  Facts_.Tried_.push_back(Action.Server_);
+  Worker_.noteAttemptStarted(Action.Server_);
+  if (Action.Attempt_ == 1) {
+    if (const auto When = Worker_.hedgeTime(Facts_, Now)) {
+      HedgeAt_ = *When;
+      setAlarm();
+    }
+  }
+  const AttemptNumber Number = Action.Attempt_;
+  const auto Ticket = Worker_.pool(Action.Server_)
+                          .lease([Self = shared_from_this(), Number](
+                                     std::shared_ptr<HttpConnection> Leased) {
+                            Self->onLease(Number, std::move(Leased));
+                          });
+  if (Attempts_.size() >= Number && !attempt(Number).Connection_)
+    attempt(Number).Ticket_ = Ticket;
+}
+
+void HttpCall::onLease(AttemptNumber Number,
+                       std::shared_ptr<HttpConnection> Connection) {
+  attempt(Number).Ticket_ = HttpPool::NoTicket;
+  if (!Connection)
+    return onFailure(Number, AttemptFate::NotSent);
+  attempt(Number).Connection_ = std::move(Connection);
+  apply(traffic::ConnectionReady{Number});
+}
+
+void HttpCall::perform(const traffic::SendRequest &Action) {
+  const AttemptNumber Number = Action.Attempt_;
+  Exchange Outgoing;
+  Outgoing.Head_ = requestHead(Number);
+  Outgoing.BodyComplete_ = Request_.BodyComplete_;
+  Outgoing.IsHead_ = Request_.Head_.IsHead_;
+  Outgoing.CallId_ = callId();
+  if (Request_.BodyComplete_ || Request_.Head_.Framing_ != Framing::Chunked)
+    Outgoing.Body_ = Request_.Kept_;
+  else
+    appendChunk(Outgoing.Head_, Request_.Kept_, /*Last=*/false);
+  Outgoing.Handler_ = [Self = shared_from_this(), Number](ExchangeStep Step) {
+    Self->onExchange(Number, Step);
+  };
+  attempt(Number).Connection_->send(std::move(Outgoing));
+}
+
+std::string HttpCall::requestHead(AttemptNumber Number) const {
+  namespace names = traffic::headers;
+  const traffic::RequestHead &Head = Request_.Head_;
+  const auto Left = std::chrono::duration_cast<model::milliseconds>(
+      Request_.Deadline_ - Worker_.now());
+  const unsigned Mark = std::max(Head.Attempt_, 1U) + Number - 1;
+  std::string Out;
+  Out.reserve(Head.Target_.size() + Head.Fields_.size() + 256);
+  Out.append(Head.Method_).append(" ").append(Head.Target_);
+  Out.append(" HTTP/1.1\r\n").append(Head.Fields_);
+  appendHeader(Out, names::CallId, Head.CallId_);
+  appendHeader(Out, names::Attempt, std::to_string(Mark));
+  appendHeader(Out, names::DeadlineMs,
+               std::to_string(std::max<std::int64_t>(Left.count(), 1)));
+  if (Head.Framing_ == Framing::Chunked && Request_.BodyComplete_)
+    appendHeader(Out, "Content-Length", std::to_string(Request_.Kept_.size()));
+  else
+    appendFraming(Out, Head.Framing_, Head.Length_);
+  return Out.append("\r\n");
+}
+
+void HttpCall::onExchange(AttemptNumber Number, ExchangeStep Step) {
+  switch (Step) {
+  case ExchangeStep::BodyWanted:
+    return pullBody(Number);
+  case ExchangeStep::Head:
+    return onHead(Number);
+  case ExchangeStep::Body:
+    return onBody(Number);
+  case ExchangeStep::End:
+    return onEnd(Number);
+  case ExchangeStep::NotSent:
+    return onFailure(Number, AttemptFate::NotSent);
+  case ExchangeStep::Lost:
+    return onFailure(Number, AttemptFate::Lost);
+  case ExchangeStep::Malformed:
+    return onFailure(Number, AttemptFate::Malformed);
+  }
+}
+
+void HttpCall::onHead(AttemptNumber Number) {
+  const auto Connection = attempt(Number).Connection_;
+  const traffic::AnswerHead &Head = Connection->head();
+  if (!Head.Report_.empty())
+    Worker_.noteReport(attempt(Number).Server_, Head.Report_);
+  if (!traffic::isNotRunAnswer(Head.Status_, Head.NotRun_))
+    return apply(traffic::AnswerStarted{Number});
+  const bool Draining = Head.NotRun_ == "draining";
+  if (Draining)
+    Worker_.noteDraining(attempt(Number).Server_);
+  attempt(Number).Connection_ = nullptr;
+  Connection->discardAnswer();
+  apply(traffic::AttemptFailed{Number, AttemptFate::DeclaredNotRun, Draining});
+}
+
+void HttpCall::onBody(AttemptNumber Number) {
+  const auto Connection = attempt(Number).Connection_;
+  const bool Last = Connection->isAnswerComplete();
+  AnswerForwarded_ = Last;
+  if (Session_->forwardBody(Connection->body(), Last,
+                            [Connection] { Connection->resume(); }))
+    Connection->resume();
+}
+
+void HttpCall::onEnd(AttemptNumber Number) {
+  const auto Connection = std::move(attempt(Number).Connection_);
+  attempt(Number).Connection_ = nullptr;
+  if (!AnswerForwarded_) {
+    AnswerForwarded_ = true;
+    Session_->forwardBody({}, /*Last=*/true, [] {});
+  }
+  apply(traffic::AnswerEnded{Number,
+                             Connection->head().Status_ >= StatusServerError});
+}
+
+void HttpCall::onFailure(AttemptNumber Number, AttemptFate Fate) {
+  attempt(Number).Connection_ = nullptr;
+  apply(traffic::AttemptFailed{Number, Fate, /*Draining_=*/false});
+}
+
+void HttpCall::pullBody(AttemptNumber Number) {
+  Session_->pullBody([Self = shared_from_this(),
+                      Number](const HttpCallerSession::BodyPiece &Piece) {
+    Self->sendPiece(Number, Piece);
+  });
+}
+
+void HttpCall::sendPiece(AttemptNumber Number,
+                         const HttpCallerSession::BodyPiece &Piece) {
+  const auto Connection = attempt(Number).Connection_;
+  if (!Connection)
+    return;
+  std::string Framed;
+  if (Request_.Head_.Framing_ == Framing::Chunked)
+    appendChunk(Framed, Piece.Bytes_, Piece.Last_);
+  else
+    Framed.assign(Piece.Bytes_);
+  const bool Last = Piece.Last_;
+  Connection->sendMore(std::move(Framed), Last,
+                       [Self = shared_from_this(), Number, Last](bool Sent) {
+                         if (Sent && !Last)
+                           Self->pullBody(Number);
+                       });
+}
+
+void HttpCall::perform(const traffic::ForwardAnswer &Action) {
+  Session_->forwardHead(attempt(Action.Attempt_).Connection_->head());
+}
+
+void HttpCall::perform(const traffic::DropAttempt &Action) {
+  Attempt &Dropped = attempt(Action.Attempt_);
+  if (Dropped.Ticket_ != HttpPool::NoTicket)
+    Worker_.pool(Dropped.Server_).cancel(Dropped.Ticket_);
+  const auto Connection = std::move(Dropped.Connection_);
+  Dropped.Connection_ = nullptr;
+  if (!Connection)
+    return;
+  Connection->abandon();
+  Connection->retire(); // in case that nothing was sent on it
+}
+
+void HttpCall::perform(const traffic::ReportAttempt &Action) {
+  const Attempt &Ended = attempt(Action.Attempt_);
+  Worker_.noteAttemptEnded(Facts_, Action.Server_, Action.End_,
+                           Ended.Dispatched_);
+}
+
+void HttpCall::perform(const traffic::AskRetry &Action) {
+  apply(traffic::RetryDecided{Worker_.mayRetry(*this, Action.End_)});
+}
+
+void HttpCall::perform(const traffic::AskHedge &) {
+  apply(traffic::HedgeDecided{Worker_.hedge(*this)});
+}
+
+void HttpCall::perform(const traffic::AnswerCaller &Action) {
+  Session_->answer(Action.Code_);
+}
+
+void HttpCall::perform(const traffic::BreakAnswer &) { Session_->breakOff(); }
+
+void HttpCall::perform(const traffic::EndCall &Action) {
+  Worker_.noteCallEnded(*this, Action.Code_);
+  Session_->endCall();
+}
+
+} // namespace cumingauge::adapters
--- /dev/null
+++ b/src/libcumingauge/adapters/httpcall.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "adapters/httpcallersession.h"
+#include "adapters/httpcallrequest.h"
+#include "adapters/httppool.h"
+#include "policy/balancer.h"
+#include "traffic/calllifecycle.h"
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cumingauge::adapters {
+
+class HttpWorker;
+
+/// One call of one caller: carries out what its life cycle orders, with the
+/// caller's session on one side and connections to backend servers on the
+/// other.
+class HttpCall : public std::enable_shared_from_this<HttpCall> {
+public:
+  HttpCall(HttpWorker &Worker, std::shared_ptr<HttpCallerSession> Session,
+           HttpCallRequest Incoming);
+
+  void start();
+
+  /// Takes the balancer's decision on this call.
+  void decide(const policy::Decision &Decision);
+
+  void onCallerLeft();
+
+  /// To be called at the time of the session's alarm.
+  void onAlarm(model::TimePoint Now);
+
+  const policy::CallFacts &facts() const { return Facts_; }
+  const std::string &callId() const { return Request_.Head_.CallId_; }
+
+private:
+  struct Attempt {
+    policy::ServerHandle Server_ = policy::NoServer;
+    std::shared_ptr<HttpConnection> Connection_;
+    HttpPool::Ticket Ticket_ = HttpPool::NoTicket;
+    model::TimePoint Dispatched_;
+  };
+
+  Attempt &attempt(traffic::AttemptNumber Number) {
+    return Attempts_[Number - 1];
+  }
+
+  void apply(const traffic::CallEvent &Event);
+
+  void perform(const traffic::AskBalancer &);
+  void perform(const traffic::ForgetWaiting &);
+  void perform(const traffic::OpenAttempt &Action);
+  void perform(const traffic::SendRequest &Action);
+  void perform(const traffic::ForwardAnswer &Action);
+  void perform(const traffic::DropAttempt &Action);
+  void perform(const traffic::ReportAttempt &Action);
+  void perform(const traffic::AskRetry &Action);
+  void perform(const traffic::AskHedge &);
+  void perform(const traffic::AnswerCaller &Action);
+  void perform(const traffic::BreakAnswer &);
+  void perform(const traffic::EndCall &Action);
+
+  void onLease(traffic::AttemptNumber Number,
+               std::shared_ptr<HttpConnection> Connection);
+  void onExchange(traffic::AttemptNumber Number, ExchangeStep Step);
+  void onHead(traffic::AttemptNumber Number);
+  void onBody(traffic::AttemptNumber Number);
+  void onEnd(traffic::AttemptNumber Number);
+  void onFailure(traffic::AttemptNumber Number, traffic::AttemptFate Fate);
+  void pullBody(traffic::AttemptNumber Number);
+  void sendPiece(traffic::AttemptNumber Number,
+                 const HttpCallerSession::BodyPiece &Piece);
+  std::string requestHead(traffic::AttemptNumber Number) const;
+  void setAlarm();
+
+  HttpWorker &Worker_;
+  std::shared_ptr<HttpCallerSession> Session_;
+  HttpCallRequest Request_;
+  policy::CallFacts Facts_;
+  traffic::CallLifecycle Life_;
+  std::vector<Attempt> Attempts_;
+  std::vector<traffic::CallEvent> Pending_;
+  bool Applying_ = false;
+  bool AnswerForwarded_ = false; ///< to its last byte
+  model::TimePoint HedgeAt_;
+};
+
+} // namespace cumingauge::adapters
--- /dev/null
+++ b/src/libcumingauge/adapters/httpcallersession.cpp
@@ -0,0 +1,493 @@
+#include "adapters/httpcallersession.h"
+#include "adapters/httpcall.h"
+#include "adapters/httptext.h"
+#include "adapters/httpworker.h"
+#include "traffic/headers.h"
+#include <algorithm>
+#include <array>
+#include <boost/asio/write.hpp>
+
+namespace cumingauge::adapters {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using model::ResultCode;
+using traffic::Framing;
+
+namespace {
+
+constexpr model::milliseconds LingerTimeout{1000};
+/// Pieces of an answer up to this size are copied and written in one go.
+constexpr std::size_t CopiedPieceBytes = 16384;
+/// Pipelined requests that are read while a call runs.
+constexpr std::size_t MaxPipelinedBytes = 16384;
+constexpr unsigned StatusNoContent = 204;
+constexpr unsigned StatusNotModified = 304;
+
+const char *reasonOf(unsigned Status) {
+  switch (Status) {
+  case 400:
+    return "Bad Request";
+  case 404:
+    return "Not Found";
+  case 408:
+    return "Request Timeout";
+  case 413:
+    return "Payload Too Large";
+  case 417:
+    return "Expectation Failed";
+  case 431:
+    return "Request Header Fields Too Large";
+  case 502:
+    return "Bad Gateway";
+  case 503:
+    return "Service Unavailable";
+  case 504:
+    return "Gateway Timeout";
+  default:
+    return "Internal Server Error";
+  }
+}
+
+std::string codeText(ResultCode Code) {
+  return std::to_string(static_cast<int>(Code)) + " " +
+         std::string(model::nameOf(Code));
+}
+
+} // namespace
+
+HttpCallerSession::HttpCallerSession(tcp::socket Socket, HttpWorker &Worker)
+    : Socket_(std::move(Socket)), Timer_(Socket_.get_executor()),
+      Worker_(Worker), Reader_(Worker.limits().HeaderBytes_),
+      Limit_(model::TimePoint::max()), Alarm_(model::TimePoint::max()),
+      Armed_(model::TimePoint::max()) {
+  error_code Ignored;
+  Socket_.set_option(tcp::no_delay(true), Ignored);
+  const auto Remote = Socket_.remote_endpoint(Ignored);
+  if (!Ignored)
+    Peer_ = Remote.address().to_string();
+}
+
+HttpCallerSession::~HttpCallerSession() = default;
+
+void HttpCallerSession::start() {
+  setLimit(Worker_.limits().IdleTimeout_);
+  read();
+}
+
+void HttpCallerSession::refuse() {
+  refuseRequest(ResultCode::NotRunTooManyConnections);
+}
+
+void HttpCallerSession::startDraining() { Draining_ = true; }
+
+void HttpCallerSession::closeIfIdle() {
+  if (Phase_ == Phase::Head && !Reader_.isInside() && !Busy_)
+    lingerClose();
+}
+
+// Reading.
+
+void HttpCallerSession::read() {
+  if (Reading_ || Phase_ == Phase::Closed)
+    return;
+  Reading_ = true;
+  Socket_.async_read_some(
+      Reader_.prepare(),
+      [Self = shared_from_this()](error_code Error, std::size_t Bytes) {
+        Self->Reading_ = false;
+        Self->onRead(Error, Bytes);
+      });
+}
+
+void HttpCallerSession::onRead(error_code Error, std::size_t Bytes) {
+  if (Phase_ == Phase::Closed)
+    return;
+  if (Error)
+    return close();
+  if (Phase_ == Phase::Closing)
+    return read();
+  if (Phase_ == Phase::Head && !Reader_.isInside())
+    setLimit(Worker_.limits().HeadTimeout_);
+  Reader_.commit(Bytes);
+  if (Puller_)
+    return streamBody();
+  if (Phase_ != Phase::Call)
+    return advance();
+  if (Reader_.buffered() < MaxPipelinedBytes && RequestRead_)
+    read();
+}
+
+void HttpCallerSession::advance() {
+  if (Advancing_)
+    return;
+  Advancing_ = true;
+  while ((Phase_ == Phase::Head || Phase_ == Phase::KeptBody) &&
+         takeStep(Reader_.next()))
+    ;
+  Advancing_ = false;
+}
+
+bool HttpCallerSession::takeStep(ReadStep Step) {
+  switch (Step) {
+  case ReadStep::NeedMore:
+    if (Phase_ == Phase::KeptBody)
+      setLimit(Worker_.limits().BodyTimeout_);
+    read();
+    return false;
+  case ReadStep::Head:
+    return takeHead();
+  case ReadStep::Body:
+    return takeBodyPiece();
+  case ReadStep::End:
+    dispatch(/*Complete=*/true);
+    return false;
+  case ReadStep::Failed:
+    refuseRequest(Reader_.error());
+    return false;
+  }
+  return false;
+}
+
+bool HttpCallerSession::takeHead() {
+  const traffic::RequestHead &Head = Reader_.head();
+  Incoming_ = std::make_unique<HttpCallRequest>();
+  Incoming_->Arrived_ = Worker_.now();
+  const auto Admission = Worker_.findRoute(Head.Target_);
+  if (!Admission.Route_) {
+    refuseRequest(Admission.Reason_);
+    return false;
+  }
+  Incoming_->Route_ = Admission.Route_;
+  MaxBodyBytes_ = Admission.Route_->MaxBodyBytes_;
+  if (Head.Length_ > MaxBodyBytes_) {
+    refuseRequest(ResultCode::RequestBodyTooLarge);
+    return false;
+  }
+  if (Head.ExpectsContinue_) {
+    Out_ = "HTTP/1.1 100 Continue\r\n\r\n";
+    write();
+  }
+  Phase_ = Phase::KeptBody;
+  if (Head.Length_ <= Worker_.limits().KeptBodyBytes_)
+    return true;
+  dispatch(/*Complete=*/false);
+  return false;
+}
+
+bool HttpCallerSession::takeBodyPiece() {
+  BodyBytes_ += Reader_.body().size();
+  if (BodyBytes_ > MaxBodyBytes_) {
+    refuseRequest(ResultCode::RequestBodyTooLarge);
+    return false;
+  }
+  Incoming_->Kept_.append(Reader_.body());
+  if (Incoming_->Kept_.size() <= Worker_.limits().KeptBodyBytes_)
+    return true;
+  dispatch(/*Complete=*/false);
+  return false;
+}
+
+void HttpCallerSession::dispatch(bool Complete) {
+  HttpCallRequest &Request = *Incoming_;
+  Request.Head_ = std::move(Reader_.head());
+  Request.BodyComplete_ = Complete;
+  Request.Caller_ =
+      Request.Head_.Caller_.empty() ? Peer_ : Request.Head_.Caller_;
+  auto Allowed = Request.Route_->Deadline_;
+  if (Request.Head_.Deadline_)
+    Allowed = std::min(Allowed, *Request.Head_.Deadline_);
+  Request.Deadline_ = Request.Arrived_ + Allowed;
+  Phase_ = Phase::Call;
+  Limit_ = model::TimePoint::max();
+  RequestRead_ = Complete;
+  KeepAlive_ = Request.Head_.KeepAlive_ && !Request.Head_.Http10_;
+  ToHead_ = Request.Head_.IsHead_;
+  ChunksAllowed_ = !Request.Head_.Http10_;
+  if (Complete)
+    Reader_.startNext();
+  Call_ = std::make_shared<HttpCall>(Worker_, shared_from_this(),
+                                     std::move(Request));
+  CallId_ = Call_->callId();
+  Incoming_.reset();
+  const auto Call = Call_;
+  Call->start();
+  // A read under way shows when the caller hangs up.
+  if (Complete && Phase_ == Phase::Call)
+    read();
+}
+
+void HttpCallerSession::pullBody(PieceHandler Handler) {
+  if (Phase_ != Phase::Call || RequestRead_)
+    return;
+  Puller_ = std::move(Handler);
+  streamBody();
+}
+
+void HttpCallerSession::streamBody() {
+  switch (Reader_.next()) {
+  case ReadStep::NeedMore:
+    setLimit(Worker_.limits().BodyTimeout_);
+    return read();
+  case ReadStep::Body:
+    BodyBytes_ += Reader_.body().size();
+    if (BodyBytes_ > MaxBodyBytes_)
+      return refuseStreaming(ResultCode::RequestBodyTooLarge);
+    return deliverPiece({Reader_.body(), false});
+  case ReadStep::End:
+    RequestRead_ = true;
+    deliverPiece({{}, true});
+    Reader_.startNext();
+    return read();
+  default:
+    return refuseStreaming(Reader_.error());
+  }
+}
+
+void HttpCallerSession::deliverPiece(BodyPiece Piece) {
+  Limit_ = model::TimePoint::max();
+  const PieceHandler Handler = std::move(Puller_);
+  Puller_ = nullptr;
+  Handler(Piece);
+}
+
+// Answers.
+
+void HttpCallerSession::refuseRequest(ResultCode Code) {
+  Worker_.noteRefusedRequest(Code);
+  KeepAlive_ = false;
+  ToHead_ = Reader_.head().IsHead_;
+  CallId_.clear();
+  CallEnded_ = true;
+  Incoming_.reset();
+  Phase_ = Phase::Call;
+  answer(Code);
+}
+
+void HttpCallerSession::refuseStreaming(ResultCode Code) {
+  const auto Call = std::move(Call_);
+  Puller_ = nullptr;
+  Call_ = nullptr;
+  if (Call)
+    Call->onCallerLeft();
+  if (AnswerBegun_)
+    return breakOff();
+  refuseRequest(Code);
+}
+
+void HttpCallerSession::answer(ResultCode Code) {
+  if (Phase_ != Phase::Call || AnswerBegun_)
+    return;
+  AnswerBegun_ = true;
+  const unsigned Status = model::httpStatusOf(Code);
+  const std::string Text = codeText(Code);
+  KeepAlive_ = KeepAlive_ && RequestRead_ && !Draining_;
+  Out_ += "HTTP/1.1 " + std::to_string(Status) + " " + reasonOf(Status);
+  Out_ += "\r\n";
+  appendHeader(Out_, traffic::headers::ResultCode, Text);
+  if (!CallId_.empty())
+    appendHeader(Out_, traffic::headers::CallId, CallId_);
+  appendHeader(Out_, "Content-Type", "text/plain");
+  appendFraming(Out_, Framing::Length, Text.size() + 1);
+  if (!KeepAlive_)
+    appendHeader(Out_, "Connection", "close");
+  Out_ += "\r\n";
+  if (!ToHead_)
+    Out_ += Text + "\n";
+  AnswerDone_ = true;
+  write();
+}
+
+void HttpCallerSession::forwardHead(const traffic::AnswerHead &Head) {
+  if (Phase_ != Phase::Call)
+    return;
+  AnswerBegun_ = true;
+  KeepAlive_ = KeepAlive_ && RequestRead_ && !Draining_;
+  BodyHidden_ = ToHead_ || Head.Status_ == StatusNoContent ||
+                Head.Status_ == StatusNotModified;
+  ChunkedAnswer_ = Head.Framing_ == Framing::Chunked && ChunksAllowed_;
+  Out_ += "HTTP/1.1 " + std::to_string(Head.Status_) + " ";
+  Out_.append(Head.Reason_).append("\r\n").append(Head.Fields_);
+  appendHeader(Out_, traffic::headers::ResultCode, codeText(ResultCode::Ok));
+  appendHeader(Out_, traffic::headers::CallId, CallId_);
+  if (Head.Framing_ != Framing::Chunked || ChunksAllowed_)
+    appendFraming(Out_, Head.Framing_, Head.Length_);
+  if (!KeepAlive_)
+    appendHeader(Out_, "Connection", "close");
+  Out_ += "\r\n";
+}
+
+bool HttpCallerSession::forwardBody(std::string_view Bytes, bool Last,
+                                    std::function<void()> Done) {
+  if (Phase_ != Phase::Call)
+    return false;
+  if (BodyHidden_)
+    Bytes = {};
+  if (ChunkedAnswer_ && !BodyHidden_ && !Bytes.empty())
+    appendChunkHead(Out_, Bytes.size());
+  const bool Copied = Last && Bytes.size() <= CopiedPieceBytes;
+  if (Copied)
+    Out_.append(Bytes);
+  else
+    Piece_ = Bytes;
+  Tail_.clear();
+  if (ChunkedAnswer_ && !BodyHidden_)
+    appendChunkTail(Copied ? Out_ : Tail_, !Bytes.empty(), Last);
+  AnswerDone_ = Last;
+  if (!Copied)
+    PieceDone_ = std::move(Done);
+  write();
+  return Copied;
+}
+
+void HttpCallerSession::breakOff() {
+  if (Phase_ == Phase::Closed)
+    return;
+  error_code Ignored;
+  Socket_.set_option(boost::asio::socket_base::linger(true, 0), Ignored);
+  close();
+}
+
+void HttpCallerSession::write() {
+  if (Busy_ || Phase_ == Phase::Closed)
+    return;
+  Busy_ = true;
+  Writing_.swap(Out_);
+  Out_.clear();
+  setLimit(Worker_.limits().WriteTimeout_);
+  const std::array<boost::asio::const_buffer, 3> Buffers = {
+      boost::asio::buffer(Writing_), boost::asio::buffer(Piece_),
+      boost::asio::buffer(Tail_)};
+  boost::asio::async_write(
+      Socket_, Buffers,
+      [Self = shared_from_this()](error_code Error, std::size_t) {
+        Self->onWritten(Error);
+      });
+}
+
+void HttpCallerSession::onWritten(error_code Error) {
+  Busy_ = false;
+  Piece_ = {};
+  if (Phase_ == Phase::Closed)
+    return;
+  if (Error)
+    return close();
+  if (Phase_ == Phase::Call)
+    Limit_ = model::TimePoint::max();
+  const auto Done = std::move(PieceDone_);
+  PieceDone_ = nullptr;
+  if (Done)
+    Done();
+  if (!Busy_ && !Out_.empty())
+    return write();
+  finishAnswer();
+}
+
+void HttpCallerSession::endCall() {
+  CallEnded_ = true;
+  Call_ = nullptr;
+  Alarm_ = model::TimePoint::max();
+  finishAnswer();
+}
+
+void HttpCallerSession::finishAnswer() {
+  if (Phase_ != Phase::Call || !AnswerDone_ || !CallEnded_ || Busy_)
+    return;
+  if (KeepAlive_ && !Draining_)
+    nextRequest();
+  else
+    lingerClose();
+}
+
+void HttpCallerSession::nextRequest() {
+  Phase_ = Phase::Head;
+  AnswerBegun_ = false;
+  AnswerDone_ = false;
+  CallEnded_ = false;
+  BodyHidden_ = false;
+  ChunkedAnswer_ = false;
+  BodyBytes_ = 0;
+  setLimit(Reader_.isInside() ? Worker_.limits().HeadTimeout_
+                              : Worker_.limits().IdleTimeout_);
+  advance();
+}
+
+// The end.
+
+void HttpCallerSession::lingerClose() {
+  // Closing with unread bytes would make the network drop the answer.
+  Phase_ = Phase::Closing;
+  error_code Ignored;
+  Socket_.shutdown(tcp::socket::shutdown_send, Ignored);
+  setLimit(LingerTimeout);
+  read();
+}
+
+void HttpCallerSession::close() {
+  if (Phase_ == Phase::Closed)
+    return;
+  Phase_ = Phase::Closed;
+  Timer_.cancel();
+  error_code Ignored;
+  Socket_.close(Ignored);
+  Puller_ = nullptr;
+  PieceDone_ = nullptr;
+  const auto Call = std::move(Call_);
+  Call_ = nullptr;
+  if (Call)
+    Call->onCallerLeft();
+  Worker_.noteSessionClosed(*this);
+}
+
+// Time.
+
+void HttpCallerSession::setLimit(model::milliseconds Timeout) {
+  Limit_ = Worker_.now() + Timeout;
+  armTimer();
+}
+
+void HttpCallerSession::setAlarm(model::TimePoint When) {
+  Alarm_ = When;
+  armTimer();
+}
+
+void HttpCallerSession::armTimer() {
+  // A timer that fires early is set again then; this saves most settings.
+  const model::TimePoint Next = std::min(Limit_, Alarm_);
+  if (Armed_ <= Next || Phase_ == Phase::Closed)
+    return;
+  Armed_ = Next;
+  Timer_.expires_at(Next);
+  Timer_.async_wait([Self = shared_from_this()](error_code Error) {
+    if (!Error)
+      Self->onTimer();
+  });
+}
+
+void HttpCallerSession::onTimer() {
+  Armed_ = model::TimePoint::max();
+  const model::TimePoint Now = Worker_.now();
+  if (Alarm_ <= Now) {
+    Alarm_ = model::TimePoint::max();
+    if (const auto Call = Call_)
+      Call->onAlarm(Now);
+  }
+  if (Limit_ <= Now) {
+    Limit_ = model::TimePoint::max();
+    onTimeout();
+  }
+  armTimer();
+}
+
+void HttpCallerSession::onTimeout() {
+  if (Busy_ || Phase_ == Phase::Closing)
+    return breakOff();
+  if (Phase_ == Phase::Head && !Reader_.isInside())
+    return lingerClose();
+  if (Phase_ == Phase::Head || Phase_ == Phase::KeptBody)
+    return refuseRequest(ResultCode::RequestTimeout);
+  if (Puller_)
+    refuseStreaming(ResultCode::RequestTimeout);
+}
+
+} // namespace cumingauge::adapters
--- /dev/null
+++ b/src/libcumingauge/adapters/httpconnection.cpp
@@ -0,0 +1,235 @@
+#include "adapters/httpconnection.h"
+#include <array>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <sys/socket.h>
+
+namespace cumingauge::adapters {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using traffic::ConnectionAction;
+
+namespace {
+
+constexpr model::milliseconds DiscardTimeout{500};
+constexpr std::uint64_t MaxDiscardedBytes = 65536;
+
+} // namespace
+
+HttpConnection::HttpConnection(boost::asio::io_context &Io,
+                               std::uint32_t HeaderLimit, Owner Owner)
+    : Socket_(Io), Timer_(Io), Reader_(HeaderLimit), Owner_(std::move(Owner)) {}
+
+void HttpConnection::connect(const tcp::endpoint &Server,
+                             model::milliseconds Timeout) {
+  Timer_.expires_after(Timeout);
+  Timer_.async_wait([Self = shared_from_this()](error_code Error) {
+    if (!Error)
+      Self->process(traffic::ConnectFailed{});
+  });
+  Socket_.async_connect(Server, [Self = shared_from_this()](error_code Error) {
+    Self->Timer_.cancel();
+    if (Error)
+      return Self->process(traffic::ConnectFailed{});
+    error_code Ignored;
+    Self->Socket_.set_option(tcp::no_delay(true), Ignored);
+    Self->process(traffic::ConnectSucceeded{});
+  });
+}
+
+bool HttpConnection::isStale() {
+  char Byte;
+  const auto Got =
+      ::recv(Socket_.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return Got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+void HttpConnection::send(Exchange Request) {
+  process(traffic::Leased{});
+  WasUsed_ = true;
+  Exchange_ = std::move(Request);
+  Failure_ = ExchangeStep::Lost;
+  InAnswer_ = true;
+  Paused_ = false;
+  if (Silent_)
+    Timer_.cancel();
+  Silent_ = false;
+  Reader_.start(Exchange_.IsHead_);
+  const std::array<boost::asio::const_buffer, 2> Buffers = {
+      boost::asio::buffer(Exchange_.Head_),
+      boost::asio::buffer(Exchange_.Body_)};
+  const bool Complete = Exchange_.BodyComplete_;
+  boost::asio::async_write(Socket_, Buffers,
+                           [Self = shared_from_this(),
+                            Complete](error_code Error, std::size_t Bytes) {
+                             Self->onWritten(Error, Bytes, Complete);
+                           });
+}
+
+void HttpConnection::onWritten(error_code Error, std::size_t Bytes,
+                               bool BodyComplete) {
+  if (!Error && BodyComplete)
+    return process(traffic::RequestSent{});
+  if (!Error)
+    return report(ExchangeStep::BodyWanted);
+  // After part of a request the server may still answer; the read will tell.
+  if (Bytes == 0)
+    fail(ExchangeStep::NotSent);
+}
+
+void HttpConnection::sendMore(std::string Piece, bool Last,
+                              std::function<void(bool)> Done) {
+  Piece_ = std::move(Piece);
+  boost::asio::async_write(
+      Socket_, boost::asio::buffer(Piece_),
+      [Self = shared_from_this(), Last,
+       Done = std::move(Done)](error_code Error, std::size_t) {
+        if (!Error && Last)
+          Self->process(traffic::RequestSent{});
+        Done(!Error);
+      });
+}
+
+void HttpConnection::resume() {
+  Paused_ = false;
+  if (!Pumping_)
+    pump();
+}
+
+void HttpConnection::abandon() {
+  Silent_ = true;
+  process(traffic::Abandoned{});
+}
+
+void HttpConnection::discardAnswer() {
+  Silent_ = true;
+  if (head().Length_ > MaxDiscardedBytes)
+    return process(traffic::Abandoned{});
+  Timer_.expires_after(DiscardTimeout);
+  Timer_.async_wait([Self = shared_from_this()](error_code Error) {
+    if (!Error && Self->Silent_)
+      Self->process(traffic::Abandoned{});
+  });
+}
+
+void HttpConnection::retire() { process(traffic::Retired{}); }
+
+void HttpConnection::process(const traffic::ConnectionEvent &Event) {
+  const auto Self = shared_from_this();
+  for (const ConnectionAction Action : Life_.process(Event))
+    perform(Action);
+}
+
+void HttpConnection::perform(ConnectionAction Action) {
+  switch (Action) {
+  case ConnectionAction::Offer:
+    WasReady_ = true;
+    IdleSince_ = std::chrono::steady_clock::now();
+    read();
+    return Owner_.OnIdle_(shared_from_this());
+  case ConnectionAction::ParseAnswer:
+    return pump();
+  case ConnectionAction::ReportEnd:
+    return report(ExchangeStep::End);
+  case ConnectionAction::ReportFailed:
+    return report(Failure_);
+  case ConnectionAction::Close:
+    return close();
+  }
+}
+
+void HttpConnection::read() {
+  if (Reading_ || !Socket_.is_open())
+    return;
+  Reading_ = true;
+  Socket_.async_read_some(
+      Reader_.prepare(),
+      [Self = shared_from_this()](error_code Error, std::size_t Bytes) {
+        Self->Reading_ = false;
+        Self->onRead(Error, Bytes);
+      });
+}
+
+void HttpConnection::onRead(error_code Error, std::size_t Bytes) {
+  if (Life_.isClosed())
+    return;
+  Reader_.commit(Bytes);
+  if (Error)
+    return fail(ExchangeStep::Lost);
+  process(traffic::BytesArrived{});
+}
+
+void HttpConnection::pump() {
+  const auto Self = shared_from_this();
+  Pumping_ = true;
+  while (InAnswer_ && !Paused_ && !Life_.isClosed())
+    if (!takeStep(Reader_.next()))
+      break;
+  Pumping_ = false;
+}
+
+bool HttpConnection::takeStep(ReadStep Step) {
+  switch (Step) {
+  case ReadStep::NeedMore:
+    read();
+    return false;
+  case ReadStep::Head:
+    if (!head().CallId_.empty() && head().CallId_ != Exchange_.CallId_) {
+      fail(ExchangeStep::Malformed);
+      return false;
+    }
+    report(ExchangeStep::Head);
+    return true;
+  case ReadStep::Body:
+    Paused_ = !Silent_;
+    report(ExchangeStep::Body);
+    return !Paused_;
+  case ReadStep::End:
+    finishAnswer();
+    return false;
+  case ReadStep::Failed:
+    fail(ExchangeStep::Malformed);
+    return false;
+  }
+  return false;
+}
+
+void HttpConnection::finishAnswer() {
+  InAnswer_ = false;
+  const traffic::AnswerComplete Event{head().KeepAlive_,
+                                      Reader_.buffered() > 0};
+  Reader_.shrink();
+  Reader_.start(/*ToHead=*/false);
+  process(Event);
+}
+
+void HttpConnection::fail(ExchangeStep Reason) {
+  Failure_ = Reason;
+  process(traffic::ConnectionBroken{});
+}
+
+void HttpConnection::report(ExchangeStep Step) {
+  if (Silent_ || !Exchange_.Handler_)
+    return;
+  if (Step == ExchangeStep::BodyWanted || Step == ExchangeStep::Head ||
+      Step == ExchangeStep::Body)
+    return Exchange_.Handler_(Step);
+  const ExchangeHandler Handler = std::move(Exchange_.Handler_);
+  Exchange_.Handler_ = nullptr;
+  Handler(Step);
+}
+
+void HttpConnection::close() {
+  InAnswer_ = false;
+  Timer_.cancel();
+  error_code Ignored;
+  Socket_.close(Ignored);
+  // The handler may be what is running now; it holds the call alive.
+  boost::asio::post(Socket_.get_executor(), [Self = shared_from_this()] {
+    Self->Exchange_.Handler_ = nullptr;
+  });
+  Owner_.OnClosed_(shared_from_this());
+}
+
+} // namespace cumingauge::adapters
--- /dev/null
+++ b/src/libcumingauge/adapters/httppool.cpp
@@ -0,0 +1,120 @@
+#include "adapters/httppool.h"
+#include <algorithm>
+
+namespace cumingauge::adapters {
+
+HttpPool::HttpPool(boost::asio::io_context &Io,
+                   boost::asio::ip::tcp::endpoint Server,
+                   std::uint32_t HeaderLimit)
+    : Io_(Io), Server_(std::move(Server)), HeaderLimit_(HeaderLimit) {}
+
+void HttpPool::setShare(policy::ConnectionShare Share,
+                        model::milliseconds Timeout, bool Keep) {
+  Share_ = Share;
+  ConnectTimeout_ = Timeout;
+  Keep_ = Keep;
+}
+
+HttpPool::Ticket HttpPool::lease(LeaseHandler Handler) {
+  if (const auto Connection = takeIdle()) {
+    Handler(Connection);
+    return NoTicket;
+  }
+  Waiters_.push_back({++LastTicket_, std::move(Handler)});
+  const Ticket Given = LastTicket_;
+  openForWaiters();
+  return Given;
+}
+
+void HttpPool::cancel(Ticket Waiting) {
+  const auto Found =
+      std::find_if(Waiters_.begin(), Waiters_.end(),
+                   [&](const Waiter &W) { return W.Ticket_ == Waiting; });
+  if (Found != Waiters_.end())
+    Waiters_.erase(Found);
+}
+
+void HttpPool::closeIdle() {
+  const auto Closing = std::move(Idle_);
+  Idle_.clear();
+  for (const auto &Connection : Closing)
+    Connection->retire();
+}
+
+void HttpPool::maintain(model::TimePoint Now, model::milliseconds IdleTimeout) {
+  while (Idle_.size() > Share_.Warm_ &&
+         Now - Idle_.front()->idleSince() > IdleTimeout) {
+    const auto Connection = Idle_.front();
+    Idle_.erase(Idle_.begin());
+    Connection->retire();
+  }
+  while (Keep_ && Idle_.size() + Connecting_ < Share_.Warm_ &&
+         All_.size() < Share_.Limit_)
+    open();
+}
+
+std::shared_ptr<HttpConnection> HttpPool::takeIdle() {
+  while (!Idle_.empty()) {
+    const auto Connection = Idle_.back();
+    Idle_.pop_back();
+    if (!Connection->isStale())
+      return Connection;
+    Connection->retire();
+  }
+  return nullptr;
+}
+
+void HttpPool::open() {
+  HttpConnection::Owner Owner;
+  Owner.OnIdle_ =
+      [Pool = weak_from_this()](std::shared_ptr<HttpConnection> Connection) {
+        if (const auto Self = Pool.lock())
+          Self->onIdle(std::move(Connection));
+      };
+  Owner.OnClosed_ = [Pool = weak_from_this()](
+                        const std::shared_ptr<HttpConnection> &Connection) {
+    if (const auto Self = Pool.lock())
+      Self->onClosed(Connection);
+  };
+  const auto Connection =
+      std::make_shared<HttpConnection>(Io_, HeaderLimit_, std::move(Owner));
+  All_.insert(Connection);
+  ++Connecting_;
+  Connection->connect(Server_, ConnectTimeout_);
+}
+
+void HttpPool::onIdle(std::shared_ptr<HttpConnection> Connection) {
+  if (Connecting_ > 0 && Connection->isNew())
+    --Connecting_;
+  if (!Waiters_.empty() && Connection->isStale())
+    return Connection->retire();
+  if (!Waiters_.empty())
+    return serveWaiter(std::move(Connection));
+  if (!Keep_ || All_.size() > Share_.Limit_)
+    return Connection->retire();
+  Idle_.push_back(std::move(Connection));
+}
+
+void HttpPool::onClosed(const std::shared_ptr<HttpConnection> &Connection) {
+  All_.erase(Connection);
+  Idle_.erase(std::remove(Idle_.begin(), Idle_.end(), Connection), Idle_.end());
+  if (!Connection->wasEverReady()) {
+    --Connecting_;
+    if (!Waiters_.empty())
+      serveWaiter(nullptr);
+  }
+  openForWaiters();
+}
+
+void HttpPool::openForWaiters() {
+  while (Connecting_ < Waiters_.size() && All_.size() < Share_.Limit_)
+    open();
+}
+
+void HttpPool::serveWaiter(std::shared_ptr<HttpConnection> Connection) {
+  const LeaseHandler Handler = std::move(Waiters_.front().Handler_);
+  Waiters_.pop_front();
+  Handler(std::move(Connection));
+}
+
+} // namespace cumingauge::adapters
--- /dev/null
+++ b/src/libcumingauge/adapters/httppool.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "adapters/httpconnection.h"
+#include "policy/balancer.h"
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <unordered_set>
+#include <vector>
+
+namespace cumingauge::adapters {
+
+/// The connections of one traffic thread to one backend server.
+class HttpPool : public std::enable_shared_from_this<HttpPool> {
+public:
+  /// Gets an idle connection, or null when none could be opened.
+  using LeaseHandler = std::function<void(std::shared_ptr<HttpConnection>)>;
+  using Ticket = std::uint64_t;
+  static constexpr Ticket NoTicket = 0;
+
+  HttpPool(boost::asio::io_context &Io, boost::asio::ip::tcp::endpoint Server,
+           std::uint32_t HeaderLimit);
+
+  /// Limits from now on.
+  /// \param Keep whether connections without a call stay open.
+  void setShare(policy::ConnectionShare Share, model::milliseconds Timeout,
+                bool Keep);
+
+  /// Hands out an idle connection, at once where there is one.
+  /// \returns a ticket for cancel, or NoTicket when the handler has run.
+  Ticket lease(LeaseHandler Handler);
+
+  void cancel(Ticket Waiting);
+
+  void closeIdle();
+
+  /// Opens warm connections and closes those idle for too long. To be called
+  /// about once a second.
+  void maintain(model::TimePoint Now, model::milliseconds IdleTimeout);
+
+  unsigned connections() const { return static_cast<unsigned>(All_.size()); }
+
+private:
+  struct Waiter {
+    Ticket Ticket_ = NoTicket;
+    LeaseHandler Handler_;
+  };
+
+  std::shared_ptr<HttpConnection> takeIdle();
+  void open();
+  void onIdle(std::shared_ptr<HttpConnection> Connection);
+  void onClosed(const std::shared_ptr<HttpConnection> &Connection);
+  void openForWaiters();
+  void serveWaiter(std::shared_ptr<HttpConnection> Connection);
+
+  boost::asio::io_context &Io_;
+  const boost::asio::ip::tcp::endpoint Server_;
+  const std::uint32_t HeaderLimit_;
+  policy::ConnectionShare Share_;
+  model::milliseconds ConnectTimeout_{200};
+  bool Keep_ = true;
+  std::unordered_set<std::shared_ptr<HttpConnection>> All_;
+  std::vector<std::shared_ptr<HttpConnection>> Idle_; ///< newest last
+  std::deque<Waiter> Waiters_;
+  unsigned Connecting_ = 0;
+  Ticket LastTicket_ = NoTicket;
+};
+
+} // namespace cumingauge::adapters
--- /dev/null
+++ b/src/libcumingauge/adapters/httpprobe.cpp
@@ -0,0 +1,98 @@
+#include "adapters/httpprobe.h"
+#include "codec/describedjson.h"
+
+namespace cumingauge::adapters {
+
+namespace {
+
+constexpr std::size_t MaxReportBytes = 4096;
+constexpr unsigned StatusOk = 200;
+
+} // namespace
+
+std::optional<model::LoadReport> parseLoadReport(const std::string &Text) {
+  const codec::Json Parsed =
+      codec::Json::parse(Text, nullptr, /*allow_exceptions=*/false);
+  if (Parsed.is_discarded())
+    return std::nullopt;
+  model::LoadReport Report;
+  model::Problems Found;
+  codec::fromJson(Parsed, "", Report, Found);
+  if (!Found.empty())
+    return std::nullopt;
+  return Report;
+}
+
+HttpProbe::HttpProbe(boost::asio::io_context &Io,
+                     std::shared_ptr<HttpPool> Pool, Handler OnEnd)
+    : Timer_(Io), Pool_(std::move(Pool)), OnEnd_(std::move(OnEnd)) {}
+
+void HttpProbe::start(model::milliseconds Timeout) {
+  Timer_.expires_after(Timeout);
+  Timer_.async_wait(
+      [Self = shared_from_this()](boost::system::error_code Error) {
+        if (!Error)
+          Self->end(std::nullopt);
+      });
+  const auto Ticket = Pool_->lease(
+      [Self = shared_from_this()](std::shared_ptr<HttpConnection> Leased) {
+        Self->onLease(std::move(Leased));
+      });
+  if (!Connection_ && OnEnd_)
+    Ticket_ = Ticket;
+}
+
+void HttpProbe::onLease(std::shared_ptr<HttpConnection> Connection) {
+  Ticket_ = HttpPool::NoTicket;
+  if (!Connection)
+    return end(std::nullopt);
+  Connection_ = std::move(Connection);
+  Exchange Outgoing;
+  Outgoing.Head_ = "GET /load HTTP/1.1\r\nHost: backend\r\n\r\n";
+  Outgoing.Handler_ = [Self = shared_from_this()](ExchangeStep Step) {
+    Self->onExchange(Step);
+  };
+  Connection_->send(std::move(Outgoing));
+}
+
+void HttpProbe::onExchange(ExchangeStep Step) {
+  switch (Step) {
+  case ExchangeStep::Head:
+  case ExchangeStep::BodyWanted:
+    return;
+  case ExchangeStep::Body:
+    Body_.append(Connection_->body());
+    if (Body_.size() > MaxReportBytes)
+      return end(std::nullopt);
+    return Connection_->resume();
+  case ExchangeStep::End:
+    return takeReport();
+  default:
+    return end(std::nullopt);
+  }
+}
+
+void HttpProbe::takeReport() {
+  const traffic::AnswerHead Head = Connection_->head();
+  Connection_ = nullptr;
+  if (Head.Status_ != StatusOk)
+    return end(std::nullopt);
+  end(parseLoadReport(Head.Report_.empty() ? Body_ : Head.Report_));
+}
+
+void HttpProbe::end(std::optional<model::LoadReport> Report) {
+  Timer_.cancel();
+  if (Ticket_ != HttpPool::NoTicket)
+    Pool_->cancel(Ticket_);
+  Ticket_ = HttpPool::NoTicket;
+  const auto Connection = std::move(Connection_);
+  Connection_ = nullptr;
+  if (Connection)
+    Connection->abandon();
+  const Handler OnEnd = std::move(OnEnd_);
+  OnEnd_ = nullptr;
+  if (OnEnd)
+    OnEnd(std::move(Report));
+}
+
+} // namespace cumingauge::adapters
--- /dev/null
+++ b/src/libcumingauge/adapters/httpprobe.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "adapters/httppool.h"
+#include "model/loadreport.h"
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace cumingauge::adapters {
+
+/// Reads a load report as servers send it; nothing when it is malformed.
+std::optional<model::LoadReport> parseLoadReport(const std::string &Text);
+
+/// Asks one backend server for its load.
+class HttpProbe : public std::enable_shared_from_this<HttpProbe> {
+public:
+  /// Gets the report, or nothing when the probe failed. Called once.
+  using Handler = std::function<void(std::optional<model::LoadReport>)>;
+
+  HttpProbe(boost::asio::io_context &Io, std::shared_ptr<HttpPool> Pool,
+            Handler OnEnd);
+
+  void start(model::milliseconds Timeout);
+
+private:
+  void onLease(std::shared_ptr<HttpConnection> Connection);
+  void onExchange(ExchangeStep Step);
+  void takeReport();
+  void end(std::optional<model::LoadReport> Report);
+
+  boost::asio::steady_timer Timer_;
+  std::shared_ptr<HttpPool> Pool_;
+  Handler OnEnd_;
+  HttpPool::Ticket Ticket_ = HttpPool::NoTicket;
+  std::shared_ptr<HttpConnection> Connection_;
+  std::string Body_;
+};
+
+} // namespace cumingauge::adapters
--- /dev/null
+++ b/src/libcumingauge/adapters/httpreader.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "model/resultcode.h"
+#include "traffic/messagehead.h"
+#include <boost/asio/buffer.hpp>
+#include <cstdint>
+#include <memory>
+#include <string_view>
+
+namespace cumingauge::adapters {
+
+/// What the bytes read so far have brought.
+enum class ReadStep { NeedMore, Head, Body, End, Failed };
+
+/// Reads the requests of one connection from its bytes, one after the other.
+/// Holds at most one head or one piece of a body.
+class RequestReader {
+public:
+  /// \param HeaderLimit bytes that the head of a request may have.
+  explicit RequestReader(std::uint32_t HeaderLimit);
+  ~RequestReader();
+
+  /// Room for bytes that are to be read; commit tells how many came.
+  boost::asio::mutable_buffer prepare();
+  void commit(std::size_t Bytes);
+
+  /// Goes on with the bytes at hand.
+  ReadStep next();
+
+  traffic::RequestHead &head();
+
+  /// The piece that ReadStep::Body gave; valid until the next call.
+  std::string_view body() const;
+
+  /// Why it failed.
+  model::ResultCode error() const;
+
+  /// Whether a request has begun but not ended.
+  bool isInside() const;
+
+  /// Bytes that were read but not yet looked at.
+  std::size_t buffered() const;
+
+  /// To be called after ReadStep::End.
+  void startNext();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+/// Reads the answers of one connection to a backend server. Interim answers
+/// (status 1xx) are skipped.
+class AnswerReader {
+public:
+  explicit AnswerReader(std::uint32_t HeaderLimit);
+  ~AnswerReader();
+
+  boost::asio::mutable_buffer prepare();
+  void commit(std::size_t Bytes);
+  ReadStep next();
+  traffic::AnswerHead &head();
+  std::string_view body() const;
+  std::size_t buffered() const;
+
+  /// Whether the answer has no more bytes than were given out.
+  bool isComplete() const;
+
+  /// Gives memory back between two answers, while no read is under way.
+  void shrink();
+
+  /// Begins an answer.
+  /// \param ToHead whether it answers a HEAD request and has no body.
+  void start(bool ToHead);
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace cumingauge::adapters
--- /dev/null
+++ b/src/libcumingauge/adapters/httpsettings.cpp
@@ -0,0 +1,43 @@
+#include "adapters/httpsettings.h"
+
+namespace cumingauge::adapters {
+
+namespace {
+
+constexpr unsigned MinHeaderBytes = 1024;
+constexpr unsigned MaxHeaderBytes = 1048576;
+constexpr unsigned MaxKeptBodyBytes = 16777216;
+constexpr model::milliseconds MaxTimeout{3600000};
+
+void checkTimeout(model::milliseconds Value, const std::string &Path,
+                  model::Problems &Found) {
+  if (Value < model::milliseconds(1) || Value > MaxTimeout)
+    Found.push_back({Path, "must be between 1 and 3600000 ms"});
+}
+
+} // namespace
+
+model::Problems checkHttpLimits(const HttpLimits &Limits,
+                                const std::string &Path) {
+  model::Problems Found;
+  if (Limits.HeaderBytes_ < MinHeaderBytes ||
+      Limits.HeaderBytes_ > MaxHeaderBytes)
+    Found.push_back(
+        {Path + "/headerBytes", "must be between 1024 and 1048576"});
+  if (Limits.KeptBodyBytes_ > MaxKeptBodyBytes)
+    Found.push_back({Path + "/keptBodyBytes", "must be at most 16777216"});
+  if (Limits.MaxCallerConnections_ == 0)
+    Found.push_back({Path + "/maxCallerConnections", "must be at least 1"});
+  checkTimeout(Limits.HeadTimeout_, Path + "/headTimeoutMs", Found);
+  checkTimeout(Limits.IdleTimeout_, Path + "/idleTimeoutMs", Found);
+  checkTimeout(Limits.BodyTimeout_, Path + "/bodyTimeoutMs", Found);
+  checkTimeout(Limits.WriteTimeout_, Path + "/writeTimeoutMs", Found);
+  checkTimeout(Limits.BackendIdleTimeout_, Path + "/backendIdleTimeoutMs",
+               Found);
+  checkTimeout(Limits.FreshWait_, Path + "/freshWaitMs", Found);
+  checkTimeout(Limits.DrainIdleTime_, Path + "/drainIdleTimeMs", Found);
+  checkTimeout(Limits.DrainTimeout_, Path + "/drainTimeoutMs", Found);
+  return Found;
+}
+
+} // namespace cumingauge::adapters
--- /dev/null
+++ b/src/libcumingauge/adapters/httpsettings.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "adapters/controlruntime.h"
+#include "model/describe.h"
+#include "model/problem.h"
+#include "model/time.h"
+#include <cstdint>
+#include <string>
+
+namespace cumingauge::adapters {
+
+/// Limits of the HTTP side of an entry process.
+struct HttpLimits {
+  unsigned HeaderBytes_ = 16384;   ///< larger heads get 431
+  unsigned KeptBodyBytes_ = 65536; ///< larger bodies stream, without retry
+  unsigned MaxCallerConnections_ = 10000;
+  model::milliseconds HeadTimeout_{10000};  ///< first to last byte of a head
+  model::milliseconds IdleTimeout_{75000};  ///< between two requests
+  model::milliseconds BodyTimeout_{10000};  ///< between two pieces of a body
+  model::milliseconds WriteTimeout_{30000}; ///< caller reads no answer bytes
+  model::milliseconds BackendIdleTimeout_{30000}; ///< above the warm ones
+  model::milliseconds FreshWait_{1000};           ///< wait for a fresh view
+  model::milliseconds DrainIdleTime_{500};  ///< idle connections when stopping
+  model::milliseconds DrainTimeout_{30000}; ///< calls in flight when stopping
+};
+BOOST_DESCRIBE_STRUCT(HttpLimits, (),
+                      (HeaderBytes_, KeptBodyBytes_, MaxCallerConnections_,
+                       HeadTimeout_, IdleTimeout_, BodyTimeout_, WriteTimeout_,
+                       BackendIdleTimeout_, FreshWait_, DrainIdleTime_,
+                       DrainTimeout_))
+
+/// Range checks; empty when valid.
+model::Problems checkHttpLimits(const HttpLimits &Limits,
+                                const std::string &Path);
+
+/// What the traffic threads need to start.
+struct TrafficSettings {
+  AddressSettings Listen_;
+  unsigned Threads_ = 2;
+  HttpLimits Limits_;
+  std::string Zone_;
+  std::uint64_t Seed_ = 0; ///< for the balancers' draws
+};
+
+} // namespace cumingauge::adapters
--- /dev/null
+++ b/src/libcumingauge/adapters/httptraffic.cpp
@@ -0,0 +1,150 @@
+#include "adapters/httptraffic.h"
+#include "adapters/httpworker.h"
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <thread>
+
+namespace cumingauge::adapters {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+/// Pause after an accept that failed, such as for lack of descriptors.
+constexpr model::milliseconds AcceptPause{20};
+
+class HttpTrafficImpl : public HttpTraffic {
+public:
+  HttpTrafficImpl(const TrafficSettings &Settings, Hooks Hooks)
+      : Common_(std::make_shared<HttpWorker::Shared>()) {
+    Common_->Settings_ = Settings;
+    Common_->Hooks_ = std::move(Hooks);
+    for (unsigned I = 0; I < Settings.Threads_; ++I)
+      Workers_.push_back(std::make_unique<HttpWorker>(Common_, I));
+    Acceptor_ = std::make_unique<tcp::acceptor>(
+        Workers_.front()->io(),
+        tcp::endpoint(boost::asio::ip::make_address(Settings.Listen_.Host_),
+                      Settings.Listen_.Port_));
+    AcceptTimer_ =
+        std::make_unique<boost::asio::steady_timer>(Workers_.front()->io());
+    Port_ = Acceptor_->local_endpoint().port();
+    accept();
+    for (const auto &Worker : Workers_)
+      Threads_.emplace_back([&Worker] { Worker->run(); });
+  }
+
+  ~HttpTrafficImpl() override { stop(); }
+
+  void applyView(std::shared_ptr<const model::ControlView> View) override {
+    for (const auto &Worker : Workers_)
+      Worker->applyView(View);
+  }
+
+  void noteSightings(std::vector<control::ServerSighting> Sightings) override {
+    for (const auto &Worker : Workers_)
+      Worker->noteSightings(Sightings);
+  }
+
+  std::vector<model::ServerActivity> activity() const override {
+    std::map<std::pair<std::string, std::string>, model::ServerActivity> Sum;
+    for (const auto &Worker : Workers_)
+      for (const model::ServerActivity &Part : Worker->activity()) {
+        const auto Added = Sum.try_emplace({Part.Server_, Part.Vm_}, Part);
+        if (!Added.second)
+          add(Added.first->second, Part);
+      }
+    std::vector<model::ServerActivity> Out;
+    for (const auto &Entry : Sum)
+      Out.push_back(Entry.second);
+    return Out;
+  }
+
+  traffic::TrafficFigures figures() const override {
+    traffic::TrafficFigures Sum;
+    for (const auto &Worker : Workers_)
+      traffic::addFigures(Sum, Worker->figures());
+    return Sum;
+  }
+
+  std::uint16_t port() const override { return Port_; }
+
+  void drain(std::function<void()> Done) override {
+    const auto Left =
+        std::make_shared<std::atomic<std::size_t>>(Workers_.size());
+    boost::asio::post(Workers_.front()->io(), [this] {
+      error_code Ignored;
+      Acceptor_->close(Ignored);
+    });
+    for (const auto &Worker : Workers_)
+      Worker->drain([Left, Done] {
+        if (--*Left == 0)
+          Done();
+      });
+  }
+
+  void stop() override {
+    for (const auto &Worker : Workers_)
+      Worker->stop();
+    for (std::thread &Thread : Threads_)
+      if (Thread.joinable())
+        Thread.join();
+  }
+
+private:
+  static void add(model::ServerActivity &Sum,
+                  const model::ServerActivity &Part) {
+    Sum.InFlight_ += Part.InFlight_;
+    Sum.Connections_ += Part.Connections_;
+    // Leaving only when every thread has taken the view that says so.
+    Sum.Leaving_ = Sum.Leaving_ && Part.Leaving_;
+  }
+
+  /// One thread accepts and hands connections out in turn, so that few
+  /// connections are spread evenly as well.
+  void accept() {
+    HttpWorker &Next = *Workers_[Turn_++ % Workers_.size()];
+    Acceptor_->async_accept(
+        Next.io(), [this, &Next](error_code Error, tcp::socket Socket) {
+          if (!Acceptor_->is_open())
+            return;
+          if (Error)
+            return acceptLater();
+          handOver(Next, std::move(Socket));
+          accept();
+        });
+  }
+
+  static void handOver(HttpWorker &Worker, tcp::socket Socket) {
+    const auto Handed = std::make_shared<tcp::socket>(std::move(Socket));
+    boost::asio::post(Worker.io(),
+                      [&Worker, Handed] { Worker.adopt(std::move(*Handed)); });
+  }
+
+  void acceptLater() {
+    AcceptTimer_->expires_after(AcceptPause);
+    AcceptTimer_->async_wait([this](error_code Error) {
+      if (!Error && Acceptor_->is_open())
+        accept();
+    });
+  }
+
+  std::shared_ptr<HttpWorker::Shared> Common_;
+  std::vector<std::unique_ptr<HttpWorker>> Workers_;
+  std::unique_ptr<tcp::acceptor> Acceptor_;
+  std::unique_ptr<boost::asio::steady_timer> AcceptTimer_;
+  std::vector<std::thread> Threads_;
+  std::uint16_t Port_ = 0;
+  std::size_t Turn_ = 0;
+};
+
+} // namespace
+
+std::shared_ptr<HttpTraffic> startTraffic(const TrafficSettings &Settings,
+                                          HttpTraffic::Hooks Hooks) {
+  return std::make_shared<HttpTrafficImpl>(Settings, std::move(Hooks));
+}
+
+} // namespace cumingauge::adapters
--- /dev/null
+++ b/src/libcumingauge/adapters/httpworker.cpp
@@ -0,0 +1,294 @@
+#include "adapters/httpworker.h"
+#include <algorithm>
+#include <boost/asio/post.hpp>
+
+namespace cumingauge::adapters {
+
+using model::ResultCode;
+
+namespace {
+
+constexpr model::milliseconds TickPeriod{10};
+constexpr model::milliseconds BusyTickPeriod{2}; ///< while calls wait
+constexpr model::seconds EventWindow{1};
+constexpr unsigned MaxEventsPerWindow = 20; ///< by calls, of one thread
+constexpr std::uint64_t SeedStep = 7919;
+
+std::uint64_t wallMicros() {
+  using namespace std::chrono;
+  return static_cast<std::uint64_t>(
+      duration_cast<microseconds>(system_clock::now().time_since_epoch())
+          .count());
+}
+
+} // namespace
+
+HttpWorker::HttpWorker(std::shared_ptr<Shared> Common, unsigned Index)
+    : Common_(std::move(Common)), Index_(Index), Incarnation_(wallMicros()),
+      Ticker_(Io_), Balancer_(policy::makeBalancer(
+                        Common_->Settings_.Zone_, Common_->Settings_.Threads_,
+                        Common_->Settings_.Seed_ + Index * SeedStep)) {}
+
+HttpWorker::~HttpWorker() = default;
+
+void HttpWorker::run() {
+  tick();
+  Io_.run();
+}
+
+void HttpWorker::stop() { Io_.stop(); }
+
+// Callers' sessions.
+
+void HttpWorker::adopt(boost::asio::ip::tcp::socket Socket) {
+  const unsigned Open = ++Common_->CallerConnections_;
+  const auto Session =
+      std::make_shared<HttpCallerSession>(std::move(Socket), *this);
+  Sessions_.insert(Session.get());
+  if (DrainDone_)
+    Session->startDraining();
+  if (Open > limits().MaxCallerConnections_)
+    return Session->refuse();
+  Session->start();
+}
+
+void HttpWorker::noteSessionClosed(HttpCallerSession &Session) {
+  if (Sessions_.erase(&Session) > 0)
+    --Common_->CallerConnections_;
+  finishDrain();
+}
+
+HttpWorker::Admission HttpWorker::findRoute(const std::string &Target) const {
+  const model::Preset *Preset =
+      View_ ? model::presetInForce(*View_->Config_) : nullptr;
+  if (!Preset)
+    return {nullptr, ResultCode::NotRunControlStale};
+  const std::string_view Path =
+      std::string_view(Target).substr(0, Target.find('?'));
+  if (auto Route = Routes_.find(Path))
+    return {std::move(Route), ResultCode::Ok};
+  return {nullptr, ResultCode::RequestNoRoute};
+}
+
+void HttpWorker::noteRefusedRequest(ResultCode Code) {
+  const std::lock_guard<std::mutex> Lock(PublishedMutex_);
+  traffic::noteCall(Figures_.Routes_[""], Code, model::Duration(0));
+}
+
+void HttpWorker::drain(std::function<void()> Done) {
+  boost::asio::post(Io_, [this, Done = std::move(Done)] {
+    DrainDone_ = Done;
+    DrainIdleAt_ = now() + limits().DrainIdleTime_;
+    DrainEnd_ = now() + limits().DrainTimeout_;
+    for (HttpCallerSession *Session : Sessions_)
+      Session->startDraining();
+    finishDrain();
+  });
+}
+
+void HttpWorker::closeIdleSessions() {
+  const std::vector<HttpCallerSession *> Open(Sessions_.begin(),
+                                              Sessions_.end());
+  for (HttpCallerSession *Session : Open)
+    if (Sessions_.count(Session) > 0)
+      Session->closeIfIdle();
+}
+
+void HttpWorker::finishDrain() {
+  if (!DrainDone_ || (!Sessions_.empty() && now() < DrainEnd_))
+    return;
+  const auto Done = std::move(DrainDone_);
+  DrainDone_ = nullptr;
+  Done();
+}
+
+// Calls.
+
+std::string HttpWorker::makeCallId(policy::CallId Call) const {
+  return std::to_string(Incarnation_) + "-" + std::to_string(Index_) + "-" +
+         std::to_string(Call);
+}
+
+void HttpWorker::admit(const std::shared_ptr<HttpCall> &Call) {
+  const model::TimePoint Now = now();
+  if (Common_->Hooks_.IsFresh_(Now))
+    return choose(Call);
+  StaleWaits_.push_back({Call, Call->facts().Call_, Now + limits().FreshWait_});
+}
+
+void HttpWorker::choose(const std::shared_ptr<HttpCall> &Call) {
+  const policy::Decision Decision =
+      policy::admit(*Balancer_, Call->facts(), now());
+  if (Decision.Verdict_ == policy::Verdict::Wait)
+    Waiting_[Call->facts().Call_] = Call;
+  else
+    Call->decide(Decision);
+}
+
+void HttpWorker::forgetWaiting(const HttpCall &Call) {
+  if (Waiting_.erase(Call.facts().Call_) > 0)
+    policy::forgetWaiting(*Balancer_, Call.facts().Call_);
+  if (StaleWaits_.empty())
+    return;
+  StaleWaits_.erase(std::remove_if(StaleWaits_.begin(), StaleWaits_.end(),
+                                   [&](const StaleWait &Wait) {
+                                     return Wait.Id_ == Call.facts().Call_;
+                                   }),
+                    StaleWaits_.end());
+}
+
+void HttpWorker::scheduleRelease() {
+  if (Waiting_.empty() || ReleaseScheduled_)
+    return;
+  ReleaseScheduled_ = true;
+  boost::asio::post(Io_, [this] {
+    ReleaseScheduled_ = false;
+    releaseWaiting();
+  });
+}
+
+void HttpWorker::releaseWaiting() {
+  if (Waiting_.empty() || !Common_->Hooks_.IsFresh_(now()))
+    return;
+  for (const policy::Release &Release :
+       policy::releaseWaiting(*Balancer_, now())) {
+    const auto Found = Waiting_.find(Release.Call_);
+    if (Found == Waiting_.end())
+      continue;
+    const auto Call = Found->second.lock();
+    Waiting_.erase(Found);
+    if (Call)
+      Call->decide(Release.Decision_);
+  }
+}
+
+void HttpWorker::checkStaleWaits() {
+  if (StaleWaits_.empty())
+    return;
+  const model::TimePoint Now = now();
+  const bool Fresh = Common_->Hooks_.IsFresh_(Now);
+  std::vector<StaleWait> Checked;
+  Checked.swap(StaleWaits_);
+  for (const StaleWait &Wait : Checked) {
+    const auto Call = Wait.Call_.lock();
+    if (!Call)
+      continue;
+    if (Fresh)
+      choose(Call);
+    else if (Now >= Wait.Until_)
+      Call->decide({policy::Verdict::Refuse, policy::NoServer,
+                    ResultCode::NotRunControlStale});
+    else
+      StaleWaits_.push_back(Wait);
+  }
+}
+
+void HttpWorker::noteCallStarted() {
+  const std::lock_guard<std::mutex> Lock(PublishedMutex_);
+  ++Figures_.InFlight_;
+}
+
+void HttpWorker::noteCallEnded(const HttpCall &Call, ResultCode Code) {
+  const policy::CallFacts &Facts = Call.facts();
+  {
+    const std::lock_guard<std::mutex> Lock(PublishedMutex_);
+    --Figures_.InFlight_;
+    traffic::noteCall(Figures_.Routes_[Facts.Route_.Name_], Code,
+                      now() - Facts.Arrived_);
+  }
+  if (model::isNotRun(Code))
+    record(model::EventKind::CallRefused, Call.callId(), Code,
+           "route " + Facts.Route_.Name_);
+}
+
+void HttpWorker::noteAttemptStarted(policy::ServerHandle Handle) {
+  act(Handle, server(Handle), traffic::ServerCallStarted{});
+  const std::lock_guard<std::mutex> Lock(PublishedMutex_);
+  ++Figures_.Attempts_;
+}
+
+void HttpWorker::noteAttemptEnded(const policy::CallFacts &Facts,
+                                  policy::ServerHandle Handle,
+                                  policy::AttemptEnd End,
+                                  model::TimePoint Dispatched) {
+  const model::TimePoint Now = now();
+  policy::endAttempt(*Balancer_, Facts, Handle, End, Now - Dispatched, Now);
+  act(Handle, server(Handle), traffic::ServerCallEnded{});
+  scheduleRelease();
+}
+
+bool HttpWorker::mayRetry(const HttpCall &Call, policy::AttemptEnd End) {
+  if (!policy::mayRetry(*Balancer_, Call.facts(), End, now()))
+    return false;
+  {
+    const std::lock_guard<std::mutex> Lock(PublishedMutex_);
+    ++Figures_.Retries_;
+  }
+  record(model::EventKind::CallRetried, Call.callId(), ResultCode::Ok,
+         "attempt " + std::to_string(Call.facts().Attempts_ + 1));
+  return true;
+}
+
+std::optional<model::TimePoint>
+HttpWorker::hedgeTime(const policy::CallFacts &Facts,
+                      model::TimePoint Dispatched) {
+  if (!Facts.Route_.Idempotent_)
+    return std::nullopt;
+  return policy::hedgeTime(*Balancer_, Facts, Dispatched);
+}
+
+policy::ServerHandle HttpWorker::hedge(const HttpCall &Call) {
+  if (!Common_->Hooks_.IsFresh_(now()))
+    return policy::NoServer;
+  const auto Chosen = policy::mayHedge(*Balancer_, Call.facts(), now());
+  if (!Chosen)
+    return policy::NoServer;
+  {
+    const std::lock_guard<std::mutex> Lock(PublishedMutex_);
+    ++Figures_.Hedges_;
+  }
+  record(model::EventKind::CallHedged, Call.callId(), ResultCode::Ok,
+         "to " + policy::serverOf(*Balancer_, *Chosen).Name_);
+  return *Chosen;
+}
+
+void HttpWorker::record(model::EventKind Kind, const std::string &Subject,
+                        ResultCode Reason, const std::string &Detail) {
+  const model::TimePoint Now = now();
+  if (Now - EventWindow_ >= EventWindow) {
+    EventWindow_ = Now;
+    EventsInWindow_ = 0;
+  }
+  if (++EventsInWindow_ > MaxEventsPerWindow) {
+    ++EventsDropped_;
+    return;
+  }
+  const std::string Left =
+      EventsDropped_ == 0
+          ? ""
+          : ", " + std::to_string(EventsDropped_) + " events left out before";
+  EventsDropped_ = 0;
+  Common_->Hooks_.Events_(Kind, Subject, 0, Reason, Detail + Left);
+}
+
+// Time.
+
+void HttpWorker::tick() {
+  const model::TimePoint Now = now();
+  checkStaleWaits();
+  releaseWaiting();
+  sendProbes();
+  if (Now >= NextMaintenance_)
+    maintainPools();
+  publish();
+  if (DrainDone_ && Now >= DrainIdleAt_)
+    closeIdleSessions();
+  finishDrain();
+  Ticker_.expires_after(Waiting_.empty() ? TickPeriod : BusyTickPeriod);
+  Ticker_.async_wait([this](boost::system::error_code Error) {
+    if (!Error)
+      tick();
+  });
+}
+
+} // namespace cumingauge::adapters
--- /dev/null
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include "adapters/httpcall.h"
+#include "adapters/httpcallersession.h"
+#include "adapters/httppool.h"
+#include "adapters/httpprobe.h"
+#include "adapters/httptraffic.h"
+#include "policy/balancer.h"
+#include "traffic/figures.h"
+#include "traffic/routetable.h"
+#include "traffic/serverlifecycle.h"
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace cumingauge::adapters {
+
+/// One traffic thread: its callers' sessions, calls, balancer and connections
+/// to backend servers. Everything but the functions marked so runs on that
+/// thread alone.
+class HttpWorker {
+public:
+  /// What all traffic threads of the process share.
+  struct Shared {
+    TrafficSettings Settings_;
+    HttpTraffic::Hooks Hooks_;
+    std::atomic<unsigned> CallerConnections_{0};
+  };
+
+  HttpWorker(std::shared_ptr<Shared> Common, unsigned Index);
+  ~HttpWorker();
+
+  // From any thread.
+
+  /// Runs until stop.
+  void run();
+  void stop();
+  void applyView(std::shared_ptr<const model::ControlView> View);
+  void noteSightings(std::vector<control::ServerSighting> Sightings);
+  void drain(std::function<void()> Done);
+  boost::asio::io_context &io() { return Io_; }
+  std::vector<model::ServerActivity> activity() const;
+  traffic::TrafficFigures figures() const;
+
+  // For callers' sessions.
+
+  struct Admission {
+    std::shared_ptr<const model::Route> Route_; ///< null: refused
+    model::ResultCode Reason_ = model::ResultCode::Ok;
+  };
+
+  /// Takes over a new connection of a caller.
+  void adopt(boost::asio::ip::tcp::socket Socket);
+  const HttpLimits &limits() const { return Common_->Settings_.Limits_; }
+  model::TimePoint now() const { return std::chrono::steady_clock::now(); }
+  Admission findRoute(const std::string &Target) const;
+  void noteRefusedRequest(model::ResultCode Code);
+  void noteSessionClosed(HttpCallerSession &Session);
+
+  // For calls.
+
+  policy::CallId nextCallId() { return ++LastCall_; }
+  std::string makeCallId(policy::CallId Call) const;
+  void admit(const std::shared_ptr<HttpCall> &Call);
+  void forgetWaiting(const HttpCall &Call);
+  HttpPool &pool(policy::ServerHandle Server);
+  void noteCallStarted();
+  void noteCallEnded(const HttpCall &Call, model::ResultCode Code);
+  void noteAttemptStarted(policy::ServerHandle Server);
+  void noteAttemptEnded(const policy::CallFacts &Facts,
+                        policy::ServerHandle Server, policy::AttemptEnd End,
+                        model::TimePoint Dispatched);
+  bool mayRetry(const HttpCall &Call, policy::AttemptEnd End);
+  std::optional<model::TimePoint> hedgeTime(const policy::CallFacts &Facts,
+                                            model::TimePoint Dispatched);
+  policy::ServerHandle hedge(const HttpCall &Call);
+  void noteReport(policy::ServerHandle Server, const std::string &Json);
+  void noteDraining(policy::ServerHandle Server);
+
+private:
+  struct Server {
+    std::shared_ptr<HttpPool> Pool_;
+    traffic::ServerLifecycle Life_;
+    bool ToldDraining_ = false;
+  };
+  struct StaleWait {
+    std::weak_ptr<HttpCall> Call_;
+    policy::CallId Id_ = 0;
+    model::TimePoint Until_;
+  };
+
+  Server &server(policy::ServerHandle Handle);
+  void useView(const std::shared_ptr<const model::ControlView> &View);
+  void updateServer(policy::ServerHandle Handle, Server &Entry);
+  bool isListed(policy::ServerHandle Handle) const;
+  void act(policy::ServerHandle Handle, Server &Entry,
+           const traffic::ServerEvent &Event);
+  void choose(const std::shared_ptr<HttpCall> &Call);
+  void releaseWaiting();
+  void scheduleRelease();
+  void checkStaleWaits();
+  void tick();
+  void maintainPools();
+  void sendProbes();
+  void onProbeEnded(policy::ServerHandle Server,
+                    const std::optional<model::LoadReport> &Report);
+  void publish();
+  void tellSighting(policy::ServerHandle Server,
+                    const model::LoadReport &Report);
+  void record(model::EventKind Kind, const std::string &Subject,
+              model::ResultCode Reason, const std::string &Detail);
+  void closeIdleSessions();
+  void finishDrain();
+
+  const std::shared_ptr<Shared> Common_;
+  const unsigned Index_;
+  const std::uint64_t Incarnation_;
+  boost::asio::io_context Io_{1};
+  boost::asio::steady_timer Ticker_;
+  std::shared_ptr<policy::BalancerState> Balancer_;
+  std::shared_ptr<const model::ControlView> View_;
+  traffic::RouteTable Routes_;
+  model::milliseconds ConnectTimeout_{200};
+  model::milliseconds ProbeTimeout_{500};
+  std::unordered_map<policy::ServerHandle, Server> Servers_;
+  std::unordered_map<policy::CallId, std::weak_ptr<HttpCall>> Waiting_;
+  std::vector<StaleWait> StaleWaits_;
+  std::unordered_set<HttpCallerSession *> Sessions_;
+  policy::CallId LastCall_ = 0;
+  bool ReleaseScheduled_ = false;
+  model::TimePoint NextMaintenance_;
+  model::TimePoint EventWindow_;
+  unsigned EventsInWindow_ = 0;
+  unsigned EventsDropped_ = 0;
+  std::function<void()> DrainDone_;
+  model::TimePoint DrainIdleAt_;
+  model::TimePoint DrainEnd_;
+  mutable std::mutex PublishedMutex_; ///< guards the two below
+  std::vector<model::ServerActivity> Activity_;
+  traffic::TrafficFigures Figures_;
+};
+
+} // namespace cumingauge::adapters
--- /dev/null
+++ b/src/libcumingauge/adapters/httpworkerservers.cpp
@@ -0,0 +1,204 @@
+// The side of a traffic thread towards backend servers: view, connections,
+// probes and reports.
+#include "adapters/httpworker.h"
+#include <boost/asio/post.hpp>
+
+namespace cumingauge::adapters {
+
+using model::ResultCode;
+
+namespace {
+
+constexpr model::seconds MaintenancePeriod{1};
+
+} // namespace
+
+void HttpWorker::applyView(std::shared_ptr<const model::ControlView> View) {
+  boost::asio::post(Io_, [this, View = std::move(View)] { useView(View); });
+}
+
+void HttpWorker::useView(
+    const std::shared_ptr<const model::ControlView> &View) {
+  const bool Changed = !View_ || View_->Config_ != View->Config_;
+  View_ = View;
+  policy::applyView(*Balancer_, View, now());
+  if (const model::Preset *Preset = model::presetInForce(*View->Config_)) {
+    if (Changed)
+      Routes_ = traffic::RouteTable(Preset->Routes_);
+    ConnectTimeout_ = Preset->Servers_.ConnectTimeout_;
+    ProbeTimeout_ = Preset->Measuring_.ProbeTimeout_;
+  }
+  for (const auto &[Name, Listed] : View->Config_->Servers_)
+    if (const auto Handle = policy::findServer(*Balancer_, Name, Listed.Vm_))
+      server(*Handle);
+  for (auto &[Handle, Entry] : Servers_)
+    updateServer(Handle, Entry);
+  NextMaintenance_ = now();
+  scheduleRelease();
+}
+
+void HttpWorker::updateServer(policy::ServerHandle Handle, Server &Entry) {
+  const bool Listed = isListed(Handle);
+  Entry.Pool_->setShare(policy::connectionShare(*Balancer_, Handle),
+                        ConnectTimeout_, Listed);
+  if (Listed)
+    act(Handle, Entry, traffic::ServerListed{});
+  else
+    act(Handle, Entry, traffic::ServerLeft{});
+}
+
+bool HttpWorker::isListed(policy::ServerHandle Handle) const {
+  const model::BackendServer &Known = policy::serverOf(*Balancer_, Handle);
+  const auto &Servers = View_->Config_->Servers_;
+  const auto Found = Servers.find(Known.Name_);
+  return Found != Servers.end() && Found->second.Vm_ == Known.Vm_ &&
+         View_->LeavingServers_.count(Known.Name_) == 0;
+}
+
+HttpWorker::Server &HttpWorker::server(policy::ServerHandle Handle) {
+  Server &Entry = Servers_[Handle];
+  if (Entry.Pool_)
+    return Entry;
+  const model::BackendServer &Known = policy::serverOf(*Balancer_, Handle);
+  boost::system::error_code Ignored; // a wrong address fails to connect
+  const auto Address = boost::asio::ip::make_address(Known.Host_, Ignored);
+  Entry.Pool_ = std::make_shared<HttpPool>(
+      Io_, boost::asio::ip::tcp::endpoint(Address, Known.Port_),
+      limits().HeaderBytes_);
+  Entry.Pool_->setShare(policy::connectionShare(*Balancer_, Handle),
+                        ConnectTimeout_, /*Keep=*/true);
+  return Entry;
+}
+
+HttpPool &HttpWorker::pool(policy::ServerHandle Handle) {
+  return *server(Handle).Pool_;
+}
+
+void HttpWorker::act(policy::ServerHandle Handle, Server &Entry,
+                     const traffic::ServerEvent &Event) {
+  for (const traffic::ServerAction Action : Entry.Life_.process(Event)) {
+    if (Action == traffic::ServerAction::CloseIdle) {
+      Entry.Pool_->closeIdle();
+      continue;
+    }
+    const model::BackendServer &Known = policy::serverOf(*Balancer_, Handle);
+    Common_->Hooks_.Events_(
+        model::EventKind::ServerLastCallEnded, Known.Name_,
+        View_ ? View_->Config_->Version_ : 0, ResultCode::Ok,
+        "vm " + Known.Vm_ + ", traffic thread " + std::to_string(Index_));
+  }
+}
+
+void HttpWorker::maintainPools() {
+  const model::TimePoint Now = now();
+  NextMaintenance_ = Now + MaintenancePeriod;
+  for (auto It = Servers_.begin(); It != Servers_.end();) {
+    Server &Entry = It->second;
+    Entry.Pool_->setShare(policy::connectionShare(*Balancer_, It->first),
+                          ConnectTimeout_, !Entry.Life_.isLeaving());
+    Entry.Pool_->maintain(Now, limits().BackendIdleTimeout_);
+    const bool Gone = Entry.Life_.isLeaving() && Entry.Life_.calls() == 0 &&
+                      Entry.Pool_->connections() == 0 &&
+                      View_->Config_->Servers_.count(
+                          policy::serverOf(*Balancer_, It->first).Name_) == 0;
+    It = Gone ? Servers_.erase(It) : std::next(It);
+  }
+}
+
+void HttpWorker::sendProbes() {
+  if (!View_)
+    return;
+  for (const policy::ProbeOrder &Order : policy::dueProbes(*Balancer_, now())) {
+    {
+      const std::lock_guard<std::mutex> Lock(PublishedMutex_);
+      ++Figures_.ProbesSent_;
+    }
+    const auto Probe = std::make_shared<HttpProbe>(
+        Io_, server(Order.Server_).Pool_,
+        [this, Server = Order.Server_](
+            const std::optional<model::LoadReport> &Report) {
+          onProbeEnded(Server, Report);
+        });
+    Probe->start(ProbeTimeout_);
+  }
+}
+
+void HttpWorker::onProbeEnded(policy::ServerHandle Server,
+                              const std::optional<model::LoadReport> &Report) {
+  if (Report) {
+    policy::noteReport(*Balancer_, Server, *Report, now());
+    tellSighting(Server, *Report);
+    return scheduleRelease();
+  }
+  policy::noteProbeFailed(*Balancer_, Server, now());
+  const std::lock_guard<std::mutex> Lock(PublishedMutex_);
+  ++Figures_.ProbesFailed_;
+}
+
+void HttpWorker::noteReport(policy::ServerHandle Handle,
+                            const std::string &Json) {
+  const auto Report = parseLoadReport(Json);
+  if (!Report)
+    return;
+  policy::noteReport(*Balancer_, Handle, *Report, now());
+  Server &Entry = server(Handle);
+  if (Report->Draining_ && !Entry.ToldDraining_)
+    tellSighting(Handle, *Report);
+  Entry.ToldDraining_ = Report->Draining_;
+}
+
+void HttpWorker::noteDraining(policy::ServerHandle Handle) {
+  Server &Entry = server(Handle);
+  if (Entry.ToldDraining_)
+    return;
+  Entry.ToldDraining_ = true;
+  model::LoadReport Report;
+  Report.Draining_ = true;
+  tellSighting(Handle, Report);
+}
+
+void HttpWorker::tellSighting(policy::ServerHandle Handle,
+                              const model::LoadReport &Report) {
+  const model::BackendServer &Known = policy::serverOf(*Balancer_, Handle);
+  Common_->Hooks_.NoteSighting_({Known.Name_, Known.Vm_, Report});
+}
+
+void HttpWorker::noteSightings(std::vector<control::ServerSighting> Sightings) {
+  boost::asio::post(Io_, [this, Sightings = std::move(Sightings)] {
+    for (const control::ServerSighting &Sighting : Sightings)
+      if (const auto Handle =
+              policy::findServer(*Balancer_, Sighting.Server_, Sighting.Vm_))
+        policy::noteReport(*Balancer_, *Handle, Sighting.Report_, now());
+  });
+}
+
+void HttpWorker::publish() {
+  std::vector<model::ServerActivity> Activity = policy::activity(*Balancer_);
+  std::uint64_t Connections = 0;
+  for (model::ServerActivity &Server : Activity) {
+    const auto Handle =
+        policy::findServer(*Balancer_, Server.Server_, Server.Vm_);
+    const auto Found = Handle ? Servers_.find(*Handle) : Servers_.end();
+    if (Found == Servers_.end())
+      continue;
+    Server.Connections_ = Found->second.Pool_->connections();
+    Connections += Server.Connections_;
+  }
+  const std::lock_guard<std::mutex> Lock(PublishedMutex_);
+  Activity_ = std::move(Activity);
+  Figures_.Queued_ = Waiting_.size();
+  Figures_.CallerConnections_ = Sessions_.size();
+  Figures_.BackendConnections_ = Connections;
+}
+
+std::vector<model::ServerActivity> HttpWorker::activity() const {
+  const std::lock_guard<std::mutex> Lock(PublishedMutex_);
+  return Activity_;
+}
+
+traffic::TrafficFigures HttpWorker::figures() const {
+  const std::lock_guard<std::mutex> Lock(PublishedMutex_);
+  return Figures_;
+}
+
+} // namespace cumingauge::adapters
--- /dev/null
+++ b/tests/http/frontend.cpp
@@ -0,0 +1,162 @@
+#include "http/frontend.h"
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <thread>
+
+namespace cumingauge::test {
+
+using boost::asio::ip::tcp;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::uint64_t BulkBytes = 268435456;
+constexpr unsigned ServerSlots = 8;
+
+model::Route route(const std::string &Name, bool Idempotent) {
+  model::Route Out;
+  Out.Name_ = Name;
+  Out.PathPrefix_ = "/" + Name;
+  Out.Service_ = "catalogue";
+  Out.Idempotent_ = Idempotent;
+  Out.Deadline_ = model::milliseconds(5000);
+  return Out;
+}
+
+model::Preset samplePreset() {
+  model::Preset Out;
+  Out.Name_ = "ordinary";
+  Out.Pick_ = model::PickMethod::RoundRobin;
+  Out.Measuring_.ProbesPerSecond_ = 0;
+  Out.Retry_.Ratio_ = 1;
+  Out.Servers_.WarmConnections_ = 0;
+  Out.Routes_ = {route("search", true), route("licence", false),
+                 route("bulk", false)};
+  Out.Routes_.back().MaxBodyBytes_ = BulkBytes;
+  Out.Routes_.back().Deadline_ = model::milliseconds(60000);
+  return Out;
+}
+
+} // namespace
+
+FrontEnd::FrontEnd(const std::vector<Target> &Servers,
+                   adapters::HttpLimits Limits, unsigned Threads)
+    : Servers_(Servers), Preset_(samplePreset()) {
+  adapters::TrafficSettings Settings;
+  Settings.Threads_ = Threads;
+  Settings.Limits_ = Limits;
+  Settings.Zone_ = "milano-a";
+  adapters::HttpTraffic::Hooks Hooks;
+  Hooks.IsFresh_ = [this](model::TimePoint) { return Fresh_.load(); };
+  Hooks.NoteSighting_ = [](const control::ServerSighting &) {};
+  Hooks.Events_ = [this](model::EventKind Kind, const std::string &,
+                         std::uint64_t, model::ResultCode,
+                         const std::string &) {
+    const std::lock_guard<std::mutex> Lock(Mutex_);
+    Events_.push_back(Kind);
+  };
+  Traffic_ = adapters::startTraffic(Settings, std::move(Hooks));
+  publish();
+}
+
+FrontEnd::~FrontEnd() { Traffic_->stop(); }
+
+void FrontEnd::markLeaving(const std::set<std::string> &Names) {
+  Leaving_ = Names;
+  publish();
+}
+
+void FrontEnd::changePreset(const std::function<void(model::Preset &)> &Edit) {
+  Edit(Preset_);
+  publish();
+}
+
+std::vector<model::EventKind> FrontEnd::events() const {
+  const std::lock_guard<std::mutex> Lock(Mutex_);
+  return Events_;
+}
+
+void FrontEnd::publish() {
+  auto Config = std::make_shared<model::ConfigState>();
+  Config->Version_ = ++Version_;
+  Config->PresetInForce_ = Preset_.Name_;
+  Config->Presets_[Preset_.Name_] = Preset_;
+  for (const Target &Server : Servers_)
+    Config->Servers_[Server.Name_] = {
+        Server.Name_, "vm-" + Server.Name_, "catalogue", "milano-a",
+        "127.0.0.1",  Server.Port_,         ServerSlots};
+  auto View = std::make_shared<model::ControlView>();
+  View->Config_ = Config;
+  View->LeavingServers_ = Leaving_;
+  View->Confirmed_ = true;
+  Traffic_->applyView(View);
+}
+
+RawCaller::RawCaller(std::uint16_t Port) : Socket_(Io_) {
+  Socket_.connect(tcp::endpoint(boost::asio::ip::address_v4::loopback(), Port));
+  Socket_.set_option(tcp::no_delay(true));
+}
+
+void RawCaller::send(const std::string &Bytes) {
+  boost::system::error_code Ignored; // the answer tells of a closed connection
+  boost::asio::write(Socket_, boost::asio::buffer(Bytes), Ignored);
+}
+
+RawCaller::Answer RawCaller::read(bool ToHead) {
+  Answer Out;
+  boost::beast::flat_buffer Buffer;
+  boost::asio::buffer_copy(Buffer.prepare(Buffer_.size()),
+                           boost::asio::buffer(Buffer_));
+  Buffer.commit(Buffer_.size());
+  boost::system::error_code Error;
+  http::response_parser<http::string_body> Parser;
+  Parser.body_limit(boost::none);
+  Parser.skip(ToHead);
+  http::read(Socket_, Buffer, Parser, Error);
+  Buffer_ = boost::beast::buffers_to_string(Buffer.data());
+  Out.Closed_ = !Parser.is_header_done();
+  Out.Whole_ = !Error && Parser.is_done() && !Parser.need_eof();
+  if (Out.Closed_)
+    return Out;
+  std::ostringstream Head;
+  Head << Parser.get().base();
+  Out.Head_ = Head.str();
+  Out.Status_ = Parser.get().result_int();
+  Out.Body_ = Parser.get().body();
+  const auto Code = Parser.get()["X-Result-Code"];
+  Out.ResultCode_ = std::string(Code.data(), Code.size());
+  return Out;
+}
+
+RawCaller::Answer RawCaller::call(const std::string &Bytes, bool ToHead) {
+  send(Bytes);
+  return read(ToHead);
+}
+
+void RawCaller::hangUp() {
+  boost::system::error_code Ignored;
+  Socket_.close(Ignored);
+}
+
+std::string request(const std::string &Method, const std::string &Target,
+                    const std::string &Fields, const std::string &Body) {
+  std::string Out =
+      Method + " " + Target + " HTTP/1.1\r\nHost: cumingauge\r\n" + Fields;
+  if (!Body.empty())
+    Out += "Content-Length: " + std::to_string(Body.size()) + "\r\n";
+  return Out + "\r\n" + Body;
+}
+
+bool eventually(const std::function<bool()> &Holds) {
+  constexpr int MaxTries = 2000;
+  for (int Try = 0; Try < MaxTries; ++Try) {
+    if (Holds())
+      return true;
+    std::this_thread::sleep_for(model::milliseconds(5));
+  }
+  return false;
+}
+
+} // namespace cumingauge::test
