Add the metrics page, its reference and sample alert rules

Cause: no figure of a running process could be seen. Change: prometheus-cpp families made at scrape time from the counters of traffic and control, so that a call pays nothing for them; a reference page and alert rules whose names are compared with the code. Result: 3 tests; with a row taken out of the reference the first one fails (seen while writing).

--- /dev/null
+++ b/src/libcumingauge/adapters/metricspage.cpp
@@ -0,0 +1,206 @@
+#include "adapters/metricspage.h"
+#include <fstream>
+#include <limits>
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+#include <unistd.h>
+
+namespace cumingauge::adapters {
+
+namespace {
+
+using prometheus::ClientMetric;
+using prometheus::MetricFamily;
+using prometheus::MetricType;
+
+constexpr double MicrosPerSecond = 1e6;
+constexpr double MsPerSecond = 1e3;
+
+MetricFamily makeFamily(const char *Name, const char *Help, MetricType Type) {
+  MetricFamily Family;
+  Family.name = Name;
+  Family.help = Help;
+  Family.type = Type;
+  return Family;
+}
+
+void addValue(MetricFamily &Family, double Value,
+              std::vector<ClientMetric::Label> Labels = {}) {
+  ClientMetric Metric;
+  Metric.label = std::move(Labels);
+  if (Family.type == MetricType::Counter)
+    Metric.counter.value = Value;
+  else
+    Metric.gauge.value = Value;
+  Family.metric.push_back(std::move(Metric));
+}
+
+MetricFamily counter(const char *Name, const char *Help, double Value) {
+  MetricFamily Family = makeFamily(Name, Help, MetricType::Counter);
+  addValue(Family, Value);
+  return Family;
+}
+
+MetricFamily gauge(const char *Name, const char *Help, double Value) {
+  MetricFamily Family = makeFamily(Name, Help, MetricType::Gauge);
+  addValue(Family, Value);
+  return Family;
+}
+
+MetricFamily byDirection(const char *Name, const char *Help, double Sent,
+                         double Received) {
+  MetricFamily Family = makeFamily(Name, Help, MetricType::Counter);
+  addValue(Family, Sent, {{"direction", "sent"}});
+  addValue(Family, Received, {{"direction", "received"}});
+  return Family;
+}
+
+MetricFamily callsFamily(const traffic::TrafficFigures &Traffic) {
+  MetricFamily Family = makeFamily("cumingauge_calls_total",
+                                   "Calls that ended, by route and result code",
+                                   MetricType::Counter);
+  for (const auto &[Route, Figures] : Traffic.Routes_)
+    for (const auto &[Code, Count] : Figures.Calls_)
+      addValue(Family, static_cast<double>(Count),
+               {{"route", Route},
+                {"code", std::to_string(static_cast<int>(Code))},
+                {"name", std::string(model::nameOf(Code))}});
+  return Family;
+}
+
+ClientMetric::Histogram latencyHistogram(const traffic::RouteFigures &Figures) {
+  ClientMetric::Histogram Out;
+  std::uint64_t Cumulative = 0;
+  for (std::size_t I = 0; I < Figures.Latencies_.size(); ++I) {
+    Cumulative += Figures.Latencies_[I];
+    const bool Last = I == traffic::LatencyBounds.size();
+    const double Bound =
+        Last ? std::numeric_limits<double>::infinity()
+             : static_cast<double>(traffic::LatencyBounds[I].count()) /
+                   MicrosPerSecond;
+    ClientMetric::Bucket Bucket;
+    Bucket.cumulative_count = Cumulative;
+    Bucket.upper_bound = Bound;
+    Out.bucket.push_back(Bucket);
+  }
+  Out.sample_count = Cumulative;
+  Out.sample_sum =
+      static_cast<double>(Figures.LatencySumMicros_) / MicrosPerSecond;
+  return Out;
+}
+
+MetricFamily latencyFamily(const traffic::TrafficFigures &Traffic) {
+  MetricFamily Family = makeFamily("cumingauge_call_duration_seconds",
+                                   "Time from arrival to the end of the answer",
+                                   MetricType::Histogram);
+  for (const auto &[Route, Figures] : Traffic.Routes_) {
+    ClientMetric Metric;
+    Metric.label = {{"route", Route}};
+    Metric.histogram = latencyHistogram(Figures);
+    Family.metric.push_back(std::move(Metric));
+  }
+  return Family;
+}
+
+void addTraffic(const traffic::TrafficFigures &Traffic,
+                std::vector<MetricFamily> &Out) {
+  const auto Number = [](std::uint64_t N) { return static_cast<double>(N); };
+  Out.push_back(callsFamily(Traffic));
+  Out.push_back(latencyFamily(Traffic));
+  Out.push_back(gauge("cumingauge_calls_in_flight",
+                      "Calls under way at backend servers",
+                      Number(Traffic.InFlight_)));
+  Out.push_back(gauge("cumingauge_calls_queued", "Calls waiting in the queue",
+                      Number(Traffic.Queued_)));
+  Out.push_back(gauge("cumingauge_caller_connections",
+                      "Open connections of callers",
+                      Number(Traffic.CallerConnections_)));
+  Out.push_back(gauge("cumingauge_backend_connections",
+                      "Open connections to backend servers",
+                      Number(Traffic.BackendConnections_)));
+  Out.push_back(counter("cumingauge_attempts_total",
+                        "Attempts sent to backend servers",
+                        Number(Traffic.Attempts_)));
+  Out.push_back(counter("cumingauge_retries_total",
+                        "Attempts that followed a failed one",
+                        Number(Traffic.Retries_)));
+  Out.push_back(counter("cumingauge_hedges_total",
+                        "Attempts sent beside a running one",
+                        Number(Traffic.Hedges_)));
+  Out.push_back(counter("cumingauge_probes_total",
+                        "Probes sent to backend servers",
+                        Number(Traffic.ProbesSent_)));
+  Out.push_back(counter("cumingauge_probe_failures_total",
+                        "Probes that brought no report",
+                        Number(Traffic.ProbesFailed_)));
+}
+
+void addControl(const ControlFigures &Control, std::vector<MetricFamily> &Out) {
+  const auto Number = [](std::uint64_t N) { return static_cast<double>(N); };
+  Out.push_back(gauge("cumingauge_config_version",
+                      "Version of the configuration in force",
+                      Number(Control.Version_)));
+  Out.push_back(gauge("cumingauge_view_age_seconds",
+                      "Time since the last exchange with a peer or the store",
+                      Number(Control.ViewAgeMs_) / MsPerSecond));
+  Out.push_back(counter("cumingauge_store_calls_total",
+                        "Calls to the key-value service, watches included",
+                        Number(Control.StoreCalls_)));
+  Out.push_back(byDirection("cumingauge_peer_messages_total",
+                            "Messages on peer links",
+                            Number(Control.PeerMessagesSent_),
+                            Number(Control.PeerMessagesReceived_)));
+  Out.push_back(byDirection(
+      "cumingauge_peer_bytes_total", "Bytes of messages on peer links",
+      Number(Control.PeerBytesSent_), Number(Control.PeerBytesReceived_)));
+  Out.push_back(counter("cumingauge_control_cpu_seconds_total",
+                        "Processor time of the control thread",
+                        Number(Control.ThreadCpuMicros_) / MicrosPerSecond));
+  Out.push_back(gauge("cumingauge_peer_links", "Open peer links",
+                      Number(Control.Links_)));
+  Out.push_back(gauge("cumingauge_fleet_size",
+                      "Entry processes, the larger of VM list and peers",
+                      Number(Control.FleetSize_)));
+}
+
+std::vector<MetricFamily> makeFamilies(const MetricsInput &Input) {
+  std::vector<MetricFamily> Out;
+  addTraffic(Input.Traffic_, Out);
+  addControl(Input.Control_, Out);
+  Out.push_back(gauge("cumingauge_ready", "1 when new calls are welcome",
+                      Input.Ready_ ? 1 : 0));
+  Out.push_back(gauge("cumingauge_probe_budget_per_second",
+                      "Probes that the whole fleet may send, over all services",
+                      Input.ProbeBudgetPerSecond_));
+  Out.push_back(gauge("cumingauge_resident_memory_bytes",
+                      "Resident memory of the process",
+                      static_cast<double>(Input.ResidentBytes_)));
+  Out.push_back(counter("cumingauge_events_dropped_total",
+                        "Time line events overwritten by later ones",
+                        static_cast<double>(Input.EventsDropped_)));
+  return Out;
+}
+
+} // namespace
+
+std::string renderMetrics(const MetricsInput &Input) {
+  return prometheus::TextSerializer().Serialize(makeFamilies(Input));
+}
+
+std::vector<std::string> metricNames() {
+  std::vector<std::string> Out;
+  for (const MetricFamily &Family : makeFamilies({}))
+    Out.push_back(Family.name);
+  return Out;
+}
+
+std::uint64_t residentBytes() {
+  std::ifstream In("/proc/self/statm");
+  std::uint64_t TotalPages = 0;
+  std::uint64_t ResidentPages = 0;
+  if (!(In >> TotalPages >> ResidentPages))
+    return 0;
+  return ResidentPages * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+}
+
+} // namespace cumingauge::adapters
--- /dev/null
+++ b/tests/docs/metrictabletest.cpp
@@ -0,0 +1,68 @@
+#include "adapters/metricspage.h"
+#include <cppunit/extensions/HelperMacros.h>
+#include <fstream>
+#include <regex>
+#include <set>
+#include <sstream>
+
+using namespace cumingauge;
+
+namespace {
+
+std::set<std::string> namesIn(const std::string &File, const char *Pattern) {
+  std::ifstream In(File);
+  std::ostringstream Text;
+  Text << In.rdbuf();
+  const std::string Whole = Text.str();
+  const std::regex Name(Pattern);
+  std::set<std::string> Out;
+  for (std::sregex_iterator I(Whole.begin(), Whole.end(), Name), End; I != End;
+       ++I)
+    Out.insert((*I)[1].str());
+  return Out;
+}
+
+class TheMetricsPage : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TheMetricsPage);
+  CPPUNIT_TEST(isDocumentedWholeAndNoMoreThanThat);
+  CPPUNIT_TEST(hasEveryMetricThatTheAlertRulesUse);
+  CPPUNIT_TEST(writesWhatWasCounted);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void isDocumentedWholeAndNoMoreThanThat() {
+    const std::vector<std::string> Names = adapters::metricNames();
+    CPPUNIT_ASSERT(std::set<std::string>(Names.begin(), Names.end()) ==
+                   namesIn(SOURCE_DIR "/docs/operators/metrics.md",
+                           R"(\| `(cumingauge_\w+)` \|)"));
+  }
+
+  void hasEveryMetricThatTheAlertRulesUse() {
+    const std::vector<std::string> Names = adapters::metricNames();
+    for (const std::string &Used : namesIn(
+             SOURCE_DIR "/docs/operators/alerts.yaml", R"((cumingauge_\w+))"))
+      CPPUNIT_ASSERT_MESSAGE(
+          Used, std::find(Names.begin(), Names.end(), Used) != Names.end());
+  }
+
+  void writesWhatWasCounted() {
+    adapters::MetricsInput Input;
+    traffic::noteCall(Input.Traffic_.Routes_["search"],
+                      model::ResultCode::NotRunShed, model::milliseconds(3));
+    const std::string Page = adapters::renderMetrics(Input);
+    const auto Has = [&](const char *Line) {
+      CPPUNIT_ASSERT_MESSAGE(Page, Page.find(Line) != std::string::npos);
+    };
+    Has("cumingauge_calls_total{route=\"search\",code=\"104\","
+        "name=\"NotRunShed\"} 1");
+    Has("cumingauge_call_duration_seconds_bucket{route=\"search\","
+        "le=\"0.002\"} 0");
+    Has("cumingauge_call_duration_seconds_bucket{route=\"search\","
+        "le=\"0.004\"} 1");
+    Has("cumingauge_call_duration_seconds_bucket{route=\"search\","
+        "le=\"+Inf\"} 1");
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(TheMetricsPage);
+
+} // namespace
