--- /dev/null
+++ b/src/libcumingauge/emulator/fakeserver.cpp
@@ -0,0 +1,400 @@
+#include "emulator/fakeserver.h"
+#include "emulator/answerbody.h"
+#include "emulator/jsonanswer.h"
+#include "emulator/slots.h"
+#include "traffic/headers.h"
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <map>
+
+namespace cumingauge::emulator {
+
+using codec::Json;
+using model::TimePoint;
+using ExchangePtr = std::shared_ptr<HttpExchange>;
+namespace headers = traffic::headers;
+
+namespace {
+
+constexpr std::size_t DefaultJournalLimit = 50000;
+/// Answers above this length are streamed.
+constexpr std::uint64_t MaxWholeBody = 65536;
+constexpr std::size_t MinHeaderShare = 2; ///< a cut answer loses half
+
+TimePoint now() { return std::chrono::steady_clock::now(); }
+
+/// A call or a probe at the server.
+struct Work {
+  ExchangePtr Exchange_;
+  Target Target_;
+  std::string Call_;
+  std::uint64_t AnswerBytes_ = 0;
+  bool Probe_ = false;
+  TimePoint Deadline_ = TimePoint::max();
+  std::uint64_t Entry_ = 0; ///< in the journal, 0 while it waits
+  std::unique_ptr<boost::asio::steady_timer> Timer_;
+};
+
+const char *refusalName(Arrival Reason) {
+  switch (Reason) {
+  case Arrival::Draining:
+    return "draining";
+  case Arrival::Cold:
+    return "cold";
+  default:
+    return "shed";
+  }
+}
+
+TimePoint deadlineOf(const HttpRequest &Request) {
+  const std::string Text = fieldOf(Request, headers::DeadlineMs);
+  if (Text.empty())
+    return TimePoint::max();
+  return now() + model::milliseconds(std::strtoll(Text.c_str(), nullptr, 10));
+}
+
+} // namespace
+
+struct FakeServer::State : std::enable_shared_from_this<State> {
+  State(boost::asio::io_context &Context, ServerSettings Settings,
+        Behaviour Rules, std::size_t JournalEntries,
+        std::shared_ptr<JournalFile> File, std::uint64_t Seed)
+      : Context_(Context), Settings_(std::move(Settings)),
+        Rules_(std::move(Rules)), Random_(Seed),
+        Journal_(Settings_.Name_, JournalEntries, std::move(File)) {}
+
+  void handle(const ExchangePtr &Exchange) {
+    const auto Parsed = parseTarget(Exchange->Request_.Target_);
+    if (!Parsed)
+      return Exchange->Answer_(textAnswer(400, "bad target"));
+    if (Admin_ && Admin_(Exchange, *Parsed))
+      return;
+    if (Rules_.Frozen_) {
+      Frozen_.push_back(
+          [this, Exchange, Where = *Parsed] { takeIn(Exchange, Where); });
+      return;
+    }
+    takeIn(Exchange, *Parsed);
+  }
+
+  void takeIn(const ExchangePtr &Exchange, const Target &Where) {
+    Work New;
+    New.Exchange_ = Exchange;
+    New.Target_ = Where;
+    New.Probe_ = Where.Path_ == "/load" || Where.Path_ == "/health";
+    if (New.Probe_) {
+      noteProbe();
+      if (Rules_.ProbeCost_.count() == 0 || Rules_.Draining_)
+        return answerProbe(New);
+    } else if (drawShare(Rules_.ResetShare_, Random_)) {
+      return Exchange->Drop_(true);
+    }
+    New.Call_ = fieldOf(Exchange->Request_, headers::CallId);
+    New.Deadline_ = deadlineOf(Exchange->Request_);
+    const WorkId Id = ++LastWork_;
+    const Arrival How = admitWork(Slots_, Rules_, Id, now());
+    if (How != Arrival::Runs && How != Arrival::Waits)
+      return refuse(New, How);
+    Exchange->OnGone_ = [this, Id] { callerGone(Id); };
+    Works_.emplace(Id, std::move(New));
+    if (How == Arrival::Runs)
+      run(Id);
+  }
+
+  void refuse(const Work &Refused, Arrival Reason) {
+    if (Refused.Probe_)
+      return answerProbe(Refused);
+    ++Refused_;
+    HttpAnswer Answer = textAnswer(503, "not run\n");
+    Answer.Fields_.push_back({headers::NotRun, refusalName(Reason)});
+    Refused.Exchange_->Answer_(withIdentity(std::move(Answer), Refused));
+  }
+
+  void run(WorkId Id) {
+    Work &Started = Works_.at(Id);
+    if (!Started.Probe_ && Rules_.HonoursDeadline_ &&
+        Started.Deadline_ <= now()) {
+      refuse(Started, Arrival::Shed);
+      return release(Id);
+    }
+    model::Duration Time = Rules_.ProbeCost_;
+    if (!Started.Probe_) {
+      Started.Entry_ = Journal_.begin(
+          Started.Call_, fieldOf(Started.Exchange_->Request_, headers::Attempt),
+          Started.Target_.Path_);
+      if (drawShare(Rules_.FailShare_, Random_))
+        return fail(Id);
+      Time = drawTime(Started);
+    }
+    const TimePoint End = now() + Time;
+    const bool Stopped = Rules_.HonoursDeadline_ && Started.Deadline_ < End;
+    Started.Timer_ = std::make_unique<boost::asio::steady_timer>(
+        Context_, Stopped ? Started.Deadline_ : End);
+    Started.Timer_->async_wait(
+        [Weak = weak_from_this(), Id, Stopped](auto Error) {
+          const auto Self = Weak.lock();
+          if (!Error && Self)
+            Self->timeIsUp(Id, Stopped);
+        });
+  }
+
+  model::Duration drawTime(Work &Started) {
+    const ServiceTime &Time = serviceTimeFor(Rules_, Started.Target_.Path_);
+    Started.AnswerBytes_ = Started.Target_.number("bytes", Time.AnswerBytes_);
+    if (Started.Target_.has("serviceUs"))
+      return model::microseconds(Started.Target_.number("serviceUs", 0));
+    return drawServiceTime(Rules_, Time, now() - Slots_.Started_, Random_);
+  }
+
+  void timeIsUp(WorkId Id, bool Stopped) {
+    if (Rules_.Frozen_) {
+      Frozen_.push_back([this, Id, Stopped] { timeIsUp(Id, Stopped); });
+      return;
+    }
+    const auto Found = Works_.find(Id);
+    if (Found == Works_.end())
+      return;
+    // Its slot is free before the answer reports the load.
+    const Work Done = std::move(Found->second);
+    release(Id);
+    Done.Exchange_->OnGone_ = nullptr;
+    if (Done.Probe_) {
+      answerProbe(Done);
+    } else if (Stopped) {
+      Journal_.end(Done.Entry_, RunEnd::Deadline);
+      Done.Exchange_->Answer_(
+          withIdentity(textAnswer(504, "deadline passed\n"), Done));
+    } else {
+      answerCall(Done);
+    }
+  }
+
+  void answerCall(const Work &Done) {
+    const auto Body = std::make_shared<AnswerBody>(Done.Call_);
+    HttpAnswer Answer;
+    Answer.Fields_ = {{"Content-Type", "application/octet-stream"}};
+    Answer.Chunked_ = Done.Target_.has("chunked");
+    if (Done.AnswerBytes_ > MaxWholeBody || Answer.Chunked_) {
+      Answer.SourceBytes_ = Done.AnswerBytes_;
+      Answer.Source_ = [Body](std::uint64_t Offset, char *Out,
+                              std::size_t Size) {
+        Body->write(Offset, Out, Size);
+      };
+    } else {
+      Answer.Body_ = Body->whole(Done.AnswerBytes_);
+    }
+    const bool Cut = drawShare(Rules_.CutShare_, Random_);
+    if (Cut)
+      Answer.CutAfter_ = Done.AnswerBytes_ / MinHeaderShare;
+    Answer.Twice_ = !Cut && drawShare(Rules_.TwiceShare_, Random_);
+    Journal_.end(Done.Entry_, Cut ? RunEnd::CutShort : RunEnd::Whole);
+    send(Done, withIdentity(std::move(Answer), Done));
+  }
+
+  void send(const Work &Done, HttpAnswer Answer) {
+    if (!drawShare(Rules_.LateShare_, Random_))
+      return Done.Exchange_->Answer_(std::move(Answer));
+    auto Timer =
+        std::make_shared<boost::asio::steady_timer>(Context_, Rules_.LateBy_);
+    Timer->async_wait([Timer, Exchange = Done.Exchange_,
+                       Answer = std::move(Answer)](auto Error) {
+      if (!Error)
+        Exchange->Answer_(Answer);
+    });
+  }
+
+  void fail(WorkId Id) {
+    const Work &Failed = Works_.at(Id);
+    Journal_.end(Failed.Entry_, RunEnd::Failed);
+    Failed.Exchange_->OnGone_ = nullptr;
+    Failed.Exchange_->Answer_(
+        withIdentity(textAnswer(500, "failed\n"), Failed));
+    release(Id);
+  }
+
+  /// Forgets ended work and starts what waits.
+  void release(WorkId Id) {
+    Works_.erase(Id);
+    if (const auto Next = endWork(Slots_, Rules_, now()))
+      run(*Next);
+  }
+
+  void callerGone(WorkId Id) {
+    const auto Found = Works_.find(Id);
+    if (Found == Works_.end())
+      return;
+    if (forgetWork(Slots_, Id, now())) {
+      Works_.erase(Found);
+      return;
+    }
+    if (!Rules_.HonoursCancel_ || Rules_.Frozen_)
+      return;
+    if (Found->second.Entry_)
+      Journal_.end(Found->second.Entry_, RunEnd::Cancelled);
+    release(Id);
+  }
+
+  HttpAnswer withIdentity(HttpAnswer Answer, const Work &Of) const {
+    Answer.Fields_.push_back({headers::CallId, Of.Call_});
+    Answer.Fields_.push_back({headers::ServerVm, Settings_.Vm_});
+    Answer.Fields_.push_back(
+        {headers::LoadReport,
+         codec::toJson(reportLoad(Slots_, Rules_, now())).dump()});
+    return Answer;
+  }
+
+  void answerProbe(const Work &Probe) {
+    const Json Report = codec::toJson(reportLoad(Slots_, Rules_, now()));
+    const bool Health = Probe.Target_.Path_ == "/health";
+    const unsigned Status = Health && Rules_.Draining_ ? 503 : 200;
+    Probe.Exchange_->Answer_(withIdentity(jsonAnswer(Status, Report), Probe));
+  }
+
+  void noteProbe() {
+    ++Probes_;
+    const TimePoint Now = now();
+    if (Now - ProbeSecond_ >= std::chrono::seconds(1)) {
+      ProbeSecond_ = Now;
+      ProbesThisSecond_ = 0;
+    }
+    PeakProbes_ = std::max(PeakProbes_, ++ProbesThisSecond_);
+  }
+
+  model::Problems changeRules(const Json &Body) {
+    Behaviour Next = Rules_;
+    model::Problems Found;
+    codec::fromJson(Body, "", Next, Found);
+    if (Found.empty())
+      Found = checkBehaviour(Next, "");
+    if (!Found.empty())
+      return Found;
+    Rules_ = Next;
+    if (!Rules_.Frozen_) {
+      const auto Held = std::move(Frozen_);
+      Frozen_.clear();
+      for (const auto &Action : Held)
+        Action();
+    }
+    return Found;
+  }
+
+  std::uint16_t listen() {
+    Slots_.Started_ = now();
+    HttpServerOptions Options;
+    Options.MaxConnections_ = Rules_.MaxConnections_;
+    Options.ConnectionCost_ = [this] {
+      ++Accepted_;
+      return Rules_.ConnectionCost_;
+    };
+    Server_ = std::make_unique<HttpServer>(
+        Context_, [this](const ExchangePtr &Exchange) { handle(Exchange); },
+        Options);
+    Settings_.Port_ = Server_->listen(Settings_.Host_, Settings_.Port_);
+    return Settings_.Port_;
+  }
+
+  void stop(StopMode Mode) {
+    if (!Server_)
+      return;
+    const bool Kill = Mode == StopMode::Kill;
+    for (auto &Entry : Works_) {
+      Entry.second.Exchange_->OnGone_ = nullptr;
+      if (Entry.second.Entry_)
+        Journal_.end(Entry.second.Entry_,
+                     Kill ? RunEnd::Killed : RunEnd::CutOff);
+    }
+    Works_.clear();
+    Frozen_.clear();
+    Slots_ = {};
+    Server_->stopListening();
+    Server_->closeConnections(Kill);
+    Server_.reset();
+  }
+
+  boost::asio::io_context &Context_;
+  ServerSettings Settings_;
+  Behaviour Rules_;
+  pcg32 Random_;
+  Journal Journal_;
+  Slots Slots_;
+  std::map<WorkId, Work> Works_;
+  WorkId LastWork_ = 0;
+  std::vector<std::function<void()>> Frozen_; ///< held until it thaws
+  std::uint64_t Refused_ = 0;
+  std::uint64_t Probes_ = 0;
+  std::uint64_t PeakProbes_ = 0;
+  std::uint64_t ProbesThisSecond_ = 0;
+  TimePoint ProbeSecond_;
+  std::uint64_t Accepted_ = 0;
+  std::function<bool(const ExchangePtr &, const Target &)> Admin_;
+  std::unique_ptr<HttpServer> Server_;
+};
+
+FakeServer::FakeServer(boost::asio::io_context &Context,
+                       ServerSettings Settings, Behaviour Rules,
+                       std::size_t JournalEntries,
+                       std::shared_ptr<JournalFile> File, std::uint64_t Seed)
+    : State_(std::make_shared<State>(Context, std::move(Settings),
+                                     std::move(Rules), JournalEntries,
+                                     std::move(File), Seed)) {}
+
+FakeServer::~FakeServer() = default;
+
+std::uint16_t FakeServer::start() {
+  State_->Admin_ = [Weak = weak_from_this()](const ExchangePtr &Exchange,
+                                             const Target &Where) {
+    const auto Self = Weak.lock();
+    return Self && Self->handleAdmin(Exchange, Where);
+  };
+  return State_->listen();
+}
+
+void FakeServer::stop(StopMode Mode) { State_->stop(Mode); }
+
+bool FakeServer::handleAdmin(const ExchangePtr &Exchange, const Target &Where) {
+  if (Where.Path_ == "/journal") {
+    HttpAnswer Answer = textAnswer(
+        200,
+        State_->Journal_.lines(Where.number("after", 0),
+                               Where.number("limit", DefaultJournalLimit)));
+    Exchange->Answer_(std::move(Answer));
+    return true;
+  }
+  if (Where.Path_ == "/counters") {
+    Exchange->Answer_(jsonAnswer(200, codec::toJson(counters())));
+    return true;
+  }
+  if (Where.Path_ != "/control")
+    return false;
+  const Json Body = Json::parse(Exchange->Request_.Body_, nullptr, false);
+  const model::Problems Found = State_->changeRules(Body);
+  Exchange->Answer_(Found.empty()
+                        ? jsonAnswer(200, codec::toJson(State_->Rules_))
+                        : jsonAnswer(400, codec::toJson(Found)));
+  return true;
+}
+
+ServerCounters FakeServer::counters() const {
+  const State &S = *State_;
+  ServerCounters Out;
+  Out.Server_ = S.Settings_.Name_;
+  Out.Vm_ = S.Settings_.Vm_;
+  Out.Port_ = S.Settings_.Port_;
+  Out.Listening_ = S.Server_ != nullptr;
+  Out.Running_ = S.Slots_.Running_;
+  Out.Waiting_ = static_cast<unsigned>(S.Slots_.Waiting_.size());
+  Out.Connections_ = S.Server_ ? S.Server_->connections() : 0;
+  Out.Started_ = S.Journal_.started();
+  Out.JournalDropped_ = S.Journal_.dropped();
+  Out.Refused_ = S.Refused_;
+  Out.Probes_ = S.Probes_;
+  Out.PeakProbesPerSecond_ = S.PeakProbes_;
+  Out.ConnectionsAccepted_ = S.Accepted_;
+  return Out;
+}
+
+boost::asio::io_context &FakeServer::context() { return State_->Context_; }
+
+const std::string &FakeServer::name() const { return State_->Settings_.Name_; }
+
+} // namespace cumingauge::emulator
--- a/src/libcumingauge/emulator/httpmessage.h
+++ b/src/libcumingauge/emulator/httpmessage.h
@@ -41,6 +41,7 @@
   std::uint64_t SourceBytes_ = 0;         ///< length of the source
   bool Chunked_ = false;                  ///< source without a length up front
   std::optional<std::uint64_t> CutAfter_; ///< closes after so many body bytes
+  bool Twice_ = false; ///< sends the whole answer a second time
   bool Close_ = false;
 };
 
--- a/src/libcumingauge/emulator/httpsession.cpp
+++ b/src/libcumingauge/emulator/httpsession.cpp
@@ -202,6 +202,8 @@
   if (!Answer_.Source_) {
     Out_.append(Answer_.Body_, 0, static_cast<std::size_t>(ToWrite_));
     Written_ = ToWrite_;
+    if (Answer_.Twice_)
+      Out_ += std::string(Out_);
   }
   writeBody();
 }
