--- /dev/null
+++ b/src/libcumingauge/policy/admission.cpp
@@ -0,0 +1,186 @@
+#include "policy/admission.h"
+#include "policy/choice.h"
+#include "policy/limits.h"
+#include <algorithm>
+
+namespace cumingauge::policy {
+
+namespace {
+
+/// Part of a route's mean latency that a call needs at the least.
+constexpr double LeastPartOfMean = 0.5;
+/// Part of the time to the deadline that may go into waiting in the queue;
+/// the rest is left for an answer slower than the mean.
+constexpr double WaitPartOfTime = 0.7;
+
+Decision refuse(model::ResultCode Reason) {
+  return {Verdict::Refuse, NoServer, Reason};
+}
+
+bool isPatient(const CallFacts &Call) {
+  return Call.Route_.Priority_ == model::Priority::Patient;
+}
+
+/// A patient call that has used half of its time is served like any other.
+bool isStillPatient(const CallFacts &Call, model::TimePoint Now) {
+  return isPatient(Call) &&
+         Now - Call.Arrived_ < (Call.Deadline_ - Call.Arrived_) / 2;
+}
+
+std::optional<Capacity> allowedCapacity(const BalancerState &State,
+                                        const ServiceRecord &Service,
+                                        const CallFacts &Call,
+                                        model::TimePoint Now) {
+  if (Now < Service.HeldUntil_)
+    return std::nullopt;
+  if (Service.InFlight_ == 0)
+    return Capacity::Any;
+  if (isStillPatient(Call, Now))
+    return Service.PatientInFlight_ <
+                   patientShare(Service.Slots_, State.Deciders_)
+               ? std::optional(Capacity::FreeSlot)
+               : std::nullopt;
+  return Service.InFlight_ < shareOf(State, Service) ? Capacity::NotFull
+                                                     : Capacity::FreeSlot;
+}
+
+/// Expected time in the queue by Little's law over this thread's own calls.
+model::Duration expectedQueueTime(const BalancerState &State,
+                                  const ServiceRecord &Service,
+                                  const CallFacts &Call) {
+  const unsigned AtOnce = std::max(Service.InFlight_, shareOf(State, Service));
+  const double Ns = callsAhead(Service.Queue_, Call) *
+                    Service.Latency_.MeanNs_ / std::max(AtOnce, 1u);
+  return model::Duration(static_cast<long long>(Ns));
+}
+
+bool wouldBeLate(const BalancerState &State, const ServiceRecord &Service,
+                 const CallFacts &Call, model::TimePoint Now) {
+  const double Left = static_cast<double>((Call.Deadline_ - Now).count());
+  const double Needed = static_cast<double>(leastTime(Service, Call).count());
+  const double Wait =
+      static_cast<double>(expectedQueueTime(State, Service, Call).count());
+  return Wait + Needed > Left || Wait > WaitPartOfTime * Left;
+}
+
+/// Makes room by ending a call of a lower class; false when there is none.
+bool evictBelow(BalancerState &State, ServiceRecord &Service,
+                const CallFacts &Call) {
+  const std::optional<CallFacts> Last =
+      takeLastBelow(Service.Queue_, classOf(Call));
+  if (!Last)
+    return false;
+  --State.Queued_;
+  count(State.Reasons_, ChoiceReason::QueueEvicted);
+  State.Evicted_.push_back(
+      {Last->Call_, refuse(model::ResultCode::NotRunQueueFull)});
+  return true;
+}
+
+void releaseLate(BalancerState &State, ServiceRecord &Service,
+                 model::TimePoint Now, std::vector<Release> &Out) {
+  const auto Least = [&](const CallFacts &Call) {
+    return leastTime(Service, Call);
+  };
+  for (const CallFacts &Call : takeLate(Service.Queue_, Now, Least)) {
+    --State.Queued_;
+    Out.push_back({Call.Call_, refuse(model::ResultCode::NotRunDeadline)});
+  }
+}
+
+/// Sends the next call of the first class that may go; false when none may.
+bool releaseOne(BalancerState &State, ServiceRecord &Service,
+                model::TimePoint Now, std::vector<Release> &Out) {
+  for (const unsigned Class : classOrder(Service.Queue_)) {
+    const CallFacts *Next = nextOf(Service.Queue_, Class);
+    if (!Next)
+      continue;
+    const ServerHandle Server = tryDispatch(State, Service, *Next, Now);
+    if (Server == NoServer)
+      continue;
+    const CallFacts Call = takeNext(Service.Queue_, Class);
+    --State.Queued_;
+    Out.push_back(
+        {Call.Call_, {Verdict::Dispatch, Server, model::ResultCode::Ok}});
+    return true;
+  }
+  return false;
+}
+
+void refuseAll(BalancerState &State, ServiceRecord &Service,
+               std::vector<Release> &Out) {
+  for (unsigned Class = 0; Class < PriorityClasses; ++Class)
+    while (nextOf(Service.Queue_, Class)) {
+      --State.Queued_;
+      Out.push_back({takeNext(Service.Queue_, Class).Call_,
+                     refuse(model::ResultCode::NotRunNoServer)});
+    }
+}
+
+} // namespace
+
+model::Duration leastTime(const ServiceRecord &Service, const CallFacts &Call) {
+  const RouteLatency *Record = findLatency(Service, Call.Route_.Name_);
+  return Record ? model::Duration(
+                      static_cast<long long>(LeastPartOfMean * Record->MeanNs_))
+                : model::Duration(0);
+}
+
+unsigned shareOf(const BalancerState &State, const ServiceRecord &Service) {
+  return serviceShare(Service.Slots_, State.Preset_.Servers_, State.Deciders_);
+}
+
+void noteDispatch(BalancerState &State, ServiceRecord &Service,
+                  const CallFacts &Call, ServerHandle Server,
+                  model::TimePoint Now) {
+  ServerRecord &Record = State.Servers_[Server];
+  ++Record.InFlight_;
+  ++Service.InFlight_;
+  Service.PatientInFlight_ += isPatient(Call);
+  noteSend(Record.Report_, Now);
+}
+
+ServerHandle tryDispatch(BalancerState &State, ServiceRecord &Service,
+                         const CallFacts &Call, model::TimePoint Now) {
+  const std::optional<Capacity> Allowed =
+      allowedCapacity(State, Service, Call, Now);
+  if (!Allowed)
+    return NoServer;
+  refreshStandings(State, Service, Now);
+  const Choice Made = chooseServer(State, Service, {Call, *Allowed}, Now);
+  if (Made.Server_ == NoServer)
+    return NoServer;
+  count(State.Reasons_, Made.Reason_);
+  noteDispatch(State, Service, Call, Made.Server_, Now);
+  return Made.Server_;
+}
+
+Decision enqueue(BalancerState &State, ServiceRecord &Service,
+                 const CallFacts &Call, model::TimePoint Now) {
+  const model::QueueLimits &Limits = State.Preset_.Queue_;
+  const unsigned Places = std::max(Limits.MaxQueued_ / State.Threads_, 1u);
+  if (wouldBeLate(State, Service, Call, Now))
+    return refuse(model::ResultCode::NotRunOverload);
+  if (queuedBy(Service.Queue_, Call.Caller_) >= Limits.MaxCallerShare_ * Places)
+    return refuse(model::ResultCode::NotRunCallerShare);
+  if (State.Queued_ >= Places && !evictBelow(State, Service, Call))
+    return refuse(model::ResultCode::NotRunQueueFull);
+  push(Service.Queue_, Call);
+  ++State.Queued_;
+  return {Verdict::Wait, NoServer, model::ResultCode::Ok};
+}
+
+void releaseFrom(BalancerState &State, ServiceRecord &Service,
+                 model::TimePoint Now, std::vector<Release> &Out) {
+  if (sizeOf(Service.Queue_) == 0)
+    return;
+  if (Service.Members_.empty()) {
+    refuseAll(State, Service, Out);
+    return;
+  }
+  releaseLate(State, Service, Now, Out);
+  while (releaseOne(State, Service, Now, Out)) {
+  }
+}
+
+} // namespace cumingauge::policy
--- a/src/libcumingauge/policy/balancer.cpp
+++ b/src/libcumingauge/policy/balancer.cpp
@@ -1,87 +1,64 @@
 #include "policy/balancer.h"
+#include "policy/admission.h"
 #include "policy/balancerstate.h"
 #include "policy/choice.h"
+#include "policy/learning.h"
+#include "policy/retry.h"
 #include <algorithm>
 
 namespace cumingauge::policy {
 
 namespace {
 
-Decision refuse(model::ResultCode Reason) {
-  return {Verdict::Refuse, NoServer, Reason};
+ServiceRecord *findService(BalancerState &State, const std::string &Name) {
+  const auto Found = State.ServiceByName_.find(Name);
+  return Found == State.ServiceByName_.end() ? nullptr
+                                             : &State.Services_[Found->second];
 }
 
-std::uint32_t serviceIndex(BalancerState &State, const std::string &Name) {
-  const auto Index = static_cast<std::uint32_t>(State.Services_.size());
-  const auto [Entry, IsNew] = State.ServiceByName_.try_emplace(Name, Index);
-  if (IsNew)
-    State.Services_.push_back({Name, {}, 0});
-  return Entry->second;
+const ServiceRecord *findService(const BalancerState &State,
+                                 const std::string &Name) {
+  const auto Found = State.ServiceByName_.find(Name);
+  return Found == State.ServiceByName_.end() ? nullptr
+                                             : &State.Services_[Found->second];
 }
 
-ServerHandle serverHandle(BalancerState &State,
-                          const model::BackendServer &Server) {
-  const auto Handle = static_cast<ServerHandle>(State.Servers_.size());
-  const auto [Entry, IsNew] = State.ServerByIdentity_.try_emplace(
-      identityKey(Server.Name_, Server.Vm_), Handle);
-  if (IsNew)
-    State.Servers_.emplace_back();
-  return Entry->second;
+Decision refuse(model::ResultCode Reason) {
+  return {Verdict::Refuse, NoServer, Reason};
 }
 
-void takeServer(BalancerState &State, const model::BackendServer &Server,
-                bool Leaving) {
-  const ServerHandle Handle = serverHandle(State, Server);
-  ServerRecord &Record = State.Servers_[Handle];
-  Record.Server_ = Server;
-  Record.Present_ = true;
-  Record.Leaving_ = Leaving;
-  Record.Service_ = serviceIndex(State, Server.Service_);
-  if (!Leaving)
-    State.Services_[Record.Service_].Members_.push_back(Handle);
+/// True when calls of the same or a higher class are waiting.
+bool mustWaitBehind(const EntryQueue &Queue, const CallFacts &Call) {
+  for (unsigned Class = 0; Class <= classOf(Call); ++Class)
+    if (Queue.Classes_[Class].Size_ > 0)
+      return true;
+  return false;
 }
 
-/// True when the call surely never started on the server.
-bool didNotRun(AttemptEnd End) {
-  return End == AttemptEnd::Shed || End == AttemptEnd::Draining ||
-         End == AttemptEnd::ConnectFailed;
+void endInFlight(ServiceRecord &Service, ServerRecord &Server,
+                 const CallFacts &Call) {
+  if (Server.InFlight_ == 0)
+    return;
+  --Server.InFlight_;
+  --Service.InFlight_;
+  if (Call.Route_.Priority_ == model::Priority::Patient)
+    --Service.PatientInFlight_;
 }
 
 } // namespace
 
-std::string identityKey(const std::string &Name, const std::string &Vm) {
-  return Name + '\0' + Vm;
-}
-
-std::shared_ptr<BalancerState>
-makeBalancer(const std::string &Zone, unsigned Threads, std::uint64_t Seed) {
+std::shared_ptr<BalancerState> makeBalancer(const std::string &Zone,
+                                            unsigned Threads,
+                                            std::uint64_t Seed,
+                                            std::optional<unsigned> Thread) {
   auto State = std::make_shared<BalancerState>();
   State->Zone_ = Zone;
   State->Threads_ = std::max(Threads, 1u);
+  State->Thread_ = Thread;
   State->Random_.seed(Seed);
   return State;
 }
 
-void applyView(BalancerState &State,
-               const std::shared_ptr<const model::ControlView> &View,
-               model::TimePoint) {
-  State.View_ = View;
-  if (!View || !View->Config_)
-    return;
-  const model::Preset *Preset = model::presetInForce(*View->Config_);
-  State.Preset_ = Preset ? *Preset : model::Preset{};
-  for (ServerRecord &Record : State.Servers_)
-    Record.Present_ = false;
-  for (ServiceRecord &Service : State.Services_)
-    Service.Members_.clear();
-  for (const auto &Entry : View->Config_->Servers_) {
-    const model::BackendServer &Server = Entry.second;
-    const bool Leaving = View->LeavingServers_.count(Server.Name_) ||
-                         model::isMarkedLeaving(*View->Config_, Server);
-    takeServer(State, Server, Leaving);
-  }
-}
-
 const model::BackendServer &serverOf(const BalancerState &State,
                                      ServerHandle Server) {
   return State.Servers_.at(Server).Server_;
@@ -91,73 +68,110 @@
                model::TimePoint Now) {
   if (Now >= Call.Deadline_)
     return refuse(model::ResultCode::NotRunDeadline);
-  const auto Service = State.ServiceByName_.find(Call.Route_.Service_);
-  if (Service == State.ServiceByName_.end())
-    return refuse(model::ResultCode::NotRunNoServer);
-  const ServerHandle Server =
-      chooseServer(State, State.Services_[Service->second], Call.Tried_);
-  if (Server == NoServer)
+  ServiceRecord *Service = findService(State, Call.Route_.Service_);
+  if (!Service || Service->Members_.empty())
     return refuse(model::ResultCode::NotRunNoServer);
-  ++State.Servers_[Server].InFlight_;
-  return {Verdict::Dispatch, Server, model::ResultCode::Ok};
+  depositFor(*Service, Call, State.Preset_);
+  const bool Behind = mustWaitBehind(Service->Queue_, Call);
+  if (!Behind) {
+    const ServerHandle Server = tryDispatch(State, *Service, Call, Now);
+    if (Server != NoServer)
+      return {Verdict::Dispatch, Server, model::ResultCode::Ok};
+  }
+  const Decision Made = enqueue(State, *Service, Call, Now);
+  if (Made.Verdict_ == Verdict::Wait)
+    count(State.Reasons_,
+          Behind ? ChoiceReason::QueuedBehind : ChoiceReason::QueuedForSlot);
+  return Made;
+}
+
+void forgetWaiting(BalancerState &State, CallId Call) {
+  for (ServiceRecord &Service : State.Services_) {
+    if (!forget(Service.Queue_, Call))
+      continue;
+    --State.Queued_;
+    return;
+  }
 }
 
-void forgetWaiting(BalancerState &, CallId) {}
-
-std::vector<Release> releaseWaiting(BalancerState &, model::TimePoint) {
-  return {};
+std::vector<Release> releaseWaiting(BalancerState &State,
+                                    model::TimePoint Now) {
+  std::vector<Release> Out;
+  Out.swap(State.Evicted_);
+  if (State.Queued_ > 0)
+    for (ServiceRecord &Service : State.Services_)
+      releaseFrom(State, Service, Now, Out);
+  return Out;
 }
 
-void endAttempt(BalancerState &State, const CallFacts &, ServerHandle Server,
-                AttemptEnd, model::Duration, model::TimePoint) {
+void endAttempt(BalancerState &State, const CallFacts &Call,
+                ServerHandle Server, AttemptEnd End, model::Duration Latency,
+                model::TimePoint Now) {
   ServerRecord &Record = State.Servers_.at(Server);
-  if (Record.InFlight_ > 0)
-    --Record.InFlight_;
+  ServiceRecord &Service = State.Services_[Record.Service_];
+  endInFlight(Service, Record, Call);
+  learnFrom(State, Service, Record, {Call, End, Latency}, Now);
 }
 
-void noteReport(BalancerState &, ServerHandle, const model::LoadReport &,
-                model::TimePoint) {}
+void noteReport(BalancerState &State, ServerHandle Server,
+                const model::LoadReport &Report, model::TimePoint Now) {
+  learnReport(State, State.Servers_.at(Server), Report, Now);
+}
 
 bool mayRetry(BalancerState &State, const CallFacts &Call, AttemptEnd End,
               model::TimePoint Now) {
-  if (End == AttemptEnd::Answered || End == AttemptEnd::Cancelled)
+  ServiceRecord *Service = findService(State, Call.Route_.Service_);
+  const bool Allowed = Service && isRetryTruthful(Call, End) &&
+                       Call.Attempts_ < State.Preset_.Retry_.MaxAttempts_ &&
+                       Now + leastTime(*Service, Call) < Call.Deadline_;
+  if (!Allowed) {
+    count(State.Reasons_, ChoiceReason::RetryNotAllowed);
     return false;
-  if (Call.Attempts_ >= State.Preset_.Retry_.MaxAttempts_)
-    return false;
-  if (Now >= Call.Deadline_)
-    return false;
-  return didNotRun(End) || (Call.Route_.Idempotent_ && !Call.Nested_);
-}
-
-std::optional<model::TimePoint> hedgeTime(const BalancerState &,
-                                          const CallFacts &, model::TimePoint) {
-  return std::nullopt;
-}
-
-std::optional<ServerHandle> mayHedge(BalancerState &, const CallFacts &,
-                                     model::TimePoint) {
-  return std::nullopt;
+  }
+  if (End == AttemptEnd::ConnectFailed) {
+    count(State.Reasons_, ChoiceReason::RetryFree);
+    return true;
+  }
+  const bool Paid = spend(Service->Retries_);
+  count(State.Reasons_,
+        Paid ? ChoiceReason::RetryAllowed : ChoiceReason::RetryNoBudget);
+  return Paid;
 }
 
-std::vector<ProbeOrder> dueProbes(BalancerState &, model::TimePoint) {
-  return {};
+std::optional<model::TimePoint> hedgeTime(const BalancerState &State,
+                                          const CallFacts &Call,
+                                          model::TimePoint Dispatched) {
+  if (State.Preset_.Hedge_.Ratio_ <= 0 || !Call.Route_.Idempotent_)
+    return std::nullopt;
+  const ServiceRecord *Service = findService(State, Call.Route_.Service_);
+  const RouteLatency *Latency =
+      Service ? findLatency(*Service, Call.Route_.Name_) : nullptr;
+  if (!Latency || !isSettled(*Latency))
+    return std::nullopt;
+  const model::TimePoint At =
+      Dispatched +
+      model::Duration(static_cast<long long>(Latency->QuantileNs_));
+  if (At >= Call.Deadline_)
+    return std::nullopt;
+  return At;
 }
 
-void noteProbeFailed(BalancerState &, ServerHandle, model::TimePoint) {}
-
-ConnectionShare connectionShare(const BalancerState &State,
-                                ServerHandle Server) {
-  const ServerRecord &Record = State.Servers_.at(Server);
-  const model::ServerLimits &Limits = State.Preset_.Servers_;
-  const unsigned Deciders =
-      State.Threads_ *
-      (State.View_ ? std::max(State.View_->FleetSize_, 1u) : 1);
-  const unsigned Limit = std::max(Limits.MaxConnections_ / Deciders, 1u);
-  if (!Record.Present_ || Record.Leaving_)
-    return {Limit, 0};
-  const unsigned Warm =
-      (Limits.WarmConnections_ + State.Threads_ - 1) / State.Threads_;
-  return {Limit, std::min(Warm, Limit)};
+std::optional<ServerHandle>
+mayHedge(BalancerState &State, const CallFacts &Call, model::TimePoint Now) {
+  ServiceRecord *Service = findService(State, Call.Route_.Service_);
+  if (!Service || !Call.Route_.Idempotent_ || sizeOf(Service->Queue_) > 0 ||
+      State.Preset_.Hedge_.Ratio_ <= 0 || Service->Hedges_.Tokens_ < 1 ||
+      Now + leastTime(*Service, Call) >= Call.Deadline_)
+    return std::nullopt;
+  refreshStandings(State, *Service, Now);
+  const Choice Made = chooseServer(
+      State, *Service, {Call, Capacity::FreeSlot, /*MayRepeat_=*/false}, Now);
+  if (Made.Server_ == NoServer || Made.Reason_ != ChoiceReason::ByMethod)
+    return std::nullopt;
+  spend(Service->Hedges_);
+  count(State.Reasons_, ChoiceReason::Hedged);
+  noteDispatch(State, *Service, Call, Made.Server_, Now);
+  return Made.Server_;
 }
 
 std::vector<model::ServerActivity> activity(const BalancerState &State) {
@@ -169,13 +183,6 @@
   return Out;
 }
 
-std::optional<ServerHandle> findServer(const BalancerState &State,
-                                       const std::string &Name,
-                                       const std::string &Vm) {
-  const auto Found = State.ServerByIdentity_.find(identityKey(Name, Vm));
-  if (Found == State.ServerByIdentity_.end())
-    return std::nullopt;
-  return Found->second;
-}
+ReasonCounts reasonCounts(const BalancerState &State) { return State.Reasons_; }
 
 } // namespace cumingauge::policy
--- a/src/libcumingauge/policy/balancer.h
+++ b/src/libcumingauge/policy/balancer.h
@@ -6,6 +6,7 @@
 #include "model/route.h"
 #include "model/serveractivity.h"
 #include "model/time.h"
+#include "policy/choicereason.h"
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -72,8 +73,11 @@
 
 /// \param Zone availability zone of this process.
 /// \param Threads traffic threads of this process, each with its own state.
+/// \param Thread number of this thread, from 0; without it the process's share
+/// of the measuring budget is split evenly, which wastes some of it.
 std::shared_ptr<BalancerState>
-makeBalancer(const std::string &Zone, unsigned Threads, std::uint64_t Seed);
+makeBalancer(const std::string &Zone, unsigned Threads, std::uint64_t Seed,
+             std::optional<unsigned> Thread = std::nullopt);
 
 /// Takes a new view. Servers that are gone or leaving get no new work from
 /// now on; calls in flight there go on.
@@ -150,4 +154,7 @@
                                        const std::string &Name,
                                        const std::string &Vm);
 
+/// How often each reason stood behind a decision since the start.
+ReasonCounts reasonCounts(const BalancerState &State);
+
 } // namespace cumingauge::policy
--- /dev/null
+++ b/src/libcumingauge/policy/probing.cpp
@@ -0,0 +1,69 @@
+#include "policy/balancerstate.h"
+#include "policy/measuring.h"
+#include <algorithm>
+
+namespace cumingauge::policy {
+
+namespace {
+
+/// A server heard of this recently needs no probe.
+constexpr model::Duration FreshFor = model::milliseconds(100);
+
+FleetPlace placeOf(const BalancerState &State) {
+  const unsigned Rank = State.View_ ? State.View_->FleetRank_ : 0;
+  if (State.Thread_)
+    return {State.Deciders_, Rank * State.Threads_ + *State.Thread_};
+  return {State.Deciders_ / State.Threads_, Rank};
+}
+
+/// Threads that do not know their number divide their process's share.
+double budgetOf(const BalancerState &State) {
+  const double Budget = State.Preset_.Measuring_.ProbesPerSecond_;
+  return State.Thread_ ? Budget : Budget / State.Threads_;
+}
+
+ServerHandle longestUnheard(const BalancerState &State,
+                            const ServiceRecord &Service) {
+  const auto Oldest =
+      std::min_element(Service.Subset_.begin(), Service.Subset_.end(),
+                       [&](ServerHandle Left, ServerHandle Right) {
+                         return State.Servers_[Left].Report_.HeardAt_ <
+                                State.Servers_[Right].Report_.HeardAt_;
+                       });
+  return Oldest == Service.Subset_.end() ? NoServer : *Oldest;
+}
+
+} // namespace
+
+std::vector<ProbeOrder> dueProbes(BalancerState &State, model::TimePoint Now) {
+  std::vector<ProbeOrder> Out;
+  if (!State.View_)
+    return Out;
+  const double PerSecond = probeShare(budgetOf(State), placeOf(State));
+  for (ServiceRecord &Service : State.Services_) {
+    if (!isProbeDue(Service.Probes_, PerSecond, Now))
+      continue;
+    const ServerHandle Server = longestUnheard(State, Service);
+    if (Server == NoServer)
+      continue;
+    ReportMemory &Report = State.Servers_[Server].Report_;
+    if (Now - Report.HeardAt_ < FreshFor) {
+      count(State.Reasons_, ChoiceReason::ProbeSpared);
+      continue;
+    }
+    Report.HeardAt_ = Now; // the next probe goes to another server
+    noteProbe(Service.Probes_, PerSecond, Now);
+    count(State.Reasons_, ChoiceReason::ProbeSent);
+    Out.push_back({Server});
+  }
+  return Out;
+}
+
+void noteProbeFailed(BalancerState &State, ServerHandle Server,
+                     model::TimePoint Now) {
+  ReportMemory &Report = State.Servers_.at(Server).Report_;
+  Report.Known_ = false;
+  Report.HeardAt_ = Now;
+}
+
+} // namespace cumingauge::policy
--- /dev/null
+++ b/src/libcumingauge/policy/view.cpp
@@ -0,0 +1,135 @@
+#include "policy/balancerstate.h"
+#include "policy/subset.h"
+#include <algorithm>
+#define XXH_INLINE_ALL // the CMake package has no target to link
+#include <xxhash.h>
+
+namespace cumingauge::policy {
+
+namespace {
+
+std::uint32_t serviceIndex(BalancerState &State, const std::string &Name) {
+  const auto Index = static_cast<std::uint32_t>(State.Services_.size());
+  const auto [Entry, IsNew] = State.ServiceByName_.try_emplace(Name, Index);
+  if (IsNew) {
+    State.Services_.emplace_back();
+    State.Services_.back().Name_ = Name;
+  }
+  return Entry->second;
+}
+
+/// \param FirstView servers of the first view are taken for warm.
+ServerHandle serverHandle(BalancerState &State,
+                          const model::BackendServer &Server, bool FirstView,
+                          model::TimePoint Now) {
+  const auto Handle = static_cast<ServerHandle>(State.Servers_.size());
+  const auto [Entry, IsNew] = State.ServerByIdentity_.try_emplace(
+      identityKey(Server.Name_, Server.Vm_), Handle);
+  if (IsNew) {
+    State.Servers_.emplace_back();
+    State.Servers_.back().Slots_ = std::max(Server.Slots_, 1u);
+    if (!FirstView)
+      State.Servers_.back().RampStart_ = Now;
+  }
+  return Entry->second;
+}
+
+void takeServer(BalancerState &State, const model::BackendServer &Server,
+                bool Leaving, bool FirstView, model::TimePoint Now) {
+  const ServerHandle Handle = serverHandle(State, Server, FirstView, Now);
+  ServerRecord &Record = State.Servers_[Handle];
+  if (Record.Leaving_ && !Leaving)
+    Record.Draining_ = false; // the operators took the mark back
+  if (Record.Server_.Slots_ != Server.Slots_)
+    Record.Slots_ = std::max(Server.Slots_, 1u);
+  const bool Moved =
+      Record.InFlight_ == 0 || Record.Server_.Service_ == Server.Service_;
+  if (Moved)
+    Record.Service_ = serviceIndex(State, Server.Service_);
+  Record.Server_ = Server;
+  Record.Present_ = true;
+  Record.Leaving_ = Leaving;
+  Record.SameZone_ = Server.Zone_ == State.Zone_;
+  if (!Leaving)
+    State.Services_[Record.Service_].Members_.push_back(Handle);
+}
+
+void takeServers(BalancerState &State, const model::ControlView &View,
+                 bool FirstView, model::TimePoint Now) {
+  for (ServerRecord &Record : State.Servers_)
+    Record.Present_ = false;
+  for (ServiceRecord &Service : State.Services_)
+    Service.Members_.clear();
+  for (const auto &Entry : View.Config_->Servers_) {
+    const model::BackendServer &Server = Entry.second;
+    const bool Leaving = View.LeavingServers_.count(Server.Name_) > 0 ||
+                         model::isMarkedLeaving(*View.Config_, Server);
+    takeServer(State, Server, Leaving, FirstView, Now);
+  }
+}
+
+void summarize(BalancerState &State, ServiceRecord &Service,
+               const model::ControlView &View) {
+  std::vector<RingPlace> Ring;
+  Service.Slots_ = 0;
+  Service.Ejected_ = 0;
+  for (const ServerHandle Handle : Service.Members_) {
+    const ServerRecord &Record = State.Servers_[Handle];
+    const std::string Key =
+        identityKey(Record.Server_.Name_, Record.Server_.Vm_);
+    Ring.push_back({Handle, XXH64(Key.data(), Key.size(), 0)});
+    Service.Slots_ += Record.Slots_;
+    Service.Ejected_ += Record.Outlier_.Standing_ != Standing::Good;
+  }
+  Service.Subset_ = subsetOf(std::move(Ring), View.FleetSize_, View.FleetRank_);
+}
+
+} // namespace
+
+std::string identityKey(const std::string &Name, const std::string &Vm) {
+  return Name + '\0' + Vm;
+}
+
+void applyView(BalancerState &State,
+               const std::shared_ptr<const model::ControlView> &View,
+               model::TimePoint Now) {
+  if (!View || !View->Config_)
+    return;
+  const bool FirstView = !State.View_;
+  const bool FleetChanged = FirstView ||
+                            State.View_->FleetSize_ != View->FleetSize_ ||
+                            State.View_->FleetRank_ != View->FleetRank_;
+  State.View_ = View;
+  const model::Preset *Preset = model::presetInForce(*View->Config_);
+  State.Preset_ = Preset ? *Preset : model::Preset{};
+  State.Deciders_ = std::max(View->FleetSize_, 1u) * State.Threads_;
+  takeServers(State, *View, FirstView, Now);
+  for (ServiceRecord &Service : State.Services_) {
+    summarize(State, Service, *View);
+    if (FleetChanged)
+      holdProbes(Service.Probes_, Now);
+  }
+}
+
+ConnectionShare connectionShare(const BalancerState &State,
+                                ServerHandle Server) {
+  const ServerRecord &Record = State.Servers_.at(Server);
+  const model::ServerLimits &Limits = State.Preset_.Servers_;
+  const unsigned Limit = std::max(Limits.MaxConnections_ / State.Deciders_, 1u);
+  if (!Record.Present_ || Record.Leaving_ || Record.Draining_)
+    return {Limit, 0};
+  const unsigned Warm =
+      (Limits.WarmConnections_ + State.Threads_ - 1) / State.Threads_;
+  return {Limit, std::min(Warm, Limit)};
+}
+
+std::optional<ServerHandle> findServer(const BalancerState &State,
+                                       const std::string &Name,
+                                       const std::string &Vm) {
+  const auto Found = State.ServerByIdentity_.find(identityKey(Name, Vm));
+  if (Found == State.ServerByIdentity_.end())
+    return std::nullopt;
+  return Found->second;
+}
+
+} // namespace cumingauge::policy
