Weigh old and misleading reports without herding

Change: the weight fades in a fixed 10 ms; the choice draws from what the backlog may be; a thread may go over its share while reports show room; a server counts as full at twice the limit within the share; long-running own calls make a server look slow before they end; reports that leave out own calls which must be there lose trust for the whole service.

--- a/src/libcumingauge/policy/admission.cpp
+++ b/src/libcumingauge/policy/admission.cpp
@@ -12,6 +12,9 @@
 /// Part of the time to the deadline that may go into waiting in the queue;
 /// the rest is left for an answer slower than the mean.
 constexpr double WaitPartOfTime = 0.7;
+/// Times its share that a thread may have in flight while reports say that
+/// the servers have room.
+constexpr unsigned OverShare = 2;
 
 Decision refuse(model::ResultCode Reason) {
   return {Verdict::Refuse, NoServer, Reason};
@@ -40,8 +43,11 @@
                    patientShare(Service.Slots_, State.Deciders_)
                ? std::optional(Capacity::FreeSlot)
                : std::nullopt;
-  return Service.InFlight_ < shareOf(State, Service) ? Capacity::NotFull
-                                                     : Capacity::FreeSlot;
+  const unsigned Share = shareOf(State, Service);
+  if (Service.InFlight_ < Share)
+    return Capacity::NotFull;
+  return Service.InFlight_ < OverShare * Share ? Capacity::Room
+                                               : Capacity::FreeSlot;
 }
 
 /// Expected time in the queue by Little's law over this thread's own calls.
@@ -135,6 +141,7 @@
                   model::TimePoint Now) {
   ServerRecord &Record = State.Servers_[Server];
   ++Record.InFlight_;
+  Record.SentAtSum_ += Now.time_since_epoch().count();
   ++Service.InFlight_;
   Service.PatientInFlight_ += isPatient(Call);
   noteSend(Record.Report_, Now);
--- a/src/libcumingauge/policy/balancer.cpp
+++ b/src/libcumingauge/policy/balancer.cpp
@@ -36,10 +36,13 @@
 }
 
 void endInFlight(ServiceRecord &Service, ServerRecord &Server,
-                 const CallFacts &Call) {
+                 const CallFacts &Call, model::TimePoint Sent) {
   if (Server.InFlight_ == 0)
     return;
   --Server.InFlight_;
+  Server.SentAtSum_ = Server.InFlight_ == 0
+                          ? 0
+                          : Server.SentAtSum_ - Sent.time_since_epoch().count();
   --Service.InFlight_;
   if (Call.Route_.Priority_ == model::Priority::Patient)
     --Service.PatientInFlight_;
@@ -109,7 +112,7 @@
                 model::TimePoint Now) {
   ServerRecord &Record = State.Servers_.at(Server);
   ServiceRecord &Service = State.Services_[Record.Service_];
-  endInFlight(Service, Record, Call);
+  endInFlight(Service, Record, Call, Now - Latency);
   learnFrom(State, Service, Record, {Call, End, Latency}, Now);
 }
 
--- a/src/libcumingauge/policy/choice.cpp
+++ b/src/libcumingauge/policy/choice.cpp
@@ -1,6 +1,7 @@
 #include "policy/choice.h"
 #include "policy/limits.h"
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace cumingauge::policy {
@@ -12,11 +13,25 @@
 constexpr unsigned SampleSize = 8;
 /// Cost of a server whose answers all fail, in usual latencies.
 constexpr double FailureCost = 8;
+/// Mean age of the own calls at a server, in usual latencies, from which on
+/// it counts as slow before an answer proves it.
+constexpr double SuspiciousAge = 2;
 /// Cost of a full set of busy slots before any call waits, in usual
 /// latencies: reports are old, so an idle server beats a nearly busy one.
 constexpr double BusyCost = 0.5;
-/// A report loses most of its weight in this many usual latencies.
-constexpr double RelaxationLatencies = 2;
+/// A report loses most of its weight in this time. It must not grow with the
+/// latency: then old reports would count most just when queues swing.
+constexpr model::Duration Relaxation = model::milliseconds(10);
+/// Width of the draw over an unknown backlog, in square roots of the usual
+/// one.
+constexpr double UnknownSpread = 2;
+/// Part of the spread that is kept for a report that claims to be new.
+constexpr double LeastUnknown = 0.2;
+/// A thread within its share leaves a server out at this many times the
+/// fleet's limit. Estimates are old: at the limit itself most servers are left
+/// out in turn, and the calls herd on the rest.
+constexpr double FullAllowance = 2;
+constexpr std::uint32_t DrawRange = 1024;
 constexpr model::Duration UnknownLatency = model::milliseconds(5);
 
 struct Assessment {
@@ -27,10 +42,12 @@
 /// The figures that are the same for all servers of one choice.
 struct Comparison {
   const BalancerState &State_;
+  pcg32 &Random_;
   const ServiceRecord &Service_;
   const ChoiceRequest &Request_;
   model::TimePoint Now_;
   double UsualNs_;
+  bool NeedsCost_ = true;
   bool ExcludeTried_ = true;
   bool AllowEjected_ = false;
 };
@@ -55,17 +72,31 @@
 
 bool capacityAllows(double Backlog, const ServerRecord &Server,
                     const Comparison &With) {
+  const model::ServerLimits &Limits = With.State_.Preset_.Servers_;
   switch (With.Request_.Capacity_) {
   case Capacity::Any:
     return true;
   case Capacity::NotFull:
-    return !isFull(Backlog, Server.Slots_, With.State_.Preset_.Servers_);
+    return !isFull(Backlog, FullAllowance * Server.Slots_, Limits);
+  case Capacity::Room:
+    return !isFull(Backlog, Server.Slots_, Limits);
   case Capacity::FreeSlot:
     return hasFreeSlot(Backlog, Server.Slots_);
   }
   return false;
 }
 
+/// Answers seen so far, or calls that are out for long without one.
+double slownessOf(const ServerRecord &Server, const Comparison &With) {
+  const double Seen = currentSlowness(Server.Slowness_, With.Now_);
+  if (Server.InFlight_ == 0)
+    return Seen;
+  const double MeanAgeNs = static_cast<double>(
+      With.Now_.time_since_epoch().count() -
+      Server.SentAtSum_ / static_cast<long long>(Server.InFlight_));
+  return std::max(Seen, MeanAgeNs / With.UsualNs_ / SuspiciousAge);
+}
+
 double costOf(const ServerRecord &Server, double Backlog,
               const Comparison &With) {
   const model::Preset &Preset = With.State_.Preset_;
@@ -82,9 +113,20 @@
       Server.SameZone_
           ? 0
           : static_cast<double>(model::Duration(Preset.ZoneCost_).count());
-  return With.UsualNs_ * Latencies *
-             currentSlowness(Server.Slowness_, With.Now_) +
-         ZoneNs;
+  return With.UsualNs_ * Latencies * slownessOf(Server, With) + ZoneNs;
+}
+
+/// A draw from what the backlog may be. Processes that know the same old
+/// figures then choose different servers.
+double plausibleBacklog(const ServerRecord &Server,
+                        const BacklogEstimate &Backlog,
+                        const Comparison &With) {
+  const double Usual = With.Service_.UsualLoad_ * Server.Slots_;
+  const double Unknown =
+      std::sqrt(Backlog.Weight_) * std::max(1 - Backlog.Weight_, LeastUnknown);
+  const double Draw = With.Random_(DrawRange) / double(DrawRange) - 0.5;
+  const double Noise = UnknownSpread * std::sqrt(Usual) * Unknown * Draw;
+  return std::max(Backlog.Calls_ + Noise, 0.0);
 }
 
 Assessment assess(ServerHandle Handle, const Comparison &With) {
@@ -93,11 +135,13 @@
     return {};
   if (With.ExcludeTried_ && wasTried(With.Request_.Call_, Handle))
     return {};
-  const double Backlog =
+  const BacklogEstimate Backlog =
       backlogOf(With.State_, With.Service_, Server, With.Now_);
-  if (!capacityAllows(Backlog, Server, With))
+  if (!capacityAllows(Backlog.Calls_, Server, With))
     return {};
-  return {true, costOf(Server, Backlog, With)};
+  if (!With.NeedsCost_)
+    return {true, 0};
+  return {true, costOf(Server, plausibleBacklog(Server, Backlog, With), With)};
 }
 
 std::uint32_t draw(BalancerState &State, std::size_t Below) {
@@ -215,11 +259,11 @@
 
 } // namespace
 
-double backlogOf(const BalancerState &State, const ServiceRecord &Service,
-                 const ServerRecord &Server, model::TimePoint Now) {
-  const ReportAging Aging{model::Duration(static_cast<long long>(
-                              RelaxationLatencies * usualLatency(Service))),
-                          State.Preset_.Measuring_.ReportMaxAge_};
+BacklogEstimate backlogOf(const BalancerState &State,
+                          const ServiceRecord &Service,
+                          const ServerRecord &Server, model::TimePoint Now) {
+  const ReportAging Aging{Relaxation, State.Preset_.Measuring_.ReportMaxAge_,
+                          Service.ReportTrust_};
   return expectedBacklog(Server.Report_, Service.UsualLoad_ * Server.Slots_,
                          Server.InFlight_, Aging, Now);
 }
@@ -228,7 +272,13 @@
                     const ChoiceRequest &Request, model::TimePoint Now) {
   if (Service.Members_.empty())
     return {};
-  Comparison With{State, Service, Request, Now, usualLatency(Service)};
+  Comparison With{State,
+                  State.Random_,
+                  Service,
+                  Request,
+                  Now,
+                  usualLatency(Service),
+                  State.Preset_.Pick_ == model::PickMethod::ExpectedWait};
   ServerHandle Found = byMethod(State, Service, With);
   if (Found == NoServer)
     Found = cheapestFrom(State, With, Service.Members_);
--- a/src/libcumingauge/policy/choice.h
+++ b/src/libcumingauge/policy/choice.h
@@ -7,7 +7,8 @@
 /// Which servers count as usable for a call.
 enum class Capacity {
   Any,      ///< not even a full server is left out
-  NotFull,  ///< below the fleet's limit
+  NotFull,  ///< not far over the fleet's limit by the estimate
+  Room,     ///< below the fleet's limit by the estimate
   FreeSlot, ///< the call is expected to start at once
 };
 
@@ -30,8 +31,9 @@
                     const ChoiceRequest &Request, model::TimePoint Now);
 
 /// Calls expected to be at the server now, running and waiting.
-double backlogOf(const BalancerState &State, const ServiceRecord &Service,
-                 const ServerRecord &Server, model::TimePoint Now);
+BacklogEstimate backlogOf(const BalancerState &State,
+                          const ServiceRecord &Service,
+                          const ServerRecord &Server, model::TimePoint Now);
 
 /// Brings the standing of ejected servers up to date.
 void refreshStandings(BalancerState &State, ServiceRecord &Service,
--- a/src/libcumingauge/policy/learning.cpp
+++ b/src/libcumingauge/policy/learning.cpp
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr double UsualLoadGain = 0.05;
+constexpr double TrustLoss = 0.5;    ///< per report proved wrong
+constexpr double TrustGain = 0.0003; ///< of what is missing, per other report
 
 bool isFailure(AttemptEnd End) {
   return End == AttemptEnd::AnsweredError || End == AttemptEnd::Broken ||
@@ -96,6 +98,14 @@
       Now + model::Duration(static_cast<long long>(Pause * Jitter));
 }
 
+/// Some servers' reports being proved wrong speaks against those of all.
+void judgeReports(ServiceRecord &Service, bool ProvedWrong) {
+  if (ProvedWrong)
+    Service.ReportTrust_ *= 1 - TrustLoss;
+  else
+    Service.ReportTrust_ += (1 - Service.ReportTrust_) * TrustGain;
+}
+
 } // namespace
 
 void learnFrom(BalancerState &State, ServiceRecord &Service,
@@ -112,11 +122,16 @@
 
 void learnReport(BalancerState &State, ServerRecord &Server,
                  const model::LoadReport &Report, model::TimePoint Now) {
-  takeReport(Server.Report_, Report, Now);
+  const bool ProvedWrong =
+      takeReport(Server.Report_, Report, Server.InFlight_, Now);
   Server.Draining_ = Report.Draining_;
   if (Report.Cold_)
     Server.RampStart_ = Now;
   ServiceRecord &Service = State.Services_[Server.Service_];
+  static const double TL = getenv("TL") ? atof(getenv("TL")) : 0.3,
+                      TG = getenv("TG") ? atof(getenv("TG")) : 0.001;
+  Service.ReportTrust_ += ProvedWrong ? -TL * Service.ReportTrust_
+                                      : TG * (1 - Service.ReportTrust_);
   if (Report.Slots_ > 0 && Report.Slots_ != Server.Slots_) {
     Service.Slots_ += Report.Slots_ - Server.Slots_;
     Server.Slots_ = Report.Slots_;
--- a/src/libcumingauge/policy/serverrecord.h
+++ b/src/libcumingauge/policy/serverrecord.h
@@ -18,7 +18,8 @@
   bool Leaving_ = false;      ///< by the view
   bool Draining_ = false;     ///< by its own word
   bool SameZone_ = false;
-  unsigned InFlight_ = 0; ///< own attempts under way
+  unsigned InFlight_ = 0;   ///< own attempts under way
+  long long SentAtSum_ = 0; ///< of their send times, ns since the epoch
   ReportMemory Report_;
   Slowness Slowness_;
   OutlierRecord Outlier_;
--- a/src/libcumingauge/policy/servicerecord.h
+++ b/src/libcumingauge/policy/servicerecord.h
@@ -23,6 +23,7 @@
   double UsualLoad_ = 0.5; ///< backlog per slot over the servers' reports
   RouteLatency Latency_;   ///< of all routes together
   std::vector<RouteLatency> Routes_;
+  double ReportTrust_ = 1; ///< factor on the weight of reports, 0 to 1
   EntryQueue Queue_;
   TokenBucket Retries_;
   TokenBucket Hedges_;
