--- a/src/libcumingauge/policy/learning.cpp
+++ b/src/libcumingauge/policy/learning.cpp
@@ -128,10 +128,7 @@
   if (Report.Cold_)
     Server.RampStart_ = Now;
   ServiceRecord &Service = State.Services_[Server.Service_];
-  static const double TL = getenv("TL") ? atof(getenv("TL")) : 0.3,
-                      TG = getenv("TG") ? atof(getenv("TG")) : 0.001;
-  Service.ReportTrust_ += ProvedWrong ? -TL * Service.ReportTrust_
-                                      : TG * (1 - Service.ReportTrust_);
+  judgeReports(Service, ProvedWrong);
   if (Report.Slots_ > 0 && Report.Slots_ != Server.Slots_) {
     Service.Slots_ += Report.Slots_ - Server.Slots_;
     Server.Slots_ = Report.Slots_;
--- a/src/libcumingauge/policy/reports.cpp
+++ b/src/libcumingauge/policy/reports.cpp
@@ -65,9 +65,7 @@
                                 unsigned OwnInFlight, const ReportAging &Aging,
                                 model::TimePoint Now) {
   const double Own = OwnInFlight;
-  static const int MA = getenv("MA") ? atoi(getenv("MA")) : 0;
-  const model::Duration Age =
-      std::max<model::Duration>(Now - Memory.TrueAt_, model::milliseconds(MA));
+  const model::Duration Age = Now - Memory.TrueAt_;
   const bool Useless =
       !Memory.Known_ || Age > Aging.MaxAge_ || Memory.SameInRow_ >= StuckAfter;
   if (Useless)
