Hedge to any server below its limit; number the traffic threads

Cause: hedges wanted a slot that is surely free, which hardly exists at 0.8 of capacity, so 1 % of calls were hedged where the budget allows 5 %. A call that an upper layer had already retried paid into the budgets. Traffic threads did not say which they are, so each thread's probe share was rounded down. Change: a hedge may go to a server below the fleet's limit; marked calls pay nothing and are retried only when no byte had left; the number of the thread is passed to makeBalancer; a sighting that only says draining carries no load.

--- a/src/libcumingauge/adapters/httpworker.cpp
+++ b/src/libcumingauge/adapters/httpworker.cpp
@@ -27,7 +27,7 @@
     : Common_(std::move(Common)), Index_(Index), Incarnation_(wallMicros()),
       Ticker_(Io_), Balancer_(policy::makeBalancer(
                         Common_->Settings_.Zone_, Common_->Settings_.Threads_,
-                        Common_->Settings_.Seed_ + Index * SeedStep)) {}
+                        Common_->Settings_.Seed_ + Index * SeedStep, Index)) {}
 
 HttpWorker::~HttpWorker() = default;
 
--- a/src/libcumingauge/policy/balancer.cpp
+++ b/src/libcumingauge/policy/balancer.cpp
@@ -125,6 +125,7 @@
               model::TimePoint Now) {
   ServiceRecord *Service = findService(State, Call.Route_.Service_);
   const bool Allowed = Service && isRetryTruthful(Call, End) &&
+                       (!Call.Nested_ || End == AttemptEnd::ConnectFailed) &&
                        Call.Attempts_ < State.Preset_.Retry_.MaxAttempts_ &&
                        Now + leastTime(*Service, Call) < Call.Deadline_;
   if (!Allowed) {
@@ -144,7 +145,8 @@
 std::optional<model::TimePoint> hedgeTime(const BalancerState &State,
                                           const CallFacts &Call,
                                           model::TimePoint Dispatched) {
-  if (State.Preset_.Hedge_.Ratio_ <= 0 || !Call.Route_.Idempotent_)
+  if (State.Preset_.Hedge_.Ratio_ <= 0 || !Call.Route_.Idempotent_ ||
+      Call.Nested_)
     return std::nullopt;
   const ServiceRecord *Service = findService(State, Call.Route_.Service_);
   const RouteLatency *Latency =
@@ -162,13 +164,14 @@
 std::optional<ServerHandle>
 mayHedge(BalancerState &State, const CallFacts &Call, model::TimePoint Now) {
   ServiceRecord *Service = findService(State, Call.Route_.Service_);
-  if (!Service || !Call.Route_.Idempotent_ || sizeOf(Service->Queue_) > 0 ||
-      State.Preset_.Hedge_.Ratio_ <= 0 || Service->Hedges_.Tokens_ < 1 ||
+  if (!Service || !Call.Route_.Idempotent_ || Call.Nested_ ||
+      sizeOf(Service->Queue_) > 0 || State.Preset_.Hedge_.Ratio_ <= 0 ||
+      Service->Hedges_.Tokens_ < 1 ||
       Now + leastTime(*Service, Call) >= Call.Deadline_)
     return std::nullopt;
   refreshStandings(State, *Service, Now);
   const Choice Made = chooseServer(
-      State, *Service, {Call, Capacity::FreeSlot, /*MayRepeat_=*/false}, Now);
+      State, *Service, {Call, Capacity::Room, /*MayRepeat_=*/false}, Now);
   if (Made.Server_ == NoServer || Made.Reason_ != ChoiceReason::ByMethod)
     return std::nullopt;
   spend(Service->Hedges_);
--- a/src/libcumingauge/policy/learning.cpp
+++ b/src/libcumingauge/policy/learning.cpp
@@ -122,9 +122,11 @@
 
 void learnReport(BalancerState &State, ServerRecord &Server,
                  const model::LoadReport &Report, model::TimePoint Now) {
+  Server.Draining_ = Report.Draining_;
+  if (Report.Draining_)
+    return; // other processes pass the word on without figures
   const bool ProvedWrong =
       takeReport(Server.Report_, Report, Server.InFlight_, Now);
-  Server.Draining_ = Report.Draining_;
   if (Report.Cold_)
     Server.RampStart_ = Now;
   ServiceRecord &Service = State.Services_[Server.Service_];
--- a/src/libcumingauge/policy/retry.h
+++ b/src/libcumingauge/policy/retry.h
@@ -11,7 +11,9 @@
 /// Whether the promises allow a further attempt, budgets aside.
 bool isRetryTruthful(const CallFacts &Call, AttemptEnd End);
 
-/// Pays a first attempt into the retry and hedge budgets.
+/// Pays a first attempt into the retry and hedge budgets. The attempt of a
+/// call that an upper layer already retried pays nothing and is not retried,
+/// so that retries of nested layers do not multiply.
 void depositFor(ServiceRecord &Service, const CallFacts &Call,
                 const model::Preset &Preset);
 
