--- a/src/libcumingauge/adapters/httpconnection.cpp
+++ b/src/libcumingauge/adapters/httpconnection.cpp
@@ -1,4 +1,5 @@
 #include "adapters/httpconnection.h"
+#include "traffic/outcomes.h"
 #include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -175,7 +176,7 @@
     read();
     return false;
   case ReadStep::Head:
-    if (!head().CallId_.empty() && head().CallId_ != Exchange_.CallId_) {
+    if (!traffic::isAnswerTo(Exchange_.CallId_, head().CallId_)) {
       fail(ExchangeStep::Malformed);
       return false;
     }
--- a/src/libcumingauge/policy/balancer.h
+++ b/src/libcumingauge/policy/balancer.h
@@ -7,6 +7,7 @@
 #include "model/serveractivity.h"
 #include "model/time.h"
 #include "policy/choicereason.h"
+#include <boost/describe.hpp>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -63,6 +64,8 @@
   TimedOut,      ///< deadline passed or stalled
   Cancelled,     ///< the caller left or another attempt won
 };
+BOOST_DESCRIBE_ENUM(AttemptEnd, Answered, AnsweredError, Shed, Draining,
+                    ConnectFailed, Broken, TimedOut, Cancelled)
 
 /// A probe that is to be sent now.
 struct ProbeOrder {
--- a/src/libcumingauge/traffic/outcomes.cpp
+++ b/src/libcumingauge/traffic/outcomes.cpp
@@ -58,4 +58,8 @@
   return Status == StatusServiceUnavailable && !NotRunField.empty();
 }
 
+bool isAnswerTo(std::string_view CallId, std::string_view RepeatedCallId) {
+  return RepeatedCallId.empty() || RepeatedCallId == CallId;
+}
+
 } // namespace cumingauge::traffic
--- a/src/libcumingauge/traffic/outcomes.h
+++ b/src/libcumingauge/traffic/outcomes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "model/resultcode.h"
+#include <boost/describe.hpp>
 #include <string_view>
 #include <vector>
 
@@ -19,6 +20,8 @@
   Abandoned,      ///< bytes left, this process gave up waiting
   Answered,       ///< whole answer
 };
+BOOST_DESCRIBE_ENUM(AttemptFate, Connecting, Sent, Forwarding, NotSent,
+                    DeclaredNotRun, Lost, Malformed, Abandoned, Answered)
 
 /// True while an attempt can still bring an answer.
 bool isLive(AttemptFate Fate);
@@ -45,4 +48,8 @@
 /// \param NotRunField value of the header field X-Not-Run, or empty.
 bool isNotRunAnswer(unsigned Status, std::string_view NotRunField);
 
+/// Whether an answer is that to a call, as far as it can be told: a server may
+/// repeat the call id, and a doubled or late answer then shows.
+bool isAnswerTo(std::string_view CallId, std::string_view RepeatedCallId);
+
 } // namespace cumingauge::traffic
--- /dev/null
+++ b/tests/traffic/calllifecycletest.cpp
@@ -0,0 +1,247 @@
+#include "traffic/calllifecycle.h"
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+#include <map>
+#include <rapidcheck.h>
+
+using namespace cumingauge;
+using namespace cumingauge::traffic;
+
+namespace {
+
+/// One server's part in a call, as the server itself would know it.
+struct ServerSide {
+  bool BytesArrived_ = false; ///< some of the request may have reached it
+  bool Ran_ = false;
+  bool Declined_ = false;   ///< it said that it will not run the call
+  bool AnswerLeft_ = false; ///< it has begun to answer
+  bool Whole_ = false;      ///< its answer arrived to the last byte
+};
+
+/// Carries out what a call orders against servers that fail as a script says.
+class World {
+public:
+  World(CallRules Rules, std::vector<unsigned> Script)
+      : Call_(Rules), Script_(std::move(Script)) {}
+
+  void run() {
+    feed(CallArrived{});
+    while (!Call_.isEnded() && Next_ < Script_.size())
+      disturb();
+    if (!Call_.isEnded())
+      feed(DeadlinePassed{});
+    // Whatever comes now comes too late and must change nothing.
+    const std::size_t Actions = Actions_.size();
+    for (AttemptNumber A = 1; A <= Servers_.size(); ++A) {
+      feed(AnswerStarted{A});
+      feed(AnswerEnded{A, false});
+      feed(AttemptFailed{A, AttemptFate::Lost, false});
+    }
+    feed(ServerChosen{1});
+    feed(CallerLeft{});
+    RC_ASSERT(Actions_.size() == Actions);
+  }
+
+  template <class T> std::vector<T> actions() const {
+    std::vector<T> Out;
+    for (const CallAction &Action : Actions_)
+      if (const T *Found = std::get_if<T>(&Action))
+        Out.push_back(*Found);
+    return Out;
+  }
+
+  const std::vector<ServerSide> &servers() const { return Servers_; }
+  AttemptNumber forwarded() const { return Forwarded_; }
+
+private:
+  unsigned draw(unsigned Choices) {
+    return Next_ < Script_.size() ? Script_[Next_++] % Choices : 0;
+  }
+
+  void feed(const CallEvent &Event) {
+    std::vector<CallEvent> Answers;
+    for (const CallAction &Action : Call_.process(Event)) {
+      Actions_.push_back(Action);
+      std::visit([&](const auto &A) { perform(A, Answers); }, Action);
+    }
+    for (const CallEvent &Answer : Answers)
+      feed(Answer);
+  }
+
+  template <class T> void perform(const T &, std::vector<CallEvent> &) {}
+
+  void perform(const AskBalancer &, std::vector<CallEvent> &Answers) {
+    if (draw(8) == 0)
+      Answers.push_back(AdmissionRefused{model::ResultCode::NotRunQueueFull});
+    else if (draw(4) != 0)
+      Answers.push_back(ServerChosen{draw(5)});
+  }
+
+  void perform(const OpenAttempt &, std::vector<CallEvent> &) {
+    Servers_.emplace_back();
+  }
+
+  void perform(const SendRequest &Action, std::vector<CallEvent> &) {
+    Servers_[Action.Attempt_ - 1].BytesArrived_ = draw(8) != 0;
+  }
+
+  void perform(const ForwardAnswer &Action, std::vector<CallEvent> &) {
+    RC_ASSERT(Forwarded_ == 0U);
+    Forwarded_ = Action.Attempt_;
+  }
+
+  void perform(const AskRetry &, std::vector<CallEvent> &Answers) {
+    Answers.push_back(RetryDecided{draw(4) != 0});
+  }
+
+  void perform(const AskHedge &, std::vector<CallEvent> &Answers) {
+    Answers.push_back(HedgeDecided{draw(3) == 0 ? policy::NoServer : draw(5)});
+  }
+
+  /// One thing happens somewhere; also to attempts that have ended, since
+  /// networks deliver late and twice.
+  void disturb() {
+    const unsigned Kind = draw(12);
+    if (Kind == 0)
+      return feed(HedgeDue{});
+    if (Kind == 1 && draw(6) == 0)
+      return feed(DeadlinePassed{});
+    if (Kind == 2 && draw(6) == 0)
+      return feed(CallerLeft{});
+    if (Kind == 3)
+      return feed(ServerChosen{draw(5)}); // the queue lets a waiting call go
+    if (Servers_.empty())
+      return;
+    const AttemptNumber Attempt = 1 + draw(Servers_.size());
+    attemptEvent(Attempt, Servers_[Attempt - 1]);
+  }
+
+  void attemptEvent(AttemptNumber Attempt, ServerSide &Server) {
+    switch (draw(7)) {
+    case 0:
+    case 1:
+      return feed(ConnectionReady{Attempt});
+    case 2: // the connection fails before a byte reached the server
+      if (!Server.BytesArrived_)
+        feed(AttemptFailed{Attempt, AttemptFate::NotSent, false});
+      return;
+    case 3: // refused by the server, which did not run it
+      if (!Server.BytesArrived_ || Server.Ran_)
+        return;
+      Server.Declined_ = true;
+      return feed(
+          AttemptFailed{Attempt, AttemptFate::DeclaredNotRun, draw(2) == 0});
+    case 4: // runs it; the answer may get lost or be garbled
+      if (!Server.BytesArrived_ || Server.Declined_)
+        return;
+      Server.Ran_ = true;
+      return feed(AttemptFailed{
+          Attempt, draw(2) == 0 ? AttemptFate::Lost : AttemptFate::Malformed,
+          false});
+    case 5:
+      if (!Server.BytesArrived_ || Server.Declined_)
+        return;
+      Server.Ran_ = Server.AnswerLeft_ = true;
+      return feed(AnswerStarted{Attempt});
+    default:
+      if (!Server.AnswerLeft_)
+        return;
+      Server.Whole_ = true;
+      return feed(AnswerEnded{Attempt, draw(2) == 0});
+    }
+  }
+
+  CallLifecycle Call_;
+  std::vector<unsigned> Script_;
+  std::size_t Next_ = 0;
+  std::vector<CallAction> Actions_;
+  std::vector<ServerSide> Servers_;
+  AttemptNumber Forwarded_ = 0;
+};
+
+World runScript(bool Idempotent, bool Replayable) {
+  const auto Script = *rc::gen::container<std::vector<unsigned>>(
+      60, rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0U, 1000U)));
+  World Played({Idempotent, Replayable}, Script);
+  Played.run();
+  return Played;
+}
+
+constexpr int ScriptsPerCase = 10;
+
+void check(const char *Name, const std::function<void()> &Property) {
+  const auto Repeated = [&Property] {
+    for (int I = 0; I < ScriptsPerCase; ++I)
+      Property();
+  };
+  CPPUNIT_ASSERT_MESSAGE(Name, rc::check(Name, Repeated));
+}
+
+class ACallUnderFaults : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ACallUnderFaults);
+  CPPUNIT_TEST(thatMustNotRunTwiceRunsOnAtMostOneServer);
+  CPPUNIT_TEST(isNeverSaidNotRunWhenItRan);
+  CPPUNIT_TEST(givesAWholeAnswerOrAnError);
+  CPPUNIT_TEST(isReportedOncePerAttempt);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void thatMustNotRunTwiceRunsOnAtMostOneServer() {
+    check("a call that must not run twice runs on at most one server", [] {
+      const World Played = runScript(false, *rc::gen::arbitrary<bool>());
+      const auto Ran =
+          std::count_if(Played.servers().begin(), Played.servers().end(),
+                        [](const ServerSide &Server) { return Server.Ran_; });
+      RC_ASSERT(Ran <= 1);
+    });
+  }
+
+  void isNeverSaidNotRunWhenItRan() {
+    check("not run is never said of a call that ran", [] {
+      const World Played =
+          runScript(*rc::gen::arbitrary<bool>(), *rc::gen::arbitrary<bool>());
+      for (const AnswerCaller &Answer : Played.actions<AnswerCaller>()) {
+        if (model::isNotRun(Answer.Code_))
+          for (const ServerSide &Server : Played.servers())
+            RC_ASSERT(!Server.Ran_);
+      }
+    });
+  }
+
+  void givesAWholeAnswerOrAnError() {
+    check("a whole answer or an error, once", [] {
+      const World Played =
+          runScript(*rc::gen::arbitrary<bool>(), *rc::gen::arbitrary<bool>());
+      const auto Ends = Played.actions<EndCall>();
+      RC_ASSERT(Ends.size() == 1U);
+      const auto Errors = Played.actions<AnswerCaller>().size();
+      const auto Breaks = Played.actions<BreakAnswer>().size();
+      const bool Gone = Ends[0].Code_ == model::ResultCode::CallerGone;
+      RC_ASSERT(Errors + Breaks <= 1U);
+      if (Ends[0].Code_ == model::ResultCode::Ok) {
+        RC_ASSERT(Errors + Breaks == 0U);
+        RC_ASSERT(Played.servers()[Played.forwarded() - 1].Whole_);
+      } else if (Played.forwarded() != 0) {
+        RC_ASSERT((Gone || Breaks == 1U) && Errors == 0U);
+      } else {
+        RC_ASSERT((Gone || Errors == 1U) && Breaks == 0U);
+      }
+    });
+  }
+
+  void isReportedOncePerAttempt() {
+    check("every attempt ends once for the balancer", [] {
+      const World Played = runScript(true, true);
+      std::map<AttemptNumber, unsigned> Reports;
+      for (const ReportAttempt &Report : Played.actions<ReportAttempt>())
+        ++Reports[Report.Attempt_];
+      const auto Opened = Played.actions<OpenAttempt>();
+      RC_ASSERT(Reports.size() == Opened.size());
+      for (const auto &Entry : Reports)
+        RC_ASSERT(Entry.second == 1U);
+    });
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(ACallUnderFaults);
+
+} // namespace
