--- a/tests/http/frontend.cpp
+++ b/tests/http/frontend.cpp
@@ -135,6 +135,31 @@
   return read(ToHead);
 }
 
+std::size_t RawCaller::skipAnswer(const std::function<void()> &Watch) {
+  constexpr std::size_t WatchEvery = 4194304;
+  boost::beast::flat_buffer Buffer;
+  boost::system::error_code Error;
+  http::response_parser<http::buffer_body> Parser;
+  Parser.body_limit(boost::none);
+  http::read_header(Socket_, Buffer, Parser, Error);
+  std::vector<char> Piece(65536);
+  std::size_t Total = 0;
+  std::size_t NextWatch = 0;
+  while (!Error && !Parser.is_done()) {
+    Parser.get().body().data = Piece.data();
+    Parser.get().body().size = Piece.size();
+    http::read(Socket_, Buffer, Parser, Error);
+    if (Error == http::error::need_buffer)
+      Error = {};
+    Total += Piece.size() - Parser.get().body().size;
+    if (Total >= NextWatch) {
+      NextWatch = Total + WatchEvery;
+      Watch();
+    }
+  }
+  return Error ? 0 : Total;
+}
+
 void RawCaller::hangUp() {
   boost::system::error_code Ignored;
   Socket_.close(Ignored);
--- a/tests/http/frontend.h
+++ b/tests/http/frontend.h
@@ -74,6 +74,11 @@
   /// send and read.
   Answer call(const std::string &Bytes, bool ToHead = false);
 
+  /// Reads an answer with Content-Length without keeping it.
+  /// \param Watch called from time to time.
+  /// \returns the bytes of head and body.
+  std::size_t skipAnswer(const std::function<void()> &Watch);
+
   void hangUp();
 
 private:
--- a/tests/http/scriptedserver.cpp
+++ b/tests/http/scriptedserver.cpp
@@ -61,8 +61,10 @@
     beast::http::request_parser<beast::http::string_body> Parser;
     Parser.body_limit(boost::none);
     beast::http::read(Connection, Buffer, Parser, Error);
-    if (Error)
+    if (Error) {
+      ++Ended_;
       return;
+    }
     Request Seen;
     std::ostringstream Head;
     Head << Parser.get().base();
@@ -79,8 +81,12 @@
       return;
     }
     boost::asio::write(Connection, boost::asio::buffer(Answer), Error);
-    if (Error)
+    for (std::size_t I = 0; I < Times_ && !Error; ++I)
+      boost::asio::write(Connection, boost::asio::buffer(Piece_), Error);
+    if (Error || Closing_) {
+      Connection.shutdown(tcp::socket::shutdown_both, Error);
       return;
+    }
   }
 }
 
--- a/tests/http/scriptedserver.h
+++ b/tests/http/scriptedserver.h
@@ -33,6 +33,19 @@
   unsigned connections() const { return Connections_; }
   std::vector<Request> requests() const;
 
+  /// From now on every connection is closed behind its first answer.
+  void closeAfterAnswer() { Closing_ = true; }
+
+  /// Every answer is followed by this piece, so many times. To be called
+  /// before the first request.
+  void sendAfterAnswer(std::string Piece, std::size_t Times) {
+    Piece_ = std::move(Piece);
+    Times_ = Times;
+  }
+
+  /// Connections that the other side has ended.
+  unsigned ended() const { return Ended_; }
+
   /// A whole answer with this body.
   static std::string answer(const std::string &Body,
                             const std::string &Fields = "",
@@ -46,8 +59,12 @@
   boost::asio::ip::tcp::acceptor Acceptor_;
   Script Answer_;
   std::uint16_t Port_ = 0;
+  std::string Piece_;
+  std::size_t Times_ = 0;
   std::atomic<unsigned> Connections_{0};
   std::atomic<bool> Stopping_{false};
+  std::atomic<bool> Closing_{false};
+  std::atomic<unsigned> Ended_{0};
   mutable std::mutex Mutex_; ///< guards what follows
   std::vector<Request> Requests_;
   std::vector<std::shared_ptr<Socket>> Open_;
