Split the HTTP readers and the callers' session; check freshness once more before sending

A call may wait for a connection after the balancer has chosen; a process that was paused in that time would have sent it on an old view. The view is now checked again when the connection is there, and the call goes back to the balancer as not sent. Connections above the limit and its margin of 256 for refusals are closed at once, so their number is bounded.

--- a/src/libcumingauge/adapters/httpcall.cpp
+++ b/src/libcumingauge/adapters/httpcall.cpp
@@ -125,6 +125,11 @@
   attempt(Number).Ticket_ = HttpPool::NoTicket;
   if (!Connection)
     return onFailure(Number, AttemptFate::NotSent);
+  // The process may have been paused while it waited for the connection.
+  if (!Worker_.isFresh()) {
+    Connection->retire();
+    return onFailure(Number, AttemptFate::NotSent);
+  }
   attempt(Number).Connection_ = std::move(Connection);
   apply(traffic::ConnectionReady{Number});
 }
--- a/src/libcumingauge/adapters/httpcallersession.h
+++ b/src/libcumingauge/adapters/httpcallersession.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "adapters/httpcallrequest.h"
-#include "adapters/httpreader.h"
+#include "adapters/httprequestreader.h"
 #include "model/time.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/src/libcumingauge/adapters/httpconnection.h
+++ b/src/libcumingauge/adapters/httpconnection.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "adapters/httpreader.h"
+#include "adapters/httpanswerreader.h"
 #include "model/time.h"
 #include "traffic/connectionlifecycle.h"
 #include <boost/asio/ip/tcp.hpp>
--- /dev/null
+++ b/src/libcumingauge/adapters/httprequestreader.cpp
@@ -0,0 +1,166 @@
+#include "adapters/httprequestreader.h"
+#include "adapters/httpmessagereader.h"
+#include "traffic/headers.h"
+#include <charconv>
+
+namespace cumingauge::adapters {
+
+using namespace messages;
+using model::ResultCode;
+using traffic::Framing;
+
+namespace {
+
+constexpr unsigned Http11 = 11;
+constexpr unsigned Http10 = 10;
+
+template <class Number> std::optional<Number> numberOf(string_view Text) {
+  Number Value = 0;
+  const char *End = Text.data() + Text.size();
+  const auto Parsed = std::from_chars(Text.data(), End, Value);
+  if (Parsed.ec != std::errc() || Parsed.ptr != End)
+    return std::nullopt;
+  return Value;
+}
+
+ResultCode codeOf(boost::beast::error_code Error) {
+  if (Error == http::error::header_limit ||
+      Error == http::error::buffer_overflow)
+    return ResultCode::RequestHeadersTooLarge;
+  if (Error == http::error::bad_content_length ||
+      Error == http::error::bad_transfer_encoding ||
+      Error == http::error::multiple_content_length)
+    return ResultCode::RequestLengthConflict;
+  return ResultCode::RequestMalformed;
+}
+
+/// Checks that Beast leaves to its users.
+template <class Parser> ResultCode checkRequest(Parser &Source) {
+  const auto &Parsed = Source.get();
+  const bool Http11Request = Parsed.version() == Http11;
+  if (Parsed.version() != Http11 && Parsed.version() != Http10)
+    return ResultCode::RequestMalformed;
+  if (!isTransferCodingKnown(Parsed) || (!Http11Request && Source.chunked()))
+    return ResultCode::RequestLengthConflict;
+  if (Parsed.count(http::field::content_length) > 1)
+    return ResultCode::RequestLengthConflict;
+  const std::size_t Hosts = Parsed.count(http::field::host);
+  if (Hosts > 1 || (Http11Request && Hosts == 0))
+    return ResultCode::RequestMalformed;
+  if (Parsed.target().empty() || Parsed.target().front() != '/')
+    return ResultCode::RequestMalformed;
+  const string_view Expected = Parsed[http::field::expect];
+  if (!Expected.empty() && !iequals(Expected, "100-continue"))
+    return ResultCode::RequestExpectationUnknown;
+  return ResultCode::Ok;
+}
+
+/// Takes the fields out that this process acts on. False for a value that it
+/// cannot read.
+bool takeRequestField(string_view Name, string_view Value,
+                      traffic::RequestHead &Head) {
+  namespace names = traffic::headers;
+  if (iequals(Name, names::DeadlineMs)) {
+    const auto Ms = numberOf<std::uint32_t>(Value);
+    if (Ms)
+      Head.Deadline_ = model::milliseconds(*Ms);
+    return Ms.has_value();
+  }
+  if (iequals(Name, names::Attempt)) {
+    const auto Attempt = numberOf<unsigned>(Value);
+    Head.Attempt_ = Attempt.value_or(0);
+    return Attempt.has_value();
+  }
+  if (iequals(Name, names::CallId)) {
+    Head.CallId_ = textOf(Value);
+    return true;
+  }
+  if (iequals(Name, names::Caller))
+    Head.Caller_ = textOf(Value);
+  appendField(Head.Fields_, Name, Value);
+  return true;
+}
+
+template <class Parser>
+ResultCode fillRequest(Parser &Source, traffic::RequestHead &Head) {
+  const ResultCode Checked = checkRequest(Source);
+  const auto &Parsed = Source.get();
+  Head = {};
+  Head.Http10_ = Parsed.version() != Http11;
+  Head.IsHead_ = Parsed.method() == http::verb::head;
+  if (Checked != ResultCode::Ok)
+    return Checked;
+  Head.Method_ = textOf(Parsed.method_string());
+  Head.Target_ = textOf(Parsed.target());
+  Head.KeepAlive_ = Source.keep_alive();
+  Head.ExpectsContinue_ =
+      !Head.Http10_ && Parsed.count(http::field::expect) > 0;
+  if (Source.chunked()) {
+    Head.Framing_ = Framing::Chunked;
+  } else if (const auto Length = Source.content_length()) {
+    Head.Framing_ = Framing::Length;
+    Head.Length_ = *Length;
+  }
+  const string_view Connection = Parsed[http::field::connection];
+  for (const auto &Field : Parsed) {
+    if (isHopByHop(Field.name()) || isListed(Connection, Field.name_string()))
+      continue;
+    if (!takeRequestField(Field.name_string(), Field.value(), Head))
+      return ResultCode::RequestMalformed;
+  }
+  return ResultCode::Ok;
+}
+
+} // namespace
+
+struct RequestReader::Impl {
+  explicit Impl(std::uint32_t HeaderLimit) : Reader_(HeaderLimit) {
+    Reader_.start();
+  }
+
+  MessageReader<true> Reader_;
+  traffic::RequestHead Head_;
+  ResultCode Error_ = ResultCode::Ok;
+};
+
+RequestReader::RequestReader(std::uint32_t HeaderLimit)
+    : Impl_(std::make_unique<Impl>(HeaderLimit)) {}
+
+RequestReader::~RequestReader() = default;
+
+boost::asio::mutable_buffer RequestReader::prepare() {
+  return Impl_->Reader_.prepare();
+}
+
+void RequestReader::commit(std::size_t Bytes) { Impl_->Reader_.commit(Bytes); }
+
+ReadStep RequestReader::next() {
+  const ReadStep Step = Impl_->Reader_.next();
+  if (Step == ReadStep::Failed)
+    Impl_->Error_ = codeOf(Impl_->Reader_.error());
+  if (Step != ReadStep::Head)
+    return Step;
+  Impl_->Error_ = fillRequest(Impl_->Reader_.parser(), Impl_->Head_);
+  return Impl_->Error_ == ResultCode::Ok ? Step : ReadStep::Failed;
+}
+
+traffic::RequestHead &RequestReader::head() { return Impl_->Head_; }
+
+std::string_view RequestReader::body() const { return Impl_->Reader_.body(); }
+
+ResultCode RequestReader::error() const { return Impl_->Error_; }
+
+bool RequestReader::isInside() const {
+  return Impl_->Reader_.buffered() > 0 || Impl_->Reader_.parser().got_some();
+}
+
+std::size_t RequestReader::buffered() const {
+  return Impl_->Reader_.buffered();
+}
+
+void RequestReader::startNext() {
+  Impl_->Reader_.shrink();
+  Impl_->Reader_.start();
+}
+
+} // namespace cumingauge::adapters
--- a/src/libcumingauge/adapters/httpreader.h
+++ b/src/libcumingauge/adapters/httprequestreader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/httpreadstep.h"
 #include "model/resultcode.h"
 #include "traffic/messagehead.h"
 #include <boost/asio/buffer.hpp>
@@ -9,9 +10,6 @@
 
 namespace cumingauge::adapters {
 
-/// What the bytes read so far have brought.
-enum class ReadStep { NeedMore, Head, Body, End, Failed };
-
 /// Reads the requests of one connection from its bytes, one after the other.
 /// Holds at most one head or one piece of a body.
 class RequestReader {
@@ -49,33 +47,4 @@
   std::unique_ptr<Impl> Impl_;
 };
 
-/// Reads the answers of one connection to a backend server. Interim answers
-/// (status 1xx) are skipped.
-class AnswerReader {
-public:
-  explicit AnswerReader(std::uint32_t HeaderLimit);
-  ~AnswerReader();
-
-  boost::asio::mutable_buffer prepare();
-  void commit(std::size_t Bytes);
-  ReadStep next();
-  traffic::AnswerHead &head();
-  std::string_view body() const;
-  std::size_t buffered() const;
-
-  /// Whether the answer has no more bytes than were given out.
-  bool isComplete() const;
-
-  /// Gives memory back between two answers, while no read is under way.
-  void shrink();
-
-  /// Begins an answer.
-  /// \param ToHead whether it answers a HEAD request and has no body.
-  void start(bool ToHead);
-
-private:
-  struct Impl;
-  std::unique_ptr<Impl> Impl_;
-};
-
 } // namespace cumingauge::adapters
--- a/src/libcumingauge/adapters/httpworker.cpp
+++ b/src/libcumingauge/adapters/httpworker.cpp
@@ -12,6 +12,8 @@
 constexpr model::milliseconds BusyTickPeriod{2}; ///< while calls wait
 constexpr model::seconds EventWindow{1};
 constexpr unsigned MaxEventsPerWindow = 20; ///< by calls, of one thread
+/// Connections above the limit that are told so; more are just closed.
+constexpr unsigned MaxRefusedConnections = 256;
 constexpr std::uint64_t SeedStep = 7919;
 
 std::uint64_t wallMicros() {
@@ -42,6 +44,10 @@
 
 void HttpWorker::adopt(boost::asio::ip::tcp::socket Socket) {
   const unsigned Open = ++Common_->CallerConnections_;
+  if (Open > limits().MaxCallerConnections_ + MaxRefusedConnections) {
+    --Common_->CallerConnections_;
+    return;
+  }
   const auto Session =
       std::make_shared<HttpCallerSession>(std::move(Socket), *this);
   Sessions_.insert(Session.get());
@@ -148,7 +154,7 @@
 }
 
 void HttpWorker::releaseWaiting() {
-  if (Waiting_.empty() || !Common_->Hooks_.IsFresh_(now()))
+  if (Waiting_.empty() || !isFresh())
     return;
   for (const policy::Release &Release :
        policy::releaseWaiting(*Balancer_, now())) {
@@ -166,7 +172,7 @@
   if (StaleWaits_.empty())
     return;
   const model::TimePoint Now = now();
-  const bool Fresh = Common_->Hooks_.IsFresh_(Now);
+  const bool Fresh = isFresh();
   std::vector<StaleWait> Checked;
   Checked.swap(StaleWaits_);
   for (const StaleWait &Wait : Checked) {
@@ -238,7 +244,7 @@
 }
 
 policy::ServerHandle HttpWorker::hedge(const HttpCall &Call) {
-  if (!Common_->Hooks_.IsFresh_(now()))
+  if (!isFresh())
     return policy::NoServer;
   const auto Chosen = policy::mayHedge(*Balancer_, Call.facts(), now());
   if (!Chosen)
--- a/src/libcumingauge/adapters/httpworker.h
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -58,6 +58,8 @@
   /// Takes over a new connection of a caller.
   void adopt(boost::asio::ip::tcp::socket Socket);
   const HttpLimits &limits() const { return Common_->Settings_.Limits_; }
+  /// Whether new work may be placed on what the control view says.
+  bool isFresh() const { return Common_->Hooks_.IsFresh_(now()); }
   model::TimePoint now() const { return std::chrono::steady_clock::now(); }
   Admission findRoute(const std::string &Target) const;
   void noteRefusedRequest(model::ResultCode Code);
