Close before the next call in the test of stale connections

The test let a server close behind each answer while the caller sent its next call at once. When the call left before the close arrived, the answer was truthfully 131 and the test failed on a busy machine. It now waits until the server has closed, so that finding the close is the only way to pass; it stays as strict for what the pool promises, and no verdict comes from timing.

--- a/tests/http/scriptedserver.cpp
+++ b/tests/http/scriptedserver.cpp
@@ -78,6 +78,7 @@
     const std::string Answer = Answer_(Seen);
     if (Answer.empty()) {
       Connection.shutdown(tcp::socket::shutdown_both, Error);
+      ++Closed_;
       return;
     }
     boost::asio::write(Connection, boost::asio::buffer(Answer), Error);
@@ -85,6 +86,7 @@
       boost::asio::write(Connection, boost::asio::buffer(Piece_), Error);
     if (Error || Closing_) {
       Connection.shutdown(tcp::socket::shutdown_both, Error);
+      ++Closed_;
       return;
     }
   }
--- a/tests/http/scriptedserver.h
+++ b/tests/http/scriptedserver.h
@@ -43,6 +43,9 @@
     Times_ = Times;
   }
 
+  /// Connections that this server has closed.
+  unsigned closed() const { return Closed_; }
+
   /// Connections that the other side has ended.
   unsigned ended() const { return Ended_; }
 
@@ -65,6 +68,7 @@
   std::atomic<bool> Stopping_{false};
   std::atomic<bool> Closing_{false};
   std::atomic<unsigned> Ended_{0};
+  std::atomic<unsigned> Closed_{0};
   mutable std::mutex Mutex_; ///< guards what follows
   std::vector<Request> Requests_;
   std::vector<std::shared_ptr<Socket>> Open_;
