--- a/src/libcumingauge/codec/describedjson.h
+++ b/src/libcumingauge/codec/describedjson.h
@@ -85,13 +85,15 @@
     Found.push_back({Path, "must be a whole number"});
     return;
   }
+  // A program writes 7 as a signed number, a parser reads it as unsigned.
+  const bool Negative = !In.is_number_unsigned() && In.get<std::int64_t>() < 0;
   const bool Fits =
-      In.is_number_unsigned()
-          ? In.get<std::uint64_t>() <=
-                static_cast<std::uint64_t>(std::numeric_limits<T>::max())
-          : std::is_signed_v<T> &&
+      Negative
+          ? std::is_signed_v<T> &&
                 In.get<std::int64_t>() >=
-                    static_cast<std::int64_t>(std::numeric_limits<T>::min());
+                    static_cast<std::int64_t>(std::numeric_limits<T>::min())
+          : In.get<std::uint64_t>() <=
+                static_cast<std::uint64_t>(std::numeric_limits<T>::max());
   if (!Fits) {
     Found.push_back({Path, "must be between " +
                                std::to_string(std::numeric_limits<T>::min()) +
--- a/src/libcumingauge/emulator/httpserver.cpp
+++ b/src/libcumingauge/emulator/httpserver.cpp
@@ -41,6 +41,7 @@
   tcp::acceptor Acceptor_;
   HttpHandler Handler_;
   HttpServerOptions Options_;
+  unsigned Generation_ = 0;                         ///< counts the stops
   std::set<std::shared_ptr<HttpSession>> Sessions_; ///< the open ones
 };
 
@@ -67,6 +68,7 @@
 
 void HttpServer::stopListening() {
   boost::system::error_code Ignored;
+  ++State_->Generation_;
   State_->Acceptor_.close(Ignored);
 }
 
--- a/src/libcumingauge/emulator/storeservice.cpp
+++ b/src/libcumingauge/emulator/storeservice.cpp
@@ -249,7 +249,7 @@
     Timer_.expires_at(Next);
     Timer_.async_wait([Weak = weak_from_this()](auto Error) {
       const auto Self = Weak.lock();
-      if (Error || !Self)
+      if (Error || !Self || Self->Stopped_)
         return;
       expireLeases(Self->Model_, now());
       Self->wakeWaiters();
@@ -314,6 +314,7 @@
   RateLimiter Reads_;
   StoreCounters Counters_;
   std::list<Waiter> Waiters_;
+  bool Stopped_ = false; ///< a tick that is already queued ends too
   std::unique_ptr<HttpServer> Server_;
 };
 
@@ -335,6 +336,7 @@
 }
 
 void StoreService::stop() {
+  State_->Stopped_ = true;
   State_->Timer_.cancel();
   State_->dropWaiters();
   State_->Server_.reset();
