Add the demo of a whole deployment

One command has to show the promises under load on a fresh machine. scripts/demo.sh installs, builds, starts the store, 14 entry processes and 27 backend servers of nord-italia or gujarat, and during 24 s of load changes the preset twice, retires one server, drains another, lets two operators mark a third at once, kills a backend server and an entry process, freezes a server and stops an entry process. It compares what callers were told with the journals and ends with one JSON line; its exit status is 0 only when every promise held. It ends its own processes only, by number.

--- /dev/null
+++ b/scripts/demo/settings.sh
@@ -0,0 +1,137 @@
+# Settings of the demo's processes, made from the deployment's samples.
+ENTRIES=14
+LOAD_SECONDS=24
+KEY=$(head -c 24 /dev/urandom | base64)
+SEEDS=3
+VICTIM=       # backend server with a process of its own, to be killed
+ENTRY_PIDS=() # by number of the entry process, from 0
+
+case $DEPLOYMENT in
+nord-italia)
+  FIRST=catalogue SECOND=rights SLOTS=3 PROBE_COST_US=0
+  ZONES='["milano-a","torino-b","bologna-c"]'
+  SERVICE_TIMES='[
+    {"pathPrefix":"/catalogue/search","distribution":"lognormal","meanUs":30000,"answerBytes":4000},
+    {"pathPrefix":"/catalogue/licences","distribution":"lognormal","meanUs":50000},
+    {"pathPrefix":"/rights/splits","distribution":"exponential","meanUs":20000},
+    {"pathPrefix":"/rights/cue-sheets","distribution":"exponential","meanUs":30000}]'
+  ROUTES='[
+    {"name":"search","path":"/catalogue/search","callsPerSecond":250,"idempotent":true,"answerBytes":4000},
+    {"name":"licence","method":"POST","path":"/catalogue/licences","callsPerSecond":60,"requestBytes":600,"answerBytes":300},
+    {"name":"splits","path":"/rights/splits","callsPerSecond":120,"idempotent":true,"answerBytes":1000},
+    {"name":"cue-sheets","path":"/rights/cue-sheets","callsPerSecond":60,"idempotent":true,"answerBytes":20000}]'
+  ;;
+gujarat)
+  FIRST=booking SECOND=results SLOTS=2 PROBE_COST_US=6000
+  ZONES='["ahmedabad","vadodara","surat","rajkot"]'
+  SERVICE_TIMES='[
+    {"pathPrefix":"/booking/availability","distribution":"lognormal","meanUs":25000},
+    {"pathPrefix":"/booking/reservations","distribution":"lognormal","meanUs":60000},
+    {"pathPrefix":"/results/reports","distribution":"lognormal","meanUs":50000},
+    {"pathPrefix":"/results/archive","distribution":"exponential","meanUs":400000}]'
+  ROUTES='[
+    {"name":"availability","path":"/booking/availability","callsPerSecond":150,"idempotent":true,"answerBytes":1000},
+    {"name":"reservation","method":"POST","path":"/booking/reservations","callsPerSecond":40,"requestBytes":400,"answerBytes":300},
+    {"name":"reports","path":"/results/reports","callsPerSecond":60,"idempotent":true,"answerBytes":50000},
+    {"name":"archive","path":"/results/archive","callsPerSecond":4,"idempotent":true,"answerBytes":1000000}]'
+  ;;
+esac
+
+MARKED=$FIRST-02     # marked as leaving, then stopped once it is idle
+RACED=$SECOND-05     # marked by two operators at the same moment
+DRAINING=$SECOND-03  # says itself that it drains
+VICTIM=$FIRST-07     # its process is killed
+FROZEN=$SECOND-09    # answers nothing for a while
+
+ctl() { "$BIN/cumingaugectl" --settings="$OUT/ctl.json" "$@"; }
+
+start_store() {
+  jq -n --argjson entries "$ENTRIES" --arg d "$DEPLOYMENT" \
+    --slurpfile servers "presets/$DEPLOYMENT/servers.json" '{
+      log: {level: "warning"},
+      faults: {vms: ([range($entries) | {vm: "\($d)-entry-\(. + 1)", role: "cumingauge"}]
+        + [$servers[0][] | {vm, role: "backend"}])}}' >"$OUT/store.json"
+  start store "$BIN/cumingauge-fakestore" --settings "$OUT/store.json" --port-file "$OUT/store.port"
+  wait_for 10 test -s "$OUT/store.port"
+  STORE_PORT=$(cat "$OUT/store.port")
+}
+
+# backend_settings FILE FILTER: settings of a process with the servers that the
+# jq filter keeps.
+backend_settings() {
+  jq --argjson slots "$SLOTS" --argjson probe "$PROBE_COST_US" --argjson times "$SERVICE_TIMES" \
+    --arg journal "$OUT/$1.journal" '{
+      log: {level: "warning"}, threads: 2, journalFile: $journal,
+      behaviour: {slots: $slots, probeCostUs: $probe, connectionCostUs: 1000,
+                  serviceTimes: $times, reportLagMs: 20},
+      servers: [.[] | select('"$2"') | {name, vm}]}' \
+    "presets/$DEPLOYMENT/servers.json" >"$OUT/$1.json"
+}
+
+start_backends() {
+  backend_settings backends ".name != \"$VICTIM\""
+  backend_settings victim ".name == \"$VICTIM\""
+  start backends "$BIN/cumingauge-fakebackend" --settings "$OUT/backends.json" --port-file "$OUT/backends.ports"
+  start victim "$BIN/cumingauge-fakebackend" --settings "$OUT/victim.json" --port-file "$OUT/victim.ports"
+  VICTIM_PID=$PID
+  wait_for 10 test -s "$OUT/backends.ports"
+  wait_for 10 test -s "$OUT/victim.ports"
+  BACKEND_ADMIN=$(jq .adminPort "$OUT/backends.ports")
+}
+
+entry_settings() {
+  jq -n --argjson n "$1" --arg d "$DEPLOYMENT" --argjson zones "$ZONES" --argjson base "$PEER_BASE" \
+    --argjson seeds "$SEEDS" --argjson store "$STORE_PORT" --arg key "$KEY" '{
+      log: {level: "warning"}, trafficThreads: 1,
+      listen: {port: 0}, admin: {port: 0},
+      control: {process: "\($d)-entry-\($n + 1)", zone: $zones[$n % ($zones | length)],
+                region: $d, peer: {port: ($base + $n)}, store: {port: $store}, key: $key,
+                seedPeers: [range($seeds) | {port: ($base + .)}]}}' >"$OUT/entry-$1.json"
+}
+
+start_entries() {
+  local N
+  PEER_BASE=$(free_ports "$ENTRIES")
+  for N in $(seq 0 $((ENTRIES - 1))); do
+    entry_settings "$N"
+    start "entry-$N" "$BIN/cumingauged" --settings "$OUT/entry-$N.json" --port-file "$OUT/entry-$N.ports"
+    ENTRY_PIDS+=("$PID")
+  done
+  for N in $(seq 0 $((ENTRIES - 1))); do wait_for 20 test -s "$OUT/entry-$N.ports"; done
+  jq -s . $(seq -f "$OUT/entry-%g.ports" 0 $((ENTRIES - 1))) >"$OUT/entries.json"
+}
+
+initialize_deployment() {
+  jq -n --argjson store "$STORE_PORT" --argjson base "$PEER_BASE" --argjson seeds "$SEEDS" --arg key "$KEY" '{
+    store: {port: $store}, key: $key, author: "demo", waitTimeoutMs: 20000,
+    peers: [range($seeds) | {port: ($base + .)}]}' >"$OUT/ctl.json"
+  jq -n --slurpfile servers "presets/$DEPLOYMENT/servers.json" \
+    --slurpfile a "$OUT/backends.ports" --slurpfile b "$OUT/victim.ports" \
+    --slurpfile presets <(cat "presets/$DEPLOYMENT"/{ordinary,peak,maintenance}.json) '
+    ([$a[0].servers[], $b[0].servers[]] | map({(.server): .port}) | add) as $ports
+    | {presets: $presets, choose: "ordinary",
+       servers: [$servers[0][] | .port = $ports[.name]]}' >"$OUT/deployment.json"
+  ctl init "$OUT/deployment.json" >"$OUT/init.txt"
+}
+
+is_entry_ready() { curl -sf -o /dev/null -m 1 "http://127.0.0.1:$(jq .admin "$OUT/entry-$1.ports")/readyz"; }
+
+wait_until_ready() {
+  local N
+  for N in $(seq 0 $((ENTRIES - 1))); do
+    wait_for 30 is_entry_ready "$N" || { say "entry process $N is not ready"; return 1; }
+  done
+}
+
+write_plan() {
+  jq -n --argjson routes "$ROUTES" --argjson seconds "$LOAD_SECONDS" --arg frozen "$FROZEN" \
+    --slurpfile entries "$OUT/entries.json" --argjson admin "$BACKEND_ADMIN" --arg file "$OUT/victim.journal" '{
+      seed: 1, durationMs: ($seconds * 1000), callers: 200, routes: $routes,
+      entries: [$entries[0][] | {port: .listen, adminPort: .admin}],
+      phases: [{name: "ordinary"}, {name: "peak", fromMs: 3000, rateFactor: 1.5},
+               {name: "maintenance", fromMs: 20000, rateFactor: 0.7}],
+      actions: [
+        {atMs: 12000, label: "\($frozen) freezes", port: $admin, target: "/servers/\($frozen)/control", body: {frozen: true}},
+        {atMs: 16000, label: "\($frozen) thaws", port: $admin, target: "/servers/\($frozen)/control", body: {frozen: false}}],
+      journals: [{port: $admin}, {file: $file}]}' >"$OUT/plan.json"
+}
