Test the decisions by their properties; give failing servers a way back

Cause: the promises of the policy had one test. The new ones found three faults: an idle thread could send to a full server while another would do; a failing server's penalty never ended, so that it got no call again at low load; a preset with another probe budget took effect within the same second. Change: full servers are left out first also when nothing is in flight; the penalties for failures and slowness end after 2 s and 5 s; a changed probe budget waits for a second, as a changed fleet does.

--- a/src/libcumingauge/policy/admission.cpp
+++ b/src/libcumingauge/policy/admission.cpp
@@ -154,7 +154,10 @@
   if (!Allowed)
     return NoServer;
   refreshStandings(State, Service, Now);
-  const Choice Made = chooseServer(State, Service, {Call, *Allowed}, Now);
+  Choice Made = chooseServer(
+      State, Service, {Call, std::max(*Allowed, Capacity::NotFull)}, Now);
+  if (Made.Server_ == NoServer && *Allowed == Capacity::Any)
+    Made = chooseServer(State, Service, {Call, Capacity::Any}, Now);
   if (Made.Server_ == NoServer)
     return NoServer;
   count(State.Reasons_, Made.Reason_);
--- a/src/libcumingauge/policy/latency.cpp
+++ b/src/libcumingauge/policy/latency.cpp
@@ -10,7 +10,7 @@
 constexpr unsigned SettledSamples = 50;
 constexpr double RatioGain = 0.2;
 constexpr double MaxRatio = 50;
-constexpr model::seconds Fade{2};
+constexpr model::seconds Fade{5};
 
 } // namespace
 
@@ -47,7 +47,7 @@
     return 1;
   const auto Age = static_cast<double>((Now - Record.At_).count());
   const auto FadeNs = static_cast<double>(model::Duration(Fade).count());
-  return 1 + (Record.Ratio_ - 1) / (1 + Age / FadeNs);
+  return 1 + (Record.Ratio_ - 1) * std::max(0.0, 1 - Age / FadeNs);
 }
 
 } // namespace cumingauge::policy
--- a/src/libcumingauge/policy/outlier.cpp
+++ b/src/libcumingauge/policy/outlier.cpp
@@ -89,7 +89,7 @@
       static_cast<double>(failuresIn(Record, Window)) / std::max(Window, 1u);
   const auto Age = static_cast<double>((Now - Record.LastFailure_).count());
   const auto Fade = static_cast<double>(model::Duration(FailureFade).count());
-  return Share / (1 + Age / Fade);
+  return Share * std::max(0.0, 1 - Age / Fade);
 }
 
 } // namespace cumingauge::policy
--- a/src/libcumingauge/policy/outlier.h
+++ b/src/libcumingauge/policy/outlier.h
@@ -39,7 +39,8 @@
 void refreshStanding(OutlierRecord &Record, const model::EjectionRule &Rule,
                      model::TimePoint Now);
 
-/// Share of failures among the latest outcomes, fading with time.
+/// Share of failures among the latest outcomes, fading to nothing in a few
+/// seconds so that the server is tried again.
 double recentFailureShare(const OutlierRecord &Record, model::TimePoint Now);
 
 } // namespace cumingauge::policy
--- a/src/libcumingauge/policy/view.cpp
+++ b/src/libcumingauge/policy/view.cpp
@@ -96,17 +96,20 @@
   if (!View || !View->Config_)
     return;
   const bool FirstView = !State.View_;
-  const bool FleetChanged = FirstView ||
-                            State.View_->FleetSize_ != View->FleetSize_ ||
-                            State.View_->FleetRank_ != View->FleetRank_;
+  const model::Preset *Chosen = model::presetInForce(*View->Config_);
+  const model::Preset Preset = Chosen ? *Chosen : model::Preset{};
+  const bool SharesChanged = FirstView ||
+                             State.View_->FleetSize_ != View->FleetSize_ ||
+                             State.View_->FleetRank_ != View->FleetRank_ ||
+                             State.Preset_.Measuring_.ProbesPerSecond_ !=
+                                 Preset.Measuring_.ProbesPerSecond_;
   State.View_ = View;
-  const model::Preset *Preset = model::presetInForce(*View->Config_);
-  State.Preset_ = Preset ? *Preset : model::Preset{};
+  State.Preset_ = Preset;
   State.Deciders_ = std::max(View->FleetSize_, 1u) * State.Threads_;
   takeServers(State, *View, FirstView, Now);
   for (ServiceRecord &Service : State.Services_) {
     summarize(State, Service, *View);
-    if (FleetChanged)
+    if (SharesChanged)
       holdProbes(Service.Probes_, Now);
   }
 }
--- a/tests/policy/fleet.h
+++ b/tests/policy/fleet.h
@@ -24,6 +24,13 @@
           4096};
 }
 
+inline model::Preset presetWith(model::PickMethod Pick) {
+  model::Preset Out;
+  Out.Name_ = "test";
+  Out.Pick_ = Pick;
+  return Out;
+}
+
 /// A view with \p Count servers of the service "catalogue" named s0, s1, …
 inline model::ControlView viewOf(unsigned Count, unsigned Slots,
                                  const model::Preset &Preset,
--- /dev/null
+++ b/tests/policy/truthtest.cpp
@@ -0,0 +1,106 @@
+#include "policy/fleet.h"
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+using namespace cumingauge;
+using namespace cumingauge::policy;
+using namespace cumingauge::policy::test;
+
+namespace {
+
+const std::vector<AttemptEnd> EndsAfterBytesLeft = {
+    AttemptEnd::Answered, AttemptEnd::AnsweredError, AttemptEnd::Broken,
+    AttemptEnd::TimedOut, AttemptEnd::Cancelled};
+
+const std::vector<AttemptEnd> EndsWithoutRun = {
+    AttemptEnd::Shed, AttemptEnd::Draining, AttemptEnd::ConnectFailed};
+
+class RunningAtMostOnce : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RunningAtMostOnce);
+  CPPUNIT_TEST(neverRetriesAfterBytesLeft);
+  CPPUNIT_TEST(neverHedges);
+  CPPUNIT_TEST(retriesWhatSurelyDidNotRun);
+  CPPUNIT_TEST(retriesAnIdempotentCallThatBroke);
+  CPPUNIT_TEST(neverRetriesAfterAnAnswerOrForACallerThatLeft);
+  CPPUNIT_TEST(stopsAtTheAttemptLimitAndTheDeadline);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// A balancer with both budgets full and latencies known.
+  static std::shared_ptr<BalancerState> richBalancer(std::uint64_t Seed) {
+    model::Preset Preset = presetWith(model::PickMethod::ExpectedWait);
+    Preset.Retry_.Ratio_ = 1;
+    Preset.Hedge_.Ratio_ = 1;
+    auto State = makeBalancer("milano-a", 1, Seed);
+    apply(*State, viewOf(9, 3, Preset, 1), at(0));
+    for (CallId Id = 1000; Id < 1100; ++Id) {
+      const CallFacts Call =
+          callAt(Id, at(0), Id % 2 == 0 ? searchRoute() : licenceRoute());
+      const Decision Made = admit(*State, Call, at(0));
+      endAttempt(*State, Call, Made.Server_, AttemptEnd::Answered,
+                 model::milliseconds(1), at(0));
+    }
+    return State;
+  }
+
+  static CallFacts sentCall(BalancerState &State, const model::Route &Route) {
+    CallFacts Call = callAt(1, at(0), Route);
+    const Decision Made = admit(State, Call, at(0));
+    Call.Attempts_ = 1;
+    Call.Tried_ = {Made.Server_};
+    return Call;
+  }
+
+public:
+  void neverRetriesAfterBytesLeft() {
+    CPPUNIT_ASSERT(rc::check([] {
+      const auto State = richBalancer(*rc::gen::arbitrary<unsigned>());
+      CallFacts Call = sentCall(*State, licenceRoute());
+      Call.Nested_ = *rc::gen::arbitrary<bool>();
+      const auto End = *rc::gen::elementOf(EndsAfterBytesLeft);
+      const auto Now = at(*rc::gen::inRange(0, 299));
+      RC_ASSERT(!mayRetry(*State, Call, End, Now));
+    }));
+  }
+
+  void neverHedges() {
+    const auto State = richBalancer(1);
+    const CallFacts Licence = sentCall(*State, licenceRoute());
+    CPPUNIT_ASSERT(!hedgeTime(*State, Licence, at(0)));
+    CPPUNIT_ASSERT(!mayHedge(*State, Licence, at(50)));
+    const CallFacts Search = sentCall(*State, searchRoute());
+    CPPUNIT_ASSERT(hedgeTime(*State, Search, at(0)).has_value());
+    CPPUNIT_ASSERT(mayHedge(*State, Search, at(50)).has_value());
+  }
+
+  void retriesWhatSurelyDidNotRun() {
+    for (const AttemptEnd End : EndsWithoutRun) {
+      const auto State = richBalancer(1);
+      const CallFacts Call = sentCall(*State, licenceRoute());
+      CPPUNIT_ASSERT(mayRetry(*State, Call, End, at(10)));
+    }
+  }
+
+  void retriesAnIdempotentCallThatBroke() {
+    const auto State = richBalancer(1);
+    const CallFacts Call = sentCall(*State, searchRoute());
+    CPPUNIT_ASSERT(mayRetry(*State, Call, AttemptEnd::Broken, at(10)));
+  }
+
+  void neverRetriesAfterAnAnswerOrForACallerThatLeft() {
+    const auto State = richBalancer(1);
+    const CallFacts Call = sentCall(*State, searchRoute());
+    CPPUNIT_ASSERT(!mayRetry(*State, Call, AttemptEnd::Answered, at(10)));
+    CPPUNIT_ASSERT(!mayRetry(*State, Call, AttemptEnd::Cancelled, at(10)));
+  }
+
+  void stopsAtTheAttemptLimitAndTheDeadline() {
+    const auto State = richBalancer(1);
+    CallFacts Call = sentCall(*State, searchRoute());
+    CPPUNIT_ASSERT(!mayRetry(*State, Call, AttemptEnd::Shed, at(300)));
+    Call.Attempts_ = 3;
+    CPPUNIT_ASSERT(!mayRetry(*State, Call, AttemptEnd::Shed, at(10)));
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(RunningAtMostOnce);
+
+} // namespace
