Tighten the tests of ejection and of nested retries

Cause: with these broken on purpose (ejected servers chosen, no doubling of the time, marked calls paying into the budget) the tests still passed. Change: the ejection property runs over enough time for several ejections and asks for them; the nested one lets every call of the last layer fail.

--- a/tests/policy/budgetstest.cpp
+++ b/tests/policy/budgetstest.cpp
@@ -179,7 +179,7 @@
     }));
   }
 
-  /// 19 layers, each before the next; a third of the last ones' calls fail.
+  /// 19 layers, each before the next; the last one's calls all fail.
   void keepsRetriesOfNestedLayersFromMultiplying() {
     constexpr unsigned Layers = 19;
     constexpr unsigned Roots = 400;
@@ -203,8 +203,10 @@
   static bool callLayer(std::vector<std::shared_ptr<BalancerState>> &Stack,
                         std::size_t Layer, bool Marked, model::TimePoint Now,
                         unsigned &Work) {
-    if (Layer == Stack.size())
-      return ++Work % 3 != 0;
+    if (Layer == Stack.size()) {
+      ++Work;
+      return false;
+    }
     CallFacts Call = callAt(Work, Now);
     Call.Nested_ = Marked;
     for (;;) {
--- a/tests/policy/outliertest.cpp
+++ b/tests/policy/outliertest.cpp
@@ -54,7 +54,7 @@
       model::TimePoint Until;
       long long Ms = 0;
       for (CallId Id = 0; Id < 600; ++Id) {
-        Ms += *rc::gen::inRange(0, 20);
+        Ms += 50 + *rc::gen::inRange(0, 100);
         const ServerHandle Used = callOnce(*State, Id, at(Ms), {Bad});
         RC_ASSERT(Used != Bad || at(Ms) >= Until);
         if (counted(*State, ChoiceReason::ServerEjected) == Ejections)
@@ -63,6 +63,7 @@
         Until = at(Ms) + model::milliseconds(1000 << Ejections);
         ++Ejections;
       }
+      RC_ASSERT(Ejections >= 2);
     }));
   }
 
