--- a/src/libcumingauge/emulator/fakeserver.cpp
+++ b/src/libcumingauge/emulator/fakeserver.cpp
@@ -1,6 +1,7 @@
 #include "emulator/fakeserver.h"
-#include "emulator/answerbody.h"
 #include "emulator/jsonanswer.h"
+#include "emulator/probecounter.h"
+#include "emulator/serveranswers.h"
 #include "emulator/slots.h"
 #include "traffic/headers.h"
 #include <boost/asio/steady_timer.hpp>
@@ -17,9 +18,6 @@
 namespace {
 
 constexpr std::size_t DefaultJournalLimit = 50000;
-/// Answers above this length are streamed.
-constexpr std::uint64_t MaxWholeBody = 65536;
-constexpr std::size_t MinHeaderShare = 2; ///< a cut answer loses half
 
 TimePoint now() { return std::chrono::steady_clock::now(); }
 
@@ -35,17 +33,6 @@
   std::unique_ptr<boost::asio::steady_timer> Timer_;
 };
 
-const char *refusalName(Arrival Reason) {
-  switch (Reason) {
-  case Arrival::Draining:
-    return "draining";
-  case Arrival::Cold:
-    return "cold";
-  default:
-    return "shed";
-  }
-}
-
 TimePoint deadlineOf(const HttpRequest &Request) {
   const std::string Text = fieldOf(Request, headers::DeadlineMs);
   if (Text.empty())
@@ -83,7 +70,7 @@
     New.Target_ = Where;
     New.Probe_ = Where.Path_ == "/load" || Where.Path_ == "/health";
     if (New.Probe_) {
-      noteProbe();
+      countProbe(Probes_, now());
       if (Rules_.ProbeCost_.count() == 0 || Rules_.Draining_)
         return answerProbe(New);
     } else if (drawShare(Rules_.ResetShare_, Random_)) {
@@ -105,9 +92,7 @@
     if (Refused.Probe_)
       return answerProbe(Refused);
     ++Refused_;
-    HttpAnswer Answer = textAnswer(503, "not run\n");
-    Answer.Fields_.push_back({headers::NotRun, refusalName(Reason)});
-    Refused.Exchange_->Answer_(withIdentity(std::move(Answer), Refused));
+    reply(Refused, refusalAnswer(Reason));
   }
 
   void run(WorkId Id) {
@@ -162,38 +147,20 @@
       answerProbe(Done);
     } else if (Stopped) {
       Journal_.end(Done.Entry_, RunEnd::Deadline);
-      Done.Exchange_->Answer_(
-          withIdentity(textAnswer(504, "deadline passed\n"), Done));
+      reply(Done, textAnswer(504, "deadline passed\n"));
     } else {
       answerCall(Done);
     }
   }
 
   void answerCall(const Work &Done) {
-    const auto Body = std::make_shared<AnswerBody>(Done.Call_);
-    HttpAnswer Answer;
-    Answer.Fields_ = {{"Content-Type", "application/octet-stream"}};
-    Answer.Chunked_ = Done.Target_.has("chunked");
-    if (Done.AnswerBytes_ > MaxWholeBody || Answer.Chunked_) {
-      Answer.SourceBytes_ = Done.AnswerBytes_;
-      Answer.Source_ = [Body](std::uint64_t Offset, char *Out,
-                              std::size_t Size) {
-        Body->write(Offset, Out, Size);
-      };
-    } else {
-      Answer.Body_ = Body->whole(Done.AnswerBytes_);
-    }
-    const bool Cut = drawShare(Rules_.CutShare_, Random_);
-    if (Cut)
-      Answer.CutAfter_ = Done.AnswerBytes_ / MinHeaderShare;
-    Answer.Twice_ = !Cut && drawShare(Rules_.TwiceShare_, Random_);
+    HttpAnswer Answer =
+        callAnswer(Done.Call_, Done.AnswerBytes_, Done.Target_.has("chunked"));
+    const bool Cut = spoilAnswer(Answer, Rules_, Random_);
     Journal_.end(Done.Entry_, Cut ? RunEnd::CutShort : RunEnd::Whole);
-    send(Done, withIdentity(std::move(Answer), Done));
-  }
-
-  void send(const Work &Done, HttpAnswer Answer) {
     if (!drawShare(Rules_.LateShare_, Random_))
-      return Done.Exchange_->Answer_(std::move(Answer));
+      return reply(Done, std::move(Answer));
+    addIdentity(Answer, Done.Call_, Settings_.Vm_, report());
     auto Timer =
         std::make_shared<boost::asio::steady_timer>(Context_, Rules_.LateBy_);
     Timer->async_wait([Timer, Exchange = Done.Exchange_,
@@ -203,12 +170,18 @@
     });
   }
 
+  model::LoadReport report() const { return reportLoad(Slots_, Rules_, now()); }
+
+  void reply(const Work &To, HttpAnswer Answer) const {
+    addIdentity(Answer, To.Call_, Settings_.Vm_, report());
+    To.Exchange_->Answer_(std::move(Answer));
+  }
+
   void fail(WorkId Id) {
     const Work &Failed = Works_.at(Id);
     Journal_.end(Failed.Entry_, RunEnd::Failed);
     Failed.Exchange_->OnGone_ = nullptr;
-    Failed.Exchange_->Answer_(
-        withIdentity(textAnswer(500, "failed\n"), Failed));
+    reply(Failed, textAnswer(500, "failed\n"));
     release(Id);
   }
 
@@ -234,30 +207,8 @@
     release(Id);
   }
 
-  HttpAnswer withIdentity(HttpAnswer Answer, const Work &Of) const {
-    Answer.Fields_.push_back({headers::CallId, Of.Call_});
-    Answer.Fields_.push_back({headers::ServerVm, Settings_.Vm_});
-    Answer.Fields_.push_back(
-        {headers::LoadReport,
-         codec::toJson(reportLoad(Slots_, Rules_, now())).dump()});
-    return Answer;
-  }
-
-  void answerProbe(const Work &Probe) {
-    const Json Report = codec::toJson(reportLoad(Slots_, Rules_, now()));
-    const bool Health = Probe.Target_.Path_ == "/health";
-    const unsigned Status = Health && Rules_.Draining_ ? 503 : 200;
-    Probe.Exchange_->Answer_(withIdentity(jsonAnswer(Status, Report), Probe));
-  }
-
-  void noteProbe() {
-    ++Probes_;
-    const TimePoint Now = now();
-    if (Now - ProbeSecond_ >= std::chrono::seconds(1)) {
-      ProbeSecond_ = Now;
-      ProbesThisSecond_ = 0;
-    }
-    PeakProbes_ = std::max(PeakProbes_, ++ProbesThisSecond_);
+  void answerProbe(const Work &Probe) const {
+    reply(Probe, probeAnswer(Probe.Target_.Path_ == "/health", report()));
   }
 
   model::Problems changeRules(const Json &Body) {
@@ -321,10 +272,7 @@
   WorkId LastWork_ = 0;
   std::vector<std::function<void()>> Frozen_; ///< held until it thaws
   std::uint64_t Refused_ = 0;
-  std::uint64_t Probes_ = 0;
-  std::uint64_t PeakProbes_ = 0;
-  std::uint64_t ProbesThisSecond_ = 0;
-  TimePoint ProbeSecond_;
+  ProbeCounter Probes_;
   std::uint64_t Accepted_ = 0;
   std::function<bool(const ExchangePtr &, const Target &)> Admin_;
   std::unique_ptr<HttpServer> Server_;
@@ -387,8 +335,8 @@
   Out.Started_ = S.Journal_.started();
   Out.JournalDropped_ = S.Journal_.dropped();
   Out.Refused_ = S.Refused_;
-  Out.Probes_ = S.Probes_;
-  Out.PeakProbesPerSecond_ = S.PeakProbes_;
+  Out.Probes_ = S.Probes_.Total_;
+  Out.PeakProbesPerSecond_ = S.Probes_.PeakPerSecond_;
   Out.ConnectionsAccepted_ = S.Accepted_;
   return Out;
 }
--- /dev/null
+++ b/src/libcumingauge/emulator/probecounter.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "model/time.h"
+#include <algorithm>
+#include <cstdint>
+
+namespace cumingauge::emulator {
+
+/// Probes of one backend server, with the most within one second.
+struct ProbeCounter {
+  std::uint64_t Total_ = 0;
+  std::uint64_t PeakPerSecond_ = 0;
+  std::uint64_t ThisSecond_ = 0;
+  model::TimePoint SecondStarted_;
+};
+
+inline void countProbe(ProbeCounter &Counter, model::TimePoint Now) {
+  ++Counter.Total_;
+  if (Now - Counter.SecondStarted_ >= model::seconds(1)) {
+    Counter.SecondStarted_ = Now;
+    Counter.ThisSecond_ = 0;
+  }
+  Counter.PeakPerSecond_ =
+      std::max(Counter.PeakPerSecond_, ++Counter.ThisSecond_);
+}
+
+} // namespace cumingauge::emulator
--- a/src/libcumingauge/emulator/storeservice.cpp
+++ b/src/libcumingauge/emulator/storeservice.cpp
@@ -2,11 +2,11 @@
 #include "codec/describedjson.h"
 #include "emulator/jsonanswer.h"
 #include "emulator/ratelimiter.h"
+#include "emulator/storeanswers.h"
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <list>
-#include <openssl/evp.h>
 
 namespace cumingauge::emulator {
 
@@ -19,41 +19,14 @@
 constexpr milliseconds LeaseCheckPeriod{100};
 constexpr milliseconds DefaultWait{300000};
 constexpr milliseconds DefaultLease{10000};
-const std::string KeyPath = "/v1/kv/";
 
 model::TimePoint now() { return std::chrono::steady_clock::now(); }
 
-std::string base64(const std::string &Bytes) {
-  std::string Out(4 * ((Bytes.size() + 2) / 3) + 1, '\0');
-  const int Length =
-      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Out.data()),
-                      reinterpret_cast<const unsigned char *>(Bytes.data()),
-                      static_cast<int>(Bytes.size()));
-  Out.resize(static_cast<std::size_t>(Length));
-  return Out;
-}
-
-/// Reads "10s", "500ms" or "2m"; \p Default for anything else.
-milliseconds parseWait(const std::string &Text, milliseconds Default) {
-  std::size_t Used = 0;
-  long Number = 0;
-  try {
-    Number = std::stol(Text, &Used);
-  } catch (const std::exception &) {
-    return Default;
-  }
-  const std::string Unit = Text.substr(Used);
-  if (Unit == "ms")
-    return milliseconds(Number);
-  if (Unit == "s")
-    return std::chrono::seconds(Number);
-  return Unit == "m" ? milliseconds(std::chrono::minutes(Number)) : Default;
-}
-
 /// A watch that waits for a write or for its time to pass.
 struct Waiter {
   ExchangePtr Exchange_;
   Target Target_;
+  std::string Key_;
   std::uint64_t Seen_ = 0;
   model::TimePoint Deadline_;
 };
@@ -97,70 +70,31 @@
   void read(const ExchangePtr &Exchange, const Target &Where) {
     if (Where.Path_ == "/v1/catalog/nodes") {
       ++Counters_.VmLists_;
-      return answer(Exchange, jsonAnswer(200, vmList()));
+      return answer(Exchange, vmListAnswer(ServedVms_));
     }
-    if (Where.Path_.rfind(KeyPath, 0) != 0)
+    const auto Key = keyOfTarget(Where);
+    if (!Key)
       return answer(Exchange, textAnswer(404, "no such path"));
     if (!Where.has("index"))
-      return answer(Exchange, keyAnswer(Where));
+      return answer(Exchange, keyAnswer(Model_, Where, *Key));
+    watch({Exchange, Where, *Key, Where.number("index", 0),
+           now() + parseWait(Where.value("wait"), DefaultWait)});
+  }
+
+  void watch(const Waiter &New) {
     ++Counters_.Watches_;
-    const milliseconds Wait = parseWait(Where.value("wait"), DefaultWait);
-    Waiter New{Exchange, Where, Where.number("index", 0), now() + Wait};
     if (isDue(New))
-      return answer(Exchange, keyAnswer(Where));
+      return answer(New.Exchange_, keyAnswer(Model_, New.Target_, New.Key_));
     const auto Place = Waiters_.insert(Waiters_.end(), New);
-    Exchange->OnGone_ = [this, Place] { Waiters_.erase(Place); };
+    New.Exchange_->OnGone_ = [this, Place] { Waiters_.erase(Place); };
     arm();
   }
 
   bool isDue(const Waiter &Watch) const {
-    return isWatchDue(Model_, Watch.Target_.Path_.substr(KeyPath.size()),
-                      Watch.Target_.has("recurse") || Watch.Target_.has("keys"),
+    return isWatchDue(Model_, Watch.Key_, isRecursive(Watch.Target_),
                       Watch.Seen_);
   }
 
-  HttpAnswer keyAnswer(const Target &Where) const {
-    const std::string Key = Where.Path_.substr(KeyPath.size());
-    const bool Recurse = Where.has("recurse") || Where.has("keys");
-    std::vector<std::string> Keys;
-    if (Recurse)
-      Keys = keysWithPrefix(Model_, Key);
-    else if (findKey(Model_, Key))
-      Keys = {Key};
-    Json List = Json::array();
-    for (const std::string &Found : Keys)
-      List.push_back(Where.has("keys") ? Json(Found) : keyEntry(Found));
-    HttpAnswer Answer =
-        Keys.empty() ? textAnswer(404, "") : jsonAnswer(200, List);
-    const std::uint64_t Index = watchIndex(Model_, Key, Recurse);
-    Answer.Fields_.push_back(
-        {"X-Consul-Index", std::to_string(Index ? Index : Model_.Index_)});
-    return Answer;
-  }
-
-  Json keyEntry(const std::string &Key) const {
-    const StoredValue &Stored = Model_.Values_.at(Key);
-    Json Entry = {{"Key", Key},
-                  {"Value", base64(Stored.Value_)},
-                  {"Flags", 0},
-                  {"CreateIndex", Stored.CreateIndex_},
-                  {"ModifyIndex", Stored.ModifyIndex_}};
-    if (!Stored.Session_.empty())
-      Entry["Session"] = Stored.Session_;
-    return Entry;
-  }
-
-  Json vmList() const {
-    Json List = Json::array();
-    for (const ListedVm &Vm : ServedVms_)
-      List.push_back({{"Node", Vm.Vm_},
-                      {"Address", Vm.Address_},
-                      {"Meta",
-                       {{"leaving", Vm.Leaving_ ? "true" : "false"},
-                        {"role", Vm.Role_}}}});
-    return List;
-  }
-
   void write(const ExchangePtr &Exchange, const Target &Where) {
     if (Exchange->Request_.BodyBytes_ > Settings_.MaxValueBytes_)
       return answer(Exchange, textAnswer(413, "value too large"));
@@ -192,17 +126,16 @@
   }
 
   HttpAnswer applyToKey(const HttpRequest &Request, const Target &Where) {
-    if (Where.Path_.rfind(KeyPath, 0) != 0 ||
-        Where.Path_.size() == KeyPath.size())
+    const auto Key = keyOfTarget(Where);
+    if (!Key || Key->empty())
       return textAnswer(404, "no such path");
-    const std::string Key = Where.Path_.substr(KeyPath.size());
     std::optional<std::uint64_t> Cas;
     if (Where.has("cas"))
       Cas = Where.number("cas", 0);
     if (Request.Method_ == "DELETE")
-      return textAnswer(200, removeKey(Model_, Key, Cas) ? "true" : "false");
+      return textAnswer(200, removeKey(Model_, *Key, Cas) ? "true" : "false");
     const bool Written =
-        writeKey(Model_, {Key, Request.Body_, Cas, Where.value("acquire"),
+        writeKey(Model_, {*Key, Request.Body_, Cas, Where.value("acquire"),
                           Where.value("release")});
     return textAnswer(200, Written ? "true" : "false");
   }
@@ -236,7 +169,7 @@
         continue;
       }
       It->Exchange_->OnGone_ = nullptr;
-      answer(It->Exchange_, keyAnswer(It->Target_));
+      answer(It->Exchange_, keyAnswer(Model_, It->Target_, It->Key_));
       It = Waiters_.erase(It);
     }
   }
--- a/src/libcumingauge/emulator/svgplot.cpp
+++ b/src/libcumingauge/emulator/svgplot.cpp
@@ -180,14 +180,16 @@
       static_cast<double>(std::max<std::size_t>(1, Result.Timeline_.size()));
   for (const TimelineBucket &Bucket : Result.Timeline_) {
     const double X = timeX(Result, static_cast<double>(Bucket.AtMs_));
-    const auto Bar = [&](double Calls, const char *Colour) {
-      const double Tall = CallsPanelHeight * Calls * PerSecond / Max;
-      Out << "<rect x='" << X << "' y='" << Bottom - Tall << "' width='"
-          << BarWidth << "' height='" << Tall << "' fill='" << Colour
-          << "'/>\n";
+    const auto Bar = [&](std::uint64_t From, std::uint64_t To,
+                         const char *Colour) {
+      const double Scale = CallsPanelHeight * PerSecond / Max;
+      Out << "<rect x='" << X << "' y='"
+          << Bottom - Scale * static_cast<double>(To) << "' width='" << BarWidth
+          << "' height='" << Scale * static_cast<double>(To - From)
+          << "' fill='" << Colour << "'/>\n";
     };
-    Bar(static_cast<double>(Bucket.Calls_), "#d62728");
-    Bar(static_cast<double>(Bucket.Answered_), "#a8c8e4");
+    Bar(0, Bucket.Answered_, "#a8c8e4");
+    Bar(Bucket.Answered_, Bucket.Calls_, "#d62728");
   }
   line(Out, {Left, Bottom}, {Left + Inner, Bottom}, "stroke:#333");
   text(Out, {Left - 8, CallsPanelTop + 8}, number(std::round(Max)),
