--- a/src/libcumingauge/policy/reports.cpp
+++ b/src/libcumingauge/policy/reports.cpp
@@ -75,7 +75,9 @@
                            static_cast<double>(std::max<long long>(
                                Aging.Relaxation_.count(), 1)));
   const unsigned Since =
-      std::min(sendsAfter(Memory, Memory.TrueAt_), OwnInFlight);
+      OwnInFlight == 0
+          ? 0
+          : std::min(sendsAfter(Memory, Memory.TrueAt_), OwnInFlight);
   const double Expected = Usual + (Memory.Backlog_ - Usual) * Weight + Since;
   return {std::max(Expected, Own), Weight};
 }
