--- a/bench/policytable.py
+++ b/bench/policytable.py
@@ -44,4 +44,5 @@
         table(cells, field)
 
 
-main()
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/libcumingauge/policy/assessment.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "policy/balancerstate.h"
+#include "policy/choice.h"
+#include <limits>
+
+/// Whether a server will do for a call, and what a call there would cost.
+namespace cumingauge::policy {
+
+/// Result for one server.
+struct Assessment {
+  bool Usable_ = false;
+  double CostNs_ = std::numeric_limits<double>::infinity();
+};
+
+/// The figures that are the same for all servers of one choice.
+struct Comparison {
+  const BalancerState &State_;
+  pcg32 &Random_;
+  const ServiceRecord &Service_;
+  const ChoiceRequest &Request_;
+  model::TimePoint Now_;
+  double UsualNs_;
+  bool NeedsCost_ = true;
+  bool ExcludeTried_ = true;
+  bool AllowEjected_ = false;
+};
+
+/// Mean latency of the service's answers in ns, or a guess before the first.
+double usualLatency(const ServiceRecord &Service);
+
+Assessment assess(ServerHandle Handle, const Comparison &With);
+
+} // namespace cumingauge::policy
--- a/src/libcumingauge/policy/choice.cpp
+++ b/src/libcumingauge/policy/choice.cpp
@@ -1,7 +1,6 @@
 #include "policy/choice.h"
-#include "policy/limits.h"
+#include "policy/assessment.h"
 #include <algorithm>
-#include <cmath>
 #include <limits>
 
 namespace cumingauge::policy {
@@ -11,175 +10,40 @@
 /// Services up to this size are compared whole, larger ones by a sample.
 constexpr std::size_t CompareAllUpTo = 16;
 constexpr unsigned SampleSize = 8;
-/// Cost of a server whose answers all fail, in usual latencies.
-constexpr double FailureCost = 8;
-/// Mean age of the own calls at a server, in usual latencies, from which on
-/// it counts as slow before an answer proves it.
-constexpr double SuspiciousAge = 2;
-/// Cost of a full set of busy slots before any call waits, in usual
-/// latencies: reports are old, so an idle server beats a nearly busy one.
-constexpr double BusyCost = 0.5;
-/// A report loses most of its weight in this time. It must not grow with the
-/// latency: then old reports would count most just when queues swing.
-constexpr model::Duration Relaxation = model::milliseconds(10);
-/// Width of the draw over an unknown backlog, in square roots of the usual
-/// one.
-constexpr double UnknownSpread = 2;
-/// Part of the spread that is kept for a report that claims to be new.
-constexpr double LeastUnknown = 0.2;
-/// A thread within its share leaves a server out at this many times the
-/// fleet's limit. Estimates are old: at the limit itself most servers are left
-/// out in turn, and the calls herd on the rest.
-constexpr double FullAllowance = 2;
-constexpr std::uint32_t DrawRange = 1024;
-constexpr model::Duration UnknownLatency = model::milliseconds(5);
+std::uint32_t draw(BalancerState &State, std::size_t Below) {
+  return State.Random_(static_cast<std::uint32_t>(Below));
+}
 
-struct Assessment {
-  bool Usable_ = false;
+/// The cheapest usable server among those looked at.
+struct Cheapest {
+  ServerHandle Server_ = NoServer;
   double CostNs_ = std::numeric_limits<double>::infinity();
 };
 
-/// The figures that are the same for all servers of one choice.
-struct Comparison {
-  const BalancerState &State_;
-  pcg32 &Random_;
-  const ServiceRecord &Service_;
-  const ChoiceRequest &Request_;
-  model::TimePoint Now_;
-  double UsualNs_;
-  bool NeedsCost_ = true;
-  bool ExcludeTried_ = true;
-  bool AllowEjected_ = false;
-};
-
-double usualLatency(const ServiceRecord &Service) {
-  return Service.Latency_.Samples_ > 0
-             ? Service.Latency_.MeanNs_
-             : static_cast<double>(UnknownLatency.count());
-}
-
-bool wasTried(const CallFacts &Call, ServerHandle Server) {
-  return std::find(Call.Tried_.begin(), Call.Tried_.end(), Server) !=
-         Call.Tried_.end();
-}
-
-bool standingAllows(const ServerRecord &Server, const Comparison &With) {
-  if (With.AllowEjected_ || Server.Outlier_.Standing_ == Standing::Good)
-    return true;
-  return Server.Outlier_.Standing_ == Standing::Probation &&
-         Server.InFlight_ == 0 && With.Request_.Call_.Route_.Idempotent_;
-}
-
-bool capacityAllows(double Backlog, const ServerRecord &Server,
-                    const Comparison &With) {
-  const model::ServerLimits &Limits = With.State_.Preset_.Servers_;
-  switch (With.Request_.Capacity_) {
-  case Capacity::Any:
-    return true;
-  case Capacity::NotFull:
-    return !isFull(Backlog, FullAllowance * Server.Slots_, Limits);
-  case Capacity::Room:
-    return !isFull(Backlog, Server.Slots_, Limits);
-  case Capacity::FreeSlot:
-    return hasFreeSlot(Backlog, Server.Slots_);
-  }
-  return false;
-}
-
-/// Answers seen so far, or calls that are out for long without one.
-double slownessOf(const ServerRecord &Server, const Comparison &With) {
-  const double Seen = currentSlowness(Server.Slowness_, With.Now_);
-  if (Server.InFlight_ == 0)
-    return Seen;
-  const double MeanAgeNs = static_cast<double>(
-      With.Now_.time_since_epoch().count() -
-      Server.SentAtSum_ / static_cast<long long>(Server.InFlight_));
-  return std::max(Seen, MeanAgeNs / With.UsualNs_ / SuspiciousAge);
-}
-
-double costOf(const ServerRecord &Server, double Backlog,
-              const Comparison &With) {
-  const model::Preset &Preset = With.State_.Preset_;
-  const double Ramp =
-      rampFactor(Server, Preset.Ejection_.SlowStart_, With.Now_);
-  const double Slots = std::max(1.0, Server.Slots_ * Ramp);
-  const double Wait = std::max(0.0, Backlog + 1 - Slots) / Slots;
-  const double Failing =
-      Server.Outlier_.Standing_ == Standing::Good
-          ? FailureCost * recentFailureShare(Server.Outlier_, With.Now_)
-          : 0;
-  const double Latencies = 1 + Wait + BusyCost * Backlog / Slots + Failing;
-  const double ZoneNs =
-      Server.SameZone_
-          ? 0
-          : static_cast<double>(model::Duration(Preset.ZoneCost_).count());
-  return With.UsualNs_ * Latencies * slownessOf(Server, With) + ZoneNs;
-}
-
-/// A draw from what the backlog may be. Processes that know the same old
-/// figures then choose different servers.
-double plausibleBacklog(const ServerRecord &Server,
-                        const BacklogEstimate &Backlog,
-                        const Comparison &With) {
-  const double Usual = With.Service_.UsualLoad_ * Server.Slots_;
-  const double Unknown =
-      std::sqrt(Backlog.Weight_) * std::max(1 - Backlog.Weight_, LeastUnknown);
-  const double Draw = With.Random_(DrawRange) / double(DrawRange) - 0.5;
-  const double Noise = UnknownSpread * std::sqrt(Usual) * Unknown * Draw;
-  return std::max(Backlog.Calls_ + Noise, 0.0);
+void consider(ServerHandle Handle, const Comparison &With, Cheapest &Best) {
+  const Assessment Found = assess(Handle, With);
+  if (Found.Usable_ && Found.CostNs_ < Best.CostNs_)
+    Best = {Handle, Found.CostNs_};
 }
 
-Assessment assess(ServerHandle Handle, const Comparison &With) {
-  const ServerRecord &Server = With.State_.Servers_[Handle];
-  if (Server.Draining_ || !standingAllows(Server, With))
-    return {};
-  if (With.ExcludeTried_ && wasTried(With.Request_.Call_, Handle))
-    return {};
-  const BacklogEstimate Backlog =
-      backlogOf(With.State_, With.Service_, Server, With.Now_);
-  if (!capacityAllows(Backlog.Calls_, Server, With))
-    return {};
-  if (!With.NeedsCost_)
-    return {true, 0};
-  return {true, costOf(Server, plausibleBacklog(Server, Backlog, With), With)};
-}
-
-std::uint32_t draw(BalancerState &State, std::size_t Below) {
-  return State.Random_(static_cast<std::uint32_t>(Below));
-}
-
-/// Compares \p Count servers from a random place on.
-ServerHandle cheapestFrom(BalancerState &State, const Comparison &With,
-                          const std::vector<ServerHandle> &Pool) {
+/// Compares all servers, from a random place on so that ties are even.
+ServerHandle cheapestOfAll(BalancerState &State, const Comparison &With,
+                           const std::vector<ServerHandle> &Pool) {
   const std::size_t First = draw(State, Pool.size());
-  ServerHandle Best = NoServer;
-  double Least = std::numeric_limits<double>::infinity();
-  for (std::size_t I = 0; I < Pool.size(); ++I) {
-    const std::size_t Place = First + I;
-    const ServerHandle Handle =
-        Pool[Place < Pool.size() ? Place : Place - Pool.size()];
-    const Assessment Found = assess(Handle, With);
-    if (!Found.Usable_ || Found.CostNs_ >= Least)
-      continue;
-    Least = Found.CostNs_;
-    Best = Handle;
-  }
-  return Best;
+  Cheapest Best;
+  for (std::size_t I = First; I < Pool.size(); ++I)
+    consider(Pool[I], With, Best);
+  for (std::size_t I = 0; I < First; ++I)
+    consider(Pool[I], With, Best);
+  return Best.Server_;
 }
 
 ServerHandle cheapestOfSample(BalancerState &State, const Comparison &With,
                               const std::vector<ServerHandle> &Pool) {
-  ServerHandle Best = NoServer;
-  double Least = std::numeric_limits<double>::infinity();
-  for (unsigned I = 0; I < SampleSize; ++I) {
-    const ServerHandle Handle = Pool[draw(State, Pool.size())];
-    const Assessment Found = assess(Handle, With);
-    if (!Found.Usable_ || Found.CostNs_ >= Least)
-      continue;
-    Least = Found.CostNs_;
-    Best = Handle;
-  }
-  return Best;
+  Cheapest Best;
+  for (unsigned I = 0; I < SampleSize; ++I)
+    consider(Pool[draw(State, Pool.size())], With, Best);
+  return Best.Server_;
 }
 
 /// A usable server from a random place on; each is as likely as the next when
@@ -236,7 +100,7 @@
   case model::PickMethod::LeastInFlightOfTwo:
     return lessBusyOfTwo(State, With, Pool);
   case model::PickMethod::ExpectedWait:
-    return Pool.size() <= CompareAllUpTo ? cheapestFrom(State, With, Pool)
+    return Pool.size() <= CompareAllUpTo ? cheapestOfAll(State, With, Pool)
                                          : cheapestOfSample(State, With, Pool);
   }
   return NoServer;
@@ -259,15 +123,6 @@
 
 } // namespace
 
-BacklogEstimate backlogOf(const BalancerState &State,
-                          const ServiceRecord &Service,
-                          const ServerRecord &Server, model::TimePoint Now) {
-  const ReportAging Aging{Relaxation, State.Preset_.Measuring_.ReportMaxAge_,
-                          Service.ReportTrust_};
-  return expectedBacklog(Server.Report_, Service.UsualLoad_ * Server.Slots_,
-                         Server.InFlight_, Aging, Now);
-}
-
 Choice chooseServer(BalancerState &State, ServiceRecord &Service,
                     const ChoiceRequest &Request, model::TimePoint Now) {
   if (Service.Members_.empty())
@@ -281,19 +136,19 @@
                   State.Preset_.Pick_ == model::PickMethod::ExpectedWait};
   ServerHandle Found = byMethod(State, Service, With);
   if (Found == NoServer)
-    Found = cheapestFrom(State, With, Service.Members_);
+    Found = cheapestOfAll(State, With, Service.Members_);
   if (Found != NoServer)
     return {Found, reasonFor(State, Found)};
   if (Request.MayRepeat_ && !Request.Call_.Tried_.empty()) {
     With.ExcludeTried_ = false;
-    Found = cheapestFrom(State, With, Service.Members_);
+    Found = cheapestOfAll(State, With, Service.Members_);
     if (Found != NoServer)
       return {Found, ChoiceReason::TriedBefore};
   }
   if (Service.Ejected_ == 0 || !allEjected(State, Service))
     return {};
   With.AllowEjected_ = true;
-  return {cheapestFrom(State, With, Service.Members_),
+  return {cheapestOfAll(State, With, Service.Members_),
           ChoiceReason::LastResort};
 }
 
