Spoil answers in the demo and tell lost calls from spoilt answers

The demo had no server that breaks, doubles, delays, resets or fails its answers. With one (5 % each), the check that only the killed entry process loses callers' connections failed twice: it counted every broken transfer, also those of an answer that the server itself had broken off, which an entry process must pass on as broken. The check was wrong there. The load tool now judges by the journals: a call is lost on the way when its connection ended before any answer, or within an answer that the server had given whole. That stays 0 for all but the killed process, and is as strict for the entry processes as before.

--- a/scripts/demo/report.sh
+++ b/scripts/demo/report.sh
@@ -45,10 +45,10 @@
   expect "probes went over the budget" '.probes_per_s <= .probe_budget_per_s'
   expect "fewer than 98 of 100 calls were answered" '.answered >= 0.98 * .calls'
   jq -e .journalsComplete "$OUT/result.json" >/dev/null || fail "a journal is not complete"
-  jq -e ".entries[$STOPPED_ENTRY].connectionsLost == 0" "$OUT/result.json" >/dev/null ||
+  jq -e ".entries[$STOPPED_ENTRY].lostOnTheWay == 0" "$OUT/result.json" >/dev/null ||
     fail "the stopped entry process cut callers off"
-  jq -e "[.entries[].connectionsLost] as \$lost | (\$lost | add) == \$lost[$KILLED_ENTRY]" "$OUT/result.json" >/dev/null ||
-    fail "entry processes other than the killed one lost callers' connections"
+  jq -e "[.entries[].lostOnTheWay] as \$lost | (\$lost | add) == \$lost[$KILLED_ENTRY]" "$OUT/result.json" >/dev/null ||
+    fail "entry processes other than the killed one lost calls on the way"
 }
 
 report() {
--- a/scripts/demo/settings.sh
+++ b/scripts/demo/settings.sh
@@ -42,6 +42,7 @@
 DRAINING=$SECOND-03  # says itself that it drains
 VICTIM=$FIRST-07     # its process is killed
 FROZEN=$SECOND-09    # answers nothing for a while
+FAULTY=$FIRST-11     # breaks, doubles, delays and fails some of its answers
 
 ctl() { "$BIN/cumingaugectl" --settings="$OUT/ctl.json" "$@"; }
 
@@ -124,13 +125,15 @@
 }
 
 write_plan() {
-  jq -n --argjson routes "$ROUTES" --argjson seconds "$LOAD_SECONDS" --arg frozen "$FROZEN" \
+  jq -n --argjson routes "$ROUTES" --argjson seconds "$LOAD_SECONDS" --arg frozen "$FROZEN" --arg faulty "$FAULTY" \
     --slurpfile entries "$OUT/entries.json" --argjson admin "$BACKEND_ADMIN" --arg file "$OUT/victim.journal" '{
       seed: 1, durationMs: ($seconds * 1000), callers: 200, routes: $routes,
       entries: [$entries[0][] | {port: .listen, adminPort: .admin}],
       phases: [{name: "ordinary"}, {name: "peak", fromMs: 3000, rateFactor: 1.5},
                {name: "maintenance", fromMs: 20000, rateFactor: 0.7}],
       actions: [
+        {atMs: 6500, label: "\($faulty) spoils answers", port: $admin, target: "/servers/\($faulty)/control",
+         body: {cutShare: 0.05, twiceShare: 0.05, resetShare: 0.05, failShare: 0.05, lateShare: 0.05, lateByMs: 1500}},
         {atMs: 12000, label: "\($frozen) freezes", port: $admin, target: "/servers/\($frozen)/control", body: {frozen: true}},
         {atMs: 16000, label: "\($frozen) thaws", port: $admin, target: "/servers/\($frozen)/control", body: {frozen: false}}],
       journals: [{port: $admin}, {file: $file}]}' >"$OUT/plan.json"
--- a/src/cumingauge-load/experiment.cpp
+++ b/src/cumingauge-load/experiment.cpp
@@ -122,10 +122,12 @@
     for (std::size_t I = 0; I < Reports[Thread].Outcomes_.size(); ++I) {
       const std::string Call = callName(Run, Thread, I);
       const auto Found = Runs.find(Call);
+      const auto &RunsOfCall = Found == Runs.end() ? None : Found->second;
       const CallOutcome &Outcome = Reports[Thread].Outcomes_[I];
-      addToVerdict(Out.Verdict_, Call, Outcome,
-                   Found == Runs.end() ? None : Found->second,
+      addToVerdict(Out.Verdict_, Call, Outcome, RunsOfCall,
                    Plan.Routes_[Outcome.Route_]);
+      if (isLostOnTheWay(Outcome, RunsOfCall))
+        ++Out.Entries_[Outcome.Entry_].LostOnTheWay_;
     }
 }
 
--- a/src/libcumingauge/emulator/loadresult.cpp
+++ b/src/libcumingauge/emulator/loadresult.cpp
@@ -150,12 +150,8 @@
   for (const EntryAddress &Entry : Plan.Entries_)
     Out.Entries_.push_back(
         {Entry.Host_ + ":" + std::to_string(Entry.Port_), 0, 0});
-  for (const CallOutcome &One : Outcomes) {
-    EntryResult &Entry = Out.Entries_[One.Entry_];
-    ++Entry.Calls_;
-    if (One.Told_ == Told::ConnectionLost || One.Told_ == Told::BrokenAnswer)
-      ++Entry.ConnectionsLost_;
-  }
+  for (const CallOutcome &One : Outcomes)
+    ++Out.Entries_[One.Entry_].Calls_;
   for (const LoadAction &Action : Plan.Actions_)
     Out.Marks_.push_back(
         {static_cast<std::uint64_t>(Action.At_.count()),
--- a/src/libcumingauge/emulator/loadresult.h
+++ b/src/libcumingauge/emulator/loadresult.h
@@ -69,9 +69,9 @@
 struct EntryResult {
   std::string Address_;
   std::uint64_t Calls_ = 0;
-  std::uint64_t ConnectionsLost_ = 0; ///< with a call in flight
+  std::uint64_t LostOnTheWay_ = 0; ///< see isLostOnTheWay
 };
-BOOST_DESCRIBE_STRUCT(EntryResult, (), (Address_, Calls_, ConnectionsLost_))
+BOOST_DESCRIBE_STRUCT(EntryResult, (), (Address_, Calls_, LostOnTheWay_))
 
 /// A time worth a line in the plot.
 struct TimeMark {
@@ -113,7 +113,7 @@
 /// Name of an outcome: the result code where there is one.
 std::string outcomeName(const CallOutcome &Outcome);
 
-/// Latency and outcome parts of the result; the verdict and the servers are
+/// Latency and outcome parts of the result; what needs the journals is
 /// added by whoever has the journals.
 LoadResult summarize(const LoadPlan &Plan,
                      const std::vector<CallOutcome> &Outcomes);
--- a/src/libcumingauge/emulator/verdict.cpp
+++ b/src/libcumingauge/emulator/verdict.cpp
@@ -69,6 +69,15 @@
   return Found;
 }
 
+bool isLostOnTheWay(const CallOutcome &Outcome,
+                    const std::vector<JournalEntry> &Runs) {
+  if (Outcome.Told_ == Told::BrokenAnswer)
+    return std::all_of(Runs.begin(), Runs.end(), [](const JournalEntry &Run) {
+      return Run.End_ == RunEnd::Whole;
+    });
+  return Outcome.Told_ == Told::ConnectionLost;
+}
+
 void addToVerdict(Verdict &Sum, const std::string &Call,
                   const CallOutcome &Outcome,
                   const std::vector<JournalEntry> &Runs,
--- a/src/libcumingauge/emulator/verdict.h
+++ b/src/libcumingauge/emulator/verdict.h
@@ -48,6 +48,11 @@
                              const std::vector<JournalEntry> &Runs,
                              bool Idempotent);
 
+/// True when the way to the caller lost the call: its connection ended before
+/// any answer, or within an answer that the server had given whole.
+bool isLostOnTheWay(const CallOutcome &Outcome,
+                    const std::vector<JournalEntry> &Runs);
+
 /// Adds one call to the verdict.
 void addToVerdict(Verdict &Sum, const std::string &Call,
                   const CallOutcome &Outcome,
