Do not hold a caller's short deadline against a server

Cause: any timeout counted as a failure, so calls with a few ms left could have healthy servers ejected up to the ceiling. A report of a leaving server with other slots changed the service's sum. Change: a timeout counts from three usual latencies on; slots are only summed over servers that get new work. Conclusion: kept; the test fails when every timeout counts.

--- a/src/libcumingauge/policy/learning.cpp
+++ b/src/libcumingauge/policy/learning.cpp
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr double UsualLoadGain = 0.05;
+/// A timeout counts against the server from this many usual latencies on.
+constexpr double SlowTimeout = 3;
 constexpr double TrustLoss = 0.5;    ///< per report proved wrong
 constexpr double TrustGain = 0.0003; ///< of what is missing, per other report
 
@@ -14,10 +16,6 @@
          End == AttemptEnd::ConnectFailed || End == AttemptEnd::TimedOut;
 }
 
-bool isOutcome(AttemptEnd End) {
-  return End == AttemptEnd::Answered || isFailure(End);
-}
-
 /// How this latency compares with the usual one of the route; 1 when unknown.
 double ratioToUsual(const RouteLatency &Usual, model::Duration Latency) {
   return Usual.MeanNs_ > 0
@@ -25,6 +23,14 @@
              : 1;
 }
 
+/// True when the end says something about the server. A call with so little
+/// time that a usual answer would have been late says nothing.
+bool isOutcome(const RouteLatency &Usual, const AttemptOutcome &Outcome) {
+  if (Outcome.End_ == AttemptEnd::TimedOut && Usual.MeanNs_ > 0)
+    return ratioToUsual(Usual, Outcome.Latency_) >= SlowTimeout;
+  return Outcome.End_ == AttemptEnd::Answered || isFailure(Outcome.End_);
+}
+
 void learnLatency(BalancerState &State, ServiceRecord &Service,
                   ServerRecord &Server, const AttemptOutcome &Outcome,
                   model::TimePoint Now) {
@@ -112,7 +118,7 @@
                ServerRecord &Server, const AttemptOutcome &Outcome,
                model::TimePoint Now) {
   learnLatency(State, Service, Server, Outcome, Now);
-  if (isOutcome(Outcome.End_))
+  if (isOutcome(latencyOf(Service, Outcome.Call_.Route_.Name_), Outcome))
     learnOutcome(State, Service, Server, Outcome.End_, Now);
   if (Outcome.End_ == AttemptEnd::Shed)
     learnShed(State, Service, Server, Now);
@@ -132,7 +138,8 @@
   ServiceRecord &Service = State.Services_[Server.Service_];
   judgeReports(Service, ProvedWrong);
   if (Report.Slots_ > 0 && Report.Slots_ != Server.Slots_) {
-    Service.Slots_ += Report.Slots_ - Server.Slots_;
+    if (Server.Present_ && !Server.Leaving_)
+      Service.Slots_ += Report.Slots_ - Server.Slots_;
     Server.Slots_ = Report.Slots_;
   }
   const double Load = Server.Report_.Backlog_ / Server.Slots_;
--- a/tests/policy/outliertest.cpp
+++ b/tests/policy/outliertest.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(neverEjectsMoreThanTheCeiling);
   CPPUNIT_TEST(stillServesWhenEveryServerFails);
   CPPUNIT_TEST(letsItBackAfterAFewGoodAnswers);
+  CPPUNIT_TEST(isNotMovedByCallersInTooGreatAHurry);
   CPPUNIT_TEST_SUITE_END();
 
   static std::shared_ptr<BalancerState> balancer(unsigned Servers) {
@@ -117,6 +118,25 @@
                          counted(*State, ChoiceReason::ServerReturned));
     CPPUNIT_ASSERT(Used > 200); // an even share would be 500
   }
+
+  /// Calls whose time ends before a usual answer eject no server; calls that
+  /// waited far longer than usual do.
+  void isNotMovedByCallersInTooGreatAHurry() {
+    for (const long long TimeMs : {3, 100}) {
+      const auto State = balancer(10);
+      for (CallId Id = 0; Id < 100; ++Id)
+        callOnce(*State, Id, at(0), {});
+      for (CallId Id = 0; Id < 400; ++Id) {
+        const auto Now = at(static_cast<long long>(Id) * 10);
+        const CallFacts Call = callAt(Id, Now);
+        const Decision Made = admit(*State, Call, Now);
+        endAttempt(*State, Call, Made.Server_, AttemptEnd::TimedOut,
+                   model::milliseconds(TimeMs), Now);
+      }
+      const bool Ejected = counted(*State, ChoiceReason::ServerEjected) > 0;
+      CPPUNIT_ASSERT_EQUAL(TimeMs > 30, Ejected);
+    }
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(LeavingAFailingServerOut);
 
