--- a/scripts/demo/settings.sh
+++ b/scripts/demo/settings.sh
@@ -82,9 +82,10 @@
 
 entry_settings() {
   jq -n --argjson n "$1" --arg d "$DEPLOYMENT" --argjson zones "$ZONES" --argjson base "$PEER_BASE" \
+    --argjson listen "$((LISTEN_BASE + $1))" --argjson admin "$((ADMIN_BASE + $1))" \
     --argjson seeds "$SEEDS" --argjson store "$STORE_PORT" --arg key "$KEY" '{
       log: {level: "warning"}, trafficThreads: 1,
-      listen: {port: 0}, admin: {port: 0},
+      listen: {port: $listen}, admin: {port: $admin},
       control: {process: "\($d)-entry-\($n + 1)", zone: $zones[$n % ($zones | length)],
                 region: $d, peer: {port: ($base + $n)}, store: {port: $store}, key: $key,
                 seedPeers: [range($seeds) | {port: ($base + .)}]}}' >"$OUT/entry-$1.json"
@@ -92,14 +93,14 @@
 
 start_entries() {
   local N
-  PEER_BASE=$(free_ports "$ENTRIES")
+  PEER_BASE=$(free_ports $((3 * ENTRIES)))
+  LISTEN_BASE=$((PEER_BASE + ENTRIES))
+  ADMIN_BASE=$((LISTEN_BASE + ENTRIES))
   for N in $(seq 0 $((ENTRIES - 1))); do
     entry_settings "$N"
-    start "entry-$N" "$BIN/cumingauged" --settings "$OUT/entry-$N.json" --port-file "$OUT/entry-$N.ports"
+    start "entry-$N" "$BIN/cumingauged" --settings "$OUT/entry-$N.json"
     ENTRY_PIDS+=("$PID")
   done
-  for N in $(seq 0 $((ENTRIES - 1))); do wait_for 20 test -s "$OUT/entry-$N.ports"; done
-  jq -s . $(seq -f "$OUT/entry-%g.ports" 0 $((ENTRIES - 1))) >"$OUT/entries.json"
 }
 
 initialize_deployment() {
@@ -115,7 +116,7 @@
   ctl init "$OUT/deployment.json" >"$OUT/init.txt"
 }
 
-is_entry_ready() { curl -sf -o /dev/null -m 1 "http://127.0.0.1:$(jq .admin "$OUT/entry-$1.ports")/readyz"; }
+is_entry_ready() { curl -sf -o /dev/null -m 1 "http://127.0.0.1:$((ADMIN_BASE + $1))/readyz"; }
 
 wait_until_ready() {
   local N
@@ -126,9 +127,9 @@
 
 write_plan() {
   jq -n --argjson routes "$ROUTES" --argjson seconds "$LOAD_SECONDS" --arg frozen "$FROZEN" --arg faulty "$FAULTY" \
-    --slurpfile entries "$OUT/entries.json" --argjson admin "$BACKEND_ADMIN" --arg file "$OUT/victim.journal" '{
+    --argjson n "$ENTRIES" --argjson listen "$LISTEN_BASE" --argjson ready "$ADMIN_BASE" --argjson admin "$BACKEND_ADMIN" --arg file "$OUT/victim.journal" '{
       seed: 1, durationMs: ($seconds * 1000), callers: 200, routes: $routes,
-      entries: [$entries[0][] | {port: .listen, adminPort: .admin}],
+      entries: [range($n) | {port: ($listen + .), adminPort: ($ready + .)}],
       phases: [{name: "ordinary"}, {name: "peak", fromMs: 3000, rateFactor: 1.5},
                {name: "maintenance", fromMs: 20000, rateFactor: 0.7}],
       actions: [
