--- a/src/libcumingauge/adapters/controlruntime.h
+++ b/src/libcumingauge/adapters/controlruntime.h
@@ -81,6 +81,9 @@
 
   virtual ControlFigures figures() const = 0;
 
+  /// Port that peer and operator links are accepted on.
+  virtual std::uint16_t peerPort() const = 0;
+
   /// Says goodbye to the fleet and joins the thread.
   virtual void stop() = 0;
 };
--- a/src/libcumingauge/adapters/peercodec.cpp
+++ b/src/libcumingauge/adapters/peercodec.cpp
@@ -1,5 +1,7 @@
 #include "adapters/peercodec.h"
 #include "adapters/cborshape.h"
+#include <algorithm>
+#include <websocketpp/utf8_validator.hpp>
 
 namespace cumingauge::adapters {
 
@@ -12,6 +14,29 @@
       PeerCodecError{Code, {{"", std::move(Message)}}});
 }
 
+bool isUtf8(const std::string &Text) {
+  return websocketpp::utf8_validator::validate(Text);
+}
+
+/// True when every text in a document of bounded depth is UTF-8.
+bool hasOnlyUtf8(const Json &Value) {
+  if (Value.is_string())
+    return isUtf8(Value.get_ref<const std::string &>());
+  if (Value.is_array())
+    return std::all_of(Value.begin(), Value.end(), hasOnlyUtf8);
+  const auto Items = Value.items();
+  return !Value.is_object() ||
+         std::all_of(Items.begin(), Items.end(), [](const auto &Item) {
+           return isUtf8(Item.key()) && hasOnlyUtf8(Item.value());
+         });
+}
+
+/// A chunk of a state is cut without regard to its characters.
+bool isStateChunk(const Json &Document) {
+  return Document.is_object() &&
+         Document.value("kind", Json()) == control::StateChunk::Kind;
+}
+
 } // namespace
 
 boost::leaf::result<Json> parseCbor(const std::string &Bytes) {
@@ -25,6 +50,9 @@
                                   /*allow_exceptions=*/false);
   if (Document.is_discarded())
     return fail(model::ResultCode::PeerMessageMalformed, "not valid CBOR");
+  if (!isStateChunk(Document) && !hasOnlyUtf8(Document))
+    return fail(model::ResultCode::PeerMessageMalformed,
+                "text that is not UTF-8");
   return Document;
 }
 
--- a/src/libcumingauge/adapters/storeprotocol.cpp
+++ b/src/libcumingauge/adapters/storeprotocol.cpp
@@ -46,6 +46,8 @@
   while (Padding < 2 && Padding < Text.size() &&
          Text[Text.size() - 1 - Padding] == '=')
     ++Padding;
+  if (Text.find('=') < Text.size() - Padding)
+    return std::nullopt;
   Out.resize(static_cast<std::size_t>(Length) - Padding);
   return Out;
 }
--- a/tests/peer/peercodectest.cpp
+++ b/tests/peer/peercodectest.cpp
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(isRefusedWithBytesAfterItsEnd);
   CPPUNIT_TEST(isRefusedWithAnUnknownKeyOrKind);
   CPPUNIT_TEST(isRefusedWithAWrongType);
+  CPPUNIT_TEST(isRefusedWithTextThatIsNoUtf8);
   CPPUNIT_TEST(isRefusedWhenTooLarge);
   CPPUNIT_TEST_SUITE_END();
 
@@ -83,6 +84,17 @@
           ResultCode::PeerMessageMalformed);
   }
 
+  void isRefusedWithTextThatIsNoUtf8() {
+    control::Entries Entries;
+    Entries.Changes_.resize(1);
+    Entries.Changes_[0].Author_ = "\xff";
+    CPPUNIT_ASSERT(refusalOf(encodePeerMessage(Entries)) ==
+                   ResultCode::PeerMessageMalformed);
+    // A piece of a state may end within a character.
+    CPPUNIT_ASSERT(refusalOf(encodePeerMessage(control::StateChunk{
+                       1, 0, 2, "\xc3"})) == ResultCode::Ok);
+  }
+
   void isRefusedWhenTooLarge() {
     control::StateChunk Chunk;
     Chunk.Bytes_.assign(adapters::MaxPeerMessageBytes, 'x');
--- a/tests/support/testmain.cpp
+++ b/tests/support/testmain.cpp
@@ -1,3 +1,4 @@
+#include "adapters/log.h"
 #include <cppunit/BriefTestProgressListener.h>
 #include <cppunit/CompilerOutputter.h>
 #include <cppunit/TestResult.h>
@@ -11,6 +12,8 @@
 /// RC_PARAMS overrides the fixed seed of the property tests.
 int main(int Argc, char **Argv) {
   setenv("RC_PARAMS", "seed=20261204", /*overwrite=*/0);
+  using namespace cumingauge::adapters;
+  startLog({LogLevel::Error, LogFormat::Text}, "test");
   CppUnit::TestResult Result;
   CppUnit::TestResultCollector Collector;
   CppUnit::BriefTestProgressListener Progress;
