Add the operators' client

cumingaugectl reads and writes presets, servers and whole deployments, shows the state of every VM, what became of a change, and the time line of all processes as text, JSON or one self-contained page.

--- /dev/null
+++ b/src/cumingaugectl/ctlsettings.cpp
@@ -0,0 +1,30 @@
+#include "ctlsettings.h"
+#include "adapters/peerhandshake.h"
+
+namespace cumingauge::ctl {
+
+namespace {
+
+void checkTime(model::milliseconds Value, const std::string &Path,
+               model::Problems &Found) {
+  if (Value <= model::milliseconds::zero())
+    Found.push_back({Path, "must be above 0"});
+}
+
+} // namespace
+
+model::Problems checkSettings(const CtlSettings &Settings) {
+  model::Problems Found;
+  if (Settings.Key_.size() < adapters::MinKeyBytes)
+    Found.push_back({"/key", "must have at least " +
+                                 std::to_string(adapters::MinKeyBytes) +
+                                 " bytes"});
+  if (Settings.Author_.empty())
+    Found.push_back({"/author", "must not be empty"});
+  checkTime(Settings.ChangeTimeout_, "/changeTimeoutMs", Found);
+  checkTime(Settings.PeerTimeout_, "/peerTimeoutMs", Found);
+  checkTime(Settings.WaitTimeout_, "/waitTimeoutMs", Found);
+  return Found;
+}
+
+} // namespace cumingauge::ctl
--- /dev/null
+++ b/src/cumingaugectl/fleetsummary.cpp
@@ -0,0 +1,53 @@
+#include "fleetsummary.h"
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace cumingauge::ctl {
+
+namespace {
+
+using ServerKey = std::pair<std::string, std::string>; // name, VM
+
+void addServers(const model::ProcessStatus &Status,
+                std::map<ServerKey, LeavingSummary> &Servers) {
+  for (const model::ServerActivity &Seen : Status.Servers_) {
+    LeavingSummary &Sum = Servers[{Seen.Server_, Seen.Vm_}];
+    Sum.Server_ = Seen.Server_;
+    Sum.Vm_ = Seen.Vm_;
+    Sum.InFlight_ += Seen.InFlight_;
+    Sum.BusyVms_ += Seen.InFlight_ > 0 ? 1 : 0;
+    Sum.LeavingOnVms_ += Seen.Leaving_ ? 1 : 0;
+  }
+}
+
+} // namespace
+
+FleetSummary summarize(const std::vector<ProcessReply> &Replies) {
+  FleetSummary Out;
+  std::map<ServerKey, LeavingSummary> Servers;
+  Out.ExpectedVms_ = static_cast<unsigned>(Replies.size());
+  for (const ProcessReply &Reply : Replies) {
+    if (!Reply.Status_)
+      continue;
+    const model::ProcessStatus &Status = *Reply.Status_;
+    ++Out.AnsweredVms_;
+    Out.ExpectedVms_ = std::max(Out.ExpectedVms_, Status.FleetSize_);
+    Out.NewestVersion_ = std::max(Out.NewestVersion_, Status.Version_);
+    Out.Presets_.insert(Status.Preset_);
+    Out.VmsWithoutStore_ += Status.StoreAway_ ? 1 : 0;
+    addServers(Status, Servers);
+  }
+  for (const ProcessReply &Reply : Replies)
+    if (Reply.Status_ && Reply.Status_->Version_ == Out.NewestVersion_)
+      ++Out.VmsAtNewest_;
+  for (auto &[Key, Sum] : Servers) {
+    Sum.SafeToSwitchOff_ =
+        Sum.InFlight_ == 0 && Sum.LeavingOnVms_ >= Out.ExpectedVms_;
+    if (Sum.LeavingOnVms_ > 0)
+      Out.Leaving_.push_back(Sum);
+  }
+  return Out;
+}
+
+} // namespace cumingauge::ctl
--- /dev/null
+++ b/src/cumingaugectl/storecalls.cpp
@@ -0,0 +1,47 @@
+#include "storecalls.h"
+#include "adapters/storeclient.h"
+#include <boost/asio/io_context.hpp>
+#include <optional>
+
+namespace cumingauge::ctl {
+
+struct StoreCallsState {
+  explicit StoreCallsState(const adapters::StoreClientSettings &Settings)
+      : Store_(adapters::makeStoreClient(Io_, Settings)) {}
+
+  boost::asio::io_context Io_{1};
+  ports::Store Store_;
+};
+
+namespace {
+
+adapters::StoreClientSettings clientSettings(const CtlSettings &Settings) {
+  adapters::StoreClientSettings Out;
+  Out.Host_ = Settings.Store_.Host_;
+  Out.Port_ = Settings.Store_.Port_;
+  return Out;
+}
+
+} // namespace
+
+StoreCalls::StoreCalls(const CtlSettings &Settings)
+    : State_(std::make_unique<StoreCallsState>(clientSettings(Settings))) {}
+
+StoreCalls::~StoreCalls() = default;
+
+ports::StoreResponse StoreCalls::call(const ports::StoreRequest &Request) {
+  std::optional<ports::StoreResponse> Answer;
+  State_->Store_.Execute_(Request, [&](const ports::StoreResponse &Response) {
+    Answer = Response;
+  });
+  State_->Io_.restart();
+  while (!Answer && State_->Io_.run_one() > 0) {
+  }
+  if (Answer)
+    return *Answer;
+  ports::StoreResponse Lost;
+  Lost.Code_ = model::ResultCode::StoreTimeout;
+  return Lost;
+}
+
+} // namespace cumingauge::ctl
