Add the entry process program

Cause: control, traffic and the admin port existed without a program. Change: cumingauged with checked settings, a port file, readiness and a clean stop on SIGTERM. Result: by hand, one store, two backend servers, one entry process: a search is answered with code 0, a second preset is in force when cumingaugectl returns, SIGTERM ends with status 0.

--- /dev/null
+++ b/src/cumingauged/entryprocess.cpp
@@ -0,0 +1,158 @@
+#include "entryprocess.h"
+#include "adapters/adminserver.h"
+#include "adapters/log.h"
+#include "adapters/metricspage.h"
+#include "codec/describedjson.h"
+#include <boost/asio/post.hpp>
+#include <set>
+#include <xxhash.h>
+
+namespace cumingauge {
+
+namespace {
+
+model::TimePoint now() { return std::chrono::steady_clock::now(); }
+
+std::size_t countServices(const model::ConfigState &Config) {
+  std::set<std::string> Services;
+  for (const auto &Entry : Config.Servers_)
+    Services.insert(Entry.second.Service_);
+  return Services.size();
+}
+
+double probeBudget(const model::ConfigState &Config) {
+  const model::Preset *Preset = model::presetInForce(Config);
+  return Preset ? Preset->Measuring_.ProbesPerSecond_ *
+                      static_cast<double>(countServices(Config))
+                : 0;
+}
+
+adapters::TrafficSettings
+trafficSettings(const adapters::DaemonSettings &Settings) {
+  adapters::TrafficSettings Out;
+  Out.Listen_ = Settings.Listen_;
+  Out.Threads_ = Settings.TrafficThreads_;
+  Out.Limits_ = Settings.Http_;
+  Out.Zone_ = Settings.Control_.Zone_;
+  const std::string &Name = Settings.Control_.Process_;
+  Out.Seed_ =
+      XXH64(Name.data(), Name.size(),
+            static_cast<std::uint64_t>(now().time_since_epoch().count()));
+  return Out;
+}
+
+} // namespace
+
+EntryProcess::EntryProcess(boost::asio::io_context &Io,
+                           const adapters::DaemonSettings &Settings)
+    : Io_(Io), Settings_(Settings),
+      Ring_(std::make_shared<adapters::EventRing>(
+          Settings.Control_.Process_, Settings.Control_.EventRingSize_)) {}
+
+EntryProcess::Ports EntryProcess::start() {
+  Ring_->record(model::EventKind::ProcessStarted, Settings_.Control_.Process_,
+                0, model::ResultCode::Ok, CUMINGAUGE_VERSION);
+  adapters::HttpTraffic::Hooks Hooks;
+  Hooks.IsFresh_ = [this](model::TimePoint Now) { return isFresh(Now); };
+  Hooks.NoteSighting_ = [this](control::ServerSighting Sighting) {
+    if (auto *Control = StartedControl_.load())
+      Control->noteSighting(std::move(Sighting));
+  };
+  Hooks.Events_ = Ring_->sink();
+  Traffic_ = adapters::startTraffic(trafficSettings(Settings_), Hooks);
+  startControlThread();
+  adapters::AdminHooks Pages;
+  Pages.IsHealthy_ = [this] { return StartedControl_.load() != nullptr; };
+  Pages.IsReady_ = [this] { return isReady(); };
+  Pages.Metrics_ = [this] { return renderMetricsPage(); };
+  Pages.BalancerPage_ = [this] { return renderBalancerPage(); };
+  Ports Bound;
+  Bound.Listen_ = Traffic_->port();
+  Bound.Admin_ = adapters::startAdminServer(Io_, Settings_.Admin_.Host_,
+                                            Settings_.Admin_.Port_, Pages);
+  return Bound;
+}
+
+void EntryProcess::drain(std::function<void()> Done) {
+  Stopping_ = true;
+  Ring_->record(model::EventKind::ProcessStopping, Settings_.Control_.Process_,
+                0, model::ResultCode::Ok, "");
+  Traffic_->drain(
+      [&Io = Io_, Done = std::move(Done)] { boost::asio::post(Io, Done); });
+}
+
+void EntryProcess::stop() {
+  if (Control_)
+    Control_->stop();
+  if (Traffic_)
+    Traffic_->stop();
+}
+
+void EntryProcess::startControlThread() {
+  adapters::ControlRuntime::Hooks Hooks;
+  Hooks.OnView_ = [this](std::shared_ptr<const model::ControlView> View) {
+    takeView(View);
+  };
+  Hooks.OnSightings_ =
+      [this](const std::vector<control::ServerSighting> &Sightings) {
+        Traffic_->noteSightings(Sightings);
+      };
+  Hooks.Activity_ = [this] { return Traffic_->activity(); };
+  Hooks.IsReady_ = [this] { return isReady(); };
+  Control_ = adapters::startControl(Settings_.Control_, Hooks, Ring_);
+  StartedControl_ = Control_.get();
+}
+
+void EntryProcess::takeView(
+    const std::shared_ptr<const model::ControlView> &View) {
+  {
+    const std::lock_guard<std::mutex> Lock(ViewMutex_);
+    View_ = View;
+  }
+  Traffic_->applyView(View);
+  if (!model::presetInForce(*View->Config_) || HasPreset_.exchange(true))
+    return;
+  Ring_->record(model::EventKind::ProcessReady, Settings_.Control_.Process_,
+                View->Config_->Version_, model::ResultCode::Ok, "");
+}
+
+bool EntryProcess::isFresh(model::TimePoint Now) const {
+  const auto *Control = StartedControl_.load();
+  return Control && Control->isFresh(Now);
+}
+
+bool EntryProcess::isReady() const {
+  return !Stopping_ && HasPreset_ && isFresh(now());
+}
+
+std::shared_ptr<const model::ControlView> EntryProcess::view() const {
+  const std::lock_guard<std::mutex> Lock(ViewMutex_);
+  return View_;
+}
+
+std::string EntryProcess::renderMetricsPage() const {
+  adapters::MetricsInput Input;
+  Input.Traffic_ = Traffic_->figures();
+  Input.Control_ = Control_->figures();
+  Input.Ready_ = isReady();
+  if (const auto View = view())
+    Input.ProbeBudgetPerSecond_ = probeBudget(*View->Config_);
+  Input.ResidentBytes_ = adapters::residentBytes();
+  Input.EventsDropped_ = Ring_->dropped();
+  return adapters::renderMetrics(Input);
+}
+
+std::string EntryProcess::renderBalancerPage() const {
+  const traffic::TrafficFigures Figures = Traffic_->figures();
+  return codec::Json{{"process", Settings_.Control_.Process_},
+                     {"zone", Settings_.Control_.Zone_},
+                     {"ready", isReady()},
+                     {"stopping", Stopping_.load()},
+                     {"callsInFlight", Figures.InFlight_},
+                     {"callsQueued", Figures.Queued_},
+                     {"callerConnections", Figures.CallerConnections_}}
+             .dump() +
+         "\n";
+}
+
+} // namespace cumingauge
--- /dev/null
+++ b/src/cumingauged/entryprocess.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "adapters/controlruntime.h"
+#include "adapters/daemonsettings.h"
+#include "adapters/eventring.h"
+#include "adapters/httptraffic.h"
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace cumingauge {
+
+/// Puts the control thread, the traffic threads and the admin port of one
+/// entry process together.
+class EntryProcess : public std::enable_shared_from_this<EntryProcess> {
+public:
+  struct Ports {
+    std::uint16_t Listen_ = 0;
+    std::uint16_t Admin_ = 0;
+  };
+
+  /// \param Io runs the admin port.
+  EntryProcess(boost::asio::io_context &Io,
+               const adapters::DaemonSettings &Settings);
+
+  /// Throws boost::system::system_error when an address cannot be bound.
+  Ports start();
+
+  /// Not ready from now on; \p Done runs on \p Io when no call is in flight.
+  void drain(std::function<void()> Done);
+
+  /// Says goodbye to the fleet and ends all threads.
+  void stop();
+
+private:
+  void startControlThread();
+  void takeView(const std::shared_ptr<const model::ControlView> &View);
+  bool isFresh(model::TimePoint Now) const;
+  bool isReady() const;
+  std::shared_ptr<const model::ControlView> view() const;
+  std::string renderMetricsPage() const;
+  std::string renderBalancerPage() const;
+
+  boost::asio::io_context &Io_;
+  const adapters::DaemonSettings Settings_;
+  std::shared_ptr<adapters::EventRing> Ring_;
+  std::shared_ptr<adapters::HttpTraffic> Traffic_;
+  std::shared_ptr<adapters::ControlRuntime> Control_;
+  /// The same for other threads, once it runs.
+  std::atomic<adapters::ControlRuntime *> StartedControl_{nullptr};
+  mutable std::mutex ViewMutex_;
+  std::shared_ptr<const model::ControlView> View_;
+  std::atomic<bool> HasPreset_{false};
+  std::atomic<bool> Stopping_{false};
+};
+
+} // namespace cumingauge
--- a/src/cumingauged/main.cpp
+++ b/src/cumingauged/main.cpp
@@ -1,29 +1,83 @@
+#include "adapters/log.h"
 #include "adapters/programmain.h"
-#include "daemon.h"
+#include "entryprocess.h"
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <fstream>
+
+using namespace cumingauge;
 
 namespace {
 
-const char Usage[] =
-    R"(Entry process: takes callers' HTTP calls and passes them on to backend servers.
+constexpr const char *Usage =
+    R"(Entry process: takes callers' HTTP calls to backend servers.
 
 Usage:
   cumingauged [--settings FILE] [--set PATH=VALUE]... [--check]
+              [--port-file FILE]
   cumingauged (-h | --help)
   cumingauged --version
 
 Options:
-  --settings FILE   JSON settings file.
+  --settings FILE   JSON settings.
   --set PATH=VALUE  Overrides one setting, such as listen.port=8080.
-  --check           Only check the settings; exit status by result code.
-  -h --help         Show this text.
-  --version         Show the version.
+  --check           Only checks the settings.
+  --port-file FILE  Writes the ports that were bound to this file, as JSON.
+  -h --help         Shows this text.
+  --version         Shows the version.
 )";
 
+/// Writes the file whole before it appears under its name.
+bool writePorts(const std::string &File, const EntryProcess::Ports &Bound) {
+  if (File.empty())
+    return true;
+  const std::string Draft = File + ".new";
+  std::ofstream Out(Draft);
+  Out << codec::Json{{"listen", Bound.Listen_}, {"admin", Bound.Admin_}}
+      << "\n";
+  Out.close();
+  return Out && std::rename(Draft.c_str(), File.c_str()) == 0;
+}
+
+int serve(const adapters::DaemonSettings &Settings,
+          const std::string &PortFile) {
+  adapters::startLog(Settings.Log_, Settings.Control_.Process_);
+  boost::asio::io_context Io(1);
+  const auto Process = std::make_shared<EntryProcess>(Io, Settings);
+  EntryProcess::Ports Bound;
+  try {
+    Bound = Process->start();
+  } catch (const boost::system::system_error &Error) {
+    adapters::log(adapters::LogLevel::Error, "cannot listen",
+                  {{"reason", Error.what()}});
+    Process->stop();
+    return adapters::exitStatus(model::ResultCode::AddressInUse);
+  }
+  adapters::log(adapters::LogLevel::Info, "listening",
+                {{"port", Bound.Listen_}, {"adminPort", Bound.Admin_}});
+  if (!writePorts(PortFile, Bound)) {
+    Process->stop();
+    return adapters::exitStatus(model::ResultCode::InternalError);
+  }
+  boost::asio::signal_set Signals(Io, SIGTERM, SIGINT);
+  Signals.async_wait([&](const boost::system::error_code &, int) {
+    adapters::log(adapters::LogLevel::Info, "stopping");
+    Process->drain([&] { Io.stop(); });
+  });
+  Io.run();
+  Process->stop();
+  adapters::log(adapters::LogLevel::Info, "stopped");
+  return 0;
+}
+
 } // namespace
 
 int main(int Argc, char **Argv) {
-  using namespace cumingauge;
   const adapters::Arguments Args = adapters::parseArguments(Usage, Argc, Argv);
-  return adapters::runWithSettings<daemon::DaemonSettings>(Args,
-                                                           daemon::runDaemon);
+  const docopt::value &File = Args.at("--port-file");
+  const std::string PortFile = File ? File.asString() : "";
+  return adapters::runWithSettings<adapters::DaemonSettings>(
+      Args, [&](const adapters::DaemonSettings &Settings) {
+        return serve(Settings, PortFile);
+      });
 }
--- a/src/cumingauged/daemonsettings.h
+++ b/src/libcumingauge/adapters/daemonsettings.h
@@ -3,19 +3,18 @@
 #include "adapters/controlruntime.h"
 #include "adapters/httpsettings.h"
 #include "adapters/log.h"
-#include "model/describe.h"
 #include "model/problem.h"
 
-namespace cumingauge::daemon {
+namespace cumingauge::adapters {
 
-/// Settings of an entry process.
+/// Settings file of an entry process.
 struct DaemonSettings {
-  adapters::ControlSettings Control_;
-  adapters::AddressSettings Listen_; ///< where callers are accepted
-  adapters::AddressSettings Admin_;  ///< health, readiness and metrics
+  ControlSettings Control_;
+  AddressSettings Listen_; ///< where callers connect
+  AddressSettings Admin_;  ///< health, readiness and metrics pages
   unsigned TrafficThreads_ = 2;
-  adapters::HttpLimits Http_;
-  adapters::LogSettings Log_;
+  HttpLimits Http_;
+  LogSettings Log_;
 };
 BOOST_DESCRIBE_STRUCT(DaemonSettings, (),
                       (Control_, Listen_, Admin_, TrafficThreads_, Http_, Log_))
@@ -23,4 +22,4 @@
 /// Range checks; empty when valid.
 model::Problems checkSettings(const DaemonSettings &Settings);
 
-} // namespace cumingauge::daemon
+} // namespace cumingauge::adapters
