--- /dev/null
+++ b/tests/http/settingstest.cpp
@@ -0,0 +1,168 @@
+#include "codec/describedjson.h"
+#include "model/resultcode.h"
+#include <cppunit/extensions/HelperMacros.h>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+#include <fstream>
+#include <rapidcheck.h>
+#include <sys/wait.h>
+
+using namespace cumingauge;
+using codec::Json;
+using model::ResultCode;
+
+namespace {
+
+Json validSettings() {
+  return Json::parse(R"({
+    "control": {"process": "entry-1", "zone": "milano-a", "region": "north",
+                "key": "0123456789abcdef", "freshnessLimitMs": 2000,
+                "peer": {"host": "127.0.0.1", "port": 0},
+                "store": {"host": "127.0.0.1", "port": 8500}},
+    "listen": {"host": "127.0.0.1", "port": 8080},
+    "admin": {"host": "127.0.0.1", "port": 8081},
+    "trafficThreads": 2,
+    "http": {"headerBytes": 16384, "keptBodyBytes": 65536,
+             "maxCallerConnections": 100, "headTimeoutMs": 1000,
+             "idleTimeoutMs": 1000, "bodyTimeoutMs": 1000,
+             "writeTimeoutMs": 1000, "backendIdleTimeoutMs": 1000,
+             "freshWaitMs": 100, "drainIdleTimeMs": 100,
+             "drainTimeoutMs": 1000},
+    "log": {"level": "info", "format": "json"}})");
+}
+
+/// Runs `cumingauged --check` on a settings file.
+class Checker {
+public:
+  struct Verdict {
+    int Status_ = -1;
+    std::string Text_;
+  };
+
+  Checker() {
+    char Name[] = "/tmp/cumingauge-settings-XXXXXX";
+    Folder_ = mkdtemp(Name);
+  }
+  ~Checker() {
+    std::remove(file().c_str());
+    std::remove(Folder_.c_str());
+  }
+
+  Verdict check(const std::string &Document) const {
+    std::ofstream(file()) << Document;
+    const std::string Command = std::string(PROGRAM_DIR) +
+                                "/cumingauged --check --settings " + file() +
+                                " 2>&1";
+    Verdict Out;
+    FILE *Pipe = popen(Command.c_str(), "r");
+    char Buffer[512];
+    while (std::fgets(Buffer, sizeof Buffer, Pipe))
+      Out.Text_ += Buffer;
+    Out.Status_ = WEXITSTATUS(pclose(Pipe));
+    return Out;
+  }
+
+private:
+  std::string file() const { return Folder_ + "/settings.json"; }
+
+  std::string Folder_;
+};
+
+/// Paths of all values that are no objects.
+std::vector<std::string> leafPaths(const Json &Document) {
+  std::vector<std::string> Out;
+  const Json Flat = Document.flatten();
+  for (const auto &Entry : Flat.items())
+    Out.push_back(Entry.key());
+  return Out;
+}
+
+Json anyOf(const std::vector<std::string> &Texts) {
+  return Json::parse(*rc::gen::elementOf(Texts));
+}
+
+/// Puts one fault into the settings.
+/// \returns the path that the message must name.
+std::string spoil(Json &Document) {
+  const auto Leaves = leafPaths(Document);
+  const std::string Path = *rc::gen::elementOf(Leaves);
+  const Json::json_pointer Pointer(Path);
+  switch (*rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, 4))) {
+  case 0: // wrong type
+    Document[Pointer] = anyOf({"[1]", "null", "{\"a\": 1}"});
+    return Path;
+  case 1: { // unknown key
+    const std::string Unknown = Path + "X";
+    Document[Json::json_pointer(Unknown)] = 1;
+    return Unknown;
+  }
+  case 2: // number where a text belongs, text or a negative one elsewhere
+    Document[Pointer] = Document[Pointer].is_string()
+                            ? Json(7)
+                            : anyOf({"\"7\"", "-1", "1.5", "\"\""});
+    return Path;
+  default: // a unit that is not the key's
+    const std::string Plain = Path + "S";
+    Document[Json::json_pointer(Plain)] = Document[Pointer];
+    return Plain;
+  }
+}
+
+class SettingsThatAreMalformed : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SettingsThatAreMalformed);
+  CPPUNIT_TEST(areTakenWhenValid);
+  CPPUNIT_TEST(areNamedWithThePathOfTheirFault);
+  CPPUNIT_TEST(areNamedWithThePlaceWhereTheyAreNoJson);
+  CPPUNIT_TEST(areNamedWhenOutOfRange);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void areTakenWhenValid() {
+    const auto Verdict = Checker().check(validSettings().dump());
+    CPPUNIT_ASSERT_EQUAL(std::string(), Verdict.Text_);
+    CPPUNIT_ASSERT_EQUAL(0, Verdict.Status_);
+  }
+
+  void areNamedWithThePathOfTheirFault() {
+    const Checker Program;
+    CPPUNIT_ASSERT(rc::check("one fault, named with its path", [&] {
+      Json Document = validSettings();
+      const std::string Path = spoil(Document);
+      const auto Verdict = Program.check(Document.dump());
+      RC_LOG() << Path << " gave " << Verdict.Text_;
+      RC_ASSERT(Verdict.Status_ ==
+                static_cast<int>(ResultCode::SettingsInvalid));
+      RC_ASSERT(Verdict.Text_.rfind(Path + ": ", 0) == 0U);
+    }));
+  }
+
+  void areNamedWithThePlaceWhereTheyAreNoJson() {
+    const Checker Program;
+    const std::string Whole = validSettings().dump();
+    for (std::size_t Cut = 1; Cut < Whole.size(); Cut += Whole.size() / 20) {
+      const auto Verdict = Program.check(Whole.substr(0, Cut));
+      CPPUNIT_ASSERT_EQUAL(static_cast<int>(ResultCode::SettingsMalformed),
+                           Verdict.Status_);
+      CPPUNIT_ASSERT(Verdict.Text_.find("column") != std::string::npos);
+    }
+  }
+
+  void areNamedWhenOutOfRange() {
+    const Checker Program;
+    for (const char *Path :
+         {"/trafficThreads", "/http/headerBytes", "/http/idleTimeoutMs",
+          "/http/maxCallerConnections", "/http/drainTimeoutMs"}) {
+      Json Document = validSettings();
+      Document[Json::json_pointer(Path)] = 0;
+      const auto Verdict = Program.check(Document.dump());
+      CPPUNIT_ASSERT_EQUAL(static_cast<int>(ResultCode::SettingsInvalid),
+                           Verdict.Status_);
+      CPPUNIT_ASSERT_EQUAL(0,
+                           Verdict.Text_.compare(0, std::strlen(Path), Path));
+    }
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(SettingsThatAreMalformed);
+
+} // namespace
