--- a/src/libcumingauge/control/core.h
+++ b/src/libcumingauge/control/core.h
@@ -34,6 +34,11 @@
   unsigned LinksToOtherRegions_ = 1;
   unsigned KeptEntries_ = 256;   ///< log entries kept for peers
   unsigned SnapshotEvery_ = 200; ///< versions between snapshots
+  unsigned EntryMargin_ = 1000; ///< entries left in the store before a snapshot
+  /// Least time between a snapshot and the deletion of the entries that it
+  /// replaces. Half of it is how long a process relies on having seen the end
+  /// of the log.
+  model::milliseconds EntryHold_{600000};
 };
 
 // Inputs.
--- a/src/libcumingauge/control/heartbeats.cpp
+++ b/src/libcumingauge/control/heartbeats.cpp
@@ -9,11 +9,13 @@
 namespace {
 
 constexpr std::size_t MaxHeartbeatsUnderWay = 32;
+constexpr model::milliseconds BothPausedPatience{1000};
 
 Heartbeat makeHeartbeat(const CoreState &State) {
   Heartbeat Out;
   Out.Version_ = versionOf(State);
   Out.LogDigest_ = State.Log_.State_->LogDigest_;
+  Out.Fresh_ = State.LastExchange_.has_value();
   Out.MembersDigest_ = membersDigest(State.Members_);
   if (State.Vms_.EntryVmsAt_) {
     Out.EntryVms_ = listedEntryVms(State);
@@ -25,10 +27,18 @@
   return Out;
 }
 
-void noteEcho(Link &From, std::uint64_t Echo) {
+/// Whether a peer's word about its version counts. One that was paused itself
+/// may be as far behind; after a moment both would have heard from others.
+bool isCredible(const CoreState &State, const Heartbeat &Message) {
+  return Message.Fresh_ || !State.PauseEndedAt_ ||
+         State.Now_ - *State.PauseEndedAt_ >= BothPausedPatience;
+}
+
+void noteEcho(CoreState &State, Link &From, const Heartbeat &Message) {
+  const bool Counts = isCredible(State, Message);
   auto &Sent = From.SentHeartbeats_;
-  while (!Sent.empty() && Sent.front().Sequence_ <= Echo) {
-    if (Sent.front().Sequence_ == Echo)
+  while (!Sent.empty() && Sent.front().Sequence_ <= Message.Echo_) {
+    if (Counts && Sent.front().Sequence_ == Message.Echo_)
       From.EchoedAt_ = Sent.front().At_;
     Sent.pop_front();
   }
@@ -71,7 +81,7 @@
   if (Message.Sequence_ <= From.HeardSequence_)
     return; // repeated or overtaken
   From.HeardSequence_ = Message.Sequence_;
-  noteEcho(From, Message.Echo_);
+  noteEcho(State, From, Message);
   noteEntryVms(State, Message);
   compareMembers(State, From, Message.MembersDigest_);
   compareVersions(State, From, Message);
--- a/src/libcumingauge/control/peermessage.h
+++ b/src/libcumingauge/control/peermessage.h
@@ -28,12 +28,13 @@
   std::uint64_t Sequence_ = 0;  ///< number of this heartbeat on this link
   std::uint64_t Echo_ = 0;      ///< highest sequence received on this link
   bool AnswerNow_ = false;      ///< asks for a heartbeat without delay
+  bool Fresh_ = false; ///< sender has had an exchange since its last pause
   std::uint32_t EntryVms_ = 0; ///< entry VMs in the platform's list; 0: unknown
   std::uint32_t EntryVmsAgeMs_ = 0; ///< since the list was fetched
 };
 BOOST_DESCRIBE_STRUCT(Heartbeat, (),
                       (Version_, MembersDigest_, At_, LogDigest_, Sequence_,
-                       Echo_, AnswerNow_, EntryVms_, EntryVmsAgeMs_))
+                       Echo_, AnswerNow_, Fresh_, EntryVms_, EntryVmsAgeMs_))
 
 /// Change log entries in ascending order without gaps.
 struct Entries {
--- a/src/libcumingauge/control/snapshotwriter.cpp
+++ b/src/libcumingauge/control/snapshotwriter.cpp
@@ -1,13 +1,265 @@
 #include "control/snapshotwriter.h"
 #include "control/corestate.h"
+#include "control/fold.h"
+#include "control/linkchoice.h"
+#include "control/storecodec.h"
+#include "control/storekeys.h"
+#include <algorithm>
 
 namespace cumingauge::control {
 
-void writeSnapshots(CoreState & /*State*/) {}
+namespace {
 
-bool takeSnapshotAnswer(CoreState & /*State*/, StoreCallId /*Call*/,
-                        const ports::StoreResponse & /*Answer*/) {
-  return false;
+using Activity = SnapshotWriter::Activity;
+using ports::StoreOperation;
+
+constexpr model::seconds CheckPeriod{10};
+constexpr model::seconds RetryPeriod{20};
+constexpr model::seconds CallTimeout{20};
+constexpr std::uint64_t MaxDeletesPerRound = 500;
+
+void rest(CoreState &State, model::Duration Wait) {
+  SnapshotWriter &Writer = State.Snapshots_;
+  Writer.Activity_ = Activity::Idle;
+  Writer.Call_ = 0;
+  Writer.Chunks_.clear();
+  Writer.State_.reset();
+  Writer.NextAt_ = State.Now_ + jittered(State, Wait);
+}
+
+/// Goes on with an activity at the next tick.
+void goOn(CoreState &State, Activity What) {
+  State.Snapshots_.Activity_ = What;
+  State.Snapshots_.Call_ = 0;
+}
+
+/// Last entry that a snapshot lets go.
+std::uint64_t deletableUntil(const CoreState &State,
+                             const SnapshotPointer &Pointer) {
+  const std::uint64_t Margin = State.Settings_.EntryMargin_;
+  return Pointer.Version_ > Margin ? Pointer.Version_ - Margin : 0;
+}
+
+bool isSnapshotDue(const CoreState &State, const SnapshotPointer &Pointer) {
+  return versionOf(State) >= Pointer.Version_ + State.Settings_.SnapshotEvery_;
+}
+
+bool isDeletionDue(const CoreState &State, const SnapshotPointer &Pointer) {
+  return deletableUntil(State, Pointer) >= Pointer.FirstEntry_ &&
+         State.Snapshots_.PointerSince_ &&
+         isDue(State.Snapshots_.PointerSince_, State.Settings_.EntryHold_,
+               State.Now_);
+}
+
+/// The entry in the store vouches for the whole log before it, so a state that
+/// differs from the store's is never written.
+void takeLastEntry(CoreState &State, const ports::StoreResponse &Answer) {
+  SnapshotWriter &Writer = State.Snapshots_;
+  const auto Entry = decodeChange(Answer.Value_);
+  if (!Answer.Found_ || !Entry ||
+      digestAfter(*Entry) != Writer.State_->LogDigest_) {
+    rest(State, RetryPeriod);
+    return;
+  }
+  const SnapshotPointer &Pointer = *Writer.Pointer_;
+  const std::string Bytes = encodeState(*Writer.State_);
+  Writer.Chunks_ = splitBytes(Bytes, MaxStoreValueBytes);
+  Writer.Next_ = Pointer;
+  Writer.Next_.Version_ = Writer.State_->Version_;
+  Writer.Next_.Chunks_ = static_cast<std::uint32_t>(Writer.Chunks_.size());
+  Writer.Next_.BytesDigest_ = digestOf(Bytes);
+  Writer.Next_.PreviousVersion_ = Pointer.Version_;
+  Writer.Next_.PreviousChunks_ = Pointer.Chunks_;
+  Writer.Chunk_ = 0;
+  goOn(State, Activity::WritingChunk);
+}
+
+void startSnapshot(CoreState &State) {
+  State.Snapshots_.State_ = State.Log_.State_;
+  goOn(State, Activity::ComparingEntry);
+}
+
+void startDeletion(CoreState &State, const SnapshotPointer &Pointer) {
+  SnapshotWriter &Writer = State.Snapshots_;
+  Writer.Entry_ = Pointer.FirstEntry_;
+  Writer.Next_ = Pointer;
+  Writer.Next_.FirstEntry_ = std::min(deletableUntil(State, Pointer) + 1,
+                                      Pointer.FirstEntry_ + MaxDeletesPerRound);
+  goOn(State, Activity::DeletingEntry);
+}
+
+void takePointer(CoreState &State, const ports::StoreResponse &Answer) {
+  SnapshotWriter &Writer = State.Snapshots_;
+  SnapshotPointer Pointer;
+  if (Answer.Found_) {
+    const auto Decoded = decodePointer(Answer.Value_);
+    if (!Decoded) {
+      record(State, model::EventKind::Alarm, "store", 0,
+             model::ResultCode::StoreAnswerInvalid,
+             "holds a snapshot pointer that cannot be read");
+      rest(State, RetryPeriod);
+      return;
+    }
+    Pointer = *Decoded;
+  }
+  if (!Writer.Pointer_ || Writer.Pointer_->Version_ != Pointer.Version_)
+    Writer.PointerSince_ = State.Now_;
+  Writer.Pointer_ = Pointer;
+  Writer.PointerIndex_ = Answer.Found_ ? Answer.Index_ : 0;
+  if (isSnapshotDue(State, Pointer))
+    startSnapshot(State);
+  else if (isDeletionDue(State, Pointer))
+    startDeletion(State, Pointer);
+  else
+    rest(State, CheckPeriod);
+}
+
+void finishChunk(CoreState &State) {
+  SnapshotWriter &Writer = State.Snapshots_;
+  ++Writer.Chunk_;
+  goOn(State, Writer.Chunk_ < Writer.Chunks_.size() ? Activity::WritingChunk
+                                                    : Activity::MovingPointer);
+}
+
+/// The snapshot before the previous one goes once the pointer has moved.
+void finishPointer(CoreState &State) {
+  SnapshotWriter &Writer = State.Snapshots_;
+  Writer.Chunk_ = 0;
+  if (Writer.Pointer_->PreviousChunks_ > 0)
+    goOn(State, Activity::DeletingChunk);
+  else
+    rest(State, CheckPeriod);
+}
+
+ports::StoreRequest makeRequest(const SnapshotWriter &Writer) {
+  ports::StoreRequest Out;
+  switch (Writer.Activity_) {
+  case Activity::Idle:
+  case Activity::ReadingPointer:
+    Out.Key_ = SnapshotPointerKey;
+    break;
+  case Activity::ComparingEntry:
+    Out.Key_ = entryKey(Writer.State_->Version_);
+    break;
+  case Activity::WritingChunk:
+    Out.Operation_ = StoreOperation::CreateIfAbsent;
+    Out.Key_ = chunkKey(Writer.Next_.Version_, Writer.Chunk_);
+    Out.Value_ = Writer.Chunks_[Writer.Chunk_];
+    break;
+  case Activity::ComparingChunk:
+    Out.Key_ = chunkKey(Writer.Next_.Version_, Writer.Chunk_);
+    break;
+  case Activity::MovingPointer:
+  case Activity::MovingFirstEntry:
+    Out.Operation_ = Writer.PointerIndex_ == 0 ? StoreOperation::CreateIfAbsent
+                                               : StoreOperation::CompareAndSwap;
+    Out.Key_ = SnapshotPointerKey;
+    Out.Value_ = encodePointer(Writer.Next_);
+    Out.Index_ = Writer.PointerIndex_;
+    break;
+  case Activity::DeletingEntry:
+    Out.Operation_ = StoreOperation::Delete;
+    Out.Key_ = entryKey(Writer.Entry_);
+    break;
+  case Activity::DeletingChunk:
+    Out.Operation_ = StoreOperation::Delete;
+    Out.Key_ = chunkKey(Writer.Pointer_->PreviousVersion_, Writer.Chunk_);
+    break;
+  }
+  return Out;
+}
+
+void takeStep(CoreState &State, const ports::StoreResponse &Answer) {
+  SnapshotWriter &Writer = State.Snapshots_;
+  switch (Writer.Activity_) {
+  case Activity::Idle:
+    return;
+  case Activity::ReadingPointer:
+    takePointer(State, Answer);
+    return;
+  case Activity::ComparingEntry:
+    takeLastEntry(State, Answer);
+    return;
+  case Activity::WritingChunk:
+    if (Answer.Written_)
+      finishChunk(State);
+    else
+      goOn(State, Activity::ComparingChunk);
+    return;
+  case Activity::ComparingChunk:
+    if (Answer.Found_ && Answer.Value_ == Writer.Chunks_[Writer.Chunk_])
+      finishChunk(State);
+    else
+      rest(State, RetryPeriod);
+    return;
+  case Activity::MovingPointer:
+    if (Answer.Written_)
+      finishPointer(State);
+    else
+      rest(State, CheckPeriod);
+    return;
+  case Activity::DeletingEntry:
+    ++Writer.Entry_;
+    goOn(State, Writer.Entry_ < Writer.Next_.FirstEntry_
+                    ? Activity::DeletingEntry
+                    : Activity::MovingFirstEntry);
+    return;
+  case Activity::DeletingChunk:
+    ++Writer.Chunk_;
+    if (Writer.Chunk_ < Writer.Pointer_->PreviousChunks_)
+      goOn(State, Activity::DeletingChunk);
+    else
+      rest(State, CheckPeriod);
+    return;
+  case Activity::MovingFirstEntry:
+    rest(State, CheckPeriod);
+    return;
+  }
+}
+
+/// Whether there may be work: a snapshot or deletion is due by what is known.
+bool mayHaveWork(const CoreState &State) {
+  const auto &Pointer = State.Snapshots_.Pointer_;
+  return !Pointer || isSnapshotDue(State, *Pointer) ||
+         isDeletionDue(State, *Pointer);
+}
+
+bool isResponsible(const CoreState &State) {
+  return State.Confirmed_ && !State.Follower_.Away_ && versionOf(State) > 0 &&
+         ranksAmongFirst(State.Settings_.Self_, livePeers(State), "snapshot",
+                         1);
+}
+
+} // namespace
+
+void writeSnapshots(CoreState &State) {
+  SnapshotWriter &Writer = State.Snapshots_;
+  if (Writer.Call_ != 0) {
+    if (State.Now_ - Writer.Issued_ >= CallTimeout)
+      rest(State, RetryPeriod);
+    return;
+  }
+  if (Writer.Activity_ == Activity::Idle) {
+    if (State.Now_ < Writer.NextAt_ || !isResponsible(State) ||
+        !mayHaveWork(State))
+      return;
+    Writer.Activity_ = Activity::ReadingPointer;
+  }
+  Writer.Issued_ = State.Now_;
+  Writer.Call_ = callStore(State, makeRequest(Writer));
+}
+
+bool takeSnapshotAnswer(CoreState &State, StoreCallId Call,
+                        const ports::StoreResponse &Answer) {
+  SnapshotWriter &Writer = State.Snapshots_;
+  if (Call != Writer.Call_ || Call == 0)
+    return false;
+  Writer.Call_ = 0;
+  if (Answer.Code_ == model::ResultCode::Ok)
+    takeStep(State, Answer);
+  else
+    rest(State, RetryPeriod);
+  return true;
 }
 
 } // namespace cumingauge::control
--- a/src/libcumingauge/control/storefollower.cpp
+++ b/src/libcumingauge/control/storefollower.cpp
@@ -29,12 +29,11 @@
 /// often, so that the fleet's calls per second stay the same.
 constexpr unsigned FleetAtFullRate = 8;
 
-/// Half the least time between a snapshot and the deletion of the entries
-/// that it replaces: an entry read within it is the original one.
-constexpr model::seconds PositionHold{300};
-
+/// True while the next entry cannot have been compacted away since the end of
+/// the log was seen last, so that what stands at its key is the original.
 bool isPositionKnown(const CoreState &State) {
-  return !isDue(State.Follower_.PositionAt_, PositionHold, State.Now_);
+  return !isDue(State.Follower_.PositionAt_, State.Settings_.EntryHold_ / 2,
+                State.Now_);
 }
 
 model::Duration pollPeriod(const CoreState &State) {
--- /dev/null
+++ b/tests/control/fakefleet.cpp
@@ -0,0 +1,494 @@
+#include "fakefleet.h"
+#include <algorithm>
+
+namespace cumingauge::fakes {
+
+using namespace control;
+using model::milliseconds;
+using model::seconds;
+
+namespace {
+
+constexpr milliseconds TickPeriod{100};
+constexpr milliseconds StoreLatency{3};
+constexpr milliseconds LinkLatency{1};
+constexpr milliseconds LostAnswerAfter{1000};
+constexpr milliseconds ConnectTimeout{1000};
+constexpr std::uint16_t FirstPort = 7000;
+constexpr const char *Zones[] = {"milano-a", "torino-b", "bologna-c"};
+
+/// Promised time from the commit until a change is in force everywhere.
+constexpr seconds InForceBound{3};
+/// Quiet time after which a disturbed fleet must have found itself again.
+constexpr seconds SettleTime{20};
+/// Latest dispatch to a marked server: spreading, then the longest age of an
+/// exchange with the grace of an isolated process.
+constexpr seconds DispatchBound{8};
+
+} // namespace
+
+bool FakeFleet::Later::operator()(const Scheduled &Left,
+                                  const Scheduled &Right) const {
+  return std::tie(Left.At_, Left.Order_) > std::tie(Right.At_, Right.Order_);
+}
+
+FakeFleet::FakeFleet(unsigned Processes, std::uint64_t Seed)
+    : Random_(Seed), DisturbedAt_(Now_) {
+  Store_.OnWritten_ = [this](const std::string &Key) { answerWatches(Key); };
+  Store_.OnCommitted_ = [this](const model::Change &Entry) {
+    noteCommit(Entry);
+  };
+  std::vector<model::Member> Seeds;
+  for (unsigned I = 0; I < Processes; ++I) {
+    FakeProcess Process;
+    model::Member &Self = Process.Settings_.Self_;
+    Self.Process_ = "entry-" + std::to_string(I);
+    Self.Zone_ = Zones[I % std::size(Zones)];
+    Self.Region_ = "nord-italia";
+    Self.Host_ = "10.0.0.1";
+    Self.Port_ = static_cast<std::uint16_t>(FirstPort + I);
+    Process.Settings_.SnapshotEvery_ = 4;
+    Process.Settings_.EntryMargin_ = 2;
+    Process.Settings_.KeptEntries_ = 6;
+    Process.Settings_.EntryHold_ = seconds(20);
+    Seeds.push_back(Self);
+    Processes_.push_back(std::move(Process));
+    Store_.Vms_.push_back({Self.Process_, false, "cumingauge"});
+  }
+  for (FakeProcess &Process : Processes_)
+    Process.Settings_.SeedPeers_ = Seeds;
+}
+
+void FakeFleet::start(unsigned Index) {
+  FakeProcess &Process = Processes_[Index];
+  if (Process.Core_)
+    return;
+  disturb();
+  ++Process.Life_;
+  Process.View_ = nullptr;
+  Process.IsPaused_ = false;
+  Process.Settings_.Self_.Incarnation_ = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(Now_.time_since_epoch())
+          .count());
+  Process.Core_ = makeCore(Process.Settings_, Random_());
+  feed(Index, Started{});
+  const unsigned Life = Process.Life_;
+  at(milliseconds(Random_(100)), [this, Index, Life] { tick(Index, Life); });
+}
+
+void FakeFleet::kill(unsigned Index) {
+  FakeProcess &Process = Processes_[Index];
+  if (!Process.Core_)
+    return;
+  disturb();
+  Process.Core_.reset();
+  Process.IsPaused_ = false;
+  Process.Waiting_.clear();
+  std::vector<LinkId> Open;
+  for (const auto &[Id, End] : Links_)
+    if (End.Process_ == Index)
+      Open.push_back(Id);
+  for (const LinkId Id : Open)
+    closeLink(Index, Id);
+}
+
+void FakeFleet::stop(unsigned Index) {
+  if (Processes_[Index].Core_ && !Processes_[Index].IsPaused_)
+    feed(Index, Stopping{});
+  kill(Index);
+}
+
+void FakeFleet::pause(unsigned Index) {
+  disturb();
+  Processes_[Index].IsPaused_ = Processes_[Index].Core_ != nullptr;
+}
+
+void FakeFleet::resume(unsigned Index) {
+  FakeProcess &Process = Processes_[Index];
+  if (!Process.IsPaused_)
+    return;
+  disturb();
+  Process.IsPaused_ = false;
+  checkDispatch(Index); // traffic threads may run before the control thread
+  const auto Waiting = std::exchange(Process.Waiting_, {});
+  for (const CoreInput &Input : Waiting)
+    feed(Index, Input);
+  if (Process.Core_)
+    feed(Index, Ticked{});
+}
+
+void FakeFleet::run(model::Duration Time) {
+  const TimePoint End = Now_ + Time;
+  while (!Queue_.empty() && Queue_.top().At_ <= End) {
+    const Scheduled Next = Queue_.top();
+    Queue_.pop();
+    Now_ = std::max(Now_, Next.At_);
+    Next.Action_();
+  }
+  Now_ = End;
+}
+
+void FakeFleet::at(model::Duration Delay, std::function<void()> Action) {
+  Queue_.push({Now_ + Delay, ++LastOrder_, std::move(Action)});
+}
+
+void FakeFleet::tick(unsigned Index, unsigned Life) {
+  FakeProcess &Process = Processes_[Index];
+  if (!Process.Core_ || Process.Life_ != Life)
+    return;
+  if (!Process.IsPaused_) {
+    feed(Index, Ticked{});
+    checkDispatch(Index);
+  }
+  at(TickPeriod, [this, Index, Life] { tick(Index, Life); });
+}
+
+void FakeFleet::feed(unsigned Index, const CoreInput &Input) {
+  FakeProcess &Process = Processes_[Index];
+  if (!Process.Core_)
+    return;
+  if (Process.IsPaused_) {
+    Process.Waiting_.push_back(Input);
+    return;
+  }
+  for (const CoreOrder &Order : step(*Process.Core_, Input, Now_))
+    obey(Index, Order);
+}
+
+void FakeFleet::obey(unsigned Index, const CoreOrder &Order) {
+  if (const auto *Call = std::get_if<CallStore>(&Order))
+    callStore(Index, *Call);
+  else if (const auto *Open = std::get_if<OpenLink>(&Order))
+    openLink(Index, *Open);
+  else if (const auto *Close = std::get_if<CloseLink>(&Order))
+    closeLink(Index, Close->Link_);
+  else if (const auto *Send = std::get_if<SendPeer>(&Order))
+    sendPeer(Index, *Send);
+  else if (const auto *Publish = std::get_if<PublishView>(&Order))
+    takeView(Index, Publish->View_);
+  else if (const auto *Event = std::get_if<RecordEvent>(&Order))
+    Processes_[Index].Events_.push_back(*Event);
+}
+
+void FakeFleet::callStore(unsigned Index, const CallStore &Order) {
+  ++StoreCalls_;
+  const unsigned Life = Processes_[Index].Life_;
+  const auto Answer = [this, Index, Life,
+                       Call = Order.Call_](ports::StoreResponse Response) {
+    answerStore(Index, Life, Call, Response);
+  };
+  ports::StoreResponse Failure;
+  if (!reachesStore(Index) || chance(Faults_.RefuseCall_)) {
+    const bool IsSlow = chance(50);
+    Failure.Code_ = IsSlow ? model::ResultCode::StoreTimeout
+                           : model::ResultCode::StoreUnavailable;
+    at(IsSlow ? LostAnswerAfter : StoreLatency,
+       [Answer, Failure] { Answer(Failure); });
+    return;
+  }
+  if (Order.Request_.Operation_ == ports::StoreOperation::Watch) {
+    startWatch(Index, Life, Order);
+    return;
+  }
+  Failure.Code_ = model::ResultCode::StoreTimeout;
+  if (chance(Faults_.LandLate_)) {
+    at(milliseconds(500 + Random_(8000)),
+       [this, Request = Order.Request_] { Store_.execute(Request); });
+    at(LostAnswerAfter, [Answer, Failure] { Answer(Failure); });
+    return;
+  }
+  const bool IsLost = chance(Faults_.LoseAnswer_);
+  at(StoreLatency, [this, Request = Order.Request_, Answer, Failure, IsLost] {
+    const ports::StoreResponse Response = Store_.execute(Request);
+    if (IsLost)
+      at(LostAnswerAfter, [Answer, Failure] { Answer(Failure); });
+    else
+      at(StoreLatency, [Answer, Response] { Answer(Response); });
+  });
+}
+
+void FakeFleet::answerStore(unsigned Index, unsigned Life, StoreCallId Call,
+                            const ports::StoreResponse &Answer) {
+  if (Processes_[Index].Life_ == Life)
+    feed(Index, StoreAnswered{Call, Answer});
+}
+
+void FakeFleet::startWatch(unsigned Index, unsigned Life,
+                           const CallStore &Order) {
+  at(StoreLatency, [this, Index, Life, Order] {
+    Watches_.push_back({Order.Request_.Key_, Index, Life, Order.Call_});
+    if (Store_.execute(Order.Request_).Found_)
+      answerWatches(Order.Request_.Key_);
+  });
+  at(Order.Request_.Wait_ + StoreLatency * 2, [this, Index, Life, Order] {
+    const auto Found =
+        std::find_if(Watches_.begin(), Watches_.end(), [&](const Watch &Value) {
+          return Value.Process_ == Index && Value.Life_ == Life &&
+                 Value.Call_ == Order.Call_;
+        });
+    if (Found == Watches_.end())
+      return;
+    Watches_.erase(Found);
+    ports::StoreResponse Response;
+    if (!reachesStore(Index))
+      Response.Code_ = model::ResultCode::StoreTimeout;
+    answerStore(Index, Life, Order.Call_, Response);
+  });
+}
+
+void FakeFleet::answerWatches(const std::string &Key) {
+  std::vector<Watch> Ready;
+  for (auto It = Watches_.begin(); It != Watches_.end();) {
+    if (It->Key_ != Key || !reachesStore(It->Process_)) {
+      ++It;
+      continue;
+    }
+    Ready.push_back(*It);
+    It = Watches_.erase(It);
+  }
+  ports::StoreRequest Request;
+  Request.Key_ = Key;
+  for (const Watch &Value : Ready)
+    at(StoreLatency, [this, Value, Response = Store_.execute(Request)] {
+      answerStore(Value.Process_, Value.Life_, Value.Call_, Response);
+    });
+}
+
+void FakeFleet::openLink(unsigned Index, const OpenLink &Order) {
+  const unsigned Target = Order.Port_ - FirstPort;
+  const unsigned Life = Processes_[Index].Life_;
+  const bool IsSilent =
+      !areConnected(Index, Target) || Processes_[Target].IsPaused_;
+  at(IsSilent ? ConnectTimeout : LinkLatency,
+     [this, Index, Life, Target, IsSilent, Order] {
+       if (Processes_[Index].Life_ != Life || !Processes_[Index].Core_)
+         return;
+       if (IsSilent || !Processes_[Target].Core_) {
+         feed(Index, LinkFailed{Order.Host_, Order.Port_});
+         return;
+       }
+       const LinkId Own = ++LastLink_;
+       const LinkId Other = ++LastLink_;
+       Links_[Own] = {Index, Life, Other};
+       Links_[Other] = {Target, Processes_[Target].Life_, Own};
+       feed(Index,
+            LinkOpened{Own, Processes_[Target].Settings_.Self_, false, true});
+       feed(Target,
+            LinkOpened{Other, Processes_[Index].Settings_.Self_, false, false});
+     });
+}
+
+void FakeFleet::closeLink(unsigned Index, LinkId Id) {
+  const auto Own = Links_.find(Id);
+  if (Own == Links_.end())
+    return;
+  const LinkId Other = Own->second.Other_;
+  Links_.erase(Own);
+  const auto End = Links_.find(Other);
+  if (End == Links_.end())
+    return;
+  const LinkEnd Value = End->second;
+  if (!areConnected(Index, Value.Process_))
+    return; // the other end does not hear of it
+  Links_.erase(End);
+  at(LinkLatency, [this, Value, Other] {
+    if (Processes_[Value.Process_].Life_ == Value.Life_)
+      feed(Value.Process_, LinkClosed{Other});
+  });
+}
+
+void FakeFleet::sendPeer(unsigned Index, const SendPeer &Order) {
+  ++Messages_;
+  const auto Own = Links_.find(Order.Link_);
+  if (Own == Links_.end())
+    return;
+  const LinkId Other = Own->second.Other_;
+  const auto End = Links_.find(Other);
+  if (End == Links_.end() || !areConnected(Index, End->second.Process_) ||
+      chance(Faults_.DropMessage_))
+    return;
+  const unsigned Copies = chance(Faults_.RepeatMessage_) ? 2 : 1;
+  for (unsigned I = 0; I < Copies; ++I) {
+    const milliseconds Extra{chance(Faults_.DelayMessage_) ? Random_(400) : 0};
+    at(LinkLatency + Extra,
+       [this, Value = End->second, Other, Message = Order.Message_] {
+         if (Processes_[Value.Process_].Life_ == Value.Life_)
+           feed(Value.Process_, PeerSaid{Other, *Message});
+       });
+  }
+}
+
+void FakeFleet::takeView(
+    unsigned Index, const std::shared_ptr<const model::ControlView> &View) {
+  FakeProcess &Process = Processes_[Index];
+  const model::ConfigState &Config = *View->Config_;
+  const std::string Who = Process.Settings_.Self_.Process_ + " at version " +
+                          std::to_string(Config.Version_);
+  if (Process.View_ && Process.View_->Config_->Version_ > Config.Version_)
+    breakPromise(Who + " went back");
+  Process.View_ = View;
+  if (Config.Version_ == 0)
+    return;
+  const auto Truth = Store_.Committed_.find(Config.Version_);
+  if (Truth == Store_.Committed_.end() ||
+      Truth->second.Id_ != Config.RecentChangeIds_.back())
+    breakPromise(Who + " applied what was not accepted");
+  auto &Known = States_[Config.Version_];
+  if (!Known)
+    Known = View->Config_;
+  else if (Known != View->Config_ && *Known != Config)
+    breakPromise(Who + " has a state of its own");
+}
+
+std::size_t FakeFleet::write(model::ChangeAction Action,
+                             const std::string &Author, bool HandOver,
+                             bool Confirmed) {
+  const std::size_t Index = Writes_.size();
+  FakeWrite Write;
+  Write.Request_.Id_ = "id-" + std::to_string(Index);
+  Write.Request_.Author_ = Author;
+  Write.Request_.Action_ = std::move(Action);
+  Write.Request_.Confirmed_ = Confirmed;
+  Writes_.push_back(Write);
+  auto Writer = std::make_shared<ChangeWriter>(
+      startWrite(Write.Request_, WriteLimits(), Now_));
+  goOnWriting(Index, Writer, HandOver);
+  return Index;
+}
+
+void FakeFleet::goOnWriting(std::size_t Index,
+                            const std::shared_ptr<ChangeWriter> &Writer,
+                            bool HandOver) {
+  const WriterStep Step = nextStep(*Writer, Now_);
+  if (Step.Outcome_) {
+    Writes_[Index].Outcome_ = *Step.Outcome_;
+    Writes_[Index].IsDone_ = true;
+    const auto *Accepted = std::get_if<WriteAccepted>(&*Step.Outcome_);
+    if (HandOver && Accepted)
+      handOver(Accepted->Change_);
+    return;
+  }
+  const auto Answer = [this, Index, Writer,
+                       HandOver](const ports::StoreResponse &Response) {
+    takeAnswer(*Writer, Response, Now_);
+    goOnWriting(Index, Writer, HandOver);
+  };
+  const milliseconds Extra{Random_(5)};
+  at(Step.Delay_ + Extra, [this, Request = *Step.Request_, Answer] {
+    callAsOperator(Request, Answer);
+  });
+}
+
+void FakeFleet::callAsOperator(
+    const ports::StoreRequest &Request,
+    const std::function<void(const ports::StoreResponse &)> &Answer) {
+  ports::StoreResponse Failure;
+  Failure.Code_ = model::ResultCode::StoreUnavailable;
+  if (!IsStoreUp_ || chance(Faults_.RefuseCall_)) {
+    at(StoreLatency, [Answer, Failure] { Answer(Failure); });
+    return;
+  }
+  Failure.Code_ = model::ResultCode::StoreTimeout;
+  if (chance(Faults_.LandLate_)) {
+    at(milliseconds(500 + Random_(8000)),
+       [this, Request] { Store_.execute(Request); });
+    at(LostAnswerAfter, [Answer, Failure] { Answer(Failure); });
+    return;
+  }
+  const bool IsLost = chance(Faults_.LoseAnswer_);
+  at(StoreLatency, [this, Request, Answer, Failure, IsLost] {
+    const ports::StoreResponse Response = Store_.execute(Request);
+    if (IsLost)
+      at(LostAnswerAfter, [Answer, Failure] { Answer(Failure); });
+    else
+      at(StoreLatency, [Answer, Response] { Answer(Response); });
+  });
+}
+
+void FakeFleet::handOver(const model::Change &Entry) {
+  const unsigned Index = Random_(static_cast<unsigned>(Processes_.size()));
+  const LinkId Id = ++LastLink_;
+  feed(Index, LinkOpened{Id, {}, true, false});
+  feed(Index, PeerSaid{Id, Entries{{Entry}, {}}});
+  feed(Index, LinkClosed{Id});
+}
+
+void FakeFleet::noteCommit(const model::Change &Entry) {
+  if (const auto *Put = std::get_if<model::MarkLeaving>(&Entry.Action_))
+    Marks_[Put->Name_] = {Entry.Version_, Now_};
+  if (const auto *Back = std::get_if<model::ReturnServer>(&Entry.Action_))
+    Marks_.erase(Back->Name_);
+  if (const auto *Other = std::get_if<model::PutServer>(&Entry.Action_))
+    Marks_.erase(Other->Server_.Name_);
+  if (Now_ - DisturbedAt_ < SettleTime)
+    return;
+  at(InForceBound, [this, Version = Entry.Version_, Before = DisturbedAt_] {
+    if (DisturbedAt_ != Before)
+      return;
+    for (unsigned I = 0; I < Processes_.size(); ++I)
+      if (Processes_[I].Core_ && version(I) < Version)
+        breakPromise("version " + std::to_string(Version) +
+                     " is late on process " + std::to_string(I));
+  });
+}
+
+bool FakeFleet::isExemptFromMarks(unsigned Index) const {
+  // A part of the fleet that lost the store and the rest goes on with what it
+  // knows; see docs/design/isolation.md.
+  const FakeProcess &Process = Processes_[Index];
+  unsigned Others = 0;
+  bool HasStore = false;
+  for (unsigned I = 0; I < Processes_.size(); ++I) {
+    const FakeProcess &Peer = Processes_[I];
+    if (Peer.Side_ != Process.Side_ || !Peer.Core_ || Peer.IsPaused_)
+      continue;
+    Others += I != Index ? 1 : 0;
+    HasStore = HasStore || reachesStore(I);
+  }
+  return Others > 0 && (!HasStore || Now_ - DisturbedAt_ < SettleTime);
+}
+
+void FakeFleet::checkDispatch(unsigned Index) {
+  if (!Processes_[Index].View_ || !mayDispatch(Index))
+    return;
+  const model::ControlView &View = *Processes_[Index].View_;
+  for (const auto &[Server, Value] : Marks_)
+    if (Now_ - Value.At_ > DispatchBound &&
+        !View.LeavingServers_.count(Server) && !isExemptFromMarks(Index))
+      breakPromise("process " + std::to_string(Index) +
+                   " may still dispatch to " + Server);
+}
+
+void FakeFleet::disturb() { DisturbedAt_ = Now_; }
+
+std::uint64_t FakeFleet::version(unsigned Index) const {
+  const auto &View = Processes_[Index].View_;
+  return View ? View->Config_->Version_ : 0;
+}
+
+bool FakeFleet::mayDispatch(unsigned Index) const {
+  return control::mayDispatch(freshnessFacts(*Processes_[Index].Core_),
+                              Freshness_, Now_);
+}
+
+bool FakeFleet::chance(unsigned Percent) {
+  return Percent > 0 && Random_(100) < Percent;
+}
+
+bool FakeFleet::areConnected(unsigned Left, unsigned Right) const {
+  return Processes_[Left].Side_ == Processes_[Right].Side_;
+}
+
+bool FakeFleet::reachesStore(unsigned Index) const {
+  return IsStoreUp_ && Processes_[Index].HasStore_;
+}
+
+void FakeFleet::breakPromise(const std::string &What) {
+  Broken_.push_back(
+      std::to_string(std::chrono::duration_cast<milliseconds>(
+                         Now_.time_since_epoch() - std::chrono::hours(1))
+                         .count()) +
+      " ms: " + What);
+}
+
+} // namespace cumingauge::fakes
--- /dev/null
+++ b/tests/control/fakefleet.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include "control/changewriter.h"
+#include "control/core.h"
+#include "fakestore.h"
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <pcg_random.hpp>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cumingauge::fakes {
+
+using model::TimePoint;
+
+/// One process of the fake fleet; Core_ is null while it is down.
+struct FakeProcess {
+  control::CoreSettings Settings_;
+  std::shared_ptr<control::CoreState> Core_;
+  unsigned Life_ = 0;
+  bool IsPaused_ = false;
+  bool HasStore_ = true;
+  unsigned Side_ = 0; ///< processes reach those of their own side
+  std::vector<control::CoreInput> Waiting_; ///< while paused
+  std::shared_ptr<const model::ControlView> View_;
+  std::vector<control::RecordEvent> Events_;
+};
+
+/// A change that an operator wrote, and what came of it.
+struct FakeWrite {
+  control::WriteRequest Request_;
+  control::WriteOutcome Outcome_;
+  bool IsDone_ = false;
+};
+
+/// Chances, in percent, of what may happen to a message or a store call.
+struct Faults {
+  unsigned DropMessage_ = 0;
+  unsigned RepeatMessage_ = 0;
+  unsigned DelayMessage_ = 0;
+  unsigned LoseAnswer_ = 0; ///< executed, answer lost
+  unsigned LandLate_ = 0;   ///< reported lost, executed seconds later
+  unsigned RefuseCall_ = 0; ///< not executed
+};
+
+/// Control cores of several processes with a fake clock, store and links.
+/// Every broken promise is added to Broken_.
+class FakeFleet {
+public:
+  FakeFleet(unsigned Processes, std::uint64_t Seed);
+
+  void start(unsigned Index);
+  void kill(unsigned Index);
+  void pause(unsigned Index);
+  void resume(unsigned Index);
+  void stop(unsigned Index);
+  void run(model::Duration Time);
+  void at(model::Duration Delay, std::function<void()> Action);
+
+  /// Lets an operator write a change.
+  /// \param HandOver whether accepted entries are also sent to a process.
+  std::size_t write(model::ChangeAction Action, const std::string &Author,
+                    bool HandOver = false, bool Confirmed = false);
+
+  /// Notes that something else than single messages and calls was disturbed.
+  void disturb();
+  void feed(unsigned Index, const control::CoreInput &Input);
+  std::uint64_t version(unsigned Index) const;
+  bool mayDispatch(unsigned Index) const;
+
+  TimePoint Now_{std::chrono::hours(1)};
+  FakeStore Store_;
+  bool IsStoreUp_ = true;
+  Faults Faults_;
+  control::FreshnessLimits Freshness_;
+  std::vector<FakeProcess> Processes_;
+  std::vector<FakeWrite> Writes_;
+  std::vector<std::string> Broken_;
+  std::uint64_t Messages_ = 0;
+  std::uint64_t StoreCalls_ = 0;
+
+private:
+  struct Scheduled {
+    TimePoint At_;
+    std::uint64_t Order_ = 0;
+    std::function<void()> Action_;
+  };
+  struct Later {
+    bool operator()(const Scheduled &Left, const Scheduled &Right) const;
+  };
+  /// One end of a link.
+  struct LinkEnd {
+    unsigned Process_ = 0;
+    unsigned Life_ = 0;
+    control::LinkId Other_ = 0;
+  };
+  struct Watch {
+    std::string Key_;
+    unsigned Process_ = 0;
+    unsigned Life_ = 0;
+    control::StoreCallId Call_ = 0;
+  };
+
+  void tick(unsigned Index, unsigned Life);
+  void obey(unsigned Index, const control::CoreOrder &Order);
+  void callStore(unsigned Index, const control::CallStore &Order);
+  void answerStore(unsigned Index, unsigned Life, control::StoreCallId Call,
+                   const ports::StoreResponse &Answer);
+  void startWatch(unsigned Index, unsigned Life,
+                  const control::CallStore &Order);
+  void answerWatches(const std::string &Key);
+  void openLink(unsigned Index, const control::OpenLink &Order);
+  void closeLink(unsigned Index, control::LinkId Id);
+  void sendPeer(unsigned Index, const control::SendPeer &Order);
+  void takeView(unsigned Index,
+                const std::shared_ptr<const model::ControlView> &View);
+  void goOnWriting(std::size_t Index,
+                   const std::shared_ptr<control::ChangeWriter> &Writer,
+                   bool HandOver);
+  void callAsOperator(
+      const ports::StoreRequest &Request,
+      const std::function<void(const ports::StoreResponse &)> &Answer);
+  void handOver(const model::Change &Entry);
+  void noteCommit(const model::Change &Entry);
+  void checkDispatch(unsigned Index);
+  bool isExemptFromMarks(unsigned Index) const;
+  bool chance(unsigned Percent);
+  bool areConnected(unsigned Left, unsigned Right) const;
+  bool reachesStore(unsigned Index) const;
+  void breakPromise(const std::string &What);
+
+  struct Mark {
+    std::uint64_t Version_ = 0;
+    TimePoint At_;
+  };
+
+  pcg32 Random_;
+  std::priority_queue<Scheduled, std::vector<Scheduled>, Later> Queue_;
+  std::uint64_t LastOrder_ = 0;
+  std::map<control::LinkId, LinkEnd> Links_;
+  control::LinkId LastLink_ = 0;
+  std::vector<Watch> Watches_;
+  std::map<std::uint64_t, std::shared_ptr<const model::ConfigState>> States_;
+  std::map<std::string, Mark> Marks_; ///< marks in force by server
+  TimePoint DisturbedAt_;
+};
+
+} // namespace cumingauge::fakes
--- /dev/null
+++ b/tests/control/scripts.cpp
@@ -0,0 +1,278 @@
+#include "scripts.h"
+#include "samples.h"
+#include <algorithm>
+
+namespace cumingauge::fakes {
+
+namespace {
+
+using model::milliseconds;
+using model::seconds;
+
+constexpr const char *Presets[] = {"ordinary", "peak", "maintenance"};
+constexpr unsigned Servers = 4;
+constexpr unsigned Zones = 3;
+constexpr seconds Healing{40};
+
+std::string serverName(unsigned Index) {
+  return "s" + std::to_string(Index % Servers);
+}
+
+/// Prepares the configuration that the scripts work on.
+void setUp(FakeFleet &Fleet) {
+  for (unsigned I = 0; I < Fleet.Processes_.size(); ++I)
+    Fleet.start(I);
+  Fleet.run(seconds(2));
+  model::PutServers All;
+  for (unsigned I = 0; I < Servers; ++I)
+    All.Servers_.push_back(samples::server(serverName(I)));
+  Fleet.write(All, "setup");
+  Fleet.run(seconds(1));
+  for (const char *Name : Presets) {
+    Fleet.write(model::PutPreset{samples::preset(Name)}, "setup");
+    Fleet.run(seconds(1));
+  }
+}
+
+/// Carries out the lines of a script.
+class Player {
+public:
+  explicit Player(FakeFleet &Fleet) : Fleet_(Fleet) {}
+
+  void carryOut(const ScriptLine &Line) {
+    const unsigned Which = Line.Which_;
+    const unsigned Index = Which % count();
+    const milliseconds Lasts(Line.LastsMs_);
+    switch (Line.Deed_) {
+    case Deed::Choose:
+      choose(Which, "ann");
+      return;
+    case Deed::Race:
+      choose(Which, "ann");
+      choose(Which + 1, "bob");
+      return;
+    case Deed::Put:
+      Fleet_.write(model::PutPreset{changedPreset(Which)}, "ann", true);
+      return;
+    case Deed::Leave:
+      Fleet_.write(model::MarkLeaving{serverName(Which), vmOf(Which)}, "ann",
+                   Which % 2 == 0, true);
+      return;
+    case Deed::Return:
+      Fleet_.write(model::ReturnServer{serverName(Which), vmOf(Which)}, "bob");
+      return;
+    case Deed::Replace:
+      replace(Which);
+      return;
+    case Deed::Pause:
+      Fleet_.pause(Index);
+      Fleet_.at(Lasts, [this, Index] { Fleet_.resume(Index); });
+      return;
+    case Deed::Restart:
+      Fleet_.kill(Index);
+      Fleet_.at(Lasts, [this, Index] { Fleet_.start(Index); });
+      return;
+    case Deed::Goodbye:
+      Fleet_.stop(Index);
+      Fleet_.at(Lasts, [this, Index] { Fleet_.start(Index); });
+      return;
+    case Deed::Split:
+      split(Which, /*HasStore=*/true, Lasts);
+      return;
+    case Deed::SplitStore:
+      split(Which, /*HasStore=*/false, Lasts);
+      return;
+    case Deed::Isolate:
+      moveAway(Index, /*HasStore=*/false);
+      Fleet_.at(Lasts, [this, Index] { bringBack(Index); });
+      return;
+    case Deed::StoreOutage:
+      setStore(false);
+      Fleet_.at(Lasts, [this] { setStore(true); });
+      return;
+    case Deed::LoseZone:
+      loseZone(Which, Lasts);
+      return;
+    case Deed::LossyLinks:
+      Fleet_.Faults_.DropMessage_ = Which % 20;
+      Fleet_.Faults_.RepeatMessage_ = Which % 30;
+      Fleet_.Faults_.DelayMessage_ = Which % 40;
+      Fleet_.at(Lasts, [this] { calmLinks(); });
+      return;
+    case Deed::LossyStore:
+      Fleet_.Faults_.LoseAnswer_ = Which % 40;
+      Fleet_.Faults_.LandLate_ = Which % 30;
+      Fleet_.Faults_.RefuseCall_ = Which % 20;
+      Fleet_.disturb();
+      Fleet_.at(Lasts, [this] { calmStore(); });
+      return;
+    case Deed::Wait:
+      return;
+    }
+  }
+
+  /// Ends every failure that is still going on.
+  void heal() {
+    calmLinks();
+    calmStore();
+    setStore(true);
+    for (unsigned I = 0; I < count(); ++I) {
+      bringBack(I);
+      Fleet_.resume(I);
+      Fleet_.start(I);
+    }
+  }
+
+private:
+  unsigned count() const {
+    return static_cast<unsigned>(Fleet_.Processes_.size());
+  }
+
+  void choose(unsigned Which, const std::string &Author) {
+    Fleet_.write(model::ChoosePreset{Presets[Which % std::size(Presets)]},
+                 Author, Which % 3 == 0);
+  }
+
+  model::Preset changedPreset(unsigned Which) {
+    model::Preset Out = samples::preset(Presets[Which % std::size(Presets)]);
+    Out.Summary_ = "changed " + std::to_string(Fleet_.Writes_.size());
+    return Out;
+  }
+
+  std::string vmOf(unsigned Which) {
+    const auto Found = Vms_.find(serverName(Which));
+    return Found == Vms_.end() ? "vm-1" : Found->second;
+  }
+
+  void replace(unsigned Which) {
+    const std::string Name = serverName(Which);
+    Vms_[Name] = "vm-" + std::to_string(Fleet_.Writes_.size() + 2);
+    Fleet_.write(model::PutServer{samples::server(Name, Vms_[Name])}, "ann");
+  }
+
+  void moveAway(unsigned Index, bool HasStore) {
+    Fleet_.disturb();
+    Fleet_.Processes_[Index].Side_ = Index + 100;
+    Fleet_.Processes_[Index].HasStore_ = HasStore;
+  }
+
+  void bringBack(unsigned Index) {
+    Fleet_.disturb();
+    Fleet_.Processes_[Index].Side_ = 0;
+    Fleet_.Processes_[Index].HasStore_ = true;
+  }
+
+  void split(unsigned Which, bool HasStore, milliseconds Lasts) {
+    std::vector<unsigned> Away;
+    for (unsigned I = 0; I < count(); ++I)
+      if ((Which >> I) % 2 == 1)
+        Away.push_back(I);
+    for (const unsigned Index : Away) {
+      moveAway(Index, HasStore);
+      Fleet_.Processes_[Index].Side_ = 1;
+    }
+    Fleet_.at(Lasts, [this, Away] {
+      for (const unsigned Index : Away)
+        bringBack(Index);
+    });
+  }
+
+  void setStore(bool IsUp) {
+    Fleet_.disturb();
+    Fleet_.IsStoreUp_ = IsUp;
+  }
+
+  void loseZone(unsigned Which, milliseconds Lasts) {
+    for (unsigned I = Which % Zones; I < count(); I += Zones) {
+      Fleet_.kill(I);
+      Fleet_.at(Lasts, [this, I] { Fleet_.start(I); });
+    }
+  }
+
+  void calmLinks() {
+    Fleet_.Faults_.DropMessage_ = 0;
+    Fleet_.Faults_.RepeatMessage_ = 0;
+    Fleet_.Faults_.DelayMessage_ = 0;
+  }
+
+  void calmStore() {
+    Fleet_.Faults_.LoseAnswer_ = 0;
+    Fleet_.Faults_.LandLate_ = 0;
+    Fleet_.Faults_.RefuseCall_ = 0;
+  }
+
+  FakeFleet &Fleet_;
+  std::map<std::string, std::string> Vms_; ///< of replaced servers
+};
+
+} // namespace
+
+std::ostream &operator<<(std::ostream &Out, const ScriptLine &Line) {
+  return Out << boost::describe::enum_to_string(Line.Deed_, "?") << " "
+             << Line.Which_ << " for " << Line.LastsMs_ << " ms, next after "
+             << Line.NextMs_ << " ms\n";
+}
+
+rc::Gen<std::vector<ScriptLine>> scripts() {
+  const auto Last = static_cast<int>(Deed::Wait) + 1;
+  return rc::gen::container<std::vector<ScriptLine>>(rc::gen::build<ScriptLine>(
+      rc::gen::set(&ScriptLine::Deed_,
+                   rc::gen::map(rc::gen::inRange(0, Last),
+                                [](int Kind) { return Deed(Kind); })),
+      rc::gen::set(&ScriptLine::Which_, rc::gen::inRange(0U, 1000U)),
+      rc::gen::set(&ScriptLine::LastsMs_, rc::gen::inRange(0U, 20000U)),
+      rc::gen::set(&ScriptLine::NextMs_, rc::gen::inRange(0U, 5000U))));
+}
+
+std::vector<std::string> checkOutcomes(const FakeFleet &Fleet) {
+  std::vector<std::string> Out;
+  std::map<std::string, std::vector<std::uint64_t>> Versions;
+  for (const auto &[Version, Entry] : Fleet.Store_.Committed_)
+    Versions[Entry.Id_].push_back(Version);
+  for (const FakeWrite &Write : Fleet.Writes_) {
+    const std::string &Id = Write.Request_.Id_;
+    const auto &Found = Versions[Id];
+    if (!Write.IsDone_)
+      Out.push_back(Id + " got no answer");
+    if (Found.size() > 1)
+      Out.push_back(Id + " was accepted twice");
+    if (const auto *Accepted =
+            std::get_if<control::WriteAccepted>(&Write.Outcome_)) {
+      if (Found.empty() || Found[0] != Accepted->Change_.Version_)
+        Out.push_back(Id + " was not accepted as told");
+    } else if (const auto *Conflict =
+                   std::get_if<control::WriteConflict>(&Write.Outcome_)) {
+      const auto Other = Fleet.Store_.Committed_.find(Conflict->Version_);
+      if (Other == Fleet.Store_.Committed_.end() ||
+          Other->second.Author_ != Conflict->Author_ || !Found.empty())
+        Out.push_back(Id + " had no conflict as told");
+    } else if (std::holds_alternative<control::WriteRefused>(Write.Outcome_) &&
+               Write.IsDone_ && !Found.empty()) {
+      Out.push_back(Id + " was told refused but accepted");
+    }
+  }
+  return Out;
+}
+
+std::vector<std::string> play(const std::vector<ScriptLine> &Script,
+                              unsigned Processes, std::uint64_t Seed) {
+  FakeFleet Fleet(Processes, Seed);
+  setUp(Fleet);
+  Player Hand(Fleet);
+  for (const ScriptLine &Line : Script) {
+    Hand.carryOut(Line);
+    Fleet.run(milliseconds(Line.NextMs_));
+  }
+  Fleet.run(seconds(20)); // failures end by themselves
+  Hand.heal();
+  Fleet.run(Healing);
+  for (unsigned I = 0; I < Processes; ++I)
+    if (Fleet.version(I) != Fleet.Store_.lastVersion())
+      Fleet.Broken_.push_back("process " + std::to_string(I) + " ends at " +
+                              std::to_string(Fleet.version(I)));
+  for (const std::string &What : checkOutcomes(Fleet))
+    Fleet.Broken_.push_back(What);
+  return Fleet.Broken_;
+}
+
+} // namespace cumingauge::fakes
