--- /dev/null
+++ b/tests/control/changewritertest.cpp
@@ -0,0 +1,168 @@
+#include "control/changewriter.h"
+#include "control/changelookup.h"
+#include "control/storecodec.h"
+#include "control/storekeys.h"
+#include "fakestore.h"
+#include "samples.h"
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace cumingauge;
+using namespace cumingauge::control;
+using model::ResultCode;
+using ports::StoreOperation;
+
+namespace {
+
+/// A writer that is led through its calls by hand.
+struct GuidedWriter {
+  explicit GuidedWriter(fakes::FakeStore &Store) : Store_(Store) {
+    WriteRequest Request;
+    Request.Id_ = "mine";
+    Request.Author_ = "ann";
+    Request.Action_ = model::PutPreset{samples::preset("ordinary")};
+    Writer_ = startWrite(Request, WriteLimits(), Now_);
+  }
+
+  ports::StoreRequest next() { return *nextStep(Writer_, Now_).Request_; }
+
+  /// Goes on with a working store until this operation is next.
+  void runUntil(StoreOperation Operation) {
+    while (next().Operation_ != Operation)
+      take(Store_.execute(next()));
+  }
+
+  void take(const ports::StoreResponse &Answer) {
+    takeAnswer(Writer_, Answer, Now_);
+  }
+
+  void takeFailure(ResultCode Code) {
+    ports::StoreResponse Answer;
+    Answer.Code_ = Code;
+    take(Answer);
+  }
+
+  WriteOutcome finish() {
+    while (!nextStep(Writer_, Now_).Outcome_)
+      take(Store_.execute(next()));
+    return *nextStep(Writer_, Now_).Outcome_;
+  }
+
+  fakes::FakeStore &Store_;
+  model::TimePoint Now_{std::chrono::hours(1)};
+  ChangeWriter Writer_;
+};
+
+/// Another operator's entry at the first version.
+void occupyFirstVersion(fakes::FakeStore &Store) {
+  model::Change Other{
+      "other", "bob", 1, 0, model::PutPreset{samples::preset("peak")}, 0};
+  ports::StoreRequest Request;
+  Request.Operation_ = StoreOperation::CreateIfAbsent;
+  Request.Key_ = entryKey(1);
+  Request.Value_ = encodeChange(Other);
+  Store.execute(Request);
+}
+
+class WritingAChange : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(WritingAChange);
+  CPPUNIT_TEST(repeatsTheSameCreateAfterALostAnswer);
+  CPPUNIT_TEST(staysAtItsVersionWhileThatIsInDoubt);
+  CPPUNIT_TEST(movesOnOnceTheVersionIsTaken);
+  CPPUNIT_TEST(saysUnknownWhenTheStoreStaysAway);
+  CPPUNIT_TEST(saysRefusedWhenNoTryCanHaveLanded);
+  CPPUNIT_TEST(distrustsASuccessThatComesTooLate);
+  CPPUNIT_TEST(isFoundByItsIdAfterwards);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void repeatsTheSameCreateAfterALostAnswer() {
+    GuidedWriter Writer(Store_);
+    Writer.runUntil(StoreOperation::CreateIfAbsent);
+    const ports::StoreRequest First = Writer.next();
+    Store_.execute(First);
+    Writer.takeFailure(ResultCode::StoreTimeout);
+    CPPUNIT_ASSERT(Writer.next().Key_ == First.Key_);
+    CPPUNIT_ASSERT(Writer.next().Value_ == First.Value_);
+    const auto Outcome = Writer.finish();
+    CPPUNIT_ASSERT(std::holds_alternative<WriteAccepted>(Outcome));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), Store_.lastVersion());
+  }
+
+  void staysAtItsVersionWhileThatIsInDoubt() {
+    GuidedWriter Writer(Store_);
+    Writer.runUntil(StoreOperation::CreateIfAbsent);
+    const std::string Key = Writer.next().Key_;
+    for (int I = 0; I < 5; ++I) {
+      Writer.takeFailure(ResultCode::StoreTimeout);
+      CPPUNIT_ASSERT(Writer.next().Key_ == Key);
+      CPPUNIT_ASSERT(Writer.next().Operation_ ==
+                     StoreOperation::CreateIfAbsent);
+    }
+  }
+
+  void movesOnOnceTheVersionIsTaken() {
+    GuidedWriter Writer(Store_);
+    Writer.runUntil(StoreOperation::CreateIfAbsent);
+    const ports::StoreRequest Late = Writer.next();
+    Writer.takeFailure(ResultCode::StoreTimeout);
+    occupyFirstVersion(Store_);
+    const auto Outcome = Writer.finish();
+    Store_.execute(Late); // it cannot land any more
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(2),
+                         std::get<WriteAccepted>(Outcome).Change_.Version_);
+    CPPUNIT_ASSERT_EQUAL(std::string("other"), Store_.Committed_[1].Id_);
+  }
+
+  void saysUnknownWhenTheStoreStaysAway() {
+    GuidedWriter Writer(Store_);
+    Writer.runUntil(StoreOperation::CreateIfAbsent);
+    Writer.takeFailure(ResultCode::StoreTimeout);
+    for (int I = 0; I < 5; ++I)
+      Writer.takeFailure(ResultCode::StoreUnavailable);
+    Writer.Now_ += std::chrono::seconds(15);
+    const auto Outcome = Writer.finish();
+    CPPUNIT_ASSERT_EQUAL(std::string("mine"),
+                         std::get<WriteUnknown>(Outcome).Id_);
+  }
+
+  void saysRefusedWhenNoTryCanHaveLanded() {
+    GuidedWriter Writer(Store_);
+    Writer.runUntil(StoreOperation::CreateIfAbsent);
+    Writer.takeFailure(ResultCode::StoreUnavailable);
+    Writer.Now_ += std::chrono::seconds(15);
+    CPPUNIT_ASSERT(codeOf(Writer.finish()) == ResultCode::StoreUnavailable);
+  }
+
+  void distrustsASuccessThatComesTooLate() {
+    GuidedWriter Writer(Store_);
+    Writer.runUntil(StoreOperation::CreateIfAbsent);
+    const auto Answer = Store_.execute(Writer.next());
+    Writer.Now_ += std::chrono::hours(1); // the writer was paused
+    Writer.take(Answer);
+    CPPUNIT_ASSERT(std::holds_alternative<WriteUnknown>(Writer.finish()));
+  }
+
+  void isFoundByItsIdAfterwards() {
+    occupyFirstVersion(Store_);
+    GuidedWriter Writer(Store_);
+    Writer.finish();
+    CPPUNIT_ASSERT(lookUp("mine").Verdict_ == LookupResult::Verdict::Accepted);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), lookUp("mine").Version_);
+    CPPUNIT_ASSERT_EQUAL(std::string("ann"), lookUp("mine").Change_->Author_);
+    CPPUNIT_ASSERT(lookUp("none").Verdict_ == LookupResult::Verdict::NotFound);
+  }
+
+private:
+  LookupResult lookUp(const std::string &Id) {
+    ChangeLookup Lookup;
+    Lookup.Id_ = Id;
+    while (const auto Request = nextRequest(Lookup))
+      takeAnswer(Lookup, Store_.execute(*Request));
+    return *Lookup.Result_;
+  }
+
+  fakes::FakeStore Store_;
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(WritingAChange);
+
+} // namespace
--- a/tests/control/fakefleet.cpp
+++ b/tests/control/fakefleet.cpp
@@ -351,6 +351,7 @@
   Write.Request_.Author_ = Author;
   Write.Request_.Action_ = std::move(Action);
   Write.Request_.Confirmed_ = Confirmed;
+  Write.Request_.SeenVersion_ = Store_.lastVersion();
   Writes_.push_back(Write);
   auto Writer = std::make_shared<ChangeWriter>(
       startWrite(Write.Request_, WriteLimits(), Now_));
--- /dev/null
+++ b/tests/control/leavingtest.cpp
@@ -0,0 +1,102 @@
+#include "fakefleet.h"
+#include "samples.h"
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace cumingauge;
+using namespace cumingauge::fakes;
+using model::seconds;
+
+namespace {
+
+class ALeavingServer : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ALeavingServer);
+  CPPUNIT_TEST(isKnownToAllByItsOwnWord);
+  CPPUNIT_TEST(isKnownToAllByTheVmList);
+  CPPUNIT_TEST(staysMarkedWhenTheVmListLags);
+  CPPUNIT_TEST(isNotMistakenForItsReplacement);
+  CPPUNIT_TEST(staysMarkedWhenEveryProcessRestarts);
+  CPPUNIT_TEST(comesBackWhenNothingIsHeardAnyMore);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override {
+    for (unsigned I = 0; I < Size; ++I)
+      Fleet_.start(I);
+    Fleet_.write(model::PutServers{{samples::server("s1"),
+                                    samples::server("s2", "vm-2")}},
+                 "ops");
+    Fleet_.run(seconds(20));
+  }
+
+  void isKnownToAllByItsOwnWord() {
+    say("vm-1");
+    Fleet_.run(seconds(1));
+    CPPUNIT_ASSERT(allSee(true));
+  }
+
+  void isKnownToAllByTheVmList() {
+    Fleet_.Store_.Vms_.push_back({"vm-1", true, "backend"});
+    Fleet_.run(seconds(5));
+    CPPUNIT_ASSERT(allSee(true));
+    Fleet_.run(seconds(300)); // it is repeated in time
+    CPPUNIT_ASSERT(allSee(true));
+  }
+
+  void staysMarkedWhenTheVmListLags() {
+    Fleet_.Store_.Vms_.push_back({"vm-1", false, "backend"});
+    Fleet_.write(model::MarkLeaving{"s1", "vm-1"}, "ops");
+    Fleet_.run(seconds(300));
+    CPPUNIT_ASSERT(allSee(true));
+  }
+
+  void isNotMistakenForItsReplacement() {
+    say("vm-1");
+    Fleet_.write(model::MarkLeaving{"s1", "vm-1"}, "ops");
+    Fleet_.run(seconds(1));
+    Fleet_.write(model::PutServer{samples::server("s1", "vm-7")}, "ops");
+    Fleet_.run(seconds(1));
+    CPPUNIT_ASSERT(allSee(false));
+    say("vm-1"); // a late word of the one that left
+    Fleet_.run(seconds(1));
+    CPPUNIT_ASSERT(allSee(false));
+  }
+
+  void staysMarkedWhenEveryProcessRestarts() {
+    Fleet_.write(model::MarkLeaving{"s1", "vm-1"}, "ops");
+    Fleet_.run(seconds(1));
+    for (unsigned I = 0; I < Size; ++I)
+      Fleet_.kill(I);
+    for (unsigned I = 0; I < Size; ++I)
+      Fleet_.start(I);
+    Fleet_.run(seconds(5));
+    CPPUNIT_ASSERT(allSee(true));
+  }
+
+  void comesBackWhenNothingIsHeardAnyMore() {
+    say("vm-1");
+    Fleet_.run(seconds(130));
+    CPPUNIT_ASSERT(allSee(false));
+  }
+
+private:
+  void say(const std::string &Vm) {
+    control::ServerSighting Word;
+    Word.Server_ = "s1";
+    Word.Vm_ = Vm;
+    Word.Report_.Draining_ = true;
+    Fleet_.feed(2, control::ServerSaid{Word});
+  }
+
+  bool allSee(bool IsLeaving) {
+    for (const FakeProcess &Process : Fleet_.Processes_)
+      if ((Process.View_->LeavingServers_.count("s1") > 0) != IsLeaving)
+        return false;
+    return true;
+  }
+
+  static constexpr unsigned Size = 6;
+  FakeFleet Fleet_{Size, 31};
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(ALeavingServer);
+
+} // namespace
--- /dev/null
+++ b/tests/control/racetest.cpp
@@ -0,0 +1,99 @@
+#include "fakefleet.h"
+#include "samples.h"
+#include "scripts.h"
+#include <cppunit/extensions/HelperMacros.h>
+#include <iostream>
+
+using namespace cumingauge;
+using namespace cumingauge::fakes;
+using model::seconds;
+
+namespace {
+
+constexpr unsigned Races = 500;
+
+/// A fleet whose store loses many of its answers.
+struct LossyStore : FakeFleet {
+  explicit LossyStore(std::uint64_t Seed) : FakeFleet(1, Seed) {
+    start(0); // writes the snapshots that keep the log short
+    for (const char *Name : {"ordinary", "peak", "maintenance"})
+      write(model::PutPreset{samples::preset(Name)}, "setup");
+    run(seconds(20));
+    write(model::PutServers{{samples::server("s1"), samples::server("s2"),
+                             samples::server("s3")}},
+          "setup");
+    run(seconds(20));
+    Faults_.LoseAnswer_ = 20;
+    Faults_.LandLate_ = 15;
+    Faults_.RefuseCall_ = 5;
+  }
+};
+
+template <class T> bool is(const FakeWrite &Write) {
+  return Write.IsDone_ && std::holds_alternative<T>(Write.Outcome_);
+}
+
+class TwoOperators : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TwoOperators);
+  CPPUNIT_TEST(areToldTheTruthWhenTheyRace);
+  CPPUNIT_TEST(bothSucceedWithDifferentServers);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void areToldTheTruthWhenTheyRace() {
+    LossyStore Fleet(11);
+    unsigned Accepted = 0;
+    unsigned Conflicts = 0;
+    unsigned Unknown = 0;
+    unsigned NotAsked = 0; // the store could not be asked: nothing written
+    for (unsigned I = 0; I < Races; ++I) {
+      const std::size_t Ann =
+          Fleet.write(model::ChoosePreset{I % 2 ? "peak" : "ordinary"}, "ann");
+      const std::size_t Bob =
+          Fleet.write(model::ChoosePreset{"maintenance"}, "bob");
+      Fleet.run(seconds(30)); // late writes have landed by then
+      // Both decided on the same version, so one must not replace the other.
+      CPPUNIT_ASSERT(!is<control::WriteAccepted>(Fleet.Writes_[Ann]) ||
+                     !is<control::WriteAccepted>(Fleet.Writes_[Bob]));
+      for (const std::size_t Index : {Ann, Bob}) {
+        Accepted += is<control::WriteAccepted>(Fleet.Writes_[Index]);
+        Conflicts += is<control::WriteConflict>(Fleet.Writes_[Index]);
+        Unknown += is<control::WriteUnknown>(Fleet.Writes_[Index]);
+        NotAsked += control::codeOf(Fleet.Writes_[Index].Outcome_) ==
+                    model::ResultCode::StoreUnavailable;
+      }
+    }
+    for (const std::string &What : checkOutcomes(Fleet))
+      CPPUNIT_FAIL(What);
+    // Every kind of answer was put to the test.
+    CPPUNIT_ASSERT(Accepted > Races / 2 && Conflicts > Races / 2 &&
+                   Unknown > 0);
+    std::cerr << Accepted << " accepted, " << Conflicts << " conflicts, "
+              << Unknown << " unknown, " << NotAsked << " not asked\n";
+    CPPUNIT_ASSERT_EQUAL(2 * Races, Accepted + Conflicts + Unknown + NotAsked);
+  }
+
+  void bothSucceedWithDifferentServers() {
+    FakeFleet Fleet(1, 12);
+    Fleet.write(model::PutServers{{samples::server("s1"), samples::server("s2"),
+                                   samples::server("s3")}},
+                "setup");
+    Fleet.run(seconds(1));
+    const std::size_t Ann =
+        Fleet.write(model::MarkLeaving{"s1", "vm-1"}, "ann");
+    const std::size_t Bob =
+        Fleet.write(model::MarkLeaving{"s2", "vm-1"}, "bob");
+    Fleet.run(seconds(1));
+    CPPUNIT_ASSERT(is<control::WriteAccepted>(Fleet.Writes_[Ann]));
+    CPPUNIT_ASSERT(is<control::WriteAccepted>(Fleet.Writes_[Bob]));
+    // The last one of the service needs to be confirmed, also after a race.
+    const std::size_t Last =
+        Fleet.write(model::MarkLeaving{"s3", "vm-1"}, "bob");
+    Fleet.run(seconds(1));
+    CPPUNIT_ASSERT(control::codeOf(Fleet.Writes_[Last].Outcome_) ==
+                   model::ResultCode::ConfirmationNeeded);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(TwoOperators);
+
+} // namespace
--- a/tests/control/scripts.cpp
+++ b/tests/control/scripts.cpp
@@ -267,6 +267,8 @@
   Player Hand(Fleet);
   for (const ScriptLine &Line : Script) {
     Hand.carryOut(Line);
+    if (Line.Deed_ == Deed::Wait)
+      Fleet.run(milliseconds(Line.LastsMs_) + seconds(10));
     Fleet.run(milliseconds(Line.NextMs_));
   }
   Fleet.run(seconds(20)); // failures end by themselves
