Cut subsets so that the fleet keeps to the connection limit

Cause: services of up to 64 servers were used whole and every traffic thread may open at least one connection to each server. With more threads than maxConnections the fleet passed the limit. Also, when no server of a subset had room, a thread turned to all servers, so that any busy period undid the subset.

Change: with more threads than the limit, a thread's arc of the ring ends where the arc of the thread "limit" places further on begins, so that each server has exactly that many users; threads that are nearly too many take one server each in turn. Arcs start by rank and thread. Above the limit, a thread leaves its subset only when each server there drains, is ejected or was tried by the call. No connection is kept warm outside the subset. FleetPlace has its own header, as the subset uses it as well as the measuring budget.

The fields of subsetOf's call in the old property test changed, not what it checks.

Not measured: a live fleet of that size; idle connections to a former subset stay until the idle timeout.

--- a/src/libcumingauge/policy/assessment.cpp
+++ b/src/libcumingauge/policy/assessment.cpp
@@ -122,11 +122,16 @@
                          Server.InFlight_, Aging, Now);
 }
 
-Assessment assess(ServerHandle Handle, const Comparison &With) {
+bool mayTake(ServerHandle Handle, const Comparison &With) {
   const ServerRecord &Server = With.State_.Servers_[Handle];
   if (Server.Draining_ || !standingAllows(Server, With))
-    return {};
-  if (With.ExcludeTried_ && wasTried(With.Request_.Call_, Handle))
+    return false;
+  return !With.ExcludeTried_ || !wasTried(With.Request_.Call_, Handle);
+}
+
+Assessment assess(ServerHandle Handle, const Comparison &With) {
+  const ServerRecord &Server = With.State_.Servers_[Handle];
+  if (!mayTake(Handle, With))
     return {};
   const BacklogEstimate Backlog =
       backlogOf(With.State_, With.Service_, Server, With.Now_);
--- a/src/libcumingauge/policy/assessment.h
+++ b/src/libcumingauge/policy/assessment.h
@@ -36,4 +36,7 @@
 
 Assessment assess(ServerHandle Handle, const Comparison &With);
 
+/// Whether nothing but its backlog can make the server unusable.
+bool mayTake(ServerHandle Handle, const Comparison &With);
+
 } // namespace cumingauge::policy
--- a/src/libcumingauge/policy/balancer.h
+++ b/src/libcumingauge/policy/balancer.h
@@ -141,7 +141,10 @@
                      model::TimePoint Now);
 
 /// Upper limit on this thread's connections to a server, at least 1, and how
-/// many of them to keep open when idle; 0 for a leaving server.
+/// many of them to keep open when idle; 0 for a leaving server and for one
+/// outside the thread's subset. The limits of the threads that have a server
+/// in their subset add up to the preset's limit at most; one connection more
+/// per thread is possible while a whole subset is out of use.
 struct ConnectionShare {
   unsigned Limit_ = 1;
   unsigned Warm_ = 1;
--- a/src/libcumingauge/policy/balancerstate.h
+++ b/src/libcumingauge/policy/balancerstate.h
@@ -3,6 +3,7 @@
 #include "model/controlview.h"
 #include "policy/balancer.h"
 #include "policy/choicereason.h"
+#include "policy/fleetplace.h"
 #include "policy/serverrecord.h"
 #include "policy/servicerecord.h"
 #include <memory>
@@ -31,6 +32,10 @@
   ReasonCounts Reasons_{};
 };
 
+/// Place of this thread. Threads that do not know their number have the place
+/// of their process among all processes.
+FleetPlace fleetPlace(const BalancerState &State);
+
 /// Key of a server in ServerByIdentity_.
 std::string identityKey(const std::string &Name, const std::string &Vm);
 
--- a/src/libcumingauge/policy/choice.cpp
+++ b/src/libcumingauge/policy/choice.cpp
@@ -115,6 +115,28 @@
                      });
 }
 
+/// Whether all servers may be tried after none of the subset was found. Where
+/// the subset is what keeps the fleet within the connection limit, a subset
+/// that is merely full is no reason to leave it: then most services are full
+/// all over, and every thread would connect to every server.
+bool mayLeaveSubset(const BalancerState &State, const ServiceRecord &Service,
+                    const Comparison &With) {
+  if (State.Deciders_ <= State.Preset_.Servers_.MaxConnections_)
+    return true;
+  return std::none_of(
+      Service.Subset_.begin(), Service.Subset_.end(),
+      [&](ServerHandle Handle) { return mayTake(Handle, With); });
+}
+
+/// Looks at every server of the subset, then at those outside it.
+ServerHandle cheapestAnywhere(BalancerState &State,
+                              const ServiceRecord &Service,
+                              const Comparison &With) {
+  if (mayLeaveSubset(State, Service, With))
+    return cheapestOfAll(State, With, Service.Members_);
+  return cheapestOfAll(State, With, Service.Subset_);
+}
+
 ChoiceReason reasonFor(const BalancerState &State, ServerHandle Server) {
   return State.Servers_[Server].Outlier_.Standing_ == Standing::Probation
              ? ChoiceReason::OnProbation
@@ -137,12 +159,12 @@
                   State.Preset_.Pick_ == model::PickMethod::ExpectedWait};
   ServerHandle Found = byMethod(State, Service, With);
   if (Found == NoServer)
-    Found = cheapestOfAll(State, With, Service.Members_);
+    Found = cheapestAnywhere(State, Service, With);
   if (Found != NoServer)
     return {Found, reasonFor(State, Found)};
   if (Request.MayRepeat_ && !Request.Call_.Tried_.empty()) {
     With.ExcludeTried_ = false;
-    Found = cheapestOfAll(State, With, Service.Members_);
+    Found = cheapestAnywhere(State, Service, With);
     if (Found != NoServer)
       return {Found, ChoiceReason::TriedBefore};
   }
--- a/src/libcumingauge/policy/measuring.h
+++ b/src/libcumingauge/policy/measuring.h
@@ -1,17 +1,12 @@
 #pragma once
 
 #include "model/time.h"
+#include "policy/fleetplace.h"
 
 /// The share of the fleet's measuring budget that one traffic thread may
 /// spend.
 namespace cumingauge::policy {
 
-/// A traffic thread's place among all traffic threads of the fleet.
-struct FleetPlace {
-  unsigned Deciders_ = 1; ///< traffic threads of the fleet
-  unsigned Place_ = 0;    ///< unique among them when views agree
-};
-
 /// Probes per second for one thread. Summed over threads with different
 /// places whose counts are not below the truth, it is at most the budget.
 double probeShare(double BudgetPerSecond, const FleetPlace &Place);
--- a/src/libcumingauge/policy/probing.cpp
+++ b/src/libcumingauge/policy/probing.cpp
@@ -9,13 +9,6 @@
 /// A server heard of this recently needs no probe.
 constexpr model::Duration FreshFor = model::milliseconds(100);
 
-FleetPlace placeOf(const BalancerState &State) {
-  const unsigned Rank = State.View_ ? State.View_->FleetRank_ : 0;
-  if (State.Thread_)
-    return {State.Deciders_, Rank * State.Threads_ + *State.Thread_};
-  return {State.Deciders_ / State.Threads_, Rank};
-}
-
 /// Threads that do not know their number divide their process's share.
 double budgetOf(const BalancerState &State) {
   const double Budget = State.Preset_.Measuring_.ProbesPerSecond_;
@@ -39,7 +32,7 @@
   std::vector<ProbeOrder> Out;
   if (!State.View_)
     return Out;
-  const double PerSecond = probeShare(budgetOf(State), placeOf(State));
+  const double PerSecond = probeShare(budgetOf(State), fleetPlace(State));
   for (ServiceRecord &Service : State.Services_) {
     if (!isProbeDue(Service.Probes_, PerSecond, Now))
       continue;
--- a/src/libcumingauge/policy/serverrecord.h
+++ b/src/libcumingauge/policy/serverrecord.h
@@ -18,6 +18,7 @@
   bool Leaving_ = false;      ///< by the view
   bool Draining_ = false;     ///< by its own word
   bool SameZone_ = false;
+  bool InSubset_ = false;   ///< of the servers this thread prefers
   unsigned InFlight_ = 0;   ///< own attempts under way
   long long SentAtSum_ = 0; ///< of their send times, ns since the epoch
   ReportMemory Report_;
--- a/src/libcumingauge/policy/subset.cpp
+++ b/src/libcumingauge/policy/subset.cpp
@@ -5,7 +5,7 @@
 
 namespace {
 
-/// Services up to this size are used whole.
+/// Services up to this size are used whole where connections suffice.
 constexpr std::size_t WholeUpTo = 64;
 
 /// The van der Corput sequence as a 64-bit fraction: any first n of its
@@ -18,30 +18,82 @@
   return Out;
 }
 
+struct Arc {
+  std::size_t First_ = 0;
+  std::size_t Length_ = 0;
+};
+
+std::size_t startOf(std::uint64_t Fraction, std::size_t Count) {
+  constexpr double Whole = 18446744073709551616.0; // 2^64
+  return static_cast<std::size_t>(static_cast<double>(Fraction) / Whole *
+                                  static_cast<double>(Count));
+}
+
+/// Length for which any half of the threads leaves no gap.
+std::size_t wantedLength(std::size_t Count, unsigned Deciders) {
+  if (Count <= WholeUpTo)
+    return Count;
+  const std::size_t NoGap = 4 * Count / Deciders + 2;
+  return std::min(Count, std::max(NoGap, WholeUpTo));
+}
+
+/// Arcs that give each server exactly \p MaxUsers users, which are
+/// fewer than there are threads: each arc ends where the arc of the thread
+/// that many places further on begins.
+Arc sharedArc(std::size_t Count, const FleetPlace &Place, unsigned MaxUsers) {
+  std::vector<std::uint64_t> Starts(Place.Deciders_);
+  for (unsigned I = 0; I < Place.Deciders_; ++I)
+    Starts[I] = reversedBits(I);
+  std::sort(Starts.begin(), Starts.end());
+  const auto EndOf = [&](std::size_t Index) {
+    const std::size_t End = Index + MaxUsers;
+    return End < Starts.size()
+               ? startOf(Starts[End], Count)
+               : startOf(Starts[End - Starts.size()], Count) + Count;
+  };
+  // Arcs may be empty where threads are nearly too many; then one server each.
+  for (std::size_t I = 0; I < Starts.size(); ++I)
+    if (EndOf(I) <= startOf(Starts[I], Count))
+      return {Place.Place_ % Count, 1};
+  const std::uint64_t Own = reversedBits(Place.Place_);
+  const auto Index = static_cast<std::size_t>(
+      std::lower_bound(Starts.begin(), Starts.end(), Own) - Starts.begin());
+  const std::size_t First = startOf(Own, Count);
+  return {First, EndOf(Index) - First};
+}
+
+Arc arcOf(std::size_t Count, const FleetPlace &Place, unsigned MaxUsers) {
+  const std::size_t Wanted = wantedLength(Count, Place.Deciders_);
+  if (Place.Deciders_ > MaxUsers) {
+    const Arc Shared = sharedArc(Count, Place, MaxUsers);
+    return {Shared.First_, std::min(Shared.Length_, Wanted)};
+  }
+  if (Wanted == Count)
+    return {0, Count};
+  return {startOf(reversedBits(Place.Place_), Count), Wanted};
+}
+
 } // namespace
 
 std::vector<std::uint32_t> subsetOf(std::vector<RingPlace> Servers,
-                                    unsigned FleetSize, unsigned FleetRank) {
+                                    const FleetPlace &Place,
+                                    unsigned MaxUsers) {
+  if (Servers.empty())
+    return {};
+  const unsigned Deciders = std::max(Place.Deciders_, 1u);
+  // A place may be too high for a moment while the fleet changes.
+  const FleetPlace Known{Deciders, Place.Place_ % Deciders};
   std::sort(Servers.begin(), Servers.end(),
             [](const RingPlace &Left, const RingPlace &Right) {
               return Left.Hash_ != Right.Hash_ ? Left.Hash_ < Right.Hash_
                                                : Left.Handle_ < Right.Handle_;
             });
-  const std::size_t Count = Servers.size();
-  std::size_t First = 0;
-  std::size_t Length = Count;
-  if (Count > WholeUpTo) {
-    // The arc counts servers, not hash distance: each process gets as many.
-    First = static_cast<std::size_t>(
-        static_cast<double>(reversedBits(FleetRank)) / 18446744073709551616.0 *
-        static_cast<double>(Count));
-    const std::size_t NoGap = 4 * Count / std::max(FleetSize, 1u) + 2;
-    Length = std::min(Count, std::max(NoGap, WholeUpTo));
-  }
+  // The arc counts servers, not hash distance: even shares for all threads.
+  const Arc Cut = arcOf(Servers.size(), Known, MaxUsers);
   std::vector<std::uint32_t> Out;
-  Out.reserve(Length);
-  for (std::size_t I = 0; I < Length; ++I)
-    Out.push_back(Servers[(First + I) % Count].Handle_);
+  Out.reserve(Cut.Length_);
+  for (std::size_t I = 0; I < Cut.Length_; ++I)
+    Out.push_back(Servers[(Cut.First_ + I) % Servers.size()].Handle_);
   return Out;
 }
 
--- a/src/libcumingauge/policy/subset.h
+++ b/src/libcumingauge/policy/subset.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "policy/fleetplace.h"
 #include <cstdint>
 #include <vector>
 
@@ -11,11 +12,15 @@
   std::uint64_t Hash_ = 0; ///< of name and VM, the same in every process
 };
 
-/// The servers that one process sends to, in ring order. All of them when
-/// there are few. Otherwise an arc whose start depends on the rank only, so
-/// that a process that joins moves no other, and whose length leaves no gap
-/// while the fleet is at least half of \p FleetSize.
+/// The servers that one thread sends to, in ring order, at least one when
+/// there are any. All of them when servers and threads are few. Otherwise an
+/// arc whose start depends on the number of the thread only, so that a thread
+/// that joins moves no other, and whose length leaves no gap while at least
+/// half of the threads run.
+/// \param MaxUsers of one server; kept unless there are more threads than
+/// this times the servers.
 std::vector<std::uint32_t> subsetOf(std::vector<RingPlace> Servers,
-                                    unsigned FleetSize, unsigned FleetRank);
+                                    const FleetPlace &Place,
+                                    unsigned MaxUsers = UINT32_MAX);
 
 } // namespace cumingauge::policy
--- a/src/libcumingauge/policy/view.cpp
+++ b/src/libcumingauge/policy/view.cpp
@@ -68,24 +68,41 @@
   }
 }
 
-void summarize(BalancerState &State, ServiceRecord &Service,
-               const model::ControlView &View) {
+/// Threads that share a place use the same servers: a place then counts as
+/// that many users.
+unsigned maxUsers(const BalancerState &State) {
+  const unsigned Limit = State.Preset_.Servers_.MaxConnections_;
+  return std::max(State.Thread_ ? Limit : Limit / State.Threads_, 1u);
+}
+
+void summarize(BalancerState &State, ServiceRecord &Service) {
   std::vector<RingPlace> Ring;
   Service.Slots_ = 0;
   Service.Ejected_ = 0;
   for (const ServerHandle Handle : Service.Members_) {
-    const ServerRecord &Record = State.Servers_[Handle];
+    ServerRecord &Record = State.Servers_[Handle];
+    Record.InSubset_ = false;
     const std::string Key =
         identityKey(Record.Server_.Name_, Record.Server_.Vm_);
     Ring.push_back({Handle, XXH64(Key.data(), Key.size(), 0)});
     Service.Slots_ += Record.Slots_;
     Service.Ejected_ += Record.Outlier_.Standing_ != Standing::Good;
   }
-  Service.Subset_ = subsetOf(std::move(Ring), View.FleetSize_, View.FleetRank_);
+  Service.Subset_ =
+      subsetOf(std::move(Ring), fleetPlace(State), maxUsers(State));
+  for (const ServerHandle Handle : Service.Subset_)
+    State.Servers_[Handle].InSubset_ = true;
 }
 
 } // namespace
 
+FleetPlace fleetPlace(const BalancerState &State) {
+  const unsigned Rank = State.View_ ? State.View_->FleetRank_ : 0;
+  if (State.Thread_)
+    return {State.Deciders_, Rank * State.Threads_ + *State.Thread_};
+  return {State.Deciders_ / State.Threads_, Rank};
+}
+
 std::string identityKey(const std::string &Name, const std::string &Vm) {
   return Name + '\0' + Vm;
 }
@@ -108,7 +125,7 @@
   State.Deciders_ = std::max(View->FleetSize_, 1u) * State.Threads_;
   takeServers(State, *View, FirstView, Now);
   for (ServiceRecord &Service : State.Services_) {
-    summarize(State, Service, *View);
+    summarize(State, Service);
     if (SharesChanged)
       holdProbes(Service.Probes_, Now);
   }
@@ -119,7 +136,8 @@
   const ServerRecord &Record = State.Servers_.at(Server);
   const model::ServerLimits &Limits = State.Preset_.Servers_;
   const unsigned Limit = std::max(Limits.MaxConnections_ / State.Deciders_, 1u);
-  if (!Record.Present_ || Record.Leaving_ || Record.Draining_)
+  if (!Record.Present_ || Record.Leaving_ || Record.Draining_ ||
+      !Record.InSubset_)
     return {Limit, 0};
   const unsigned Warm =
       (Limits.WarmConnections_ + State.Threads_ - 1) / State.Threads_;
--- a/tests/policy/choicetest.cpp
+++ b/tests/policy/choicetest.cpp
@@ -180,7 +180,7 @@
       for (unsigned Rank = 0; Rank < Processes; ++Rank) {
         // Each process may take the fleet for up to twice as large.
         const unsigned Seen = *rc::gen::inRange(Processes, 2 * Processes + 1);
-        for (const std::uint32_t Handle : subsetOf(Ring, Seen, Rank))
+        for (const std::uint32_t Handle : subsetOf(Ring, {Seen, Rank}))
           Reached.insert(Handle);
       }
       RC_ASSERT(Reached.size() == Servers);
