--- a/src/cumingauged/entryprocess.cpp
+++ b/src/cumingauged/entryprocess.cpp
@@ -50,8 +50,6 @@
           Settings.Control_.Process_, Settings.Control_.EventRingSize_)) {}
 
 EntryProcess::Ports EntryProcess::start() {
-  Ring_->record(model::EventKind::ProcessStarted, Settings_.Control_.Process_,
-                0, model::ResultCode::Ok, CUMINGAUGE_VERSION);
   adapters::HttpTraffic::Hooks Hooks;
   Hooks.IsFresh_ = [this](model::TimePoint Now) { return isFresh(Now); };
   Hooks.NoteSighting_ = [this](control::ServerSighting Sighting) {
