Tell refused newcomers the members, and keep a lone process fresh

Change: a seed at its limit sends its member table before it closes the link; the watch of a process without peers lasts 0.5 s. A lone process was refused within 60 s of virtual time, now never in 6,000 looks.

--- a/src/libcumingauge/control/linkkeeper.cpp
+++ b/src/libcumingauge/control/linkkeeper.cpp
@@ -184,6 +184,11 @@
   const bool IsSelf = Input.Peer_.Process_ == State.Members_.Self_;
   const bool IsTooMany =
       !Opened.Ordered_ && State.Links_.Links_.size() > MaxPeerLinks;
+  if (IsTooMany) {
+    // The newcomer needs other members to link with.
+    takeMember(State, Input.Peer_);
+    sendTable(State, Opened);
+  }
   if (IsSelf || IsTooMany || isSurplus(State, Opened)) {
     close(State, Input.Link_, model::ResultCode::Ok);
     if (IsSelf)
--- a/src/libcumingauge/control/membership.cpp
+++ b/src/libcumingauge/control/membership.cpp
@@ -30,16 +30,6 @@
   return std::nullopt;
 }
 
-void sendTable(CoreState &State, Link &To) {
-  To.TableSentAt_ = State.Now_;
-  To.DigestDiffersSince_.reset();
-  MemberNews Message;
-  Message.Full_ = true;
-  for (const auto &[Name, Record] : State.Members_.Records_)
-    Message.Members_.push_back(Record.Member_);
-  send(State, To, std::move(Message));
-}
-
 /// Members of which the sender of a full table knows less than this process.
 std::vector<Member> newerThan(const CoreState &State,
                               const MemberNews &Message) {
@@ -78,6 +68,16 @@
            std::to_string(News.Incarnation_));
 }
 
+void sendTable(CoreState &State, Link &To) {
+  To.TableSentAt_ = State.Now_;
+  To.DigestDiffersSince_.reset();
+  MemberNews Message;
+  Message.Full_ = true;
+  for (const auto &[Name, Record] : State.Members_.Records_)
+    Message.Members_.push_back(Record.Member_);
+  send(State, To, std::move(Message));
+}
+
 void takeMemberNews(CoreState &State, Link &From, const MemberNews &Message) {
   for (const Member &News : Message.Members_)
     takeMember(State, News);
--- a/src/libcumingauge/control/membership.h
+++ b/src/libcumingauge/control/membership.h
@@ -15,6 +15,9 @@
 
 void takeMemberNews(CoreState &State, Link &From, const MemberNews &Message);
 
+/// Sends all that is known of the members.
+void sendTable(CoreState &State, Link &To);
+
 /// Suspects the peer of a link that fell silent, closed or failed to open.
 void suspect(CoreState &State, const std::string &Process);
 
--- a/src/libcumingauge/control/storefollower.cpp
+++ b/src/libcumingauge/control/storefollower.cpp
@@ -19,7 +19,9 @@
 constexpr model::milliseconds PeersFirst{500}; ///< wait for a peer's state
 constexpr model::seconds VerifyPeriod{30};
 constexpr model::seconds WatchMargin{10}; ///< answer overdue after the wait
-constexpr model::milliseconds WatchWithoutPeers{1000};
+/// An exchange counts from the moment of the call, so two of these must fit
+/// into the limit on the age of the view.
+constexpr model::milliseconds WatchWithoutPeers{500};
 constexpr model::milliseconds FirstRetry{200};
 constexpr model::seconds LastRetry{5};
 /// A change accepted right after an outage must still be in time.
--- a/tests/control/freshnesstest.cpp
+++ b/tests/control/freshnesstest.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST_SUITE(NewWork);
   CPPUNIT_TEST(goesOnWhileTheStoreIsAway);
   CPPUNIT_TEST(goesOnInAFleetOfOneWithoutStore);
+  CPPUNIT_TEST(goesOnInAFleetOfOneBetweenAnswersOfTheStore);
   CPPUNIT_TEST(stopsAFewSecondsAfterIsolation);
   CPPUNIT_TEST(waitsAfterAPauseForAnExchange);
   CPPUNIT_TEST(waitsWhenTheControlThreadStandsStill);
@@ -40,6 +41,17 @@
     CPPUNIT_ASSERT(Fleet.mayDispatch(0));
   }
 
+  void goesOnInAFleetOfOneBetweenAnswersOfTheStore() {
+    FakeFleet Fleet(1, 43);
+    Fleet.Processes_[0].Settings_.SeedPeers_.clear();
+    start(Fleet);
+    constexpr unsigned Looks = 6000;
+    for (unsigned I = 0; I < Looks; ++I) {
+      Fleet.run(milliseconds(10));
+      CPPUNIT_ASSERT(Fleet.mayDispatch(0));
+    }
+  }
+
   void stopsAFewSecondsAfterIsolation() {
     FakeFleet Fleet(6, 43);
     start(Fleet);
--- a/tests/control/membershiptest.cpp
+++ b/tests/control/membershiptest.cpp
@@ -204,4 +204,30 @@
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(TheFleet);
 
+class AFleetThatStartsAtOnce : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AFleetThatStartsAtOnce);
+  CPPUNIT_TEST(linksEveryProcessThoughFewSeedsRefuseMostOfThem);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr unsigned Processes = 120;
+  static constexpr unsigned Seeds = 3;
+
+public:
+  void linksEveryProcessThoughFewSeedsRefuseMostOfThem() {
+    FakeFleet Fleet(Processes, 5);
+    for (FakeProcess &Process : Fleet.Processes_)
+      Process.Settings_.SeedPeers_.resize(Seeds);
+    for (unsigned I = 0; I < Processes; ++I)
+      Fleet.start(I);
+    Fleet.run(seconds(30));
+    for (const FakeProcess &Process : Fleet.Processes_) {
+      const auto Status = describeCore(*Process.Core_, Fleet.Now_);
+      CPPUNIT_ASSERT_MESSAGE(Status.Process_, Status.Links_ > 0);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Status.Process_, std::size_t(Processes),
+                                   Status.Members_.size());
+    }
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(AFleetThatStartsAtOnce);
+
 } // namespace
