Keep probes within the budget while the fleet is apart

Cause: the place in the probing budget was the rank among live members, so two halves of a fleet gave out the same places twice. Change: the place is counted also over processes that ended without a goodbye in the last 10 minutes; the other limits keep the live size. Result: the test that cuts a fleet in halves for 3 minutes finds a place of its own for each process.

--- a/src/libcumingauge/control/viewpublisher.cpp
+++ b/src/libcumingauge/control/viewpublisher.cpp
@@ -10,6 +10,9 @@
 
 constexpr std::size_t PeersToCompare = 3;
 constexpr model::seconds MaxComparison{3};
+/// Regions lose each other for minutes; a process that has not been heard of
+/// for longer is taken for gone.
+constexpr model::minutes ProbeHold{10};
 
 /// Whether a state known only from peers may be acted on: it is as new as
 /// several of them show, or no more of them have come in time.
@@ -47,18 +50,53 @@
       }));
 }
 
+bool mayBeProbing(const CoreState &State, const MemberRecord &Record) {
+  if (isLive(Record.Member_))
+    return true;
+  return Record.Member_.Status_ == model::MemberStatus::Dead &&
+         State.Now_ - Record.Changed_ < ProbeHold;
+}
+
+void fillProbePlace(const CoreState &State, ControlView &View) {
+  unsigned Known = 0;
+  for (const auto &[Name, Record] : State.Members_.Records_) {
+    if (!mayBeProbing(State, Record))
+      continue;
+    ++Known;
+    View.ProbeRank_ += Name < State.Members_.Self_ ? 1 : 0;
+  }
+  View.ProbePlaces_ = std::max(View.FleetSize_, Known);
+}
+
+bool isSameProbePlace(const ControlView &Left, const ControlView &Right) {
+  return Left.ProbePlaces_ == Right.ProbePlaces_ &&
+         Left.ProbeRank_ == Right.ProbeRank_;
+}
+
+/// A place changes with time alone when a dead process is counted no more.
+bool isProbePlaceOld(const CoreState &State) {
+  if (!State.View_)
+    return false;
+  ControlView Now;
+  Now.FleetSize_ = State.View_->FleetSize_;
+  fillProbePlace(State, Now);
+  return !isSameProbePlace(Now, *State.View_);
+}
+
 bool isSameView(const ControlView &Left, const ControlView &Right) {
   return Left.Config_ == Right.Config_ &&
          Left.LeavingServers_ == Right.LeavingServers_ &&
          Left.FleetSize_ == Right.FleetSize_ &&
-         Left.FleetRank_ == Right.FleetRank_ &&
+         Left.FleetRank_ == Right.FleetRank_ && isSameProbePlace(Left, Right) &&
          Left.Confirmed_ == Right.Confirmed_;
 }
 
 } // namespace
 
 void publishView(CoreState &State) {
-  if (!State.ViewChanged_ || !mayPublish(State))
+  if (!State.ViewChanged_ && !isProbePlaceOld(State))
+    return;
+  if (!mayPublish(State))
     return;
   State.ViewChanged_ = false;
   auto View = std::make_shared<ControlView>();
@@ -66,6 +104,7 @@
   View->LeavingServers_ = leavingServers(State.Leaving_, *State.Log_.State_);
   View->FleetSize_ = fleetSize(State);
   View->FleetRank_ = fleetRank(State);
+  fillProbePlace(State, *View);
   View->Confirmed_ = State.Confirmed_;
   if (State.View_ && isSameView(*State.View_, *View))
     return;
--- a/src/libcumingauge/model/controlview.h
+++ b/src/libcumingauge/model/controlview.h
@@ -15,6 +15,11 @@
   std::set<std::string> LeavingServers_; ///< by mark, VM list or own word
   unsigned FleetSize_ = 1; ///< larger of VM list and peers, at least 1
   unsigned FleetRank_ = 0; ///< place of this process among the members
+  /// Places among which the probing budget is shared, and the own one. They
+  /// also count processes that ended without a goodbye a short while ago, for
+  /// these may be beyond a partition and still sending probes.
+  unsigned ProbePlaces_ = 1;
+  unsigned ProbeRank_ = 0;
   bool Confirmed_ = false; ///< state was seen in the store, not just peers
 };
 
--- a/src/libcumingauge/model/time.h
+++ b/src/libcumingauge/model/time.h
@@ -10,6 +10,7 @@
 
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
+using std::chrono::minutes;
 using std::chrono::seconds;
 
 } // namespace cumingauge::model
--- a/src/libcumingauge/policy/probing.cpp
+++ b/src/libcumingauge/policy/probing.cpp
@@ -9,6 +9,15 @@
 /// A server heard of this recently needs no probe.
 constexpr model::Duration FreshFor = model::milliseconds(100);
 
+/// \pre there is a view.
+FleetPlace probingPlace(const BalancerState &State) {
+  const model::ControlView &View = *State.View_;
+  if (!State.Thread_)
+    return {View.ProbePlaces_, View.ProbeRank_};
+  return {View.ProbePlaces_ * State.Threads_,
+          View.ProbeRank_ * State.Threads_ + *State.Thread_};
+}
+
 /// Threads that do not know their number divide their process's share.
 double budgetOf(const BalancerState &State) {
   const double Budget = State.Preset_.Measuring_.ProbesPerSecond_;
@@ -32,7 +41,7 @@
   std::vector<ProbeOrder> Out;
   if (!State.View_)
     return Out;
-  const double PerSecond = probeShare(budgetOf(State), fleetPlace(State));
+  const double PerSecond = probeShare(budgetOf(State), probingPlace(State));
   for (ServiceRecord &Service : State.Services_) {
     if (!isProbeDue(Service.Probes_, PerSecond, Now))
       continue;
--- a/src/libcumingauge/policy/view.cpp
+++ b/src/libcumingauge/policy/view.cpp
@@ -116,8 +116,8 @@
   const model::Preset *Chosen = model::presetInForce(*View->Config_);
   const model::Preset Preset = Chosen ? *Chosen : model::Preset{};
   const bool SharesChanged = FirstView ||
-                             State.View_->FleetSize_ != View->FleetSize_ ||
-                             State.View_->FleetRank_ != View->FleetRank_ ||
+                             State.View_->ProbePlaces_ != View->ProbePlaces_ ||
+                             State.View_->ProbeRank_ != View->ProbeRank_ ||
                              State.Preset_.Measuring_.ProbesPerSecond_ !=
                                  Preset.Measuring_.ProbesPerSecond_;
   State.View_ = View;
--- a/tests/control/membershiptest.cpp
+++ b/tests/control/membershiptest.cpp
@@ -144,6 +144,7 @@
   CPPUNIT_TEST(noticesAGoodbyeAtOnce);
   CPPUNIT_TEST(joinsAgainAfterMinutesInTwoHalves);
   CPPUNIT_TEST(countsTheLargerOfListAndMembers);
+  CPPUNIT_TEST(givesEachProcessItsOwnProbePlaceInBothHalves);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -189,6 +190,18 @@
       CPPUNIT_ASSERT_EQUAL(Size + 1, Process.View_->FleetSize_);
   }
 
+  void givesEachProcessItsOwnProbePlaceInBothHalves() {
+    for (unsigned I = 0; I < Size / 2; ++I)
+      Fleet_.Processes_[I].Side_ = 1;
+    Fleet_.run(seconds(180));
+    std::set<unsigned> Ranks;
+    for (const FakeProcess &Process : Fleet_.Processes_) {
+      CPPUNIT_ASSERT(Process.View_->ProbePlaces_ >= Size);
+      Ranks.insert(Process.View_->ProbeRank_);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(Size), Ranks.size());
+  }
+
 private:
   unsigned seenAlive(unsigned Index) {
     const auto Status =
--- a/tests/policy/fleet.h
+++ b/tests/policy/fleet.h
@@ -46,6 +46,7 @@
   model::ControlView View;
   View.Config_ = Config;
   View.FleetSize_ = FleetSize;
+  View.ProbePlaces_ = FleetSize;
   return View;
 }
 
