Cut a service's subset only when its servers or the fleet changed

Change: the subset is cut again only for a service whose members differ from those of the view before, or when the place in the fleet or the limit differs.

--- a/src/libcumingauge/policy/fleetplace.h
+++ b/src/libcumingauge/policy/fleetplace.h
@@ -8,4 +8,8 @@
   unsigned Place_ = 0;    ///< unique among them when views agree
 };
 
+inline bool operator!=(const FleetPlace &Left, const FleetPlace &Right) {
+  return Left.Deciders_ != Right.Deciders_ || Left.Place_ != Right.Place_;
+}
+
 } // namespace cumingauge::policy
--- a/src/libcumingauge/policy/servicerecord.h
+++ b/src/libcumingauge/policy/servicerecord.h
@@ -13,11 +13,12 @@
 /// What one traffic thread knows of one service.
 struct ServiceRecord {
   std::string Name_;
-  std::vector<ServerHandle> Members_; ///< handles that may get new work
-  std::vector<ServerHandle> Subset_;  ///< those this process prefers
-  std::uint32_t NextInTurn_ = 0;      ///< position of the round robin
-  double Slots_ = 0;                  ///< of all members
-  unsigned InFlight_ = 0;             ///< own attempts under way
+  std::vector<ServerHandle> Members_;       ///< handles that may get new work
+  std::vector<ServerHandle> FormerMembers_; ///< of the view before
+  std::vector<ServerHandle> Subset_;        ///< those this process prefers
+  std::uint32_t NextInTurn_ = 0;            ///< position of the round robin
+  double Slots_ = 0;                        ///< of all members
+  unsigned InFlight_ = 0;                   ///< own attempts under way
   unsigned PatientInFlight_ = 0;
   unsigned Ejected_ = 0;   ///< members ejected or on probation
   double UsualLoad_ = 0.5; ///< backlog per slot over the servers' reports
--- a/src/libcumingauge/policy/view.cpp
+++ b/src/libcumingauge/policy/view.cpp
@@ -54,12 +54,17 @@
     State.Services_[Record.Service_].Members_.push_back(Handle);
 }
 
+void startMembers(ServiceRecord &Service) {
+  Service.FormerMembers_.swap(Service.Members_);
+  Service.Members_.clear();
+}
+
 void takeServers(BalancerState &State, const model::ControlView &View,
                  bool FirstView, model::TimePoint Now) {
   for (ServerRecord &Record : State.Servers_)
     Record.Present_ = false;
   for (ServiceRecord &Service : State.Services_)
-    Service.Members_.clear();
+    startMembers(Service);
   for (const auto &Entry : View.Config_->Servers_) {
     const model::BackendServer &Server = Entry.second;
     const bool Leaving = View.LeavingServers_.count(Server.Name_) > 0 ||
@@ -75,18 +80,24 @@
   return std::max(State.Thread_ ? Limit : Limit / State.Threads_, 1u);
 }
 
-void summarize(BalancerState &State, ServiceRecord &Service) {
-  std::vector<RingPlace> Ring;
+void summarize(const BalancerState &State, ServiceRecord &Service) {
   Service.Slots_ = 0;
   Service.Ejected_ = 0;
+  for (const ServerHandle Handle : Service.Members_) {
+    const ServerRecord &Record = State.Servers_[Handle];
+    Service.Slots_ += Record.Slots_;
+    Service.Ejected_ += Record.Outlier_.Standing_ != Standing::Good;
+  }
+}
+
+void cutSubset(BalancerState &State, ServiceRecord &Service) {
+  std::vector<RingPlace> Ring;
   for (const ServerHandle Handle : Service.Members_) {
     ServerRecord &Record = State.Servers_[Handle];
     Record.InSubset_ = false;
     const std::string Key =
         identityKey(Record.Server_.Name_, Record.Server_.Vm_);
     Ring.push_back({Handle, XXH64(Key.data(), Key.size(), 0)});
-    Service.Slots_ += Record.Slots_;
-    Service.Ejected_ += Record.Outlier_.Standing_ != Standing::Good;
   }
   Service.Subset_ =
       subsetOf(std::move(Ring), fleetPlace(State), maxUsers(State));
@@ -120,12 +131,18 @@
                              State.View_->ProbeRank_ != View->ProbeRank_ ||
                              State.Preset_.Measuring_.ProbesPerSecond_ !=
                                  Preset.Measuring_.ProbesPerSecond_;
+  const FleetPlace FormerPlace = fleetPlace(State);
+  const unsigned FormerUsers = maxUsers(State);
   State.View_ = View;
   State.Preset_ = Preset;
   State.Deciders_ = std::max(View->FleetSize_, 1u) * State.Threads_;
+  const bool CutAll = FirstView || FormerPlace != fleetPlace(State) ||
+                      FormerUsers != maxUsers(State);
   takeServers(State, *View, FirstView, Now);
   for (ServiceRecord &Service : State.Services_) {
     summarize(State, Service);
+    if (CutAll || Service.Members_ != Service.FormerMembers_)
+      cutSubset(State, Service);
     if (SharesChanged)
       holdProbes(Service.Probes_, Now);
   }
