--- a/src/cumingauged/main.cpp
+++ b/src/cumingauged/main.cpp
@@ -54,7 +54,9 @@
     return adapters::exitStatus(model::ResultCode::AddressInUse);
   }
   adapters::log(adapters::LogLevel::Info, "listening",
-                {{"port", Bound.Listen_}, {"adminPort", Bound.Admin_}});
+                {{"port", Bound.Listen_},
+                 {"adminPort", Bound.Admin_},
+                 {"version", CUMINGAUGE_VERSION}});
   if (!writePorts(PortFile, Bound)) {
     Process->stop();
     return adapters::exitStatus(model::ResultCode::InternalError);
