Call a process unhealthy when its control thread stands still

Cause: /healthz answered healthy once the control thread had started, while the manual says that a stuck one answers 503. Change: the control thread stamps its figures twice a second; figures older than 10 s make the page answer 503.

--- a/src/cumingauged/entryprocess.cpp
+++ b/src/cumingauged/entryprocess.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// A control thread that has taken no figures for so long is stuck.
+constexpr model::seconds StuckAfter{10};
+
 model::TimePoint now() { return std::chrono::steady_clock::now(); }
 
 std::size_t countServices(const model::ConfigState &Config) {
@@ -60,7 +63,7 @@
   Traffic_ = adapters::startTraffic(trafficSettings(Settings_), Hooks);
   startControlThread();
   adapters::AdminHooks Pages;
-  Pages.IsHealthy_ = [this] { return StartedControl_.load() != nullptr; };
+  Pages.IsHealthy_ = [this] { return isHealthy(); };
   Pages.IsReady_ = [this] { return isReady(); };
   Pages.Metrics_ = [this] { return renderMetricsPage(); };
   Pages.BalancerPage_ = [this] { return renderBalancerPage(); };
@@ -119,6 +122,11 @@
   return Control && Control->isFresh(Now);
 }
 
+bool EntryProcess::isHealthy() const {
+  const auto *Control = StartedControl_.load();
+  return Control && now() - Control->figures().TakenAt_ < StuckAfter;
+}
+
 bool EntryProcess::isReady() const {
   return !Stopping_ && HasPreset_ && isFresh(now());
 }
--- a/src/cumingauged/entryprocess.h
+++ b/src/cumingauged/entryprocess.h
@@ -40,6 +40,7 @@
   void takeView(const std::shared_ptr<const model::ControlView> &View);
   bool isFresh(model::TimePoint Now) const;
   bool isReady() const;
+  bool isHealthy() const;
   std::shared_ptr<const model::ControlView> view() const;
   std::string renderMetricsPage() const;
   std::string renderBalancerPage() const;
--- a/src/libcumingauge/adapters/controlruntime.cpp
+++ b/src/libcumingauge/adapters/controlruntime.cpp
@@ -301,6 +301,7 @@
     Figures_.ViewAgeMs_ = Status.ViewAgeMs_;
     Figures_.Links_ = Links.Links_;
     Figures_.FleetSize_ = Status.FleetSize_;
+    Figures_.TakenAt_ = now();
   }
 
   const ControlSettings Settings_;
--- a/src/libcumingauge/adapters/controlruntime.h
+++ b/src/libcumingauge/adapters/controlruntime.h
@@ -52,6 +52,7 @@
   std::uint64_t ViewAgeMs_ = 0;
   unsigned Links_ = 0;
   unsigned FleetSize_ = 0;
+  model::TimePoint TakenAt_; ///< by the control thread, twice a second
 };
 
 /// Runs the control state of an entry process on a thread of its own: store
