--- a/bench/fleetwrite.cpp
+++ b/bench/fleetwrite.cpp
@@ -59,7 +59,7 @@
 int main(int Argc, char **Argv) {
   if (Argc < 4)
     return 1;
-  adapters::StoreClientSettings Settings;
+  adapters::HttpClientSettings Settings;
   Settings.Port_ = static_cast<std::uint16_t>(std::atoi(Argv[1]));
   const auto Count = static_cast<unsigned>(std::atoi(Argv[2]));
   const model::milliseconds Period(std::atoi(Argv[3]));
--- a/src/cumingaugectl/storecalls.cpp
+++ b/src/cumingaugectl/storecalls.cpp
@@ -6,7 +6,7 @@
 namespace cumingauge::ctl {
 
 struct StoreCallsState {
-  explicit StoreCallsState(const adapters::StoreClientSettings &Settings)
+  explicit StoreCallsState(const adapters::HttpClientSettings &Settings)
       : Store_(adapters::makeStoreClient(Io_, Settings)) {}
 
   boost::asio::io_context Io_{1};
@@ -15,8 +15,8 @@
 
 namespace {
 
-adapters::StoreClientSettings clientSettings(const CtlSettings &Settings) {
-  adapters::StoreClientSettings Out;
+adapters::HttpClientSettings clientSettings(const CtlSettings &Settings) {
+  adapters::HttpClientSettings Out;
   Out.Host_ = Settings.Store_.Host_;
   Out.Port_ = Settings.Store_.Port_;
   return Out;
--- a/src/cumingauged/entryprocess.cpp
+++ b/src/cumingauged/entryprocess.cpp
@@ -3,6 +3,8 @@
 #include "adapters/log.h"
 #include "adapters/metricspage.h"
 #include "codec/describedjson.h"
+#include "platform/dialect.h"
+#include "platform/directoryclient.h"
 #include <boost/asio/post.hpp>
 #include <set>
 #include <xxhash.h>
@@ -30,13 +32,14 @@
                 : 0;
 }
 
-adapters::TrafficSettings
-trafficSettings(const adapters::DaemonSettings &Settings) {
+adapters::TrafficSettings trafficSettings(const DaemonSettings &Settings) {
   adapters::TrafficSettings Out;
   Out.Listen_ = Settings.Listen_;
   Out.Threads_ = Settings.TrafficThreads_;
   Out.Limits_ = Settings.Http_;
   Out.Zone_ = Settings.Control_.Zone_;
+  if (Settings.Platform_)
+    Out.Dialect_ = platform::platformDialect();
   const std::string &Name = Settings.Control_.Process_;
   Out.Seed_ =
       XXH64(Name.data(), Name.size(),
@@ -47,8 +50,8 @@
 } // namespace
 
 EntryProcess::EntryProcess(boost::asio::io_context &Io,
-                           const adapters::DaemonSettings &Settings)
-    : Io_(Io), Settings_(Settings),
+                           const DaemonSettings &Settings)
+    : Io_(Io), Settings_(withPlatformBounds(Settings)),
       Ring_(std::make_shared<adapters::EventRing>(
           Settings.Control_.Process_, Settings.Control_.EventRingSize_)) {}
 
@@ -100,6 +103,11 @@
       };
   Hooks.Activity_ = [this] { return Traffic_->activity(); };
   Hooks.IsReady_ = [this] { return isReady(); };
+  if (Settings_.Platform_)
+    Hooks.MakeDirectory_ = [this](boost::asio::io_context &Io) {
+      return platform::makeDirectory(Io, *Settings_.Platform_,
+                                     Settings_.Policy_);
+    };
   Control_ = adapters::startControl(Settings_.Control_, Hooks, Ring_);
   StartedControl_ = Control_.get();
 }
--- a/src/cumingauged/entryprocess.h
+++ b/src/cumingauged/entryprocess.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "adapters/controlruntime.h"
-#include "adapters/daemonsettings.h"
 #include "adapters/eventring.h"
 #include "adapters/httptraffic.h"
+#include "daemonsettings.h"
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
@@ -23,8 +23,7 @@
   };
 
   /// \param Io runs the admin port.
-  EntryProcess(boost::asio::io_context &Io,
-               const adapters::DaemonSettings &Settings);
+  EntryProcess(boost::asio::io_context &Io, const DaemonSettings &Settings);
 
   /// Throws boost::system::system_error when an address cannot be bound.
   Ports start();
@@ -46,7 +45,7 @@
   std::string renderBalancerPage() const;
 
   boost::asio::io_context &Io_;
-  const adapters::DaemonSettings Settings_;
+  const DaemonSettings Settings_;
   std::shared_ptr<adapters::EventRing> Ring_;
   std::shared_ptr<adapters::HttpTraffic> Traffic_;
   std::shared_ptr<adapters::ControlRuntime> Control_;
--- a/src/cumingauged/main.cpp
+++ b/src/cumingauged/main.cpp
@@ -39,8 +39,7 @@
   return Out && std::rename(Draft.c_str(), File.c_str()) == 0;
 }
 
-int serve(const adapters::DaemonSettings &Settings,
-          const std::string &PortFile) {
+int serve(const DaemonSettings &Settings, const std::string &PortFile) {
   adapters::startLog(Settings.Log_, Settings.Control_.Process_);
   boost::asio::io_context Io(1);
   const auto Process = std::make_shared<EntryProcess>(Io, Settings);
@@ -78,8 +77,8 @@
   const adapters::Arguments Args = adapters::parseArguments(Usage, Argc, Argv);
   const docopt::value &File = Args.at("--port-file");
   const std::string PortFile = File ? File.asString() : "";
-  return adapters::runWithSettings<adapters::DaemonSettings>(
-      Args, [&](const adapters::DaemonSettings &Settings) {
+  return adapters::runWithSettings<DaemonSettings>(
+      Args, [&](const DaemonSettings &Settings) {
         return serve(Settings, PortFile);
       });
 }
--- a/src/libcumingauge/adapters/controlruntime.cpp
+++ b/src/libcumingauge/adapters/controlruntime.cpp
@@ -24,8 +24,7 @@
 namespace asio = boost::asio;
 using control::CoreInput;
 
-constexpr model::milliseconds TickPeriod{50};
-constexpr unsigned FiguresEveryTicks = 10;
+constexpr model::milliseconds FiguresPeriod{500};
 /// Time for the messages of a goodbye to leave.
 constexpr model::milliseconds GoodbyeTime{200};
 
@@ -46,8 +45,8 @@
          static_cast<std::uint64_t>(Used.tv_nsec) / 1000U;
 }
 
-StoreClientSettings storeSettings(const ControlSettings &Settings) {
-  StoreClientSettings Out;
+HttpClientSettings storeSettings(const ControlSettings &Settings) {
+  HttpClientSettings Out;
   Out.Host_ = Settings.Store_.Host_;
   Out.Port_ = Settings.Store_.Port_;
   return Out;
@@ -66,6 +65,7 @@
   control::CoreSettings Out;
   Out.Self_ = Self;
   Out.HeartbeatPeriod_ = Settings.HeartbeatPeriod_;
+  Out.LeavingBound_ = Settings.LeavingBound_;
   for (const AddressSettings &Seed : Settings.SeedPeers_) {
     model::Member Peer;
     Peer.Host_ = Seed.Host_;
@@ -82,6 +82,8 @@
           const std::shared_ptr<EventRing> &Ring)
       : Settings_(Settings), Hooks_(std::move(Hooks)), Ring_(Ring),
         Clock_(Ring), Store_(makeStoreClient(Io_, storeSettings(Settings))),
+        Directory_(Hooks_.MakeDirectory_ ? Hooks_.MakeDirectory_(Io_)
+                                         : ports::Directory()),
         Links_(Io_, linkSettings(Settings), linkHandlers()), Ticker_(Io_) {
     Limits_.Limit_ = Settings.FreshnessLimit_;
   }
@@ -98,8 +100,9 @@
     Self.Host_ = Settings_.Peer_.Host_;
     Self.Port_ = Links_.port();
     Links_.setSelf(Self);
-    Core_ = control::makeCore(coreSettings(Settings_, Self),
-                              std::random_device{}());
+    control::CoreSettings CoreOptions = coreSettings(Settings_, Self);
+    CoreOptions.FollowsDirectory_ = Directory_.Execute_ != nullptr;
+    Core_ = control::makeCore(CoreOptions, std::random_device{}());
     Thread_ = std::thread([this] { run(); });
   }
 
@@ -139,7 +142,7 @@
     feed(control::Ticked{});
     Links_.expireHandshakes(now());
     updateFigures();
-    Ticker_.expires_after(TickPeriod);
+    Ticker_.expires_after(Settings_.TickPeriod_);
     Ticker_.async_wait([this](const boost::system::error_code &Cancelled) {
       if (!Cancelled)
         tick();
@@ -229,6 +232,15 @@
     });
   }
 
+  void execute(const control::CallDirectory &Order) {
+    ++StoreCalls_;
+    Directory_.Execute_(
+        Order.Request_,
+        [this, Call = Order.Call_](const ports::DirectoryResponse &Response) {
+          feed(control::DirectoryAnswered{Call, Response});
+        });
+  }
+
   void execute(const control::OpenLink &Order) {
     Links_.open(Order.Host_, Order.Port_);
   }
@@ -286,8 +298,10 @@
   }
 
   void updateFigures() {
-    if (++Ticks_ % FiguresEveryTicks != 1)
+    const model::TimePoint Now = now();
+    if (Now < NextFigures_)
       return;
+    NextFigures_ = Now + FiguresPeriod;
     const model::ProcessStatus Status = control::describeCore(*Core_, now());
     const PeerLinkFigures Links = Links_.figures();
     const std::lock_guard<std::mutex> Lock(FiguresMutex_);
@@ -311,6 +325,7 @@
   control::FreshnessLimits Limits_;
   asio::io_context Io_{1};
   ports::Store Store_;
+  ports::Directory Directory_; ///< without a function when there is none
   PeerLinks Links_;
   asio::steady_timer Ticker_;
   std::shared_ptr<control::CoreState> Core_;
@@ -325,7 +340,7 @@
   std::deque<CoreInput> Waiting_;
   bool IsFeeding_ = false;
   std::uint64_t StoreCalls_ = 0;
-  std::uint64_t Ticks_ = 0;
+  model::TimePoint NextFigures_;
 
   /// Nanoseconds of the monotonic clock.
   std::atomic<model::TimePoint::rep> DispatchDeadline_{
--- a/src/libcumingauge/adapters/controlruntime.h
+++ b/src/libcumingauge/adapters/controlruntime.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "adapters/addresssettings.h"
 #include "adapters/eventring.h"
 #include "control/core.h"
 #include "model/controlview.h"
 #include "model/serveractivity.h"
+#include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -12,13 +14,6 @@
 
 namespace cumingauge::adapters {
 
-/// An address as settings write it.
-struct AddressSettings {
-  std::string Host_ = "127.0.0.1";
-  std::uint16_t Port_ = 0;
-};
-BOOST_DESCRIBE_STRUCT(AddressSettings, (), (Host_, Port_))
-
 /// Settings of the control side of an entry process.
 struct ControlSettings {
   std::string Process_;
@@ -31,10 +26,15 @@
   model::milliseconds FreshnessLimit_{2000};
   model::milliseconds HeartbeatPeriod_{500};
   unsigned EventRingSize_ = 4096;
+  /// Longest time between two looks at what is due.
+  model::milliseconds TickPeriod_{50};
+  /// With a directory: a server that leaves gets no new work after this time.
+  model::milliseconds LeavingBound_{2000};
 };
 BOOST_DESCRIBE_STRUCT(ControlSettings, (),
                       (Process_, Zone_, Region_, Peer_, Store_, SeedPeers_,
-                       Key_, FreshnessLimit_, HeartbeatPeriod_, EventRingSize_))
+                       Key_, FreshnessLimit_, HeartbeatPeriod_, EventRingSize_,
+                       TickPeriod_, LeavingBound_))
 
 /// Range checks; empty when valid.
 model::Problems checkControlSettings(const ControlSettings &Settings,
@@ -68,6 +68,9 @@
     /// Calls in flight by server; called on the control thread.
     std::function<std::vector<model::ServerActivity>()> Activity_;
     std::function<bool()> IsReady_;
+    /// Makes the port to a directory on the control thread's io_context; when
+    /// set, the configuration comes from there.
+    std::function<ports::Directory(boost::asio::io_context &)> MakeDirectory_;
   };
 
   virtual ~ControlRuntime() = default;
--- a/src/libcumingauge/adapters/controlsettings.cpp
+++ b/src/libcumingauge/adapters/controlsettings.cpp
@@ -8,6 +8,8 @@
 
 constexpr model::milliseconds MinHeartbeatPeriod{50};
 constexpr model::milliseconds MinFreshnessLimit{200};
+constexpr model::milliseconds MinTickPeriod{1};
+constexpr model::milliseconds MinLeavingBound{100};
 constexpr unsigned MaxEventRingSize = 1000000;
 
 void checkAddress(const AddressSettings &Address, const std::string &Path,
@@ -47,6 +49,10 @@
                 Path + "/freshnessLimitMs", Found);
   checkDuration(Settings.HeartbeatPeriod_, MinHeartbeatPeriod,
                 Path + "/heartbeatPeriodMs", Found);
+  checkDuration(Settings.TickPeriod_, MinTickPeriod, Path + "/tickPeriodMs",
+                Found);
+  checkDuration(Settings.LeavingBound_, MinLeavingBound,
+                Path + "/leavingBoundMs", Found);
   if (Settings.EventRingSize_ == 0 ||
       Settings.EventRingSize_ > MaxEventRingSize)
     Found.push_back(
--- a/src/libcumingauge/adapters/httpanswerreader.cpp
+++ b/src/libcumingauge/adapters/httpanswerreader.cpp
@@ -1,6 +1,6 @@
 #include "adapters/httpanswerreader.h"
 #include "adapters/httpmessagereader.h"
-#include "traffic/headers.h"
+#include <boost/lexical_cast/try_lexical_convert.hpp>
 
 namespace cumingauge::adapters {
 
@@ -17,28 +17,41 @@
 
 /// Takes the fields out that this process acts on; gives false for those that
 /// are passed on.
-bool takeAnswerField(string_view Name, string_view Value,
-                     traffic::AnswerHead &Head) {
-  namespace names = traffic::headers;
-  if (iequals(Name, names::ResultCode))
+bool takeAnswerField(const traffic::Dialect &Names, string_view Name,
+                     string_view Value, traffic::AnswerHead &Head) {
+  if (iequals(Name, Names.ResultCode_))
     return true;
-  if (iequals(Name, names::CallId)) {
+  if (iequals(Name, Names.CallId_)) {
     Head.CallId_ = textOf(Value);
     return true;
   }
-  if (iequals(Name, names::NotRun))
+  if (iequals(Name, Names.NotRun_))
     Head.NotRun_ = textOf(Value);
-  if (iequals(Name, names::LoadReport))
+  if (iequals(Name, Names.LoadReport_))
     Head.Report_ = textOf(Value);
+  if (iequals(Name, Names.AnswerProof_))
+    Head.Proven_ = true;
   return false;
 }
 
-/// False when the end of the answer cannot be told from a lost connection or
-/// its framing is ambiguous.
+/// The "timeout" of a Keep-Alive field.
+std::optional<model::seconds> idleTimeoutOf(string_view KeepAlive) {
+  for (const auto &Parameter : http::param_list{KeepAlive}) {
+    unsigned Count = 0;
+    if (iequals(Parameter.first, "timeout") &&
+        boost::conversion::try_lexical_convert(textOf(Parameter.second), Count))
+      return model::seconds(Count);
+  }
+  return std::nullopt;
+}
+
+/// False when the framing is ambiguous.
 template <class Parser>
-bool fillAnswer(Parser &Source, bool ToHead, traffic::AnswerHead &Head) {
+bool fillAnswer(const traffic::Dialect &Names, Parser &Source, bool ToHead,
+                traffic::AnswerHead &Head) {
   const auto &Parsed = Source.get();
   Head = {};
+  Head.Proven_ = Names.AnswerProof_.empty();
   if (!isTransferCodingKnown(Parsed) || isInterim(Parsed.result_int()) ||
       Parsed.count(http::field::content_length) > 1)
     return false;
@@ -51,7 +64,8 @@
     Head.Framing_ = Framing::Length;
     Head.Length_ = *Length;
   } else if (!ToHead && Source.need_eof()) {
-    return false;
+    Head.UntilClose_ = true;
+    Head.Framing_ = Framing::Chunked; // so that the caller sees its end
   }
   if (Head.Status_ == StatusNoContent)
     Head.Framing_ = Framing::None;
@@ -59,15 +73,19 @@
   for (const auto &Field : Parsed)
     if (!isHopByHop(Field.name()) &&
         !isListed(Connection, Field.name_string()) &&
-        !takeAnswerField(Field.name_string(), Field.value(), Head))
+        !takeAnswerField(Names, Field.name_string(), Field.value(), Head))
       appendField(Head.Fields_, Field.name_string(), Field.value());
+  // A parameter list starts with ';', the field's value does not.
+  const std::string KeepAlive = ";" + textOf(Parsed[http::field::keep_alive]);
+  Head.IdleTimeout_ = idleTimeoutOf(KeepAlive);
   return true;
 }
 
 } // namespace
 
 struct AnswerReader::Impl {
-  explicit Impl(std::uint32_t HeaderLimit) : Reader_(HeaderLimit) {}
+  Impl(std::uint32_t HeaderLimit, const traffic::Dialect &Names)
+      : Names_(Names), Reader_(HeaderLimit) {}
 
   /// True when the head just parsed is that of an interim answer.
   bool skipInterim() {
@@ -84,14 +102,16 @@
     Reader_.parser().skip(ToHead_);
   }
 
+  const traffic::Dialect &Names_;
   MessageReader<false> Reader_;
   traffic::AnswerHead Head_;
   bool ToHead_ = false;
   unsigned Interim_ = 0;
 };
 
-AnswerReader::AnswerReader(std::uint32_t HeaderLimit)
-    : Impl_(std::make_unique<Impl>(HeaderLimit)) {
+AnswerReader::AnswerReader(std::uint32_t HeaderLimit,
+                           const traffic::Dialect &Names)
+    : Impl_(std::make_unique<Impl>(HeaderLimit, Names)) {
   start(/*ToHead=*/false);
 }
 
@@ -110,7 +130,8 @@
       return Step;
     if (Impl_->skipInterim())
       continue;
-    return fillAnswer(Impl_->Reader_.parser(), Impl_->ToHead_, Impl_->Head_)
+    return fillAnswer(Impl_->Names_, Impl_->Reader_.parser(), Impl_->ToHead_,
+                      Impl_->Head_)
                ? Step
                : ReadStep::Failed;
   }
@@ -118,6 +139,8 @@
 
 traffic::AnswerHead &AnswerReader::head() { return Impl_->Head_; }
 
+const traffic::AnswerHead &AnswerReader::head() const { return Impl_->Head_; }
+
 std::string_view AnswerReader::body() const { return Impl_->Reader_.body(); }
 
 std::size_t AnswerReader::buffered() const { return Impl_->Reader_.buffered(); }
@@ -126,6 +149,8 @@
   return Impl_->Reader_.parser().is_done();
 }
 
+bool AnswerReader::takeEnd() { return Impl_->Reader_.takeEnd(); }
+
 void AnswerReader::shrink() { Impl_->Reader_.shrink(); }
 
 void AnswerReader::start(bool ToHead) {
--- a/src/libcumingauge/adapters/httpcall.cpp
+++ b/src/libcumingauge/adapters/httpcall.cpp
@@ -1,7 +1,6 @@
 #include "adapters/httpcall.h"
 #include "adapters/httptext.h"
 #include "adapters/httpworker.h"
-#include "traffic/headers.h"
 #include <algorithm>
 
 namespace cumingauge::adapters {
@@ -152,7 +151,7 @@
 }
 
 std::string HttpCall::requestHead(AttemptNumber Number) const {
-  namespace names = traffic::headers;
+  const traffic::Dialect &Names = Worker_.dialect();
   const traffic::RequestHead &Head = Request_.Head_;
   const auto Left = std::chrono::duration_cast<model::milliseconds>(
       Request_.Deadline_ - Worker_.now());
@@ -161,9 +160,11 @@
   Out.reserve(Head.Target_.size() + Head.Fields_.size() + 256);
   Out.append(Head.Method_).append(" ").append(Head.Target_);
   Out.append(" HTTP/1.1\r\n").append(Head.Fields_);
-  appendHeader(Out, names::CallId, Head.CallId_);
-  appendHeader(Out, names::Attempt, std::to_string(Mark));
-  appendHeader(Out, names::DeadlineMs,
+  appendHeader(Out, Names.CallId_, Head.CallId_);
+  appendHeader(Out, Names.Attempt_, std::to_string(Mark));
+  appendHeader(Out, Names.Server_,
+               Worker_.serverName(Attempts_[Number - 1].Server_));
+  appendHeader(Out, Names.DeadlineMs_,
                std::to_string(std::max<std::int64_t>(Left.count(), 1)));
   if (Head.Framing_ == Framing::Chunked && Request_.BodyComplete_)
     appendHeader(Out, "Content-Length", std::to_string(Request_.Kept_.size()));
@@ -196,9 +197,13 @@
   const traffic::AnswerHead &Head = Connection->head();
   if (!Head.Report_.empty())
     Worker_.noteReport(attempt(Number).Server_, Head.Report_);
-  if (!traffic::isNotRunAnswer(Head.Status_, Head.NotRun_))
-    return apply(traffic::AnswerStarted{Number});
-  const bool Draining = Head.NotRun_ == "draining";
+  const traffic::Dialect &Names = Worker_.dialect();
+  if (!Names.IsNotRun_(Head.Status_, Head.NotRun_)) {
+    if (!mayKeep(Head))
+      apply(traffic::AnswerStarted{Number});
+    return;
+  }
+  const bool Draining = Names.IsLeaving_(Head.Status_, Head.NotRun_);
   if (Draining)
     Worker_.noteDraining(attempt(Number).Server_);
   attempt(Number).Connection_ = nullptr;
@@ -209,13 +214,62 @@
 void HttpCall::onBody(AttemptNumber Number) {
   const auto Connection = attempt(Number).Connection_;
   const bool Last = Connection->isAnswerComplete();
+  if (Forwarding_ != Number) {
+    attempt(Number).KeptBody_.append(Connection->body());
+    if (attempt(Number).KeptBody_.size() > Worker_.limits().KeptAnswerBytes_)
+      return streamKept(Number);
+    return Connection->resume();
+  }
   AnswerForwarded_ = Last;
   if (Session_->forwardBody(Connection->body(), Last,
                             [Connection] { Connection->resume(); }))
     Connection->resume();
 }
 
+/// Whether the answer is kept until it is whole.
+bool HttpCall::mayKeep(const traffic::AnswerHead &Head) const {
+  return Head.Length_ <= Worker_.limits().KeptAnswerBytes_ &&
+         Worker_.limits().KeptAnswerBytes_ > 0;
+}
+
+/// The answer has grown too long to be kept; it is passed on as it comes.
+void HttpCall::streamKept(AttemptNumber Number) {
+  apply(traffic::AnswerStarted{Number});
+  const auto Connection = attempt(Number).Connection_;
+  if (Forwarding_ != Number || !Connection)
+    return;
+  Session_->forwardBody(attempt(Number).KeptBody_, /*Last=*/false,
+                        [Connection] { Connection->resume(); });
+}
+
+/// A server's own error may be followed by a better answer of another server.
+bool HttpCall::isWorthRetry(const traffic::AnswerHead &Head) {
+  return Head.Status_ >= StatusServerError &&
+         Worker_.limits().KeptAnswerBytes_ > 0 &&
+         traffic::mayTryAgain(rulesOf(Request_), AttemptFate::ServerError) &&
+         Worker_.mayRetry(*this, policy::AttemptEnd::AnsweredError);
+}
+
+/// A kept answer is whole: it is passed on, or the call is tried again.
+void HttpCall::finishKept(AttemptNumber Number) {
+  if (isWorthRetry(attempt(Number).Connection_->head())) {
+    attempt(Number).KeptBody_.clear();
+    RetryGranted_ = true;
+    return onFailure(Number, AttemptFate::ServerError);
+  }
+  apply(traffic::AnswerStarted{Number});
+  if (Forwarding_ != Number)
+    return;
+  AnswerForwarded_ = true;
+  Session_->forwardBody(attempt(Number).KeptBody_, /*Last=*/true, [] {});
+}
+
 void HttpCall::onEnd(AttemptNumber Number) {
+  if (Forwarding_ != Number) {
+    finishKept(Number);
+    if (Forwarding_ != Number)
+      return;
+  }
   const auto Connection = std::move(attempt(Number).Connection_);
   attempt(Number).Connection_ = nullptr;
   if (!AnswerForwarded_) {
@@ -257,6 +311,7 @@
 }
 
 void HttpCall::perform(const traffic::ForwardAnswer &Action) {
+  Forwarding_ = Action.Attempt_;
   Session_->forwardHead(attempt(Action.Attempt_).Connection_->head());
 }
 
@@ -279,7 +334,8 @@
 }
 
 void HttpCall::perform(const traffic::AskRetry &Action) {
-  apply(traffic::RetryDecided{Worker_.mayRetry(*this, Action.End_)});
+  const bool Granted = std::exchange(RetryGranted_, false);
+  apply(traffic::RetryDecided{Granted || Worker_.mayRetry(*this, Action.End_)});
 }
 
 void HttpCall::perform(const traffic::AskHedge &) {
--- a/src/libcumingauge/adapters/httpcall.h
+++ b/src/libcumingauge/adapters/httpcall.h
@@ -40,6 +40,7 @@
     std::shared_ptr<HttpConnection> Connection_;
     HttpPool::Ticket Ticket_ = HttpPool::NoTicket;
     model::TimePoint Dispatched_;
+    std::string KeptBody_; ///< of an answer that is passed on when whole
   };
 
   Attempt &attempt(traffic::AttemptNumber Number) {
@@ -67,6 +68,10 @@
   void onHead(traffic::AttemptNumber Number);
   void onBody(traffic::AttemptNumber Number);
   void onEnd(traffic::AttemptNumber Number);
+  bool mayKeep(const traffic::AnswerHead &Head) const;
+  void streamKept(traffic::AttemptNumber Number);
+  bool isWorthRetry(const traffic::AnswerHead &Head);
+  void finishKept(traffic::AttemptNumber Number);
   void onFailure(traffic::AttemptNumber Number, traffic::AttemptFate Fate);
   void pullBody(traffic::AttemptNumber Number);
   void sendPiece(traffic::AttemptNumber Number,
@@ -82,6 +87,8 @@
   std::vector<Attempt> Attempts_;
   std::vector<traffic::CallEvent> Pending_;
   bool Applying_ = false;
+  traffic::AttemptNumber Forwarding_ = 0; ///< whose answer is passed on
+  bool RetryGranted_ = false;    ///< the budget has paid for the next attempt
   bool AnswerForwarded_ = false; ///< to its last byte
   model::TimePoint HedgeAt_;
 };
--- a/src/libcumingauge/adapters/httpcalleranswers.cpp
+++ b/src/libcumingauge/adapters/httpcalleranswers.cpp
@@ -3,7 +3,6 @@
 #include "adapters/httpcallersession.h"
 #include "adapters/httptext.h"
 #include "adapters/httpworker.h"
-#include "traffic/headers.h"
 #include <array>
 #include <boost/asio/write.hpp>
 
@@ -52,6 +51,13 @@
          std::string(model::nameOf(Code));
 }
 
+/// With fractions, which callers that know only whole seconds leave aside.
+std::string secondsText(model::milliseconds Value) {
+  std::string Millis = std::to_string(Value.count() % 1000);
+  Millis.insert(0, 3 - Millis.size(), '0');
+  return std::to_string(Value.count() / 1000) + "." + Millis;
+}
+
 } // namespace
 
 void HttpCallerSession::refuseRequest(ResultCode Code) {
@@ -85,9 +91,13 @@
   KeepAlive_ = KeepAlive_ && RequestRead_ && !Draining_;
   Out_ += "HTTP/1.1 " + std::to_string(Status) + " " + reasonOf(Status);
   Out_ += "\r\n";
-  appendHeader(Out_, traffic::headers::ResultCode, Text);
+  const traffic::Dialect &Names = Worker_.dialect();
+  appendHeader(Out_, Names.ResultCode_, Text);
   if (!CallId_.empty())
-    appendHeader(Out_, traffic::headers::CallId, CallId_);
+    appendHeader(Out_, Names.CallId_, CallId_);
+  const model::milliseconds Pause = Worker_.limits().RetryAfter_;
+  if (model::isNotRun(Code) && Pause > model::milliseconds(0))
+    appendHeader(Out_, "Retry-After", secondsText(Pause));
   appendHeader(Out_, "Content-Type", "text/plain");
   appendFraming(Out_, Framing::Length, Text.size() + 1);
   if (!KeepAlive_)
@@ -109,8 +119,8 @@
   ChunkedAnswer_ = Head.Framing_ == Framing::Chunked && ChunksAllowed_;
   Out_ += "HTTP/1.1 " + std::to_string(Head.Status_) + " ";
   Out_.append(Head.Reason_).append("\r\n").append(Head.Fields_);
-  appendHeader(Out_, traffic::headers::ResultCode, codeText(ResultCode::Ok));
-  appendHeader(Out_, traffic::headers::CallId, CallId_);
+  appendHeader(Out_, Worker_.dialect().ResultCode_, codeText(ResultCode::Ok));
+  appendHeader(Out_, Worker_.dialect().CallId_, CallId_);
   if (Head.Framing_ != Framing::Chunked || ChunksAllowed_)
     appendFraming(Out_, Head.Framing_, Head.Length_);
   if (!KeepAlive_)
--- a/src/libcumingauge/adapters/httpcallersession.cpp
+++ b/src/libcumingauge/adapters/httpcallersession.cpp
@@ -19,7 +19,7 @@
 
 HttpCallerSession::HttpCallerSession(tcp::socket Socket, HttpWorker &Worker)
     : Socket_(std::move(Socket)), Timer_(Socket_.get_executor()),
-      Worker_(Worker), Reader_(Worker.limits().HeaderBytes_),
+      Worker_(Worker), Reader_(Worker.limits().HeaderBytes_, Worker.dialect()),
       Limit_(model::TimePoint::max()), Alarm_(model::TimePoint::max()),
       Armed_(model::TimePoint::max()) {
   error_code Ignored;
@@ -114,7 +114,7 @@
   const traffic::RequestHead &Head = Reader_.head();
   Incoming_ = std::make_unique<HttpCallRequest>();
   Incoming_->Arrived_ = Worker_.now();
-  const auto Admission = Worker_.findRoute(Head.Target_);
+  const auto Admission = Worker_.findRoute(Head.Host_, Head.Target_);
   if (!Admission.Route_) {
     refuseRequest(Admission.Reason_);
     return false;
--- a/src/libcumingauge/adapters/httpconnection.cpp
+++ b/src/libcumingauge/adapters/httpconnection.cpp
@@ -15,12 +15,15 @@
 
 constexpr model::milliseconds DiscardTimeout{500};
 constexpr std::uint64_t MaxDiscardedBytes = 65536;
+constexpr unsigned FirstStatusAfterSuccess = 300;
 
 } // namespace
 
 HttpConnection::HttpConnection(boost::asio::io_context &Io,
-                               std::uint32_t HeaderLimit, Owner Owner)
-    : Socket_(Io), Timer_(Io), Reader_(HeaderLimit), Owner_(std::move(Owner)) {}
+                               std::uint32_t HeaderLimit,
+                               const traffic::Dialect &Names, Owner Owner)
+    : Socket_(Io), Timer_(Io), Names_(Names), Reader_(HeaderLimit, Names),
+      Owner_(std::move(Owner)) {}
 
 void HttpConnection::connect(const tcp::endpoint &Server,
                              model::milliseconds Timeout) {
@@ -53,6 +56,7 @@
   Failure_ = ExchangeStep::Lost;
   InAnswer_ = true;
   Paused_ = false;
+  Skipping_ = false;
   if (Silent_)
     Timer_.cancel();
   Silent_ = false;
@@ -156,7 +160,9 @@
   if (Life_.isClosed())
     return;
   Reader_.commit(Bytes);
-  if (Error)
+  const bool EndsAnswer =
+      Error == boost::asio::error::eof && InAnswer_ && Reader_.takeEnd();
+  if (Error && !EndsAnswer)
     return fail(ExchangeStep::Lost);
   process(traffic::BytesArrived{});
 }
@@ -176,17 +182,19 @@
     read();
     return false;
   case ReadStep::Head:
-    if (!traffic::isAnswerTo(Exchange_.CallId_, head().CallId_)) {
-      fail(ExchangeStep::Malformed);
-      return false;
-    }
-    report(ExchangeStep::Head);
-    return true;
+    return takeHead();
   case ReadStep::Body:
+    if (Skipping_)
+      return true;
     Paused_ = !Silent_;
     report(ExchangeStep::Body);
     return !Paused_;
   case ReadStep::End:
+    if (Skipping_) {
+      Skipping_ = false;
+      Reader_.start(Exchange_.IsHead_);
+      return true;
+    }
     finishAnswer();
     return false;
   case ReadStep::Failed:
@@ -196,9 +204,37 @@
   return false;
 }
 
+/// An answer to an earlier request that came twice; the own one follows.
+bool HttpConnection::isForeign() const {
+  return Names_.SkipsForeignAnswers_ && !head().CallId_.empty() &&
+         !head().UntilClose_ && head().CallId_ != Exchange_.CallId_;
+}
+
+bool HttpConnection::isWhole() const {
+  if (!traffic::isAnswerTo(Exchange_.CallId_, head().CallId_))
+    return false;
+  if (head().Status_ >= FirstStatusAfterSuccess || Exchange_.CallId_.empty())
+    return true;
+  return head().Proven_ && !(Names_.CallIdRequired_ && head().CallId_.empty());
+}
+
+bool HttpConnection::takeHead() {
+  if (isForeign()) {
+    Skipping_ = Skipped_ = true;
+    return true;
+  }
+  if (!isWhole()) {
+    fail(ExchangeStep::Malformed);
+    return false;
+  }
+  report(ExchangeStep::Head);
+  return true;
+}
+
 void HttpConnection::finishAnswer() {
   InAnswer_ = false;
-  const traffic::AnswerComplete Event{head().KeepAlive_,
+  IdleTimeout_ = head().IdleTimeout_;
+  const traffic::AnswerComplete Event{head().KeepAlive_ && !Skipped_,
                                       Reader_.buffered() > 0};
   Reader_.shrink();
   Reader_.start(/*ToHead=*/false);
--- a/src/libcumingauge/adapters/httpconnection.h
+++ b/src/libcumingauge/adapters/httpconnection.h
@@ -44,8 +44,9 @@
     std::function<void(std::shared_ptr<HttpConnection>)> OnClosed_;
   };
 
+  /// \param Names must outlive the connection.
   HttpConnection(boost::asio::io_context &Io, std::uint32_t HeaderLimit,
-                 Owner Owner);
+                 const traffic::Dialect &Names, Owner Owner);
 
   void connect(const boost::asio::ip::tcp::endpoint &Server,
                model::milliseconds Timeout);
@@ -74,6 +75,7 @@
   void retire();
 
   traffic::AnswerHead &head() { return Reader_.head(); }
+  const traffic::AnswerHead &head() const { return Reader_.head(); }
   std::string_view body() const { return Reader_.body(); }
   /// With ExchangeStep::Body: whether this is the last piece.
   bool isAnswerComplete() const { return Reader_.isComplete(); }
@@ -81,6 +83,8 @@
   /// Whether it has carried no request so far.
   bool isNew() const { return !WasUsed_; }
   model::TimePoint idleSince() const { return IdleSince_; }
+  /// How long the server lets it be idle, if it has said so.
+  std::optional<model::seconds> idleTimeout() const { return IdleTimeout_; }
 
 private:
   void process(const traffic::ConnectionEvent &Event);
@@ -91,6 +95,9 @@
   void onRead(boost::system::error_code Error, std::size_t Bytes);
   void pump();
   bool takeStep(ReadStep Step);
+  bool takeHead();
+  bool isForeign() const;
+  bool isWhole() const;
   void finishAnswer();
   void fail(ExchangeStep Reason);
   void report(ExchangeStep Step);
@@ -98,6 +105,7 @@
 
   boost::asio::ip::tcp::socket Socket_;
   boost::asio::steady_timer Timer_; ///< of connecting or of discarding
+  const traffic::Dialect &Names_;
   AnswerReader Reader_;
   traffic::ConnectionLifecycle Life_;
   Owner Owner_;
@@ -105,13 +113,16 @@
   std::string Piece_;
   ExchangeStep Failure_ = ExchangeStep::Lost;
   model::TimePoint IdleSince_;
+  std::optional<model::seconds> IdleTimeout_;
   bool WasReady_ = false;
   bool WasUsed_ = false;
   bool Reading_ = false;
   bool Pumping_ = false;
   bool Paused_ = false;
   bool InAnswer_ = false;
-  bool Silent_ = false; ///< its call wants to hear nothing more
+  bool Silent_ = false;   ///< its call wants to hear nothing more
+  bool Skipping_ = false; ///< inside an answer to an earlier request
+  bool Skipped_ = false;  ///< there was such an answer
 };
 
 } // namespace cumingauge::adapters
--- a/src/libcumingauge/adapters/httpmessagereader.h
+++ b/src/libcumingauge/adapters/httpmessagereader.h
@@ -59,6 +59,16 @@
     return parseBody();
   }
 
+  /// Ends a body that lasts until the connection ends; false for all others.
+  bool takeEnd() {
+    if (!Parser_->is_header_done() || Parser_->is_done() ||
+        !Parser_->need_eof() || Parser_->chunked() || Parser_->content_length())
+      return false;
+    Error_ = {};
+    Parser_->put_eof(Error_);
+    return !Error_;
+  }
+
   Parser &parser() { return *Parser_; }
   std::string_view body() const { return Body_; }
   std::size_t buffered() const { return Buffer_.size(); }
--- a/src/libcumingauge/adapters/httppool.cpp
+++ b/src/libcumingauge/adapters/httppool.cpp
@@ -3,10 +3,26 @@
 
 namespace cumingauge::adapters {
 
+namespace {
+
+/// Part of the idle time that a server allows a connection after which it is
+/// not used any more: the server's close could cross the next request.
+constexpr double UsablePart = 0.7;
+
+bool isNearTimeout(const HttpConnection &Connection) {
+  const auto Allowed = Connection.idleTimeout();
+  const model::Duration Idle =
+      std::chrono::steady_clock::now() - Connection.idleSince();
+  return Allowed && Idle > UsablePart * model::Duration(*Allowed);
+}
+
+} // namespace
+
 HttpPool::HttpPool(boost::asio::io_context &Io,
                    boost::asio::ip::tcp::endpoint Server,
-                   std::uint32_t HeaderLimit)
-    : Io_(Io), Server_(std::move(Server)), HeaderLimit_(HeaderLimit) {}
+                   std::uint32_t HeaderLimit, const traffic::Dialect &Names)
+    : Io_(Io), Server_(std::move(Server)), HeaderLimit_(HeaderLimit),
+      Names_(Names) {}
 
 void HttpPool::setShare(policy::ConnectionShare Share,
                         model::milliseconds Timeout, bool Keep) {
@@ -42,8 +58,9 @@
 }
 
 void HttpPool::maintain(model::TimePoint Now, model::milliseconds IdleTimeout) {
-  while (Idle_.size() > Share_.Warm_ &&
-         Now - Idle_.front()->idleSince() > IdleTimeout) {
+  while (!Idle_.empty() && (isNearTimeout(*Idle_.front()) ||
+                            (Idle_.size() > Share_.Warm_ &&
+                             Now - Idle_.front()->idleSince() > IdleTimeout))) {
     const auto Connection = Idle_.front();
     Idle_.erase(Idle_.begin());
     Connection->retire();
@@ -57,7 +74,7 @@
   while (!Idle_.empty()) {
     const auto Connection = Idle_.back();
     Idle_.pop_back();
-    if (!Connection->isStale())
+    if (!Connection->isStale() && !isNearTimeout(*Connection))
       return Connection;
     Connection->retire();
   }
@@ -76,8 +93,8 @@
     if (const auto Self = Pool.lock())
       Self->onClosed(Connection);
   };
-  const auto Connection =
-      std::make_shared<HttpConnection>(Io_, HeaderLimit_, std::move(Owner));
+  const auto Connection = std::make_shared<HttpConnection>(
+      Io_, HeaderLimit_, Names_, std::move(Owner));
   All_.insert(Connection);
   ++Connecting_;
   Connection->connect(Server_, ConnectTimeout_);
--- a/src/libcumingauge/adapters/httppool.h
+++ b/src/libcumingauge/adapters/httppool.h
@@ -20,7 +20,7 @@
   static constexpr Ticket NoTicket = 0;
 
   HttpPool(boost::asio::io_context &Io, boost::asio::ip::tcp::endpoint Server,
-           std::uint32_t HeaderLimit);
+           std::uint32_t HeaderLimit, const traffic::Dialect &Names);
 
   /// Limits from now on.
   /// \param Keep whether connections without a call stay open.
@@ -57,6 +57,7 @@
   boost::asio::io_context &Io_;
   const boost::asio::ip::tcp::endpoint Server_;
   const std::uint32_t HeaderLimit_;
+  const traffic::Dialect &Names_;
   policy::ConnectionShare Share_;
   model::milliseconds ConnectTimeout_{200};
   bool Keep_ = true;
--- a/src/libcumingauge/adapters/httpprobe.cpp
+++ b/src/libcumingauge/adapters/httpprobe.cpp
@@ -1,5 +1,4 @@
 #include "adapters/httpprobe.h"
-#include "adapters/loadreporttext.h"
 
 namespace cumingauge::adapters {
 
@@ -11,8 +10,11 @@
 } // namespace
 
 HttpProbe::HttpProbe(boost::asio::io_context &Io,
-                     std::shared_ptr<HttpPool> Pool, Handler OnEnd)
-    : Timer_(Io), Pool_(std::move(Pool)), OnEnd_(std::move(OnEnd)) {}
+                     std::shared_ptr<HttpPool> Pool,
+                     const traffic::Dialect &Names, std::string Path,
+                     Handler OnEnd)
+    : Timer_(Io), Pool_(std::move(Pool)), Names_(Names), Path_(std::move(Path)),
+      OnEnd_(std::move(OnEnd)) {}
 
 void HttpProbe::start(model::milliseconds Timeout) {
   Timer_.expires_after(Timeout);
@@ -35,7 +37,7 @@
     return end(std::nullopt);
   Connection_ = std::move(Connection);
   Exchange Outgoing;
-  Outgoing.Head_ = "GET /load HTTP/1.1\r\nHost: backend\r\n\r\n";
+  Outgoing.Head_ = "GET " + Path_ + " HTTP/1.1\r\nHost: backend\r\n\r\n";
   Outgoing.Handler_ = [Self = shared_from_this()](ExchangeStep Step) {
     Self->onExchange(Step);
   };
@@ -64,7 +66,7 @@
   Connection_ = nullptr;
   if (Head.Status_ != StatusOk)
     return end(std::nullopt);
-  end(parseLoadReport(Head.Report_.empty() ? Body_ : Head.Report_));
+  end(Names_.ReadReport_(Head.Report_.empty() ? Body_ : Head.Report_));
 }
 
 void HttpProbe::end(std::optional<model::LoadReport> Report) {
--- a/src/libcumingauge/adapters/httpprobe.h
+++ b/src/libcumingauge/adapters/httpprobe.h
@@ -15,8 +15,9 @@
   /// Gets the report, or nothing when the probe failed. Called once.
   using Handler = std::function<void(std::optional<model::LoadReport>)>;
 
+  /// \param Names must outlive the probe.
   HttpProbe(boost::asio::io_context &Io, std::shared_ptr<HttpPool> Pool,
-            Handler OnEnd);
+            const traffic::Dialect &Names, std::string Path, Handler OnEnd);
 
   void start(model::milliseconds Timeout);
 
@@ -28,6 +29,8 @@
 
   boost::asio::steady_timer Timer_;
   std::shared_ptr<HttpPool> Pool_;
+  const traffic::Dialect &Names_;
+  const std::string Path_;
   Handler OnEnd_;
   HttpPool::Ticket Ticket_ = HttpPool::NoTicket;
   std::shared_ptr<HttpConnection> Connection_;
--- a/src/libcumingauge/adapters/httprequestreader.cpp
+++ b/src/libcumingauge/adapters/httprequestreader.cpp
@@ -1,6 +1,5 @@
 #include "adapters/httprequestreader.h"
 #include "adapters/httpmessagereader.h"
-#include "traffic/headers.h"
 #include <charconv>
 
 namespace cumingauge::adapters {
@@ -57,32 +56,34 @@
 
 /// Takes the fields out that this process acts on. False for a value that it
 /// cannot read.
-bool takeRequestField(string_view Name, string_view Value,
-                      traffic::RequestHead &Head) {
-  namespace names = traffic::headers;
-  if (iequals(Name, names::DeadlineMs)) {
+bool takeRequestField(const traffic::Dialect &Names, string_view Name,
+                      string_view Value, traffic::RequestHead &Head) {
+  if (iequals(Name, Names.DeadlineMs_)) {
     const auto Ms = numberOf<std::uint32_t>(Value);
     if (Ms)
       Head.Deadline_ = model::milliseconds(*Ms);
     return Ms.has_value();
   }
-  if (iequals(Name, names::Attempt)) {
+  if (iequals(Name, Names.Attempt_)) {
     const auto Attempt = numberOf<unsigned>(Value);
     Head.Attempt_ = Attempt.value_or(0);
     return Attempt.has_value();
   }
-  if (iequals(Name, names::CallId)) {
+  if (iequals(Name, Names.CallId_)) {
     Head.CallId_ = textOf(Value);
     return true;
   }
-  if (iequals(Name, names::Caller))
+  if (iequals(Name, Names.Caller_))
     Head.Caller_ = textOf(Value);
+  if (iequals(Name, Names.Server_))
+    return true; // this process says whom the call is meant for
   appendField(Head.Fields_, Name, Value);
   return true;
 }
 
 template <class Parser>
-ResultCode fillRequest(Parser &Source, traffic::RequestHead &Head) {
+ResultCode fillRequest(const traffic::Dialect &Names, Parser &Source,
+                       traffic::RequestHead &Head) {
   const ResultCode Checked = checkRequest(Source);
   const auto &Parsed = Source.get();
   Head = {};
@@ -92,6 +93,7 @@
     return Checked;
   Head.Method_ = textOf(Parsed.method_string());
   Head.Target_ = textOf(Parsed.target());
+  Head.Host_ = textOf(Parsed[http::field::host]);
   Head.KeepAlive_ = Source.keep_alive();
   Head.ExpectsContinue_ =
       !Head.Http10_ && Parsed.count(http::field::expect) > 0;
@@ -105,7 +107,7 @@
   for (const auto &Field : Parsed) {
     if (isHopByHop(Field.name()) || isListed(Connection, Field.name_string()))
       continue;
-    if (!takeRequestField(Field.name_string(), Field.value(), Head))
+    if (!takeRequestField(Names, Field.name_string(), Field.value(), Head))
       return ResultCode::RequestMalformed;
   }
   return ResultCode::Ok;
@@ -114,17 +116,21 @@
 } // namespace
 
 struct RequestReader::Impl {
-  explicit Impl(std::uint32_t HeaderLimit) : Reader_(HeaderLimit) {
+  Impl(std::uint32_t HeaderLimit, const traffic::Dialect &Names)
+      : Names_(Names), Reader_(HeaderLimit) {
     Reader_.start();
   }
 
+  const traffic::Dialect &Names_;
+
   MessageReader<true> Reader_;
   traffic::RequestHead Head_;
   ResultCode Error_ = ResultCode::Ok;
 };
 
-RequestReader::RequestReader(std::uint32_t HeaderLimit)
-    : Impl_(std::make_unique<Impl>(HeaderLimit)) {}
+RequestReader::RequestReader(std::uint32_t HeaderLimit,
+                             const traffic::Dialect &Names)
+    : Impl_(std::make_unique<Impl>(HeaderLimit, Names)) {}
 
 RequestReader::~RequestReader() = default;
 
@@ -140,7 +146,8 @@
     Impl_->Error_ = codeOf(Impl_->Reader_.error());
   if (Step != ReadStep::Head)
     return Step;
-  Impl_->Error_ = fillRequest(Impl_->Reader_.parser(), Impl_->Head_);
+  Impl_->Error_ =
+      fillRequest(Impl_->Names_, Impl_->Reader_.parser(), Impl_->Head_);
   return Impl_->Error_ == ResultCode::Ok ? Step : ReadStep::Failed;
 }
 
--- a/src/libcumingauge/adapters/httprequestreader.h
+++ b/src/libcumingauge/adapters/httprequestreader.h
@@ -2,6 +2,7 @@
 
 #include "adapters/httpreadstep.h"
 #include "model/resultcode.h"
+#include "traffic/dialect.h"
 #include "traffic/messagehead.h"
 #include <boost/asio/buffer.hpp>
 #include <cstdint>
@@ -15,7 +16,8 @@
 class RequestReader {
 public:
   /// \param HeaderLimit bytes that the head of a request may have.
-  explicit RequestReader(std::uint32_t HeaderLimit);
+  /// \param Names must outlive the reader.
+  RequestReader(std::uint32_t HeaderLimit, const traffic::Dialect &Names);
   ~RequestReader();
 
   /// Room for bytes that are to be read; commit tells how many came.
--- a/src/libcumingauge/adapters/httpsettings.cpp
+++ b/src/libcumingauge/adapters/httpsettings.cpp
@@ -26,6 +26,12 @@
         {Path + "/headerBytes", "must be between 1024 and 1048576"});
   if (Limits.KeptBodyBytes_ > MaxKeptBodyBytes)
     Found.push_back({Path + "/keptBodyBytes", "must be at most 16777216"});
+  if (Limits.KeptAnswerBytes_ > MaxKeptBodyBytes)
+    Found.push_back({Path + "/keptAnswerBytes", "must be at most 16777216"});
+  if (Limits.RetryAfter_ < model::milliseconds(0) ||
+      Limits.RetryAfter_ > MaxTimeout)
+    Found.push_back(
+        {Path + "/retryAfterMs", "must be between 0 and 3600000 ms"});
   if (Limits.MaxCallerConnections_ == 0)
     Found.push_back({Path + "/maxCallerConnections", "must be at least 1"});
   checkTimeout(Limits.HeadTimeout_, Path + "/headTimeoutMs", Found);
--- a/src/libcumingauge/adapters/httpsettings.h
+++ b/src/libcumingauge/adapters/httpsettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/controlruntime.h"
+#include "adapters/nativedialect.h"
 #include "model/describe.h"
 #include "model/problem.h"
 #include "model/time.h"
@@ -13,6 +14,9 @@
 struct HttpLimits {
   unsigned HeaderBytes_ = 16384;   ///< larger heads get 431
   unsigned KeptBodyBytes_ = 65536; ///< larger bodies stream, without retry
+  /// Answers up to this size are passed on when they are whole, so that a
+  /// broken one can be tried again; 0: every answer streams.
+  unsigned KeptAnswerBytes_ = 0;
   unsigned MaxCallerConnections_ = 10000;
   model::milliseconds HeadTimeout_{10000};  ///< first to last byte of a head
   model::milliseconds IdleTimeout_{75000};  ///< between two requests
@@ -22,12 +26,14 @@
   model::milliseconds FreshWait_{1000};           ///< wait for a fresh view
   model::milliseconds DrainIdleTime_{500};  ///< idle connections when stopping
   model::milliseconds DrainTimeout_{30000}; ///< calls in flight when stopping
+  /// When a caller may come back after a call that did not run; 0: not said.
+  model::milliseconds RetryAfter_{0};
 };
 BOOST_DESCRIBE_STRUCT(HttpLimits, (),
-                      (HeaderBytes_, KeptBodyBytes_, MaxCallerConnections_,
-                       HeadTimeout_, IdleTimeout_, BodyTimeout_, WriteTimeout_,
-                       BackendIdleTimeout_, FreshWait_, DrainIdleTime_,
-                       DrainTimeout_))
+                      (HeaderBytes_, KeptBodyBytes_, KeptAnswerBytes_,
+                       MaxCallerConnections_, HeadTimeout_, IdleTimeout_,
+                       BodyTimeout_, WriteTimeout_, BackendIdleTimeout_,
+                       FreshWait_, DrainIdleTime_, DrainTimeout_, RetryAfter_))
 
 /// Range checks; empty when valid.
 model::Problems checkHttpLimits(const HttpLimits &Limits,
@@ -40,6 +46,7 @@
   HttpLimits Limits_;
   std::string Zone_;
   std::uint64_t Seed_ = 0; ///< for the balancers' draws
+  traffic::Dialect Dialect_ = nativeDialect();
 };
 
 } // namespace cumingauge::adapters
--- a/src/libcumingauge/adapters/httptext.cpp
+++ b/src/libcumingauge/adapters/httptext.cpp
@@ -12,6 +12,8 @@
 
 void appendHeader(std::string &Out, std::string_view Name,
                   std::string_view Value) {
+  if (Name.empty())
+    return;
   Out.append(Name).append(": ").append(Value).append("\r\n");
 }
 
--- a/src/libcumingauge/adapters/httptext.h
+++ b/src/libcumingauge/adapters/httptext.h
@@ -8,6 +8,7 @@
 /// Text of HTTP heads and chunks.
 namespace cumingauge::adapters {
 
+/// A field without a name is left out.
 void appendHeader(std::string &Out, std::string_view Name,
                   std::string_view Value);
 
--- a/src/libcumingauge/adapters/httpworker.cpp
+++ b/src/libcumingauge/adapters/httpworker.cpp
@@ -31,7 +31,8 @@
                     "-"),
       Ticker_(Io_), Balancer_(policy::makeBalancer(
                         Common_->Settings_.Zone_, Common_->Settings_.Threads_,
-                        Common_->Settings_.Seed_ + Index * SeedStep, Index)) {}
+                        Common_->Settings_.Seed_ + Index * SeedStep, Index)),
+      Limits_(Common_->Settings_.Limits_) {}
 
 HttpWorker::~HttpWorker() = default;
 
@@ -66,14 +67,15 @@
   finishDrain();
 }
 
-HttpWorker::Admission HttpWorker::findRoute(const std::string &Target) const {
+HttpWorker::Admission HttpWorker::findRoute(const std::string &Host,
+                                            const std::string &Target) {
   const model::Preset *Preset =
       View_ ? model::presetInForce(*View_->Config_) : nullptr;
   if (!Preset)
     return {nullptr, ResultCode::NotRunControlStale};
   const std::string_view Path =
       std::string_view(Target).substr(0, Target.find('?'));
-  if (auto Route = Routes_.find(Path))
+  if (auto Route = Routes_.choose(Host, Path))
     return {std::move(Route), ResultCode::Ok};
   return {nullptr, ResultCode::RequestNoRoute};
 }
--- a/src/libcumingauge/adapters/httpworker.h
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -57,11 +57,15 @@
 
   /// Takes over a new connection of a caller.
   void adopt(boost::asio::ip::tcp::socket Socket);
-  const HttpLimits &limits() const { return Common_->Settings_.Limits_; }
+  /// Those of the settings, or of the preset in force where it says more.
+  const HttpLimits &limits() const { return Limits_; }
+  const traffic::Dialect &dialect() const {
+    return Common_->Settings_.Dialect_;
+  }
   /// Whether new work may be placed on what the control view says.
   bool isFresh() const { return Common_->Hooks_.IsFresh_(now()); }
   model::TimePoint now() const { return std::chrono::steady_clock::now(); }
-  Admission findRoute(const std::string &Target) const;
+  Admission findRoute(const std::string &Host, const std::string &Target);
   void noteRefusedRequest(model::ResultCode Code);
   void noteSessionClosed(HttpCallerSession &Session);
 
@@ -84,7 +88,9 @@
   std::optional<model::TimePoint> hedgeTime(const policy::CallFacts &Facts,
                                             model::TimePoint Dispatched);
   policy::ServerHandle hedge(const HttpCall &Call);
-  void noteReport(policy::ServerHandle Server, const std::string &Json);
+  void noteReport(policy::ServerHandle Server, const std::string &Text);
+  /// Name of the server, by which a call says whom it is meant for.
+  const std::string &serverName(policy::ServerHandle Server) const;
   void noteDraining(policy::ServerHandle Server);
 
 private:
@@ -100,6 +106,8 @@
   };
 
   Server &server(policy::ServerHandle Handle);
+  double turnPhase() const;
+  void useLimits(const model::CallerLimits &Callers);
   void useView(const std::shared_ptr<const model::ControlView> &View);
   void updateServer(policy::ServerHandle Handle, Server &Entry);
   bool isListed(policy::ServerHandle Handle) const;
@@ -112,6 +120,7 @@
   void tick();
   void maintainPools();
   void sendProbes();
+  std::string probePath(policy::ServerHandle Server) const;
   void onProbeEnded(policy::ServerHandle Server,
                     const std::optional<model::LoadReport> &Report);
   void publish();
@@ -129,6 +138,7 @@
   boost::asio::steady_timer Ticker_;
   std::shared_ptr<policy::BalancerState> Balancer_;
   std::shared_ptr<const model::ControlView> View_;
+  HttpLimits Limits_;
   traffic::RouteTable Routes_;
   model::milliseconds ConnectTimeout_{200};
   model::milliseconds ProbeTimeout_{500};
--- a/src/libcumingauge/adapters/httpworkerservers.cpp
+++ b/src/libcumingauge/adapters/httpworkerservers.cpp
@@ -1,7 +1,6 @@
 // The side of a traffic thread towards backend servers: view, connections,
 // probes and reports.
 #include "adapters/httpworker.h"
-#include "adapters/loadreporttext.h"
 #include <boost/asio/post.hpp>
 
 namespace cumingauge::adapters {
@@ -11,6 +10,7 @@
 namespace {
 
 constexpr model::seconds MaintenancePeriod{1};
+constexpr const char *UsualProbePath = "/load";
 
 } // namespace
 
@@ -25,7 +25,8 @@
   policy::applyView(*Balancer_, View, now());
   if (const model::Preset *Preset = model::presetInForce(*View->Config_)) {
     if (Changed)
-      Routes_ = traffic::RouteTable(Preset->Routes_);
+      Routes_ = traffic::RouteTable(Preset->Routes_, turnPhase());
+    useLimits(Preset->Callers_);
     ConnectTimeout_ = Preset->Servers_.ConnectTimeout_;
     ProbeTimeout_ = Preset->Measuring_.ProbeTimeout_;
   }
@@ -38,6 +39,22 @@
   scheduleRelease();
 }
 
+double HttpWorker::turnPhase() const {
+  constexpr double Steps = 4294967296.0; // 2^32
+  return static_cast<std::uint32_t>(Common_->Settings_.Seed_) / Steps;
+}
+
+void HttpWorker::useLimits(const model::CallerLimits &Callers) {
+  const HttpLimits &Own = Common_->Settings_.Limits_;
+  const model::milliseconds None{0};
+  Limits_.HeaderBytes_ =
+      Callers.HeaderBytes_ > 0 ? Callers.HeaderBytes_ : Own.HeaderBytes_;
+  Limits_.HeadTimeout_ =
+      Callers.HeadTimeout_ > None ? Callers.HeadTimeout_ : Own.HeadTimeout_;
+  Limits_.IdleTimeout_ =
+      Callers.IdleTimeout_ > None ? Callers.IdleTimeout_ : Own.IdleTimeout_;
+}
+
 void HttpWorker::updateServer(policy::ServerHandle Handle, Server &Entry) {
   const bool Listed = isListed(Handle);
   Entry.Pool_->setShare(policy::connectionShare(*Balancer_, Handle),
@@ -65,7 +82,7 @@
   const auto Address = boost::asio::ip::make_address(Known.Host_, Ignored);
   Entry.Pool_ = std::make_shared<HttpPool>(
       Io_, boost::asio::ip::tcp::endpoint(Address, Known.Port_),
-      limits().HeaderBytes_);
+      Common_->Settings_.Limits_.HeaderBytes_, dialect());
   Entry.Pool_->setShare(policy::connectionShare(*Balancer_, Handle),
                         ConnectTimeout_, /*Keep=*/true);
   return Entry;
@@ -115,7 +132,7 @@
       ++Figures_.ProbesSent_;
     }
     const auto Probe = std::make_shared<HttpProbe>(
-        Io_, server(Order.Server_).Pool_,
+        Io_, server(Order.Server_).Pool_, dialect(), probePath(Order.Server_),
         [this, Server = Order.Server_](
             const std::optional<model::LoadReport> &Report) {
           onProbeEnded(Server, Report);
@@ -124,6 +141,16 @@
   }
 }
 
+std::string HttpWorker::probePath(policy::ServerHandle Handle) const {
+  const std::string &Service = policy::serverOf(*Balancer_, Handle).Service_;
+  const model::Preset *Preset = model::presetInForce(*View_->Config_);
+  if (Preset)
+    for (const model::ServiceRule &Rule : Preset->Services_)
+      if (Rule.Service_ == Service && !Rule.HealthPath_.empty())
+        return Rule.HealthPath_;
+  return UsualProbePath;
+}
+
 void HttpWorker::onProbeEnded(policy::ServerHandle Server,
                               const std::optional<model::LoadReport> &Report) {
   if (Report) {
@@ -137,8 +164,8 @@
 }
 
 void HttpWorker::noteReport(policy::ServerHandle Handle,
-                            const std::string &Json) {
-  const auto Report = parseLoadReport(Json);
+                            const std::string &Text) {
+  const auto Report = dialect().ReadReport_(Text);
   if (!Report)
     return;
   policy::noteReport(*Balancer_, Handle, *Report, now());
@@ -148,6 +175,10 @@
   Entry.ToldDraining_ = Report->Draining_;
 }
 
+const std::string &HttpWorker::serverName(policy::ServerHandle Handle) const {
+  return policy::serverOf(*Balancer_, Handle).Name_;
+}
+
 void HttpWorker::noteDraining(policy::ServerHandle Handle) {
   Server &Entry = server(Handle);
   if (Entry.ToldDraining_)
--- a/src/libcumingauge/adapters/storeprotocol.cpp
+++ b/src/libcumingauge/adapters/storeprotocol.cpp
@@ -1,7 +1,7 @@
 #include "adapters/storeprotocol.h"
+#include "codec/base64.h"
 #include <algorithm>
 #include <nlohmann/json.hpp>
-#include <openssl/evp.h>
 #include <optional>
 
 namespace cumingauge::adapters::storeprotocol {
@@ -32,26 +32,6 @@
                                             : ResultCode::StoreAnswerInvalid);
 }
 
-std::optional<std::string> decodeBase64(const std::string &Text) {
-  if (Text.size() % 4 != 0)
-    return std::nullopt;
-  std::string Out(Text.size() / 4 * 3, '\0');
-  const int Length =
-      EVP_DecodeBlock(reinterpret_cast<unsigned char *>(Out.data()),
-                      reinterpret_cast<const unsigned char *>(Text.data()),
-                      static_cast<int>(Text.size()));
-  if (Length < 0)
-    return std::nullopt;
-  std::size_t Padding = 0;
-  while (Padding < 2 && Padding < Text.size() &&
-         Text[Text.size() - 1 - Padding] == '=')
-    ++Padding;
-  if (Text.find('=') < Text.size() - Padding)
-    return std::nullopt;
-  Out.resize(static_cast<std::size_t>(Length) - Padding);
-  return Out;
-}
-
 StoreResponse readValue(const StoreRequest &Request, const HttpAnswer &Answer) {
   const Json Document = Json::parse(Answer.Body_, nullptr, false);
   if (!Document.is_array() || Document.size() != 1 || !Document[0].is_object())
@@ -63,8 +43,9 @@
       Value == Entry.end() || !(Value->is_string() || Value->is_null()))
     return unreadable(Request);
   const std::optional<std::string> Bytes =
-      Value->is_null() ? std::string()
-                       : decodeBase64(Value->get_ref<const std::string &>());
+      Value->is_null()
+          ? std::string()
+          : codec::decodeBase64(Value->get_ref<const std::string &>());
   if (!Bytes)
     return unreadable(Request);
   StoreResponse Out;
--- a/src/libcumingauge/codec/describedjson.h
+++ b/src/libcumingauge/codec/describedjson.h
@@ -33,6 +33,13 @@
 
 namespace detail {
 
+/// Whether T can also be written as one text: `bool readText(text, T &)` is
+/// found by argument dependent lookup.
+template <class T, class = void> struct HasTextForm : std::false_type {};
+template <class T>
+struct HasTextForm<
+    T, std::void_t<decltype(readText(std::string(), std::declval<T &>()))>>
+    : std::true_type {};
 template <class T> struct IsDuration : std::false_type {};
 template <class R, class P>
 struct IsDuration<std::chrono::duration<R, P>> : std::true_type {};
@@ -272,6 +279,13 @@
   } else if constexpr (detail::IsVariant<T>::value) {
     detail::readVariant(In, Path, Out, Found);
   } else {
+    if constexpr (detail::HasTextForm<T>::value) {
+      if (In.is_string()) {
+        if (!readText(In.get<std::string>(), Out))
+          Found.push_back({Path, "is malformed"});
+        return;
+      }
+    }
     detail::readStruct(In, Path, Out, Found);
   }
 }
--- a/src/libcumingauge/control/core.cpp
+++ b/src/libcumingauge/control/core.cpp
@@ -1,5 +1,6 @@
 #include "control/core.h"
 #include "control/corestate.h"
+#include "control/directoryfollower.h"
 #include "control/heartbeats.h"
 #include "control/linkkeeper.h"
 #include "control/membership.h"
@@ -24,6 +25,8 @@
   State.Follower_.Failures_ = 0;
   State.Follower_.Away_ = false;
   hurryStore(State);
+  if (State.Settings_.FollowsDirectory_)
+    hurryDirectory(State);
   forgetHeartbeats(State);
   for (auto &[Id, Value] : State.Links_.Links_)
     Value.LastHeard_ = State.Now_;
@@ -95,6 +98,9 @@
     else if (!takeSnapshotAnswer(State_, Input.Call_, Input.Response_))
       takeVmListAnswer(State_, Input.Call_, Input.Response_);
   }
+  void operator()(const DirectoryAnswered &Input) const {
+    takeDirectoryAnswer(State_, Input.Call_, Input.Response_);
+  }
   void operator()(const LinkOpened &Input) const {
     takeLinkOpened(State_, Input);
   }
@@ -125,6 +131,8 @@
     keepLinks(State_);
     beat(State_);
     superviseMembers(State_);
+    if (State_.Settings_.FollowsDirectory_)
+      return followDirectory(State_);
     fillGaps(State_);
     followStore(State_);
     pollVmList(State_);
@@ -163,6 +171,7 @@
   Out.LastStep_ = State.LastStep_.value_or(model::TimePoint());
   Out.LastExchange_ = State.LastExchange_;
   Out.StoreAway_ = State.Follower_.Away_;
+  Out.ServesOnOldView_ = State.Settings_.FollowsDirectory_;
   Out.HasLinks_ = !peerLinks(State.Links_).empty();
   Out.OthersKnown_ = !State.Settings_.SeedPeers_.empty() ||
                      listedEntryVms(State) > 1 || isAnyOtherKnown(State);
--- a/src/libcumingauge/control/core.h
+++ b/src/libcumingauge/control/core.h
@@ -5,6 +5,7 @@
 #include "model/controlview.h"
 #include "model/event.h"
 #include "model/time.h"
+#include "ports/directory.h"
 #include "ports/store.h"
 #include <cstdint>
 #include <memory>
@@ -39,6 +40,14 @@
   /// replaces. Half of it is how long a process relies on having seen the end
   /// of the log.
   model::milliseconds EntryHold_{600000};
+
+  /// The configuration comes from a directory instead of the change log.
+  bool FollowsDirectory_ = false;
+  /// Time within which a server that leaves gets no new work.
+  model::milliseconds LeavingBound_{2000};
+  /// Pause between announcing itself and reading who else there is.
+  model::milliseconds MeetingTime_{1500};
+  model::milliseconds MembersPeriod_{30000};
 };
 
 // Inputs.
@@ -48,6 +57,10 @@
   StoreCallId Call_ = 0;
   ports::StoreResponse Response_;
 };
+struct DirectoryAnswered {
+  StoreCallId Call_ = 0;
+  ports::DirectoryResponse Response_;
+};
 struct LinkOpened {
   LinkId Link_ = 0;
   model::Member Peer_;
@@ -72,14 +85,18 @@
 struct Stopping {}; ///< say goodbye to the fleet
 
 using CoreInput =
-    std::variant<Started, Ticked, StoreAnswered, LinkOpened, LinkClosed,
-                 LinkFailed, PeerSaid, ServerSaid, Stopping>;
+    std::variant<Started, Ticked, StoreAnswered, DirectoryAnswered, LinkOpened,
+                 LinkClosed, LinkFailed, PeerSaid, ServerSaid, Stopping>;
 
 // Orders.
 struct CallStore {
   StoreCallId Call_ = 0;
   ports::StoreRequest Request_;
 };
+struct CallDirectory {
+  StoreCallId Call_ = 0;
+  ports::DirectoryRequest Request_;
+};
 struct OpenLink {
   std::string Host_;
   std::uint16_t Port_ = 0;
@@ -113,8 +130,8 @@
 };
 
 using CoreOrder =
-    std::variant<CallStore, OpenLink, CloseLink, SendPeer, PublishView,
-                 PublishSightings, RecordEvent, AnswerOperator>;
+    std::variant<CallStore, CallDirectory, OpenLink, CloseLink, SendPeer,
+                 PublishView, PublishSightings, RecordEvent, AnswerOperator>;
 
 struct CoreState;
 
--- a/src/libcumingauge/control/corestate.h
+++ b/src/libcumingauge/control/corestate.h
@@ -2,6 +2,7 @@
 
 #include "control/changelog.h"
 #include "control/core.h"
+#include "control/directoryfollower.h"
 #include "control/leavingtable.h"
 #include "control/linktable.h"
 #include "control/membertable.h"
@@ -33,6 +34,7 @@
   bool Confirmed_ = false; ///< compared with the store since the start
   std::optional<model::TimePoint> FirstStateAt_;
   StoreFollower Follower_;
+  DirectoryFollower Directory_;
   SnapshotWriter Snapshots_;
   VmList Vms_;
   MemberTable Members_;
--- /dev/null
+++ b/src/libcumingauge/control/directoryfollower.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "control/core.h"
+#include "model/time.h"
+#include "ports/directory.h"
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cumingauge::control {
+
+struct CoreState;
+
+/// Calls about one topic of the directory, one at a time.
+struct DirectoryFeed {
+  StoreCallId Call_ = 0; ///< 0: none under way
+  model::TimePoint Issued_;
+  model::TimePoint NextAt_;
+  unsigned Failures_ = 0;      ///< in a row
+  std::uint64_t Revision_ = 0; ///< of the last answer; never goes back
+  /// Moment of which the last answer tells; what came later may be unknown.
+  std::optional<model::TimePoint> TrueAt_;
+};
+
+/// Follows a directory: reads the configuration and then watches it, reads the
+/// servers and the members at a pace. Neither version nor revision goes back.
+struct DirectoryFollower {
+  DirectoryFeed Configuration_;
+  DirectoryFeed Servers_;
+  DirectoryFeed Members_;
+  bool Announced_ = false;
+  std::vector<ports::ListedServer> Pages_; ///< of the read under way
+  std::uint64_t PagesRevision_ = 0;
+  std::string NextPage_;
+  std::map<std::string, ports::ListedServer> Listed_; ///< by name
+  std::optional<model::TimePoint> BackAt_; ///< end of the last outage
+};
+
+/// Makes the calls that are due.
+void followDirectory(CoreState &State);
+
+/// Takes the answer to a call.
+void takeDirectoryAnswer(CoreState &State, StoreCallId Call,
+                         const ports::DirectoryResponse &Answer);
+
+/// Has everything read again at once, after a pause of the process.
+void hurryDirectory(CoreState &State);
+
+} // namespace cumingauge::control
--- a/src/libcumingauge/control/freshness.cpp
+++ b/src/libcumingauge/control/freshness.cpp
@@ -5,6 +5,8 @@
 
 model::TimePoint dispatchDeadline(const FreshnessFacts &Facts,
                                   const FreshnessLimits &Limits) {
+  if (Facts.ServesOnOldView_)
+    return model::TimePoint::max();
   const model::TimePoint Running = Facts.LastStep_ + Limits.Limit_;
   const bool Alone = !Facts.OthersKnown_ && !Facts.HasLinks_;
   if (Alone && Facts.StoreAway_)
--- a/src/libcumingauge/control/freshness.h
+++ b/src/libcumingauge/control/freshness.h
@@ -23,6 +23,9 @@
   bool OthersKnown_ = false; ///< other members, seeds or entry VMs are known
   bool StoreAway_ = false;   ///< the store failed since the start or a pause
   bool HasLinks_ = false;    ///< an open link to a peer
+  /// Work goes on however old the view is: each call says which server it is
+  /// meant for, so that an address that changed hands does no harm.
+  bool ServesOnOldView_ = false;
 };
 
 /// Until when new work may be placed; a moment in the past when it may not.
--- a/src/libcumingauge/model/backendserver.h
+++ b/src/libcumingauge/model/backendserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "model/describe.h"
+#include "model/time.h"
 #include <cstdint>
 #include <string>
 
@@ -15,9 +16,11 @@
   std::string Zone_; ///< availability zone
   std::string Host_; ///< IP number
   std::uint16_t Port_ = 0;
-  unsigned Slots_ = 1; ///< calls that it runs at the same time
+  unsigned Slots_ = 1;      ///< calls that it runs at the same time
+  milliseconds ColdFor_{0}; ///< how long it stays slow after it was listed
 };
 BOOST_DESCRIBE_STRUCT(BackendServer, (),
-                      (Name_, Vm_, Service_, Zone_, Host_, Port_, Slots_))
+                      (Name_, Vm_, Service_, Zone_, Host_, Port_, Slots_,
+                       ColdFor_))
 
 } // namespace cumingauge::model
--- a/src/libcumingauge/model/loadreport.h
+++ b/src/libcumingauge/model/loadreport.h
@@ -14,8 +14,10 @@
   milliseconds Age_{0};   ///< age of the figures when they were sent
   bool Draining_ = false;
   bool Cold_ = false;
+  unsigned PacePercent_ = 100; ///< time that work takes now, of the usual one
 };
 BOOST_DESCRIBE_STRUCT(LoadReport, (),
-                      (InFlight_, Queued_, Slots_, Age_, Draining_, Cold_))
+                      (InFlight_, Queued_, Slots_, Age_, Draining_, Cold_,
+                       PacePercent_))
 
 } // namespace cumingauge::model
--- a/src/libcumingauge/model/preset.cpp
+++ b/src/libcumingauge/model/preset.cpp
@@ -23,19 +23,23 @@
   require(!Value.Name_.empty(), Path + "/name", "must not be empty", Found);
   require(!Value.PathPrefix_.empty() && Value.PathPrefix_.front() == '/',
           Path + "/pathPrefix", "must start with '/'", Found);
-  require(!Value.Service_.empty(), Path + "/service", "must not be empty",
-          Found);
+  require(!Value.Service_.empty() || !Value.Parts_.empty(), Path + "/service",
+          "must not be empty", Found);
+  for (std::size_t I = 0; I < Value.Parts_.size(); ++I)
+    require(!Value.Parts_[I].Service_.empty() && Value.Parts_[I].Weight_ >= 0,
+            Path + "/parts/" + std::to_string(I),
+            "must have a service and a weight of at least 0", Found);
   require(Value.Deadline_ > milliseconds(0) && Value.Deadline_ <= MaxDeadline,
           Path + "/deadlineMs", "must be between 1 and 600000 ms", Found);
 }
 
 void checkRoutes(const std::vector<Route> &Routes, const std::string &Path,
                  Problems &Found) {
-  std::set<std::string> Prefixes;
+  std::set<std::pair<std::string, std::string>> Prefixes;
   for (std::size_t I = 0; I < Routes.size(); ++I) {
     const std::string RoutePath = Path + "/" + std::to_string(I);
     checkRoute(Routes[I], RoutePath, Found);
-    require(Prefixes.insert(Routes[I].PathPrefix_).second,
+    require(Prefixes.emplace(Routes[I].Host_, Routes[I].PathPrefix_).second,
             RoutePath + "/pathPrefix", "is used by an earlier route", Found);
   }
 }
--- a/src/libcumingauge/model/preset.h
+++ b/src/libcumingauge/model/preset.h
@@ -27,8 +27,10 @@
 struct RetryBudget {
   double Ratio_ = 0.1; ///< retries per first attempt, 0 to 1
   unsigned MaxAttempts_ = 3;
+  /// Retries of the whole fleet beyond the ratio, for a burst of failures.
+  double Burst_ = 0; ///< 0: five for each traffic thread
 };
-BOOST_DESCRIBE_STRUCT(RetryBudget, (), (Ratio_, MaxAttempts_))
+BOOST_DESCRIBE_STRUCT(RetryBudget, (), (Ratio_, MaxAttempts_, Burst_))
 
 /// Second attempts sent while the first is still running; idempotent routes
 /// only.
@@ -68,6 +70,22 @@
                       (FailureRatio_, MinAttempts_, MaxEjectedShare_, BaseTime_,
                        SlowStart_))
 
+/// What is told of a service besides its servers.
+struct ServiceRule {
+  std::string Service_;
+  std::string HealthPath_; ///< for probes; empty: the usual one
+};
+BOOST_DESCRIBE_STRUCT(ServiceRule, (), (Service_, HealthPath_))
+
+/// Limits on callers; 0 leaves the process's own setting in force.
+struct CallerLimits {
+  unsigned HeaderBytes_ = 0;
+  milliseconds HeadTimeout_{0};
+  milliseconds IdleTimeout_{0};
+};
+BOOST_DESCRIBE_STRUCT(CallerLimits, (),
+                      (HeaderBytes_, HeadTimeout_, IdleTimeout_))
+
 /// A complete set of policy values and routes. Exactly one is in force.
 struct Preset {
   std::string Name_;
@@ -81,10 +99,13 @@
   ServerLimits Servers_;
   EjectionRule Ejection_;
   std::vector<Route> Routes_;
+  std::vector<ServiceRule> Services_;
+  CallerLimits Callers_;
 };
 BOOST_DESCRIBE_STRUCT(Preset, (),
                       (Name_, Summary_, Pick_, ZoneCost_, Measuring_, Retry_,
-                       Hedge_, Queue_, Servers_, Ejection_, Routes_))
+                       Hedge_, Queue_, Servers_, Ejection_, Routes_, Services_,
+                       Callers_))
 
 /// Range checks on a preset; empty when it is valid.
 /// \param Path where the preset stands in its document.
--- /dev/null
+++ b/src/libcumingauge/platform/configurationdocument.cpp
@@ -0,0 +1,122 @@
+#include "platform/configurationdocument.h"
+#include "platform/jsonfields.h"
+#include <algorithm>
+
+namespace cumingauge::platform {
+
+namespace {
+
+/// Ranks above it share the least urgent class; the product knows three.
+constexpr std::uint64_t FirstPatientRank = 3;
+constexpr std::uint64_t FirstNormalRank = 2;
+
+model::Priority priorityOf(std::uint64_t Rank) {
+  if (Rank < FirstNormalRank)
+    return model::Priority::Urgent;
+  return Rank < FirstPatientRank ? model::Priority::Normal
+                                 : model::Priority::Patient;
+}
+
+model::milliseconds millisField(const Json &Object, const char *Name) {
+  return model::milliseconds(
+      static_cast<long long>(numberField(Object, Name).value_or(0)));
+}
+
+std::vector<model::RoutePart> readParts(const Json &Route) {
+  std::vector<model::RoutePart> Out;
+  const Json *Parts = findField(Route, "traffic-split");
+  if (!Parts || !Parts->is_array())
+    return Out;
+  for (const Json &Part : *Parts) {
+    const auto Service = textField(Part, "service");
+    const auto Weight = numberField(Part, "weight");
+    if (Service && Weight && *Weight >= 0)
+      Out.push_back({*Service, *Weight});
+  }
+  return Out;
+}
+
+std::optional<model::Route> readRoute(const Json &Document) {
+  const auto Host = textField(Document, "host");
+  const auto Prefix = textField(Document, "prefix");
+  const auto Service = textField(Document, "service");
+  model::Route Out;
+  Out.Parts_ = readParts(Document);
+  if (!Host || !Prefix || (!Service && Out.Parts_.empty()))
+    return std::nullopt;
+  Out.Name_ = textField(Document, "name").value_or(*Host + *Prefix);
+  Out.Host_ = *Host;
+  Out.PathPrefix_ = *Prefix;
+  Out.Service_ = Service.value_or("");
+  // Whatever is not plainly repeatable is sent once.
+  Out.Idempotent_ = textField(Document, "kind") == "safe";
+  Out.Priority_ =
+      priorityOf(countField(Document, "priority").value_or(FirstNormalRank));
+  Out.Objective_ = millisField(Document, "latency-objective-ms");
+  const auto Timeout = millisField(Document, "timeout-ms");
+  if (Timeout > model::milliseconds(0))
+    Out.Deadline_ = Timeout;
+  Out.MaxAttempts_ = static_cast<unsigned>(
+      std::max<std::uint64_t>(countField(Document, "attempts").value_or(1), 1));
+  return Out;
+}
+
+void readServices(const Json &Document, model::Preset &Out) {
+  const Json *Services = findField(Document, "services");
+  if (!Services || !Services->is_array())
+    return;
+  for (const Json &Service : *Services) {
+    const auto Name = textField(Service, "name");
+    if (!Name)
+      continue;
+    Out.Services_.push_back(
+        {*Name, textField(Service, "health-check-path").value_or("")});
+    // One limit for all services: the preset knows no other.
+    if (const auto Limit = countField(Service, "connection-limit"))
+      Out.Servers_.MaxConnections_ = static_cast<unsigned>(
+          std::min<std::uint64_t>(Out.Servers_.MaxConnections_, *Limit));
+  }
+}
+
+void readLimits(const Json &Document, model::Preset &Out) {
+  const Json *Limits = findField(Document, "limits");
+  if (!Limits)
+    return;
+  Out.Callers_.HeaderBytes_ = static_cast<unsigned>(
+      countField(*Limits, "max-header-bytes").value_or(0));
+  Out.Callers_.HeadTimeout_ = millisField(*Limits, "header-timeout-ms");
+  Out.Callers_.IdleTimeout_ = millisField(*Limits, "idle-timeout-ms");
+  if (const auto Bytes = countField(*Limits, "max-body-bytes"))
+    for (model::Route &Route : Out.Routes_)
+      Route.MaxBodyBytes_ = *Bytes;
+}
+
+} // namespace
+
+std::optional<ports::ListedConfiguration>
+readConfiguration(std::string_view Document, const model::Preset &Base,
+                  model::Problems &Found) {
+  const Json Parsed = Json::parse(Document, /*cb=*/nullptr,
+                                  /*allow_exceptions=*/false);
+  const auto Version = countField(Parsed, "version");
+  const Json *Routes = findField(Parsed, "routes");
+  if (!Version || !Routes || !Routes->is_array()) {
+    Found.push_back({"configuration", "has no version or no routes"});
+    return std::nullopt;
+  }
+  ports::ListedConfiguration Out{*Version, Base};
+  Out.Preset_.Name_ = "version " + std::to_string(*Version);
+  Out.Preset_.Routes_.clear();
+  for (std::size_t I = 0; I < Routes->size(); ++I) {
+    if (auto Route = readRoute((*Routes)[I]))
+      Out.Preset_.Routes_.push_back(std::move(*Route));
+    else
+      Found.push_back({"configuration/routes/" + std::to_string(I),
+                       "lacks host, prefix or service"});
+  }
+  readServices(Parsed, Out.Preset_);
+  readLimits(Parsed, Out.Preset_);
+  return Out;
+}
+
+} // namespace cumingauge::platform
--- /dev/null
+++ b/src/libcumingauge/platform/directoryclient.cpp
@@ -0,0 +1,223 @@
+#include "platform/directoryclient.h"
+#include "adapters/httpclient.h"
+#include "codec/base64.h"
+#include "codec/describedjson.h"
+#include "platform/configurationdocument.h"
+#include "platform/jsonfields.h"
+#include "platform/serverentry.h"
+#include "platform/words.h"
+
+namespace cumingauge::platform {
+
+namespace {
+
+using adapters::HttpClient;
+using adapters::HttpClientAnswer;
+using adapters::HttpClientCall;
+using model::ResultCode;
+using ports::DirectoryOperation;
+using ports::DirectoryRequest;
+using ports::DirectoryResponse;
+using ports::DirectoryTopic;
+
+constexpr unsigned HttpOk = 200;
+constexpr unsigned HttpNotFound = 404;
+constexpr unsigned HttpGone = 410;
+constexpr unsigned HttpTooManyRequests = 429;
+constexpr unsigned HttpInternalError = 500;
+
+const char *prefixOf(DirectoryTopic Topic) {
+  return Topic == DirectoryTopic::Servers ? words::ServersPrefix
+                                          : words::MembersPrefix;
+}
+
+std::string announcement(const model::Member &Self) {
+  const std::string Value = codec::toJson(Self).dump();
+  const Json Put{{"key", words::MembersPrefix + Self.Process_},
+                 {"value", codec::encodeBase64(Value)},
+                 {"lease", 0}};
+  return Json{{"expected-revision", Json::array()},
+              {"puts", Json::array({Put})},
+              {"deletes", Json::array()}}
+      .dump();
+}
+
+HttpClientCall callFor(const DirectoryRequest &Request) {
+  HttpClientCall Out;
+  Out.Method_ = "GET";
+  switch (Request.Operation_) {
+  case DirectoryOperation::Read:
+    if (Request.Topic_ == DirectoryTopic::Configuration) {
+      Out.Target_ = std::string(words::ReadKey) + words::ConfigurationKey;
+      break;
+    }
+    Out.Target_ = std::string(words::ReadRange) + prefixOf(Request.Topic_);
+    if (!Request.Page_.empty())
+      Out.Target_ += "&after=" + Request.Page_;
+    break;
+  case DirectoryOperation::Watch:
+    Out.Target_ = std::string(words::Watch) + words::ConfigurationKey +
+                  "&after=" + std::to_string(Request.After_) +
+                  "&wait-ms=" + std::to_string(Request.Wait_.count());
+    Out.Wait_ = Request.Wait_;
+    break;
+  case DirectoryOperation::Announce:
+    Out.Method_ = "POST";
+    Out.Target_ = words::Transaction;
+    Out.Body_ = announcement(Request.Self_);
+    Out.ContentType_ = "application/json";
+    Out.NewConnection_ = true;
+    break;
+  }
+  return Out;
+}
+
+/// An item's bytes; nothing when it was deleted or cannot be read.
+std::optional<std::string> valueOf(const Json &Item) {
+  const auto Text = textField(Item, "value");
+  return Text ? codec::decodeBase64(*Text) : std::nullopt;
+}
+
+/// Reads the items of one answer; what cannot be read is named and left out.
+class AnswerReader {
+public:
+  AnswerReader(const DirectoryRequest &Request, const model::Preset &Base,
+               DirectoryResponse &Out)
+      : Request_(Request), Base_(Base), Out_(Out) {}
+
+  void take(const Json &Item) {
+    const std::string Key = textField(Item, "key").value_or("");
+    const auto Value = valueOf(Item);
+    if (!Value)
+      return addUnreadable(Key);
+    switch (Request_.Topic_) {
+    case DirectoryTopic::Configuration:
+      return takeConfiguration(Key, *Value);
+    case DirectoryTopic::Servers:
+      return takeServer(Key, *Value);
+    case DirectoryTopic::Members:
+      return takeMember(Key, *Value);
+    }
+  }
+
+private:
+  void addUnreadable(const std::string &Key) {
+    Out_.Unreadable_.push_back({Key, "cannot be read"});
+  }
+
+  void takeConfiguration(const std::string &Key, const std::string &Value) {
+    if (Key != words::ConfigurationKey)
+      return; // another key with the same beginning
+    if (auto Read = readConfiguration(Value, Base_, Out_.Unreadable_))
+      Out_.Configuration_ = std::move(Read);
+  }
+
+  void takeServer(const std::string &Key, const std::string &Value) {
+    const std::size_t Slash = Key.rfind('/');
+    auto Read = readServerEntry(Key.substr(Slash + 1), Value);
+    if (!Read)
+      return addUnreadable(Key);
+    Out_.Servers_.push_back(std::move(*Read));
+  }
+
+  void takeMember(const std::string &Key, const std::string &Value) {
+    model::Member Read;
+    model::Problems Found;
+    codec::fromJson(Json::parse(Value, nullptr, false), "", Read, Found);
+    if (!Found.empty())
+      return addUnreadable(Key);
+    Out_.Members_.push_back(std::move(Read));
+  }
+
+  const DirectoryRequest &Request_;
+  const model::Preset &Base_;
+  DirectoryResponse &Out_;
+};
+
+DirectoryResponse failed(ResultCode Code) {
+  DirectoryResponse Out;
+  Out.Code_ = Code;
+  return Out;
+}
+
+/// Items of a range, events of a watch, or the item itself.
+std::vector<Json> itemsOf(const Json &Document) {
+  for (const char *Name : {"items", "events"})
+    if (const Json *List = findField(Document, Name))
+      return List->is_array() ? List->get<std::vector<Json>>()
+                              : std::vector<Json>();
+  return findField(Document, "key") ? std::vector<Json>{Document}
+                                    : std::vector<Json>();
+}
+
+bool isDeletion(const Json &Item) {
+  const Json *Deleted = findField(Item, "deleted");
+  return Deleted && Deleted->is_boolean() && Deleted->get<bool>();
+}
+
+DirectoryResponse readItems(const DirectoryRequest &Request,
+                            const model::Preset &Base,
+                            const std::string &Body) {
+  const Json Document = Json::parse(Body, nullptr, false);
+  const auto Revision = countField(Document, "at");
+  if (!Revision)
+    return failed(ResultCode::StoreAnswerInvalid);
+  DirectoryResponse Out;
+  Out.Revision_ = *Revision;
+  AnswerReader Reader(Request, Base, Out);
+  std::string LastKey;
+  for (const Json &Item : itemsOf(Document)) {
+    LastKey = textField(Item, "key").value_or(LastKey);
+    if (!isDeletion(Item))
+      Reader.take(Item);
+  }
+  const Json *More = findField(Document, "has-more");
+  if (More && More->is_boolean() && More->get<bool>())
+    Out.Next_ = LastKey;
+  return Out;
+}
+
+DirectoryResponse readAnswer(const DirectoryRequest &Request,
+                             const model::Preset &Base,
+                             const HttpClientAnswer &Answer) {
+  const bool IsWrite = Request.Operation_ == DirectoryOperation::Announce;
+  if (!Answer.Answered_)
+    return failed(IsWrite && Answer.BytesLeft_ ? ResultCode::StoreTimeout
+                                               : ResultCode::StoreUnavailable);
+  if (Answer.Status_ == HttpOk)
+    return IsWrite ? DirectoryResponse()
+                   : readItems(Request, Base, Answer.Body_);
+  if (Answer.Status_ == HttpGone) {
+    DirectoryResponse Out;
+    Out.HistoryGone_ = true;
+    return Out;
+  }
+  if (Answer.Status_ == HttpNotFound && !IsWrite)
+    return DirectoryResponse();
+  if (Answer.Status_ == HttpTooManyRequests)
+    return failed(ResultCode::StoreRateLimited);
+  return failed(Answer.Status_ >= HttpInternalError
+                    ? ResultCode::StoreUnavailable
+                    : ResultCode::StoreAnswerInvalid);
+}
+
+} // namespace
+
+ports::Directory makeDirectory(boost::asio::io_context &Io,
+                               const PlatformSettings &Settings,
+                               const model::Preset &Base) {
+  adapters::HttpClientSettings Target;
+  Target.Host_ = Settings.Store_.Host_;
+  Target.Port_ = Settings.Store_.Port_;
+  const auto Client = std::make_shared<HttpClient>(Io, Target);
+  return {[Client, Base](const DirectoryRequest &Request,
+                         ports::DirectoryHandler Handler) {
+    Client->call(callFor(Request),
+                 [Request, Base, Handler = std::move(Handler)](
+                     const HttpClientAnswer &Answer) {
+                   Handler(readAnswer(Request, Base, Answer));
+                 });
+  }};
+}
+
+} // namespace cumingauge::platform
--- a/src/libcumingauge/policy/balancer.cpp
+++ b/src/libcumingauge/policy/balancer.cpp
@@ -23,6 +23,11 @@
                                              : &State.Services_[Found->second];
 }
 
+unsigned attemptLimit(const BalancerState &State, const CallFacts &Call) {
+  return Call.Route_.MaxAttempts_ > 0 ? Call.Route_.MaxAttempts_
+                                      : State.Preset_.Retry_.MaxAttempts_;
+}
+
 Decision refuse(model::ResultCode Reason) {
   return {Verdict::Refuse, NoServer, Reason};
 }
@@ -126,7 +131,7 @@
   ServiceRecord *Service = findService(State, Call.Route_.Service_);
   const bool Allowed = Service && isRetryTruthful(Call, End) &&
                        (!Call.Nested_ || End == AttemptEnd::ConnectFailed) &&
-                       Call.Attempts_ < State.Preset_.Retry_.MaxAttempts_ &&
+                       Call.Attempts_ < attemptLimit(State, Call) &&
                        Now + leastTime(*Service, Call) < Call.Deadline_;
   if (!Allowed) {
     count(State.Reasons_, ChoiceReason::RetryNotAllowed);
--- a/src/libcumingauge/policy/view.cpp
+++ b/src/libcumingauge/policy/view.cpp
@@ -28,7 +28,10 @@
   if (IsNew) {
     State.Servers_.emplace_back();
     State.Servers_.back().Slots_ = std::max(Server.Slots_, 1u);
-    if (!FirstView)
+    const model::Duration SlowStart = State.Preset_.Ejection_.SlowStart_;
+    if (Server.ColdFor_ > model::milliseconds(0))
+      State.Servers_.back().RampStart_ = Now + Server.ColdFor_ - SlowStart;
+    else if (!FirstView)
       State.Servers_.back().RampStart_ = Now;
   }
   return Entry->second;
@@ -90,6 +93,12 @@
   }
 }
 
+/// This thread's share of the retries that the fleet may make at once.
+double retryCap(const BalancerState &State) {
+  const double Burst = State.Preset_.Retry_.Burst_;
+  return Burst > 0 ? Burst / State.Deciders_ : TokenBucket().Cap_;
+}
+
 void cutSubset(BalancerState &State, ServiceRecord &Service) {
   std::vector<RingPlace> Ring;
   for (const ServerHandle Handle : Service.Members_) {
@@ -141,6 +150,7 @@
   takeServers(State, *View, FirstView, Now);
   for (ServiceRecord &Service : State.Services_) {
     summarize(State, Service);
+    Service.Retries_.Cap_ = retryCap(State);
     if (CutAll || Service.Members_ != Service.FormerMembers_)
       cutSubset(State, Service);
     if (SharesChanged)
--- /dev/null
+++ b/src/libcumingauge/ports/directory.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "model/backendserver.h"
+#include "model/member.h"
+#include "model/preset.h"
+#include "model/problem.h"
+#include "model/resultcode.h"
+#include "model/time.h"
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cumingauge::ports {
+
+/// What a directory holds: the operators' configuration, the backend servers
+/// that have registered themselves, and the entry processes.
+enum class DirectoryTopic { Configuration, Servers, Members };
+
+enum class DirectoryOperation {
+  Read,    ///< everything of the topic, page by page
+  Watch,   ///< the configuration, once it is newer than After_, or after Wait_
+  Announce ///< registers Self_ among the members
+};
+
+struct DirectoryRequest {
+  DirectoryOperation Operation_ = DirectoryOperation::Read;
+  DirectoryTopic Topic_ = DirectoryTopic::Configuration;
+  std::string Page_;        ///< Read: Next_ of the page before; empty: first
+  std::uint64_t After_ = 0; ///< Watch: revision
+  model::milliseconds Wait_{0};
+  model::Member Self_;
+};
+
+struct ListedServer {
+  model::BackendServer Server_;
+  bool Leaving_ = false;
+};
+BOOST_DESCRIBE_STRUCT(ListedServer, (), (Server_, Leaving_))
+
+/// The operators' configuration as one preset.
+struct ListedConfiguration {
+  std::uint64_t Version_ = 0;
+  model::Preset Preset_;
+};
+
+/// Code_ is Ok, StoreUnavailable, StoreTimeout (Announce may have taken
+/// effect), StoreRateLimited or StoreAnswerInvalid.
+struct DirectoryResponse {
+  model::ResultCode Code_ = model::ResultCode::Ok;
+  std::uint64_t Revision_ = 0; ///< the answer shows everything up to it
+  bool HistoryGone_ = false;   ///< Watch: read again instead
+  std::string Next_;           ///< Read: the next page; empty: there is none
+  std::optional<ListedConfiguration> Configuration_; ///< if there is a new one
+  std::vector<ListedServer> Servers_;
+  std::vector<model::Member> Members_;
+  model::Problems Unreadable_; ///< entries left out, with the reason
+};
+
+using DirectoryHandler = std::function<void(const DirectoryResponse &)>;
+
+/// Port to the service in which operators and backend servers publish what
+/// entry processes have to know.
+struct Directory {
+  std::function<void(const DirectoryRequest &, DirectoryHandler)> Execute_;
+};
+
+} // namespace cumingauge::ports
--- a/src/libcumingauge/traffic/calllifecycle.cpp
+++ b/src/libcumingauge/traffic/calllifecycle.cpp
@@ -85,6 +85,8 @@
     return AttemptEnd::ConnectFailed;
   case AttemptFate::DeclaredNotRun:
     return Event.Draining_ ? AttemptEnd::Draining : AttemptEnd::Shed;
+  case AttemptFate::ServerError:
+    return AttemptEnd::AnsweredError;
   default:
     return AttemptEnd::Broken;
   }
--- a/src/libcumingauge/traffic/messagehead.h
+++ b/src/libcumingauge/traffic/messagehead.h
@@ -16,6 +16,7 @@
 struct RequestHead {
   std::string Method_;
   std::string Target_;
+  std::string Host_;   ///< as the field says it, with a port if there is one
   std::string Fields_; ///< end-to-end fields, each "Name: value\r\n"
   Framing Framing_ = Framing::None;
   std::uint64_t Length_ = 0; ///< with Framing::Length
@@ -36,9 +37,13 @@
   Framing Framing_ = Framing::None;
   std::uint64_t Length_ = 0;
   bool KeepAlive_ = false;
-  std::string CallId_; ///< X-Call-Id when the server repeats it, or empty
-  std::string NotRun_; ///< X-Not-Run, or empty
-  std::string Report_; ///< Endpoint-Load-Metrics-Json, or empty
+  bool UntilClose_ = false; ///< the body ends with the connection
+  bool Proven_ = true;      ///< has the field that proves it, if one is asked
+  std::string CallId_;      ///< as the server repeats it, or empty
+  std::string NotRun_;      ///< says that the call did not run, or empty
+  std::string Report_;      ///< load report, or empty
+  std::optional<model::seconds>
+      IdleTimeout_; ///< of the connection, by the server
 };
 
 } // namespace cumingauge::traffic
--- a/src/libcumingauge/traffic/outcomes.cpp
+++ b/src/libcumingauge/traffic/outcomes.cpp
@@ -42,6 +42,7 @@
     return Rules.Replayable_;
   case AttemptFate::Lost:
   case AttemptFate::Malformed:
+  case AttemptFate::ServerError:
     return Rules.Idempotent_ && Rules.Replayable_;
   default:
     return false;
--- a/src/libcumingauge/traffic/outcomes.h
+++ b/src/libcumingauge/traffic/outcomes.h
@@ -18,10 +18,12 @@
   Lost,           ///< bytes left, the connection ended without whole answer
   Malformed,      ///< bytes left, the answer could not be parsed
   Abandoned,      ///< bytes left, this process gave up waiting
+  ServerError,    ///< whole answer, an error that is not passed on
   Answered,       ///< whole answer
 };
 BOOST_DESCRIBE_ENUM(AttemptFate, Connecting, Sent, Forwarding, NotSent,
-                    DeclaredNotRun, Lost, Malformed, Abandoned, Answered)
+                    DeclaredNotRun, Lost, Malformed, Abandoned, ServerError,
+                    Answered)
 
 /// True while an attempt can still bring an answer.
 bool isLive(AttemptFate Fate);
--- a/src/libcumingauge/traffic/routetable.cpp
+++ b/src/libcumingauge/traffic/routetable.cpp
@@ -1,5 +1,7 @@
 #include "traffic/routetable.h"
 #include <algorithm>
+#include <cctype>
+#include <cmath>
 
 namespace cumingauge::traffic {
 
@@ -11,26 +13,86 @@
   return A.substr(0, static_cast<std::size_t>(End.first - A.begin()));
 }
 
+/// Steps of the golden ratio spread evenly over 0 to 1 whatever their number,
+/// so that each part gets its share of few calls too.
+constexpr double TurnStep = 0.6180339887498949;
+
+double fraction(double Value) { return Value - std::floor(Value); }
+
+/// Host names do not tell upper from lower case; a port is of no interest.
+std::string hostKey(std::string_view Host) {
+  std::string Out(Host.substr(0, Host.find(':')));
+  std::transform(Out.begin(), Out.end(), Out.begin(), [](unsigned char Letter) {
+    return static_cast<char>(std::tolower(Letter));
+  });
+  return Out;
+}
+
 } // namespace
 
-RouteTable::RouteTable(const std::vector<model::Route> &Routes) {
-  for (const model::Route &Route : Routes)
-    ByPrefix_[Route.PathPrefix_] = std::make_shared<const model::Route>(Route);
+RouteTable::RouteTable(const std::vector<model::Route> &Routes, double Phase) {
+  for (const model::Route &Route : Routes) {
+    Entry &Added = ByHost_[hostKey(Route.Host_)][Route.PathPrefix_];
+    Added = {std::make_shared<const model::Route>(Route), {}, Phase};
+    double Total = 0;
+    for (const model::RoutePart &Part : Route.Parts_)
+      Total += Part.Weight_;
+    double End = 0;
+    for (const model::RoutePart &Part : Route.Parts_) {
+      End += Total > 0 ? Part.Weight_ / Total : 1;
+      model::Route Own = Route;
+      Own.Service_ = Part.Service_;
+      Added.Parts_.emplace_back(
+          End, std::make_shared<const model::Route>(std::move(Own)));
+    }
+  }
 }
 
 std::shared_ptr<const model::Route>
-RouteTable::find(std::string_view Path) const {
+RouteTable::find(std::string_view Path, std::string_view Host) const {
+  const Entry *Found = findEntry(Host, Path);
+  return Found ? Found->Route_ : nullptr;
+}
+
+std::shared_ptr<const model::Route> RouteTable::choose(std::string_view Host,
+                                                       std::string_view Path) {
+  auto *Found = const_cast<Entry *>(findEntry(Host, Path));
+  if (!Found)
+    return nullptr;
+  if (Found->Parts_.empty())
+    return Found->Route_;
+  Found->Turn_ = fraction(Found->Turn_ + TurnStep);
+  for (const auto &[End, Route] : Found->Parts_)
+    if (Found->Turn_ < End)
+      return Route;
+  return Found->Parts_.back().second;
+}
+
+const RouteTable::Entry *RouteTable::findEntry(std::string_view Host,
+                                               std::string_view Path) const {
+  for (const std::string &Key : {hostKey(Host), std::string()}) {
+    const auto Routes = ByHost_.find(Key);
+    if (Routes == ByHost_.end())
+      continue;
+    if (const Entry *Found = findIn(Routes->second, Path))
+      return Found;
+  }
+  return nullptr;
+}
+
+const RouteTable::Entry *RouteTable::findIn(const ByPrefix &Routes,
+                                            std::string_view Path) {
   // Every prefix of Path sorts before it; the nearest smaller entry either is
   // one or shows how far a shorter one can reach.
   std::string_view Key = Path;
   while (true) {
-    auto Next = ByPrefix_.upper_bound(Key);
-    if (Next == ByPrefix_.begin())
+    auto Next = Routes.upper_bound(Key);
+    if (Next == Routes.begin())
       return nullptr;
     const auto Candidate = std::prev(Next);
     const std::string_view Common = commonPrefix(Key, Candidate->first);
     if (Common.size() == Candidate->first.size())
-      return Candidate->second;
+      return &Candidate->second;
     Key = Common;
   }
 }
--- a/tests/docs/settingstabletest.cpp
+++ b/tests/docs/settingstabletest.cpp
@@ -1,5 +1,5 @@
-#include "adapters/daemonsettings.h"
 #include "ctlsettings.h"
+#include "cumingauged/daemonsettings.h"
 #include "settingpaths.h"
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -26,7 +26,7 @@
 
 public:
   void hasEverySettingOfTheEntryProcessAndNoOther() {
-    compare<adapters::DaemonSettings>("## cumingauged");
+    compare<DaemonSettings>("## cumingauged");
   }
 
   void hasEverySettingOfTheOperatorsClientAndNoOther() {
--- a/tests/peer/controlruntimetest.cpp
+++ b/tests/peer/controlruntimetest.cpp
@@ -13,7 +13,7 @@
 std::uint64_t write(const LocalFleet &Fleet, const std::string &Id,
                     const model::ChangeAction &Action) {
   boost::asio::io_context Io;
-  adapters::StoreClientSettings Settings;
+  adapters::HttpClientSettings Settings;
   Settings.Port_ = Fleet.Store_.port();
   const ports::Store Store = adapters::makeStoreClient(Io, Settings);
   const auto Now = [] { return std::chrono::steady_clock::now(); };
--- a/tests/peer/storeclienttest.cpp
+++ b/tests/peer/storeclienttest.cpp
@@ -16,7 +16,7 @@
 struct Caller {
   explicit Caller(std::uint16_t Port,
                   model::milliseconds AnswerTimeout = model::seconds(30)) {
-    adapters::StoreClientSettings Settings;
+    adapters::HttpClientSettings Settings;
     Settings.Port_ = Port;
     Settings.AnswerTimeout_ = AnswerTimeout;
     Store_ = adapters::makeStoreClient(Io_, Settings);
