Give reads of requests room of their own

Cause: while a call runs, the session has a read under way that shows when the caller hangs up. Parsing the next request from the same flat buffer moved the buffer's begin, so the bytes of a third request landed where they were not looked for and old bytes were parsed again. Ruled out: the answer's head and the kept body, which a trace showed to be right.

--- a/src/libcumingauge/adapters/httpmessagereader.h
+++ b/src/libcumingauge/adapters/httpmessagereader.h
@@ -46,9 +46,19 @@
     Body_ = {};
   }
 
+  std::size_t wantedBytes() const {
+    return Parser_ && Parser_->is_header_done() ? BodyReadBytes : HeadReadBytes;
+  }
+
+  /// Room in the buffer itself; nothing may be parsed until commit.
   boost::asio::mutable_buffer prepare() {
-    return Buffer_.prepare(
-        Parser_ && Parser_->is_header_done() ? BodyReadBytes : HeadReadBytes);
+    return Buffer_.prepare(wantedBytes());
+  }
+
+  void append(std::string_view Bytes) {
+    Buffer_.commit(boost::asio::buffer_copy(
+        Buffer_.prepare(Bytes.size()),
+        boost::asio::buffer(Bytes.data(), Bytes.size())));
   }
 
   void commit(std::size_t Bytes) { Buffer_.commit(Bytes); }
--- a/src/libcumingauge/adapters/httprequestreader.cpp
+++ b/src/libcumingauge/adapters/httprequestreader.cpp
@@ -124,6 +124,9 @@
   const traffic::Dialect &Names_;
 
   MessageReader<true> Reader_;
+  /// Requests are parsed while a read is under way, which moves the bytes in
+  /// the parser's buffer; so the read has room of its own.
+  std::vector<char> Incoming_;
   traffic::RequestHead Head_;
   ResultCode Error_ = ResultCode::Ok;
 };
@@ -135,10 +138,13 @@
 RequestReader::~RequestReader() = default;
 
 boost::asio::mutable_buffer RequestReader::prepare() {
-  return Impl_->Reader_.prepare();
+  Impl_->Incoming_.resize(Impl_->Reader_.wantedBytes());
+  return boost::asio::buffer(Impl_->Incoming_);
 }
 
-void RequestReader::commit(std::size_t Bytes) { Impl_->Reader_.commit(Bytes); }
+void RequestReader::commit(std::size_t Bytes) {
+  Impl_->Reader_.append({Impl_->Incoming_.data(), Bytes});
+}
 
 ReadStep RequestReader::next() {
   const ReadStep Step = Impl_->Reader_.next();
