Ask the zone's servers for their load right before a call is placed

Cause of the late answers: a third of the servers takes four times as long at any moment, redrawn several times a second, so the figure on the last answer says nothing about the next call. The reported pace is taken out of the latencies that are learnt.

--- a/src/libcumingauge/adapters/httpprobe.cpp
+++ b/src/libcumingauge/adapters/httpprobe.cpp
@@ -64,9 +64,12 @@
 void HttpProbe::takeReport() {
   const traffic::AnswerHead Head = Connection_->head();
   Connection_ = nullptr;
+  // A server that is full refuses, but says how full it is.
+  if (!Head.Report_.empty())
+    return end(Names_.ReadReport_(Head.Report_));
   if (Head.Status_ != StatusOk)
     return end(std::nullopt);
-  end(Names_.ReadReport_(Head.Report_.empty() ? Body_ : Head.Report_));
+  end(Names_.ReadReport_(Body_));
 }
 
 void HttpProbe::end(std::optional<model::LoadReport> Report) {
--- a/src/libcumingauge/adapters/httpsettings.cpp
+++ b/src/libcumingauge/adapters/httpsettings.cpp
@@ -42,6 +42,7 @@
                Found);
   checkTimeout(Limits.FreshWait_, Path + "/freshWaitMs", Found);
   checkTimeout(Limits.DrainIdleTime_, Path + "/drainIdleTimeMs", Found);
+  checkTimeout(Limits.TickPeriod_, Path + "/tickPeriodMs", Found);
   checkTimeout(Limits.DrainTimeout_, Path + "/drainTimeoutMs", Found);
   return Found;
 }
--- a/src/libcumingauge/adapters/httpsettings.h
+++ b/src/libcumingauge/adapters/httpsettings.h
@@ -28,12 +28,15 @@
   model::milliseconds DrainTimeout_{30000}; ///< calls in flight when stopping
   /// When a caller may come back after a call that did not run; 0: not said.
   model::milliseconds RetryAfter_{0};
+  /// Longest time between two looks at what is due while no call waits.
+  model::milliseconds TickPeriod_{10};
 };
 BOOST_DESCRIBE_STRUCT(HttpLimits, (),
                       (HeaderBytes_, KeptBodyBytes_, KeptAnswerBytes_,
                        MaxCallerConnections_, HeadTimeout_, IdleTimeout_,
                        BodyTimeout_, WriteTimeout_, BackendIdleTimeout_,
-                       FreshWait_, DrainIdleTime_, DrainTimeout_, RetryAfter_))
+                       FreshWait_, DrainIdleTime_, DrainTimeout_, RetryAfter_,
+                       TickPeriod_))
 
 /// Range checks; empty when valid.
 model::Problems checkHttpLimits(const HttpLimits &Limits,
--- a/src/libcumingauge/adapters/httpworker.cpp
+++ b/src/libcumingauge/adapters/httpworker.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr model::milliseconds TickPeriod{10};
 constexpr model::milliseconds BusyTickPeriod{2}; ///< while calls wait
 constexpr model::seconds EventWindow{1};
 constexpr unsigned MaxEventsPerWindow = 20; ///< by calls, of one thread
@@ -116,8 +115,11 @@
 
 void HttpWorker::admit(const std::shared_ptr<HttpCall> &Call) {
   const model::TimePoint Now = now();
-  if (Common_->Hooks_.IsFresh_(Now))
-    return choose(Call);
+  if (Common_->Hooks_.IsFresh_(Now)) {
+    if (!look(Call, /*Further=*/false))
+      choose(Call);
+    return;
+  }
   StaleWaits_.push_back({Call, Call->facts().Call_, Now + limits().FreshWait_});
 }
 
@@ -133,6 +135,7 @@
 void HttpWorker::forgetWaiting(const HttpCall &Call) {
   if (Waiting_.erase(Call.facts().Call_) > 0)
     policy::forgetWaiting(*Balancer_, Call.facts().Call_);
+  Looks_.erase(Call.facts().Call_);
   if (StaleWaits_.empty())
     return;
   StaleWaits_.erase(std::remove_if(StaleWaits_.begin(), StaleWaits_.end(),
@@ -285,11 +288,13 @@
   sendProbes();
   if (Now >= NextMaintenance_)
     maintainPools();
-  publish();
+  if (Now >= NextPublish_)
+    publish();
   if (DrainDone_ && Now >= DrainIdleAt_)
     closeIdleSessions();
   finishDrain();
-  Ticker_.expires_after(Waiting_.empty() ? TickPeriod : BusyTickPeriod);
+  const bool Busy = !Waiting_.empty() || !StaleWaits_.empty();
+  Ticker_.expires_after(Busy ? BusyTickPeriod : limits().TickPeriod_);
   Ticker_.async_wait([this](boost::system::error_code Error) {
     if (!Error)
       tick();
--- a/src/libcumingauge/adapters/httpworker.h
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -105,7 +105,21 @@
     model::TimePoint Until_;
   };
 
+  /// A call that waits for the answers of servers that were asked for their
+  /// load.
+  struct Look {
+    std::weak_ptr<HttpCall> Call_;
+    unsigned Outstanding_ = 0;
+    bool Further_ = false; ///< the second look, at other zones
+    std::shared_ptr<boost::asio::steady_timer> Timer_;
+  };
+
   Server &server(policy::ServerHandle Handle);
+  bool look(const std::shared_ptr<HttpCall> &Call, bool Further);
+  void onLooked(policy::CallId Call);
+  void endLook(policy::CallId Call);
+  void probe(policy::ServerHandle Server, model::milliseconds Timeout,
+             std::function<void()> Done);
   double turnPhase() const;
   void useLimits(const model::CallerLimits &Callers);
   void useView(const std::shared_ptr<const model::ControlView> &View);
@@ -142,13 +156,16 @@
   traffic::RouteTable Routes_;
   model::milliseconds ConnectTimeout_{200};
   model::milliseconds ProbeTimeout_{500};
+  model::milliseconds LookWait_{4};
   std::unordered_map<policy::ServerHandle, Server> Servers_;
   std::unordered_map<policy::CallId, std::weak_ptr<HttpCall>> Waiting_;
   std::vector<StaleWait> StaleWaits_;
+  std::unordered_map<policy::CallId, Look> Looks_;
   std::unordered_set<HttpCallerSession *> Sessions_;
   policy::CallId LastCall_ = 0;
   bool ReleaseScheduled_ = false;
   model::TimePoint NextMaintenance_;
+  model::TimePoint NextPublish_;
   model::TimePoint EventWindow_;
   unsigned EventsInWindow_ = 0;
   unsigned EventsDropped_ = 0;
--- a/src/libcumingauge/adapters/httpworkerservers.cpp
+++ b/src/libcumingauge/adapters/httpworkerservers.cpp
@@ -1,6 +1,7 @@
 // The side of a traffic thread towards backend servers: view, connections,
 // probes and reports.
 #include "adapters/httpworker.h"
+#include "policy/look.h"
 #include <boost/asio/post.hpp>
 
 namespace cumingauge::adapters {
@@ -29,6 +30,7 @@
     useLimits(Preset->Callers_);
     ConnectTimeout_ = Preset->Servers_.ConnectTimeout_;
     ProbeTimeout_ = Preset->Measuring_.ProbeTimeout_;
+    LookWait_ = Preset->Measuring_.LookWait_;
   }
   for (const auto &[Name, Listed] : View->Config_->Servers_)
     if (const auto Handle = policy::findServer(*Balancer_, Name, Listed.Vm_))
@@ -126,19 +128,69 @@
 void HttpWorker::sendProbes() {
   if (!View_)
     return;
-  for (const policy::ProbeOrder &Order : policy::dueProbes(*Balancer_, now())) {
-    {
-      const std::lock_guard<std::mutex> Lock(PublishedMutex_);
-      ++Figures_.ProbesSent_;
-    }
-    const auto Probe = std::make_shared<HttpProbe>(
-        Io_, server(Order.Server_).Pool_, dialect(), probePath(Order.Server_),
-        [this, Server = Order.Server_](
-            const std::optional<model::LoadReport> &Report) {
-          onProbeEnded(Server, Report);
-        });
-    Probe->start(ProbeTimeout_);
+  for (const policy::ProbeOrder &Order : policy::dueProbes(*Balancer_, now()))
+    probe(Order.Server_, ProbeTimeout_, [] {});
+}
+
+void HttpWorker::probe(policy::ServerHandle Handle, model::milliseconds Timeout,
+                       std::function<void()> Done) {
+  {
+    const std::lock_guard<std::mutex> Lock(PublishedMutex_);
+    ++Figures_.ProbesSent_;
   }
+  const auto Probe = std::make_shared<HttpProbe>(
+      Io_, server(Handle).Pool_, dialect(), probePath(Handle),
+      [this, Handle,
+       Done = std::move(Done)](const std::optional<model::LoadReport> &Report) {
+        onProbeEnded(Handle, Report);
+        Done();
+      });
+  Probe->start(Timeout);
+}
+
+/// Asks servers for their load before a call is placed. False when there is
+/// nobody to ask.
+bool HttpWorker::look(const std::shared_ptr<HttpCall> &Call, bool Further) {
+  const policy::CallId Id = Call->facts().Call_;
+  const auto Asked =
+      policy::serversToLookAt(*Balancer_, Call->facts(), Further, now());
+  if (Asked.empty())
+    return false;
+  Look &Started = Looks_[Id];
+  Started.Call_ = Call;
+  Started.Outstanding_ = static_cast<unsigned>(Asked.size());
+  Started.Further_ = Further;
+  Started.Timer_ = std::make_shared<boost::asio::steady_timer>(Io_);
+  Started.Timer_->expires_after(LookWait_);
+  Started.Timer_->async_wait([this, Id](boost::system::error_code Error) {
+    if (!Error)
+      endLook(Id);
+  });
+  for (const policy::ServerHandle Handle : Asked)
+    probe(Handle, ProbeTimeout_, [this, Id] { onLooked(Id); });
+  return true;
+}
+
+void HttpWorker::onLooked(policy::CallId Id) {
+  const auto Found = Looks_.find(Id);
+  if (Found != Looks_.end() && --Found->second.Outstanding_ == 0)
+    endLook(Id);
+}
+
+void HttpWorker::endLook(policy::CallId Id) {
+  const auto Found = Looks_.find(Id);
+  if (Found == Looks_.end())
+    return;
+  const auto Call = Found->second.Call_.lock();
+  const bool WasFurther = Found->second.Further_;
+  Looks_.erase(Found);
+  if (!Call)
+    return;
+  if (!WasFurther &&
+      !policy::hasGoodServerNear(*Balancer_, Call->facts(), now()) &&
+      look(Call, /*Further=*/true))
+    return;
+  choose(Call);
 }
 
 std::string HttpWorker::probePath(policy::ServerHandle Handle) const {
@@ -205,6 +257,7 @@
 }
 
 void HttpWorker::publish() {
+  NextPublish_ = now() + limits().TickPeriod_;
   std::vector<model::ServerActivity> Activity = policy::activity(*Balancer_);
   std::uint64_t Connections = 0;
   for (model::ServerActivity &Server : Activity) {
--- a/src/libcumingauge/model/preset.h
+++ b/src/libcumingauge/model/preset.h
@@ -19,9 +19,19 @@
   double ProbesPerSecond_ = 10; ///< fleet-wide, per service; 0 sends none
   milliseconds ProbeTimeout_{500};
   milliseconds ReportMaxAge_{500}; ///< an older load report is ignored
+  /// Time in which a report loses most of its weight.
+  milliseconds ReportRelaxation_{10};
+  /// Time in which the pace that a report tells loses most of its weight.
+  milliseconds PaceRelaxation_{150};
+  /// Servers asked for their load right before a call is placed; 0: none.
+  unsigned LookWidth_ = 0;
+  milliseconds LookWait_{4};   ///< longest wait for their answers
+  milliseconds LookFresh_{20}; ///< a younger report needs no look
 };
 BOOST_DESCRIBE_STRUCT(MeasuringBudget, (),
-                      (ProbesPerSecond_, ProbeTimeout_, ReportMaxAge_))
+                      (ProbesPerSecond_, ProbeTimeout_, ReportMaxAge_,
+                       ReportRelaxation_, PaceRelaxation_, LookWidth_,
+                       LookWait_, LookFresh_))
 
 /// Retries as a share of first attempts.
 struct RetryBudget {
--- a/src/libcumingauge/policy/assessment.cpp
+++ b/src/libcumingauge/policy/assessment.cpp
@@ -15,9 +15,10 @@
 /// Cost of a full set of busy slots before any call waits, in usual
 /// latencies: reports are old, so an idle server beats a nearly busy one.
 constexpr double BusyCost = 0.5;
-/// A report loses most of its weight in this time. It must not grow with the
-/// latency: then old reports would count most just when queues swing.
-constexpr model::Duration Relaxation = model::milliseconds(10);
+/// Cost of a server that did not answer a look, in those of one that did.
+constexpr double SilentCost = 3;
+/// A look tells of the moment only.
+constexpr model::Duration LookLasts = model::milliseconds(30);
 /// Width of the draw over an unknown backlog, in square roots of the usual
 /// one.
 constexpr double UnknownSpread = 2;
@@ -69,6 +70,21 @@
   return std::max(Seen, MeanAgeNs / With.UsualNs_ / SuspiciousAge);
 }
 
+/// Pace as reported, with less weight the longer ago that was.
+double paceOf(const ServerRecord &Server, const Comparison &With) {
+  const model::Duration Fade = With.State_.Preset_.Measuring_.PaceRelaxation_;
+  const auto Age =
+      static_cast<double>((With.Now_ - Server.Report_.TrueAt_).count());
+  const double Weight =
+      std::exp(-Age / std::max<double>(static_cast<double>(Fade.count()), 1));
+  return 1 + (Server.Pace_ - 1) * Weight;
+}
+
+bool isSilent(const ServerRecord &Server, const Comparison &With) {
+  return Server.LookedAt_ > Server.Report_.HeardAt_ &&
+         With.Now_ - Server.LookedAt_ < LookLasts;
+}
+
 double costOf(const ServerRecord &Server, double Backlog,
               const Comparison &With) {
   const model::Preset &Preset = With.State_.Preset_;
@@ -85,7 +101,10 @@
       Server.SameZone_
           ? 0
           : static_cast<double>(model::Duration(Preset.ZoneCost_).count());
-  return With.UsualNs_ * Latencies * slownessOf(Server, With) + ZoneNs;
+  const double Silence = isSilent(Server, With) ? SilentCost : 1;
+  return With.UsualNs_ * Latencies * slownessOf(Server, With) *
+             paceOf(Server, With) * Silence +
+         ZoneNs;
 }
 
 /// A draw from what the backlog may be. Processes that know the same old
@@ -116,7 +135,10 @@
 BacklogEstimate backlogOf(const BalancerState &State,
                           const ServiceRecord &Service,
                           const ServerRecord &Server, model::TimePoint Now) {
-  const ReportAging Aging{Relaxation, State.Preset_.Measuring_.ReportMaxAge_,
+  // The relaxation must not grow with the latency: then old reports would
+  // count most just when queues swing.
+  const ReportAging Aging{State.Preset_.Measuring_.ReportRelaxation_,
+                          State.Preset_.Measuring_.ReportMaxAge_,
                           Service.ReportTrust_};
   return expectedBacklog(Server.Report_, Service.UsualLoad_ * Server.Slots_,
                          Server.InFlight_, Aging, Now);
--- a/src/libcumingauge/policy/learning.cpp
+++ b/src/libcumingauge/policy/learning.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr double UsualLoadGain = 0.05;
+constexpr double PercentOfUsual = 100;
 /// A timeout counts against the server from this many usual latencies on.
 constexpr double SlowTimeout = 3;
 constexpr double TrustLoss = 0.5;    ///< per report proved wrong
@@ -35,7 +36,11 @@
                   ServerRecord &Server, const AttemptOutcome &Outcome,
                   model::TimePoint Now) {
   RouteLatency &Usual = latencyOf(Service, Outcome.Call_.Route_.Name_);
-  const double Ratio = ratioToUsual(Usual, Outcome.Latency_);
+  // What the reported pace explains is neither the server's nor the route's.
+  const auto Latency = model::Duration(
+      static_cast<long long>(static_cast<double>(Outcome.Latency_.count()) /
+                             std::max(1.0, Server.Pace_)));
+  const double Ratio = ratioToUsual(Usual, Latency);
   if (Outcome.End_ == AttemptEnd::Cancelled ||
       Outcome.End_ == AttemptEnd::TimedOut) {
     noteRatioAtLeast(Server.Slowness_, Ratio, Now);
@@ -45,8 +50,8 @@
     return;
   noteRatio(Server.Slowness_, Ratio, Now);
   const double Quantile = State.Preset_.Hedge_.LatencyQuantile_;
-  noteLatency(Usual, Outcome.Latency_, Quantile);
-  noteLatency(Service.Latency_, Outcome.Latency_, Quantile);
+  noteLatency(Usual, Latency, Quantile);
+  noteLatency(Service.Latency_, Latency, Quantile);
 }
 
 void ejectWithinCeiling(BalancerState &State, ServiceRecord &Service,
@@ -135,6 +140,7 @@
       takeReport(Server.Report_, Report, Server.InFlight_, Now);
   if (Report.Cold_)
     Server.RampStart_ = Now;
+  Server.Pace_ = Report.PacePercent_ / PercentOfUsual;
   ServiceRecord &Service = State.Services_[Server.Service_];
   judgeReports(Service, ProvedWrong);
   if (Report.Slots_ > 0 && Report.Slots_ != Server.Slots_) {
--- a/src/libcumingauge/policy/serverrecord.h
+++ b/src/libcumingauge/policy/serverrecord.h
@@ -22,6 +22,8 @@
   unsigned InFlight_ = 0;   ///< own attempts under way
   long long SentAtSum_ = 0; ///< of their send times, ns since the epoch
   ReportMemory Report_;
+  double Pace_ = 1; ///< time that work takes there, of the usual, as reported
+  model::TimePoint LookedAt_; ///< last look right before a call
   Slowness Slowness_;
   OutlierRecord Outlier_;
   model::TimePoint RampStart_; ///< the epoch when it is not ramping
