--- a/src/libcumingauge/model/route.h
+++ b/src/libcumingauge/model/route.h
@@ -23,20 +23,20 @@
 /// wins.
 struct Route {
   std::string Name_;
-  std::string Host_; ///< of the request; empty for any
   std::string PathPrefix_;
   std::string Service_;
   bool Idempotent_ = false;
   Priority Priority_ = Priority::Normal;
   milliseconds Deadline_{1000};           ///< from arrival to whole answer
   std::uint64_t MaxBodyBytes_ = 16777216; ///< larger requests get 413
+  std::string Host_;                      ///< of the request; empty for any
   milliseconds Objective_{0}; ///< a later answer is worth less; 0: none
   unsigned MaxAttempts_ = 0; ///< servers a call may be sent to; 0: the preset's
   std::vector<RoutePart> Parts_; ///< share the calls; empty: all to Service_
 };
 BOOST_DESCRIBE_STRUCT(Route, (),
-                      (Name_, Host_, PathPrefix_, Service_, Idempotent_,
-                       Priority_, Deadline_, MaxBodyBytes_, Objective_,
+                      (Name_, PathPrefix_, Service_, Idempotent_, Priority_,
+                       Deadline_, MaxBodyBytes_, Host_, Objective_,
                        MaxAttempts_, Parts_))
 
 } // namespace cumingauge::model
--- a/tests/codec/describedjsontest.cpp
+++ b/tests/codec/describedjsontest.cpp
@@ -9,15 +9,8 @@
 model::Preset samplePreset() {
   model::Preset Out;
   Out.Name_ = "ordinary";
-  model::Route Search;
-  Search.Name_ = "search";
-  Search.PathPrefix_ = "/catalogue/search";
-  Search.Service_ = "catalogue";
-  Search.Idempotent_ = true;
-  Search.Priority_ = model::Priority::Urgent;
-  Search.Deadline_ = model::milliseconds(300);
-  Search.MaxBodyBytes_ = 4096;
-  Out.Routes_ = {Search};
+  Out.Routes_ = {{"search", "/catalogue/search", "catalogue", true,
+                  model::Priority::Urgent, model::milliseconds(300), 4096}};
   return Out;
 }
 
--- a/tests/control/samples.h
+++ b/tests/control/samples.h
@@ -10,15 +10,8 @@
 inline model::Preset preset(const std::string &Name) {
   model::Preset Out;
   Out.Name_ = Name;
-  model::Route Search;
-  Search.Name_ = "search";
-  Search.PathPrefix_ = "/search";
-  Search.Service_ = "catalogue";
-  Search.Idempotent_ = true;
-  Search.Priority_ = model::Priority::Urgent;
-  Search.Deadline_ = model::milliseconds(300);
-  Search.MaxBodyBytes_ = 4096;
-  Out.Routes_ = {Search};
+  Out.Routes_ = {{"search", "/search", "catalogue", true,
+                  model::Priority::Urgent, model::milliseconds(300), 4096}};
   return Out;
 }
 
