Log each decision on a call, take SIGHUP, never wait for the log's reader

The settings are read again now; limits of HTTP are taken over and other changes named in the log.

A line a call that was refused, failed, tried again or late, with what was known of each server tried; others are sampled.

--- a/src/cumingauged/entryprocess.cpp
+++ b/src/cumingauged/entryprocess.cpp
@@ -77,6 +77,20 @@
   return Bound;
 }
 
+void EntryProcess::reload(const DaemonSettings &Settings) {
+  const DaemonSettings Read = withPlatformBounds(Settings);
+  Traffic_->setLimits(Read.Http_);
+  codec::Json Before = codec::toJson(Settings_);
+  codec::Json After = codec::toJson(Read);
+  Before.erase("http");
+  After.erase("http");
+  codec::Json Changed = codec::Json::array(); // paths only: some are secret
+  for (const codec::Json &Step : codec::Json::diff(Before, After))
+    Changed.push_back(Step.at("path"));
+  adapters::log(adapters::LogLevel::Info, "settings read again",
+                {adapters::LogField::json("wantRestart", Changed.dump())});
+}
+
 void EntryProcess::drain(std::function<void()> Done) {
   Stopping_ = true;
   Ring_->record(model::EventKind::ProcessStopping, Settings_.Control_.Process_,
@@ -153,6 +167,7 @@
     Input.ProbeBudgetPerSecond_ = probeBudget(*View->Config_);
   Input.ResidentBytes_ = adapters::residentBytes();
   Input.EventsDropped_ = Ring_->dropped();
+  Input.LogLinesDropped_ = adapters::logLinesDropped();
   return adapters::renderMetrics(Input);
 }
 
--- a/src/cumingauged/entryprocess.h
+++ b/src/cumingauged/entryprocess.h
@@ -28,6 +28,10 @@
   /// Throws boost::system::system_error when an address cannot be bound.
   Ports start();
 
+  /// Takes over what can change while the process runs, the limits of HTTP,
+  /// and logs which other parts want a restart.
+  void reload(const DaemonSettings &Settings);
+
   /// Not ready from now on; \p Done runs on \p Io when no call is in flight.
   void drain(std::function<void()> Done);
 
--- a/src/cumingauged/main.cpp
+++ b/src/cumingauged/main.cpp
@@ -39,8 +39,42 @@
   return Out && std::rename(Draft.c_str(), File.c_str()) == 0;
 }
 
-int serve(const DaemonSettings &Settings, const std::string &PortFile) {
-  adapters::startLog(Settings.Log_, Settings.Control_.Process_);
+/// Reads the settings again after SIGHUP. Settings with a fault change nothing.
+void reload(EntryProcess &Process, const adapters::Arguments &Args) {
+  const docopt::value &File = Args.at("--settings");
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_AUTO(Read, adapters::readSettings<DaemonSettings>(
+                                  File ? File.asString() : "",
+                                  Args.at("--set").asStringList()));
+        Process.reload(Read);
+        return {};
+      },
+      [](const adapters::SettingsError &Error) {
+        for (const model::Problem &Fault : Error.Problems_)
+          adapters::log(adapters::LogLevel::Error, "settings not taken over",
+                        {{"path", Fault.Path_}, {"reason", Fault.Message_}});
+      },
+      [] {
+        adapters::log(adapters::LogLevel::Error, "settings not taken over");
+      });
+}
+
+/// Waits for the next SIGHUP, again and again.
+void reloadOnSignal(boost::asio::signal_set &Signals, EntryProcess &Process,
+                    const adapters::Arguments &Args) {
+  Signals.async_wait([&](const boost::system::error_code &Cancelled, int) {
+    if (Cancelled)
+      return;
+    reload(Process, Args);
+    reloadOnSignal(Signals, Process, Args);
+  });
+}
+
+int serve(const DaemonSettings &Settings, const adapters::Arguments &Args,
+          const std::string &PortFile) {
+  adapters::startLog(Settings.Log_, Settings.Control_.Process_,
+                     adapters::LogTarget::StandardOutput);
   boost::asio::io_context Io(1);
   const auto Process = std::make_shared<EntryProcess>(Io, Settings);
   EntryProcess::Ports Bound;
@@ -60,6 +94,8 @@
     Process->stop();
     return adapters::exitStatus(model::ResultCode::InternalError);
   }
+  boost::asio::signal_set Hangups(Io, SIGHUP);
+  reloadOnSignal(Hangups, *Process, Args);
   boost::asio::signal_set Signals(Io, SIGTERM, SIGINT);
   Signals.async_wait([&](const boost::system::error_code &, int) {
     adapters::log(adapters::LogLevel::Info, "stopping");
@@ -68,6 +104,7 @@
   Io.run();
   Process->stop();
   adapters::log(adapters::LogLevel::Info, "stopped");
+  adapters::flushLog();
   return 0;
 }
 
@@ -79,6 +116,6 @@
   const std::string PortFile = File ? File.asString() : "";
   return adapters::runWithSettings<DaemonSettings>(
       Args, [&](const DaemonSettings &Settings) {
-        return serve(Settings, PortFile);
+        return serve(Settings, Args, PortFile);
       });
 }
--- /dev/null
+++ b/src/libcumingauge/adapters/calllog.cpp
@@ -0,0 +1,74 @@
+#include "adapters/calllog.h"
+#include "adapters/log.h"
+#include "codec/describedjson.h"
+#include <algorithm>
+
+namespace cumingauge::adapters {
+
+namespace {
+
+constexpr model::seconds Window{1};
+/// About 50 KB a second and thread at the most.
+constexpr unsigned LinesPerWindow = 100;
+/// One of so many calls without anything to tell is written.
+constexpr std::uint64_t SampleEvery = 64;
+constexpr unsigned FirstServerError = 500;
+
+bool isOrdinary(const CallRecord &Record) {
+  return Record.Code_ == model::ResultCode::Ok && !Record.Late_ &&
+         Record.Attempts_.size() <= 1 &&
+         std::all_of(Record.Attempts_.begin(), Record.Attempts_.end(),
+                     [](const model::AttemptTrace &Attempt) {
+                       return Attempt.Status_ < FirstServerError;
+                     });
+}
+
+std::string codeName(model::ResultCode Code) {
+  return std::string(model::nameOf(Code));
+}
+
+} // namespace
+
+void CallLog::note(const CallRecord &Record, model::TimePoint Now) {
+  if (isOrdinary(Record) && ++Ordinary_ % SampleEvery != 0)
+    return;
+  if (!mayWrite(Now))
+    return;
+  log(LogLevel::Info, "call ended",
+      {{"call", Record.Call_},
+       {"route", Record.Route_},
+       {"service", Record.Service_},
+       {"code", static_cast<int>(Record.Code_)},
+       {"codeName", codeName(Record.Code_)},
+       {"tookMs", Record.Took_.count()},
+       {"allowedMs", Record.Allowed_.count()},
+       {"late", Record.Late_ ? 1 : 0},
+       {"configVersion", Record.ConfigVersion_},
+       {"leftOut", std::exchange(LeftOut_, 0)},
+       LogField::json("attempts", codec::toJson(Record.Attempts_).dump())});
+}
+
+void CallLog::noteRefused(const std::string &Call, const std::string &Target,
+                          model::ResultCode Code, model::TimePoint Now) {
+  if (!mayWrite(Now))
+    return;
+  log(LogLevel::Info, "request refused",
+      {{"call", Call},
+       {"target", Target},
+       {"code", static_cast<int>(Code)},
+       {"codeName", codeName(Code)},
+       {"leftOut", std::exchange(LeftOut_, 0)}});
+}
+
+bool CallLog::mayWrite(model::TimePoint Now) {
+  if (Now - Window_ >= Window) {
+    Window_ = Now;
+    InWindow_ = 0;
+  }
+  if (++InWindow_ <= LinesPerWindow)
+    return true;
+  ++LeftOut_;
+  return false;
+}
+
+} // namespace cumingauge::adapters
--- a/src/libcumingauge/adapters/controlruntime.cpp
+++ b/src/libcumingauge/adapters/controlruntime.cpp
@@ -142,6 +142,7 @@
     feed(control::Ticked{});
     Links_.expireHandshakes(now());
     updateFigures();
+    flushLog();
     Ticker_.expires_after(Settings_.TickPeriod_);
     Ticker_.async_wait([this](const boost::system::error_code &Cancelled) {
       if (!Cancelled)
--- a/src/libcumingauge/adapters/httpanswerreader.cpp
+++ b/src/libcumingauge/adapters/httpanswerreader.cpp
@@ -45,7 +45,8 @@
   return std::nullopt;
 }
 
-/// False when the framing is ambiguous.
+/// False when the end of the answer cannot be told from a lost connection or
+/// its framing is ambiguous.
 template <class Parser>
 bool fillAnswer(const traffic::Dialect &Names, Parser &Source, bool ToHead,
                 traffic::AnswerHead &Head) {
@@ -64,6 +65,8 @@
     Head.Framing_ = Framing::Length;
     Head.Length_ = *Length;
   } else if (!ToHead && Source.need_eof()) {
+    if (!Names.AnswersUntilClose_)
+      return false;
     Head.UntilClose_ = true;
     Head.Framing_ = Framing::Chunked; // so that the caller sees its end
   }
--- a/src/libcumingauge/adapters/httpcall.cpp
+++ b/src/libcumingauge/adapters/httpcall.cpp
@@ -28,6 +28,11 @@
   return Facts;
 }
 
+std::uint32_t millisBetween(model::TimePoint From, model::TimePoint To) {
+  return static_cast<std::uint32_t>(
+      std::chrono::duration_cast<model::milliseconds>(To - From).count());
+}
+
 } // namespace
 
 HttpCall::HttpCall(HttpWorker &Worker,
@@ -41,6 +46,13 @@
     Request_.Head_.CallId_ = Worker.makeCallId(Facts_.Call_);
 }
 
+std::vector<model::AttemptTrace> HttpCall::traces() const {
+  std::vector<model::AttemptTrace> Out;
+  for (const Attempt &Made : Attempts_)
+    Out.push_back(Made.Trace_);
+  return Out;
+}
+
 void HttpCall::start() {
   Worker_.noteCallStarted();
   setAlarm();
@@ -99,6 +111,8 @@
   Attempt Opened;
   Opened.Server_ = Action.Server_;
   Opened.Dispatched_ = Now;
+  Opened.Trace_ = Worker_.traceOf(Action.Server_);
+  Opened.Trace_.AtMs_ = millisBetween(Facts_.Arrived_, Now);
   Attempts_.push_back(Opened);
   ++Facts_.Attempts_;
   Facts_.Tried_.push_back(Action.Server_);
@@ -195,6 +209,7 @@
 void HttpCall::onHead(AttemptNumber Number) {
   const auto Connection = attempt(Number).Connection_;
   const traffic::AnswerHead &Head = Connection->head();
+  attempt(Number).Trace_.Status_ = Head.Status_;
   if (!Head.Report_.empty())
     Worker_.noteReport(attempt(Number).Server_, Head.Report_);
   const traffic::Dialect &Names = Worker_.dialect();
@@ -328,7 +343,9 @@
 }
 
 void HttpCall::perform(const traffic::ReportAttempt &Action) {
-  const Attempt &Ended = attempt(Action.Attempt_);
+  Attempt &Ended = attempt(Action.Attempt_);
+  Ended.Trace_.TookMs_ = millisBetween(Ended.Dispatched_, Worker_.now());
+  Ended.Trace_.End_ = boost::describe::enum_to_string(Action.End_, "");
   Worker_.noteAttemptEnded(Facts_, Action.Server_, Action.End_,
                            Ended.Dispatched_);
 }
--- a/src/libcumingauge/adapters/httpcall.h
+++ b/src/libcumingauge/adapters/httpcall.h
@@ -3,6 +3,7 @@
 #include "adapters/httpcallersession.h"
 #include "adapters/httpcallrequest.h"
 #include "adapters/httppool.h"
+#include "model/attempttrace.h"
 #include "policy/balancer.h"
 #include "traffic/calllifecycle.h"
 #include <memory>
@@ -33,6 +34,7 @@
 
   const policy::CallFacts &facts() const { return Facts_; }
   const std::string &callId() const { return Request_.Head_.CallId_; }
+  std::vector<model::AttemptTrace> traces() const;
 
 private:
   struct Attempt {
@@ -41,6 +43,7 @@
     HttpPool::Ticket Ticket_ = HttpPool::NoTicket;
     model::TimePoint Dispatched_;
     std::string KeptBody_; ///< of an answer that is passed on when whole
+    model::AttemptTrace Trace_;
   };
 
   Attempt &attempt(traffic::AttemptNumber Number) {
--- a/src/libcumingauge/adapters/httpcalleranswers.cpp
+++ b/src/libcumingauge/adapters/httpcalleranswers.cpp
@@ -61,7 +61,8 @@
 } // namespace
 
 void HttpCallerSession::refuseRequest(ResultCode Code) {
-  Worker_.noteRefusedRequest(Code);
+  Worker_.noteRefusedRequest(Reader_.head().CallId_, Reader_.head().Target_,
+                             Code);
   KeepAlive_ = false;
   ToHead_ = Reader_.head().IsHead_;
   CallId_.clear();
--- a/src/libcumingauge/adapters/httptraffic.cpp
+++ b/src/libcumingauge/adapters/httptraffic.cpp
@@ -48,6 +48,11 @@
       Worker->noteSightings(Sightings);
   }
 
+  void setLimits(const HttpLimits &Limits) override {
+    for (const auto &Worker : Workers_)
+      Worker->setLimits(Limits);
+  }
+
   std::vector<model::ServerActivity> activity() const override {
     std::map<std::pair<std::string, std::string>, model::ServerActivity> Sum;
     for (const auto &Worker : Workers_)
--- a/src/libcumingauge/adapters/httptraffic.h
+++ b/src/libcumingauge/adapters/httptraffic.h
@@ -34,6 +34,9 @@
   virtual void
   noteSightings(std::vector<control::ServerSighting> Sightings) = 0;
 
+  /// Puts other limits in force, for requests that come from now on.
+  virtual void setLimits(const HttpLimits &Limits) = 0;
+
   /// Calls in flight and connections by server, at most some 20 ms old.
   virtual std::vector<model::ServerActivity> activity() const = 0;
 
--- a/src/libcumingauge/adapters/httpworker.cpp
+++ b/src/libcumingauge/adapters/httpworker.cpp
@@ -31,7 +31,7 @@
       Ticker_(Io_), Balancer_(policy::makeBalancer(
                         Common_->Settings_.Zone_, Common_->Settings_.Threads_,
                         Common_->Settings_.Seed_ + Index * SeedStep, Index)),
-      Limits_(Common_->Settings_.Limits_) {}
+      Configured_(Common_->Settings_.Limits_), Limits_(Configured_) {}
 
 HttpWorker::~HttpWorker() = default;
 
@@ -79,7 +79,10 @@
   return {nullptr, ResultCode::RequestNoRoute};
 }
 
-void HttpWorker::noteRefusedRequest(ResultCode Code) {
+void HttpWorker::noteRefusedRequest(const std::string &Call,
+                                    const std::string &Target,
+                                    ResultCode Code) {
+  CallLog_.noteRefused(Call, Target, Code, now());
   const std::lock_guard<std::mutex> Lock(PublishedMutex_);
   traffic::noteCall(Figures_.Routes_[""], Code, model::Duration(0));
 }
@@ -204,6 +207,20 @@
     traffic::noteCall(Figures_.Routes_[Facts.Route_.Name_], Code,
                       now() - Facts.Arrived_);
   }
+  CallRecord Record;
+  Record.Call_ = Call.callId();
+  Record.Route_ = Facts.Route_.Name_;
+  Record.Service_ = Facts.Route_.Service_;
+  Record.Code_ = Code;
+  Record.Took_ =
+      std::chrono::duration_cast<model::milliseconds>(now() - Facts.Arrived_);
+  Record.Allowed_ = std::chrono::duration_cast<model::milliseconds>(
+      Facts.Deadline_ - Facts.Arrived_);
+  const model::milliseconds Objective = Facts.Route_.Objective_;
+  Record.Late_ = Objective > model::milliseconds(0) && Record.Took_ > Objective;
+  Record.ConfigVersion_ = View_ ? View_->Config_->Version_ : 0;
+  Record.Attempts_ = Call.traces();
+  CallLog_.note(Record, now());
   if (model::isNotRun(Code))
     record(model::EventKind::CallRefused, Call.callId(), Code,
            "route " + Facts.Route_.Name_);
--- a/src/libcumingauge/adapters/httpworker.h
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/calllog.h"
 #include "adapters/httpcall.h"
 #include "adapters/httpcallersession.h"
 #include "adapters/httppool.h"
@@ -43,6 +44,7 @@
   void stop();
   void applyView(std::shared_ptr<const model::ControlView> View);
   void noteSightings(std::vector<control::ServerSighting> Sightings);
+  void setLimits(const HttpLimits &Limits);
   void drain(std::function<void()> Done);
   boost::asio::io_context &io() { return Io_; }
   std::vector<model::ServerActivity> activity() const;
@@ -66,7 +68,9 @@
   bool isFresh() const { return Common_->Hooks_.IsFresh_(now()); }
   model::TimePoint now() const { return std::chrono::steady_clock::now(); }
   Admission findRoute(const std::string &Host, const std::string &Target);
-  void noteRefusedRequest(model::ResultCode Code);
+  /// \param Call its identity, if the request has one.
+  void noteRefusedRequest(const std::string &Call, const std::string &Target,
+                          model::ResultCode Code);
   void noteSessionClosed(HttpCallerSession &Session);
 
   // For calls.
@@ -79,6 +83,8 @@
   void forgetWaiting(const HttpCall &Call);
   HttpPool &pool(policy::ServerHandle Server);
   void noteCallStarted();
+  /// What is known of a server that has just been chosen.
+  model::AttemptTrace traceOf(policy::ServerHandle Server) const;
   void noteCallEnded(const HttpCall &Call, model::ResultCode Code);
   void noteAttemptStarted(policy::ServerHandle Server);
   void noteAttemptEnded(const policy::CallFacts &Facts,
@@ -152,7 +158,8 @@
   boost::asio::steady_timer Ticker_;
   std::shared_ptr<policy::BalancerState> Balancer_;
   std::shared_ptr<const model::ControlView> View_;
-  HttpLimits Limits_;
+  HttpLimits Configured_; ///< by the settings
+  HttpLimits Limits_;     ///< the same with what the preset in force says
   traffic::RouteTable Routes_;
   model::milliseconds ConnectTimeout_{200};
   model::milliseconds ProbeTimeout_{500};
@@ -163,6 +170,7 @@
   std::unordered_map<policy::CallId, Look> Looks_;
   std::unordered_set<HttpCallerSession *> Sessions_;
   policy::CallId LastCall_ = 0;
+  CallLog CallLog_;
   bool ReleaseScheduled_ = false;
   model::TimePoint NextMaintenance_;
   model::TimePoint NextPublish_;
--- a/src/libcumingauge/adapters/httpworkerservers.cpp
+++ b/src/libcumingauge/adapters/httpworkerservers.cpp
@@ -47,8 +47,9 @@
 }
 
 void HttpWorker::useLimits(const model::CallerLimits &Callers) {
-  const HttpLimits &Own = Common_->Settings_.Limits_;
+  const HttpLimits &Own = Configured_;
   const model::milliseconds None{0};
+  Limits_ = Own;
   Limits_.HeaderBytes_ =
       Callers.HeaderBytes_ > 0 ? Callers.HeaderBytes_ : Own.HeaderBytes_;
   Limits_.HeadTimeout_ =
@@ -57,6 +58,15 @@
       Callers.IdleTimeout_ > None ? Callers.IdleTimeout_ : Own.IdleTimeout_;
 }
 
+void HttpWorker::setLimits(const HttpLimits &Limits) {
+  boost::asio::post(Io_, [this, Limits] {
+    Configured_ = Limits;
+    const model::Preset *Preset =
+        View_ ? model::presetInForce(*View_->Config_) : nullptr;
+    useLimits(Preset ? Preset->Callers_ : model::CallerLimits());
+  });
+}
+
 void HttpWorker::updateServer(policy::ServerHandle Handle, Server &Entry) {
   const bool Listed = isListed(Handle);
   Entry.Pool_->setShare(policy::connectionShare(*Balancer_, Handle),
@@ -227,6 +237,10 @@
   Entry.ToldDraining_ = Report->Draining_;
 }
 
+model::AttemptTrace HttpWorker::traceOf(policy::ServerHandle Handle) const {
+  return policy::traceOf(*Balancer_, Handle, now());
+}
+
 const std::string &HttpWorker::serverName(policy::ServerHandle Handle) const {
   return policy::serverOf(*Balancer_, Handle).Name_;
 }
--- a/src/libcumingauge/adapters/log.cpp
+++ b/src/libcumingauge/adapters/log.cpp
@@ -1,25 +1,45 @@
 #include "adapters/log.h"
+#include "adapters/boundedoutput.h"
 #include "codec/describedjson.h"
-#include <boost/core/null_deleter.hpp>
 #include <boost/log/attributes/constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/make_shared.hpp>
-#include <boost/smart_ptr/shared_ptr.hpp>
 #include <chrono>
-#include <iostream>
+#include <memory>
+#include <unistd.h>
 
 namespace cumingauge::adapters {
 
 namespace {
 
 namespace blog = boost::log;
-using Backend = blog::sinks::text_ostream_backend;
+/// Lines kept for a reader that is slow.
+constexpr std::size_t KeptBytes = 262144;
 
+/// Sink of Boost.Log that never waits.
+class Backend : public blog::sinks::basic_formatted_sink_backend<
+                    char, blog::sinks::concurrent_feeding> {
+public:
+  Backend(std::shared_ptr<BoundedOutput> Output, bool AtOnce)
+      : Output_(std::move(Output)), AtOnce_(AtOnce) {}
+
+  void consume(const blog::record_view & /*Record*/, const std::string &Line) {
+    Output_->push(Line);
+    if (AtOnce_)
+      Output_->flush();
+  }
+
+private:
+  const std::shared_ptr<BoundedOutput> Output_;
+  const bool AtOnce_;
+};
+
+std::shared_ptr<BoundedOutput> ActiveOutput;
 LogFormat ActiveFormat = LogFormat::Json;
 std::string ActiveProcess;
 
@@ -49,7 +69,7 @@
   Record["process"] = ActiveProcess;
   Record["message"] = std::string(Message);
   for (const LogField &Field : Fields) {
-    if (Field.IsNumber_)
+    if (Field.IsJson_)
       Record[Field.Name_] =
           nlohmann::ordered_json::parse(Field.Value_, nullptr, false);
     else
@@ -61,21 +81,30 @@
 
 } // namespace
 
-void startLog(const LogSettings &Settings, const std::string &Process) {
+void startLog(const LogSettings &Settings, const std::string &Process,
+              LogTarget Target) {
   ActiveFormat = Settings.Format_;
   ActiveProcess = Process;
-  auto Sinks = boost::make_shared<Backend>();
-  Sinks->add_stream(
-      boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
-  Sinks->auto_flush(true);
+  const bool ToOutput = Target == LogTarget::StandardOutput;
+  ActiveOutput = std::make_shared<BoundedOutput>(
+      ToOutput ? STDOUT_FILENO : STDERR_FILENO, KeptBytes);
   auto Core = blog::core::get();
   Core->remove_all_sinks();
-  Core->add_sink(
-      boost::make_shared<blog::sinks::synchronous_sink<Backend>>(Sinks));
+  Core->add_sink(boost::make_shared<blog::sinks::synchronous_sink<Backend>>(
+      boost::make_shared<Backend>(ActiveOutput, /*AtOnce=*/!ToOutput)));
   Core->set_filter(blog::expressions::attr<LogLevel>("Severity") >=
                    Settings.Level_);
 }
 
+void flushLog() {
+  if (ActiveOutput)
+    ActiveOutput->flush();
+}
+
+std::uint64_t logLinesDropped() {
+  return ActiveOutput ? ActiveOutput->dropped() : 0;
+}
+
 void log(LogLevel Level, std::string_view Message,
          std::initializer_list<LogField> Fields) {
   thread_local blog::sources::severity_logger<LogLevel> Logger;
--- a/src/libcumingauge/adapters/log.h
+++ b/src/libcumingauge/adapters/log.h
@@ -31,16 +31,35 @@
       : Name_(Name), Value_(Value) {}
   template <class T>
   LogField(std::string_view Name, T Number)
-      : Name_(Name), Value_(std::to_string(Number)), IsNumber_(true) {}
+      : Name_(Name), Value_(std::to_string(Number)), IsJson_(true) {}
+
+  /// A value that is JSON text already.
+  static LogField json(std::string_view Name, std::string Text) {
+    LogField Out(Name, std::move(Text));
+    Out.IsJson_ = true;
+    return Out;
+  }
 
   std::string Name_;
   std::string Value_;
-  bool IsNumber_ = false;
+  bool IsJson_ = false; ///< else it is written as a string
 };
 
-/// Sends log records of this process to standard error, one line a record.
+/// Where the lines go. Programs whose result is their standard output log to
+/// standard error.
+enum class LogTarget { StandardOutput, StandardError };
+
+/// Sends log records of this process to a stream, one line a record. A reader
+/// that does not keep up never holds the process: lines are then dropped.
 /// \param Process name that every record carries.
-void startLog(const LogSettings &Settings, const std::string &Process);
+void startLog(const LogSettings &Settings, const std::string &Process,
+              LogTarget Target = LogTarget::StandardError);
+
+/// Writes the lines that have gathered; to be called a few times a second.
+void flushLog();
+
+/// Lines dropped since the start.
+std::uint64_t logLinesDropped();
 
 /// Writes one record. May be called from any thread.
 void log(LogLevel Level, std::string_view Message,
--- a/src/libcumingauge/adapters/metricspage.cpp
+++ b/src/libcumingauge/adapters/metricspage.cpp
@@ -178,6 +178,9 @@
   Out.push_back(counter("cumingauge_events_dropped_total",
                         "Time line events overwritten by later ones",
                         static_cast<double>(Input.EventsDropped_)));
+  Out.push_back(counter("cumingauge_log_lines_dropped_total",
+                        "Log lines that their reader did not take in time",
+                        static_cast<double>(Input.LogLinesDropped_)));
   return Out;
 }
 
--- a/src/libcumingauge/adapters/metricspage.h
+++ b/src/libcumingauge/adapters/metricspage.h
@@ -16,6 +16,7 @@
   double ProbeBudgetPerSecond_ = 0; ///< fleet-wide, over all services
   std::uint64_t ResidentBytes_ = 0;
   std::uint64_t EventsDropped_ = 0;
+  std::uint64_t LogLinesDropped_ = 0;
 };
 
 /// The page in the Prometheus text format.
--- a/src/libcumingauge/platform/dialect.cpp
+++ b/src/libcumingauge/platform/dialect.cpp
@@ -31,6 +31,7 @@
   Out.AnswerProof_ = words::ResponseSignature;
   Out.CallIdRequired_ = true;
   Out.SkipsForeignAnswers_ = true;
+  Out.AnswersUntilClose_ = true;
   Out.ReadReport_ = readServerLoad;
   Out.IsNotRun_ = isNotRun;
   Out.IsLeaving_ = isLeaving;
--- a/src/libcumingauge/policy/balancer.cpp
+++ b/src/libcumingauge/policy/balancer.cpp
@@ -185,6 +185,22 @@
   return Made.Server_;
 }
 
+model::AttemptTrace traceOf(const BalancerState &State, ServerHandle Server,
+                            model::TimePoint Now) {
+  const ServerRecord &Record = State.Servers_.at(Server);
+  model::AttemptTrace Out;
+  Out.Server_ = Record.Server_.Name_;
+  Out.Vm_ = Record.Server_.Vm_;
+  Out.InFlight_ = Record.InFlight_;
+  Out.Backlog_ = Record.Report_.Backlog_;
+  Out.Pace_ = Record.Pace_;
+  if (Record.Report_.Known_)
+    Out.ReportAgeMs_ = std::chrono::duration_cast<model::milliseconds>(
+                           Now - Record.Report_.TrueAt_)
+                           .count();
+  return Out;
+}
+
 std::vector<model::ServerActivity> activity(const BalancerState &State) {
   std::vector<model::ServerActivity> Out;
   for (const ServerRecord &Record : State.Servers_)
--- a/src/libcumingauge/policy/balancer.h
+++ b/src/libcumingauge/policy/balancer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "model/attempttrace.h"
 #include "model/controlview.h"
 #include "model/loadreport.h"
 #include "model/resultcode.h"
@@ -152,6 +153,10 @@
 ConnectionShare connectionShare(const BalancerState &State,
                                 ServerHandle Server);
 
+/// What is known of a server now, for the log.
+model::AttemptTrace traceOf(const BalancerState &State, ServerHandle Server,
+                            model::TimePoint Now);
+
 /// Servers that have calls in flight or are in the view.
 std::vector<model::ServerActivity> activity(const BalancerState &State);
 
--- a/src/libcumingauge/traffic/dialect.h
+++ b/src/libcumingauge/traffic/dialect.h
@@ -24,6 +24,8 @@
   /// A second answer to an earlier request is passed over instead of being
   /// taken for a fault of the connection.
   bool SkipsForeignAnswers_ = false;
+  /// An answer without a length may end with its connection.
+  bool AnswersUntilClose_ = false;
 
   /// Reads the value of LoadReport_.
   std::optional<model::LoadReport> (*ReadReport_)(std::string_view) = nullptr;
