--- /dev/null
+++ b/tests/control/directorytest.cpp
@@ -0,0 +1,277 @@
+#include "control/core.h"
+#include <cppunit/extensions/HelperMacros.h>
+#include <functional>
+
+using namespace cumingauge;
+using namespace cumingauge::control;
+using ports::DirectoryOperation;
+using ports::DirectoryTopic;
+
+namespace {
+
+/// One process before a directory that the test answers for.
+class Process {
+public:
+  Process() {
+    CoreSettings Settings;
+    Settings.Self_.Process_ = "front-1";
+    Settings.Self_.Zone_ = "milano-a";
+    Settings.FollowsDirectory_ = true;
+    Core_ = makeCore(Settings, 1);
+    feed(Started{});
+  }
+
+  void feed(const CoreInput &Input) {
+    for (const CoreOrder &Order : step(*Core_, Input, Now_))
+      if (const auto *Call = std::get_if<CallDirectory>(&Order))
+        Calls_.push_back(*Call);
+      else if (const auto *View = std::get_if<PublishView>(&Order))
+        View_ = View->View_;
+  }
+
+  void wait(model::milliseconds Time) {
+    const model::TimePoint End = Now_ + Time;
+    while (Now_ < End) {
+      Now_ += model::milliseconds(50);
+      feed(Ticked{});
+    }
+  }
+
+  /// Jumps without a tick between, as a suspended process does.
+  void sleep(model::milliseconds Time) {
+    Now_ += Time;
+    feed(Ticked{});
+  }
+
+  /// The call about a topic that is under way, if there is one.
+  const CallDirectory *call(DirectoryTopic Topic) const {
+    for (auto It = Calls_.rbegin(); It != Calls_.rend(); ++It)
+      if (It->Request_.Topic_ == Topic && !Answered_.count(It->Call_))
+        return &*It;
+    return nullptr;
+  }
+
+  void answer(DirectoryTopic Topic, ports::DirectoryResponse Response) {
+    const CallDirectory *Call = call(Topic);
+    CPPUNIT_ASSERT_MESSAGE("no call to answer", Call != nullptr);
+    Answered_.insert(Call->Call_);
+    feed(DirectoryAnswered{Call->Call_, std::move(Response)});
+  }
+
+  unsigned calls() const { return static_cast<unsigned>(Calls_.size()); }
+  const model::ControlView *view() const { return View_.get(); }
+  bool isListed(const std::string &Name) const {
+    return View_ && View_->Config_->Servers_.count(Name) > 0;
+  }
+  bool isLeaving(const std::string &Name) const {
+    return View_ && View_->LeavingServers_.count(Name) > 0;
+  }
+
+private:
+  model::TimePoint Now_{model::seconds(1000)};
+  std::shared_ptr<CoreState> Core_;
+  std::vector<CallDirectory> Calls_;
+  std::set<StoreCallId> Answered_;
+  std::shared_ptr<const model::ControlView> View_;
+};
+
+ports::DirectoryResponse configuration(std::uint64_t Version,
+                                       std::uint64_t Revision) {
+  ports::DirectoryResponse Out;
+  Out.Revision_ = Revision;
+  Out.Configuration_.emplace();
+  Out.Configuration_->Version_ = Version;
+  Out.Configuration_->Preset_.Name_ = "version " + std::to_string(Version);
+  return Out;
+}
+
+ports::ServerEntry server(const std::string &Name, bool Leaving = false) {
+  ports::ListedServer Listed;
+  Listed.Server_.Name_ = Name;
+  Listed.Server_.Vm_ = "vm-" + Name;
+  Listed.Server_.Service_ = "catalogue";
+  Listed.Leaving_ = Leaving;
+  return {Name, Listed};
+}
+
+ports::DirectoryResponse servers(const std::vector<ports::ServerEntry> &Entries,
+                                 std::uint64_t Revision) {
+  ports::DirectoryResponse Out;
+  Out.Revision_ = Revision;
+  Out.Servers_ = Entries;
+  return Out;
+}
+
+ports::DirectoryResponse failure() {
+  ports::DirectoryResponse Out;
+  Out.Code_ = model::ResultCode::StoreUnavailable;
+  return Out;
+}
+
+constexpr auto Config = DirectoryTopic::Configuration;
+constexpr auto Servers = DirectoryTopic::Servers;
+
+/// A process that knows version 5 and three servers.
+Process settled() {
+  Process Out;
+  Out.answer(Config, configuration(5, 10));
+  Out.answer(Servers, servers({server("a"), server("b"), server("c")}, 10));
+  Out.wait(model::seconds(2));
+  return Out;
+}
+
+class FollowingADirectory : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FollowingADirectory);
+  CPPUNIT_TEST(showsNothingBeforeBothTopicsAreKnown);
+  CPPUNIT_TEST(watchesFromWhereItRead);
+  CPPUNIT_TEST(takesALeavingMarkWithinItsBound);
+  CPPUNIT_TEST(asksSeldomWhileMuchChanges);
+  CPPUNIT_TEST(readsAgainAfterAWatchThatWasCut);
+  CPPUNIT_TEST(readsAgainAfterAWatchThatEndedEarly);
+  CPPUNIT_TEST(readsAgainWhenTheHistoryIsGone);
+  CPPUNIT_TEST(neverGoesBackToAnOlderVersion);
+  CPPUNIT_TEST(keepsServersThatLapsedTogetherForAWhile);
+  CPPUNIT_TEST(dropsAFewMissingServersAtOnce);
+  CPPUNIT_TEST(readsEverythingAfterAPause);
+  CPPUNIT_TEST(readsAllPages);
+  CPPUNIT_TEST(leavesAnUnreadableEntryOut);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void showsNothingBeforeBothTopicsAreKnown() {
+    Process Starting;
+    Starting.answer(Config, configuration(5, 10));
+    CPPUNIT_ASSERT(!Starting.view());
+    Starting.answer(Servers, servers({server("a")}, 10));
+    CPPUNIT_ASSERT(Starting.isListed("a"));
+    CPPUNIT_ASSERT_EQUAL(std::string("version 5"),
+                         Starting.view()->Config_->PresetInForce_);
+  }
+
+  void watchesFromWhereItRead() {
+    Process Running = settled();
+    for (const auto Topic : {Config, Servers}) {
+      const auto &Request = Running.call(Topic)->Request_;
+      CPPUNIT_ASSERT(Request.Operation_ == DirectoryOperation::Watch);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(10), Request.After_);
+    }
+  }
+
+  void takesALeavingMarkWithinItsBound() {
+    Process Running = settled();
+    Running.answer(Servers, servers({server("a", true)}, 11));
+    CPPUNIT_ASSERT(Running.isLeaving("a"));
+    // The next mark comes right behind: the watch must be back in time.
+    Running.wait(model::milliseconds(1500));
+    Running.answer(Servers, servers({server("b", true)}, 12));
+    CPPUNIT_ASSERT(Running.isLeaving("b"));
+  }
+
+  void asksSeldomWhileMuchChanges() {
+    Process Running = settled();
+    const unsigned Before = Running.calls();
+    for (std::uint64_t Revision = 11; Revision < 211; ++Revision) {
+      if (Running.call(Servers))
+        Running.answer(
+            Servers,
+            servers({server("s" + std::to_string(Revision))}, Revision));
+      Running.wait(model::milliseconds(50)); // ten seconds in all
+    }
+    CPPUNIT_ASSERT(Running.calls() - Before <= 10);
+  }
+
+  void readsAgainAfterAWatchThatWasCut() {
+    Process Running = settled();
+    Running.answer(Config, failure());
+    Running.wait(model::milliseconds(500));
+    CPPUNIT_ASSERT(Running.call(Config)->Request_.Operation_ ==
+                   DirectoryOperation::Read);
+    Running.answer(Config, configuration(9, 40));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), Running.view()->Config_->Version_);
+  }
+
+  void readsAgainAfterAWatchThatEndedEarly() {
+    Process Running = settled();
+    Running.wait(model::seconds(1));
+    Running.answer(Servers, servers({}, 30));
+    CPPUNIT_ASSERT(Running.call(Servers)->Request_.Operation_ ==
+                   DirectoryOperation::Read);
+  }
+
+  void readsAgainWhenTheHistoryIsGone() {
+    Process Running = settled();
+    ports::DirectoryResponse Gone;
+    Gone.HistoryGone_ = true;
+    Running.answer(Servers, Gone);
+    Running.answer(Servers, servers({server("b"), server("c")}, 50));
+    CPPUNIT_ASSERT(!Running.isListed("a"));
+  }
+
+  void neverGoesBackToAnOlderVersion() {
+    Process Running = settled();
+    Running.answer(Config, configuration(4, 11));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), Running.view()->Config_->Version_);
+    Running.wait(model::seconds(2));
+    Running.answer(Config, configuration(6, 12));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(6), Running.view()->Config_->Version_);
+  }
+
+  void keepsServersThatLapsedTogetherForAWhile() {
+    Process Running = settled();
+    Running.answer(Servers, failure());
+    Running.wait(model::seconds(1));
+    Running.answer(Servers, servers({server("a")}, 60));
+    CPPUNIT_ASSERT(Running.isListed("b"));
+    CPPUNIT_ASSERT(Running.isListed("c"));
+    Running.wait(model::milliseconds(2300));
+    Running.answer(Servers, servers({server("a"), server("b")}, 70));
+    CPPUNIT_ASSERT(Running.isListed("b"));
+    CPPUNIT_ASSERT(!Running.isListed("c"));
+  }
+
+  /// After a cut of its own the process must not wait for what is gone.
+  void dropsAFewMissingServersAtOnce() {
+    Process Running = settled();
+    Running.answer(Servers, failure());
+    Running.wait(model::seconds(1));
+    Running.answer(Servers, servers({server("a"), server("b")}, 60));
+    CPPUNIT_ASSERT(!Running.isListed("c"));
+  }
+
+  void readsEverythingAfterAPause() {
+    Process Running = settled();
+    Running.sleep(model::seconds(12));
+    for (const auto Topic : {Config, Servers})
+      CPPUNIT_ASSERT(Running.call(Topic)->Request_.Operation_ ==
+                     DirectoryOperation::Read);
+  }
+
+  void readsAllPages() {
+    Process Starting;
+    Starting.answer(Config, configuration(5, 10));
+    auto First = servers({server("a")}, 10);
+    First.Next_ = "servers/a";
+    Starting.answer(Servers, First);
+    CPPUNIT_ASSERT(!Starting.view());
+    CPPUNIT_ASSERT_EQUAL(std::string("servers/a"),
+                         Starting.call(Servers)->Request_.Page_);
+    Starting.answer(Servers, servers({server("b")}, 14));
+    CPPUNIT_ASSERT(Starting.isListed("a") && Starting.isListed("b"));
+    // What changed between the pages is asked for.
+    Starting.wait(model::seconds(2));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(10),
+                         Starting.call(Servers)->Request_.After_);
+  }
+
+  void leavesAnUnreadableEntryOut() {
+    Process Running = settled();
+    ports::DirectoryResponse Answer = servers({{"a", std::nullopt}}, 11);
+    Answer.Unreadable_ = {{"servers/a", "cannot be read"}};
+    Running.answer(Servers, Answer);
+    CPPUNIT_ASSERT(!Running.isListed("a"));
+    CPPUNIT_ASSERT(Running.isListed("b"));
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(FollowingADirectory);
+
+} // namespace
--- a/tests/docs/settingpaths.h
+++ b/tests/docs/settingpaths.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "codec/describedjson.h"
+#include "model/preset.h"
 #include <fstream>
 #include <regex>
 #include <set>
@@ -17,7 +18,9 @@
     using Member =
         std::remove_reference_t<decltype(std::declval<T &>().*D.pointer)>;
     const std::string Path = Prefix + codec::detail::keyOf<Member>(D.name);
-    if constexpr (boost::describe::has_describe_members<Member>::value) {
+    if constexpr (std::is_same_v<Member, model::Preset>) {
+      Out.insert(Path); // described on a page of its own
+    } else if constexpr (boost::describe::has_describe_members<Member>::value) {
       addSettingPaths<Member>(Path + ".", Out);
     } else if constexpr (codec::detail::IsVector<Member>::value) {
       using Element = typename Member::value_type;
--- a/tests/http/frontend.cpp
+++ b/tests/http/frontend.cpp
@@ -42,12 +42,14 @@
 } // namespace
 
 FrontEnd::FrontEnd(const std::vector<Target> &Servers,
-                   adapters::HttpLimits Limits, unsigned Threads)
+                   adapters::HttpLimits Limits, unsigned Threads,
+                   const traffic::Dialect &Dialect)
     : Servers_(Servers), Preset_(samplePreset()) {
   adapters::TrafficSettings Settings;
   Settings.Threads_ = Threads;
   Settings.Limits_ = Limits;
   Settings.Zone_ = "milano-a";
+  Settings.Dialect_ = Dialect;
   adapters::HttpTraffic::Hooks Hooks;
   Hooks.IsFresh_ = [this](model::TimePoint) { return Fresh_.load(); };
   Hooks.NoteSighting_ = [](const control::ServerSighting &) {};
--- /dev/null
+++ b/tests/http/keptanswerstest.cpp
@@ -0,0 +1,208 @@
+#include "http/frontend.h"
+#include "http/scriptedserver.h"
+#include "platform/dialect.h"
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace cumingauge;
+using namespace cumingauge::test;
+
+namespace {
+
+using Request = ScriptedServer::Request;
+
+constexpr unsigned KeptBytes = 65536;
+
+adapters::HttpLimits keeping() {
+  adapters::HttpLimits Out;
+  Out.KeptAnswerBytes_ = KeptBytes;
+  return Out;
+}
+
+std::string idOf(const Request &Seen) {
+  const std::string Name = "Attempt-Id: ";
+  const std::size_t At = Seen.Head_.find(Name) + Name.size();
+  return Seen.Head_.substr(At, Seen.Head_.find('\r', At) - At);
+}
+
+/// An answer as the platform's targets give it.
+std::string signedAnswer(const std::string &Id, const std::string &Body,
+                         const std::string &Status = "200 OK") {
+  return ScriptedServer::answer(
+      Body, "Attempt-Id: " + Id + "\r\nResponse-Signature: s." + Id + "\r\n",
+      Status);
+}
+
+std::string search(const std::string &Id) {
+  return request("GET", "/search", "Attempt-Id: " + Id + "\r\n");
+}
+
+std::string licence(const std::string &Id) {
+  return request("POST", "/licence", "Attempt-Id: " + Id + "\r\n", "x");
+}
+
+class AKeptAnswer : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AKeptAnswer);
+  CPPUNIT_TEST(isTriedAgainWhenItBreaksOff);
+  CPPUNIT_TEST(isTriedAgainWhenItIsAServersError);
+  CPPUNIT_TEST(isPassedOnWhenNoOtherMayBeAsked);
+  CPPUNIT_TEST(isPassedOnAsItComesWhenItIsLong);
+  CPPUNIT_TEST(isNotTriedAgainForWorkThatMustNotRepeat);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void isTriedAgainWhenItBreaksOff() {
+    ScriptedServer Server([](const Request &Seen) {
+      const std::string Whole = signedAnswer(idOf(Seen), "found");
+      return Seen.Number_ == 1 ? Whole.substr(0, Whole.size() - 2) : Whole;
+    });
+    Server.closeAfterAnswer();
+    FrontEnd Front({{"cat-1", Server.port()}}, keeping(), 1,
+                   platform::platformDialect());
+    const auto Answer = RawCaller(Front.port()).call(search("a"));
+    CPPUNIT_ASSERT_EQUAL(200U, Answer.Status_);
+    CPPUNIT_ASSERT_EQUAL(std::string("found"), Answer.Body_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Server.requests().size());
+  }
+
+  void isTriedAgainWhenItIsAServersError() {
+    ScriptedServer Server([](const Request &Seen) {
+      return Seen.Number_ == 1
+                 ? signedAnswer(idOf(Seen), "", "500 Internal Server Error")
+                 : signedAnswer(idOf(Seen), "found");
+    });
+    FrontEnd Front({{"cat-1", Server.port()}}, keeping(), 1,
+                   platform::platformDialect());
+    const auto Answer = RawCaller(Front.port()).call(search("a"));
+    CPPUNIT_ASSERT_EQUAL(200U, Answer.Status_);
+  }
+
+  void isPassedOnWhenNoOtherMayBeAsked() {
+    ScriptedServer Server([](const Request &Seen) {
+      return signedAnswer(idOf(Seen), "why", "500 Internal Server Error");
+    });
+    FrontEnd Front({{"cat-1", Server.port()}}, keeping(), 1,
+                   platform::platformDialect());
+    Front.changePreset([](model::Preset &Preset) {
+      for (model::Route &Route : Preset.Routes_)
+        Route.MaxAttempts_ = 1;
+    });
+    RawCaller Caller(Front.port());
+    CPPUNIT_ASSERT(eventually([&] {
+      const std::size_t Before = Server.requests().size();
+      const auto Answer = Caller.call(search("a"));
+      CPPUNIT_ASSERT_EQUAL(500U, Answer.Status_);
+      CPPUNIT_ASSERT_EQUAL(std::string("why"), Answer.Body_);
+      return Server.requests().size() == Before + 1; // the preset is in force
+    }));
+  }
+
+  void isPassedOnAsItComesWhenItIsLong() {
+    const std::string Body(3 * KeptBytes, 'b');
+    ScriptedServer Server(
+        [&](const Request &Seen) { return signedAnswer(idOf(Seen), Body); });
+    FrontEnd Front({{"cat-1", Server.port()}}, keeping(), 1,
+                   platform::platformDialect());
+    const auto Answer = RawCaller(Front.port()).call(search("a"));
+    CPPUNIT_ASSERT(Answer.Whole_);
+    CPPUNIT_ASSERT(Body == Answer.Body_);
+  }
+
+  void isNotTriedAgainForWorkThatMustNotRepeat() {
+    ScriptedServer Server([](const Request &Seen) {
+      const std::string Whole = signedAnswer(idOf(Seen), "issued");
+      return Whole.substr(0, Whole.size() - 2);
+    });
+    Server.closeAfterAnswer();
+    FrontEnd Front({{"cat-1", Server.port()}}, keeping(), 1,
+                   platform::platformDialect());
+    const auto Answer = RawCaller(Front.port()).call(licence("a"));
+    CPPUNIT_ASSERT_EQUAL(502U, Answer.Status_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Server.requests().size());
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(AKeptAnswer);
+
+class AnAnswerOfThePlatform : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AnAnswerOfThePlatform);
+  CPPUNIT_TEST(isWholeOnlyWithItsSignature);
+  CPPUNIT_TEST(isFoundBehindASecondAnswerToAnEarlierCall);
+  CPPUNIT_TEST(mayEndWithItsConnection);
+  CPPUNIT_TEST(isRefusedByTheServerThatHasTheAddressNow);
+  CPPUNIT_TEST(saysWhenToComeBackAfterARefusal);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void isWholeOnlyWithItsSignature() {
+    ScriptedServer Server([](const Request &Seen) {
+      return ScriptedServer::answer("issued",
+                                    "Attempt-Id: " + idOf(Seen) + "\r\n");
+    });
+    FrontEnd Front({{"cat-1", Server.port()}}, keeping(), 1,
+                   platform::platformDialect());
+    CPPUNIT_ASSERT_EQUAL(502U,
+                         RawCaller(Front.port()).call(licence("a")).Status_);
+  }
+
+  /// The second answer to the first call arrives where that of the second call
+  /// is expected. Work that must not be repeated is not lost by it.
+  void isFoundBehindASecondAnswerToAnEarlierCall() {
+    std::string Earlier;
+    ScriptedServer Server([&](const Request &Seen) {
+      const std::string Own = signedAnswer(idOf(Seen), "for " + idOf(Seen));
+      return std::exchange(Earlier, Own) + Own;
+    });
+    FrontEnd Front({{"cat-1", Server.port()}}, keeping(), 1,
+                   platform::platformDialect());
+    RawCaller Caller(Front.port());
+    for (const std::string Id : {"a", "b", "c"})
+      CPPUNIT_ASSERT_EQUAL("for " + Id, Caller.call(licence(Id)).Body_);
+  }
+
+  void mayEndWithItsConnection() {
+    ScriptedServer Server([](const Request &Seen) {
+      return "HTTP/1.1 200 OK\r\nAttempt-Id: " + idOf(Seen) +
+             "\r\nResponse-Signature: s\r\n\r\nuntil the end";
+    });
+    Server.closeAfterAnswer();
+    FrontEnd Front({{"cat-1", Server.port()}}, keeping(), 1,
+                   platform::platformDialect());
+    const auto Answer = RawCaller(Front.port()).call(licence("a"));
+    CPPUNIT_ASSERT_EQUAL(200U, Answer.Status_);
+    CPPUNIT_ASSERT_EQUAL(std::string("until the end"), Answer.Body_);
+  }
+
+  void isRefusedByTheServerThatHasTheAddressNow() {
+    ScriptedServer Other([](const Request &Seen) {
+      CPPUNIT_ASSERT(Seen.Head_.find("Expected-Instance: cat-1") !=
+                     std::string::npos);
+      return ScriptedServer::answer("", "", "421 Misdirected Request");
+    });
+    ScriptedServer Serving(
+        [](const Request &Seen) { return signedAnswer(idOf(Seen), "issued"); });
+    FrontEnd Front({{"cat-1", Other.port()}, {"cat-2", Serving.port()}},
+                   keeping(), 1, platform::platformDialect());
+    RawCaller Caller(Front.port());
+    for (int I = 0; I < 8; ++I)
+      CPPUNIT_ASSERT_EQUAL(200U,
+                           Caller.call(licence(std::to_string(I))).Status_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Other.requests().size());
+  }
+
+  void saysWhenToComeBackAfterARefusal() {
+    adapters::HttpLimits Limits = keeping();
+    Limits.RetryAfter_ = model::milliseconds(50);
+    ScriptedServer Full([](const Request &) {
+      return ScriptedServer::answer("", "Not-Executed: 1\r\n",
+                                    "503 Service Unavailable");
+    });
+    FrontEnd Front({{"cat-1", Full.port()}}, Limits, 1,
+                   platform::platformDialect());
+    const auto Answer = RawCaller(Front.port()).call(licence("a"));
+    CPPUNIT_ASSERT_EQUAL(503U, Answer.Status_);
+    CPPUNIT_ASSERT(Answer.Head_.find("Retry-After: 0.050") !=
+                   std::string::npos);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(AnAnswerOfThePlatform);
+
+} // namespace
--- a/tests/http/messagestest.cpp
+++ b/tests/http/messagestest.cpp
@@ -2,6 +2,7 @@
 #include "http/scriptedserver.h"
 #include <cppunit/extensions/HelperMacros.h>
 #include <fstream>
+#include <thread>
 
 using namespace cumingauge;
 using namespace cumingauge::test;
@@ -35,6 +36,7 @@
   CPPUNIT_TEST(mayHaveNoBody);
   CPPUNIT_TEST(waitForContinueWhenAsked);
   CPPUNIT_TEST(mayBePipelined);
+  CPPUNIT_TEST(mayBePipelinedWhileEarlierOnesRun);
   CPPUNIT_TEST(streamLargeRequests);
   CPPUNIT_TEST(streamLargeAnswersInBoundedMemory);
   CPPUNIT_TEST(areSplitAtAnyByte);
@@ -153,6 +155,23 @@
       CPPUNIT_ASSERT_EQUAL("call " + std::to_string(I), Caller.read().Body_);
   }
 
+  /// Each request arrives while a read for the next one is under way.
+  void mayBePipelinedWhileEarlierOnesRun() {
+    ScriptedServer Server([](const Request &Seen) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(60));
+      return echo(Seen);
+    });
+    FrontEnd Front({{"cat-1", Server.port()}});
+    RawCaller Caller(Front.port());
+    for (int I = 0; I < 6; ++I) {
+      Caller.send(request("POST", "/licence", "", "call " + std::to_string(I)));
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    for (int I = 0; I < 6; ++I)
+      CPPUNIT_ASSERT_EQUAL("call " + std::to_string(I), Caller.read().Body_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(6), Server.requests().size());
+  }
+
   void streamLargeRequests() {
     ScriptedServer Server([](const Request &Seen) {
       return ScriptedServer::answer(
--- /dev/null
+++ b/tests/platform/configurationdocumenttest.cpp
@@ -0,0 +1,108 @@
+#include "platform/configurationdocument.h"
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+
+using namespace cumingauge;
+using Json = nlohmann::json;
+
+namespace {
+
+Json goodDocument() {
+  return {{"version", 7},
+          {"routes",
+           {{{"name", "r-1"},
+             {"host", "ficu.example"},
+             {"prefix", "/pufi/"},
+             {"kind", "unsafe"},
+             {"timeout-ms", 600},
+             {"latency-objective-ms", 250},
+             {"priority", 1},
+             {"service", "huvo"},
+             {"attempts", 2}},
+            {{"name", "r-2"},
+             {"host", "ficu.example"},
+             {"prefix", "/lohu/"},
+             {"kind", "safe"},
+             {"timeout-ms", 500},
+             {"latency-objective-ms", 200},
+             {"priority", 2},
+             {"traffic-split",
+              {{{"service", "huvo"}, {"weight", 90}},
+               {{"service", "wuno"}, {"weight", 10}}}},
+             {"attempts", 3}}}},
+          {"services",
+           {{{"name", "huvo"},
+             {"health-check-path", "/health"},
+             {"connection-limit", 150}}}},
+          {"limits",
+           {{"max-header-bytes", 16384},
+            {"max-body-bytes", 1000},
+            {"header-timeout-ms", 3000},
+            {"idle-timeout-ms", 15000}}}};
+}
+
+class TheOperatorsConfiguration : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TheOperatorsConfiguration);
+  CPPUNIT_TEST(becomesAPresetWithThePolicyOfTheSettings);
+  CPPUNIT_TEST(keepsTheRoutesThatCanBeRead);
+  CPPUNIT_TEST(neverRepeatsARouteOfAnUnknownKind);
+  CPPUNIT_TEST(isNothingWithoutAVersion);
+  CPPUNIT_TEST_SUITE_END();
+
+  model::Problems Found_;
+
+  std::optional<ports::ListedConfiguration> read(const Json &Document) {
+    model::Preset Base;
+    Base.Pick_ = model::PickMethod::LeastInFlightOfTwo;
+    return platform::readConfiguration(Document.dump(), Base, Found_);
+  }
+
+public:
+  void becomesAPresetWithThePolicyOfTheSettings() {
+    const auto Read = read(goodDocument());
+    CPPUNIT_ASSERT(Read.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), Read->Version_);
+    const model::Preset &Preset = Read->Preset_;
+    CPPUNIT_ASSERT(Preset.Pick_ == model::PickMethod::LeastInFlightOfTwo);
+    CPPUNIT_ASSERT_EQUAL(150U, Preset.Servers_.MaxConnections_);
+    CPPUNIT_ASSERT(Preset.Callers_.IdleTimeout_ == model::milliseconds(15000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Preset.Routes_.size());
+    const model::Route &Issue = Preset.Routes_[0];
+    CPPUNIT_ASSERT(!Issue.Idempotent_);
+    CPPUNIT_ASSERT(Issue.Deadline_ == model::milliseconds(600));
+    CPPUNIT_ASSERT(Issue.Objective_ == model::milliseconds(250));
+    CPPUNIT_ASSERT(Issue.Priority_ == model::Priority::Urgent);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1000), Issue.MaxBodyBytes_);
+    const model::Route &Search = Preset.Routes_[1];
+    CPPUNIT_ASSERT(Search.Idempotent_);
+    CPPUNIT_ASSERT_EQUAL(3U, Search.MaxAttempts_);
+    CPPUNIT_ASSERT((Search.Parts_ ==
+                    std::vector<model::RoutePart>{{"huvo", 90}, {"wuno", 10}}));
+    CPPUNIT_ASSERT(model::checkPreset(Preset, "").empty());
+  }
+
+  void keepsTheRoutesThatCanBeRead() {
+    Json Document = goodDocument();
+    Document["routes"][0].erase("prefix");
+    const auto Read = read(Document);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Read->Preset_.Routes_.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("configuration/routes/0"),
+                         Found_.at(0).Path_);
+  }
+
+  void neverRepeatsARouteOfAnUnknownKind() {
+    Json Document = goodDocument();
+    Document["routes"][1]["kind"] = "keyed";
+    CPPUNIT_ASSERT(!read(Document)->Preset_.Routes_[1].Idempotent_);
+  }
+
+  void isNothingWithoutAVersion() {
+    Json Document = goodDocument();
+    Document["version"] = "7";
+    CPPUNIT_ASSERT(!read(Document));
+    CPPUNIT_ASSERT(!Found_.empty());
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(TheOperatorsConfiguration);
+
+} // namespace
--- /dev/null
+++ b/tests/platform/dialecttest.cpp
@@ -0,0 +1,49 @@
+#include "platform/dialect.h"
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+using namespace cumingauge;
+
+namespace {
+
+class TheWordsOfTargets : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TheWordsOfTargets);
+  CPPUNIT_TEST(tellRunningWaitingSlotsAndPace);
+  CPPUNIT_TEST(areLeftAsideWhenMalformed);
+  CPPUNIT_TEST(sayThatACallDidNotRun);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void tellRunningWaitingSlotsAndPace() {
+    const auto Short = platform::readServerLoad("3,1,8");
+    CPPUNIT_ASSERT(Short.has_value());
+    CPPUNIT_ASSERT_EQUAL(3U, Short->InFlight_);
+    CPPUNIT_ASSERT_EQUAL(1U, Short->Queued_);
+    CPPUNIT_ASSERT_EQUAL(8U, Short->Slots_);
+    CPPUNIT_ASSERT_EQUAL(100U, Short->PacePercent_);
+    CPPUNIT_ASSERT_EQUAL(400U,
+                         platform::readServerLoad("3,1,8,400")->PacePercent_);
+  }
+
+  void areLeftAsideWhenMalformed() {
+    for (const char *Text : {"", "3", "3,1", "a,b,c", "-1,0,1", "3,,1"})
+      CPPUNIT_ASSERT_MESSAGE(Text, !platform::readServerLoad(Text));
+    CPPUNIT_ASSERT(rc::check("any text is read or left aside", [] {
+      platform::readServerLoad(*rc::gen::arbitrary<std::string>());
+    }));
+  }
+
+  void sayThatACallDidNotRun() {
+    const traffic::Dialect &Words = platform::platformDialect();
+    CPPUNIT_ASSERT(Words.IsNotRun_(503, "1"));
+    CPPUNIT_ASSERT(Words.IsNotRun_(429, "1"));
+    CPPUNIT_ASSERT(Words.IsNotRun_(421, ""));
+    CPPUNIT_ASSERT(Words.IsLeaving_(421, ""));
+    CPPUNIT_ASSERT(!Words.IsNotRun_(503, ""));
+    CPPUNIT_ASSERT(!Words.IsNotRun_(504, ""));
+    CPPUNIT_ASSERT(!Words.IsLeaving_(503, "1"));
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(TheWordsOfTargets);
+
+} // namespace
--- /dev/null
+++ b/tests/policy/looktest.cpp
@@ -0,0 +1,121 @@
+#include "policy/look.h"
+#include "policy/fleet.h"
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace cumingauge;
+using namespace cumingauge::policy;
+using namespace cumingauge::policy::test;
+
+namespace {
+
+model::ControlView twoZones(unsigned Near, unsigned Far, unsigned Width) {
+  model::Preset Preset = presetWith(model::PickMethod::ExpectedWait);
+  Preset.Measuring_.LookWidth_ = Width;
+  Preset.Measuring_.ReportRelaxation_ = model::milliseconds(60);
+  model::ControlView View = viewOf(Near + Far, 3, Preset);
+  auto Config = std::make_shared<model::ConfigState>(*View.Config_);
+  for (unsigned I = Near; I < Near + Far; ++I)
+    Config->Servers_["s" + std::to_string(I)].Zone_ = "torino-b";
+  View.Config_ = Config;
+  return View;
+}
+
+model::LoadReport report(unsigned Running, unsigned PacePercent) {
+  model::LoadReport Out;
+  Out.InFlight_ = Running;
+  Out.Slots_ = 3;
+  Out.PacePercent_ = PacePercent;
+  return Out;
+}
+
+class ALookBeforeACall : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ALookBeforeACall);
+  CPPUNIT_TEST(asksServersOfTheOwnZone);
+  CPPUNIT_TEST(asksNobodyWhoWasHeardOfJustNow);
+  CPPUNIT_TEST(asksNobodyTwiceAtOnce);
+  CPPUNIT_TEST(findsAGoodServerNear);
+  CPPUNIT_TEST(leadsToTheServerAtItsUsualPace);
+  CPPUNIT_TEST(leadsAwayFromAServerThatIsSilent);
+  CPPUNIT_TEST_SUITE_END();
+
+  std::shared_ptr<BalancerState> Balancer_ =
+      makeBalancer("milano-a", 1, /*Seed=*/7, 0);
+
+  std::set<ServerHandle> look(bool Further, model::TimePoint Now) {
+    const auto Asked =
+        serversToLookAt(*Balancer_, callAt(1, Now), Further, Now);
+    return {Asked.begin(), Asked.end()};
+  }
+
+  ServerHandle handle(const std::string &Name) {
+    return *findServer(*Balancer_, Name, "vm-" + Name);
+  }
+
+public:
+  void asksServersOfTheOwnZone() {
+    apply(*Balancer_, twoZones(4, 5, 5), at(0));
+    const auto Near = look(false, at(1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), Near.size());
+    for (const ServerHandle Handle : Near)
+      CPPUNIT_ASSERT_EQUAL(std::string("milano-a"),
+                           serverOf(*Balancer_, Handle).Zone_);
+    for (const ServerHandle Handle : look(true, at(1000)))
+      CPPUNIT_ASSERT_EQUAL(std::string("torino-b"),
+                           serverOf(*Balancer_, Handle).Zone_);
+  }
+
+  void asksNobodyWhoWasHeardOfJustNow() {
+    apply(*Balancer_, twoZones(3, 0, 5), at(0));
+    noteReport(*Balancer_, handle("s1"), report(0, 100), at(995));
+    const auto Asked = look(false, at(1000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Asked.size());
+    CPPUNIT_ASSERT(!Asked.count(handle("s1")));
+  }
+
+  void asksNobodyTwiceAtOnce() {
+    apply(*Balancer_, twoZones(3, 0, 5), at(0));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), look(false, at(1000)).size());
+    CPPUNIT_ASSERT(look(false, at(1001)).empty());
+  }
+
+  void findsAGoodServerNear() {
+    apply(*Balancer_, twoZones(2, 2, 5), at(0));
+    const CallFacts Call = callAt(1, at(1000));
+    noteReport(*Balancer_, handle("s0"), report(0, 400), at(1000));
+    noteReport(*Balancer_, handle("s1"), report(3, 100), at(1000));
+    CPPUNIT_ASSERT(!hasGoodServerNear(*Balancer_, Call, at(1000)));
+    noteReport(*Balancer_, handle("s1"), report(1, 100), at(1001));
+    CPPUNIT_ASSERT(hasGoodServerNear(*Balancer_, Call, at(1001)));
+  }
+
+  void leadsToTheServerAtItsUsualPace() {
+    CPPUNIT_ASSERT(rc::check("whichever it is", [] {
+      const auto State =
+          makeBalancer("milano-a", 1, *rc::gen::arbitrary<unsigned>(), 0);
+      apply(*State, twoZones(4, 0, 5), at(0));
+      const unsigned Good = *rc::gen::inRange(0U, 4U);
+      for (unsigned I = 0; I < 4; ++I) {
+        const std::string Name = "s" + std::to_string(I);
+        noteReport(*State, *findServer(*State, Name, "vm-" + Name),
+                   report(0, I == Good ? 100 : 400), at(1000));
+      }
+      const Decision Made = admit(*State, callAt(1, at(1000)), at(1000));
+      RC_ASSERT(Made.Verdict_ == Verdict::Dispatch);
+      RC_ASSERT(serverOf(*State, Made.Server_).Name_ ==
+                "s" + std::to_string(Good));
+    }));
+  }
+
+  void leadsAwayFromAServerThatIsSilent() {
+    apply(*Balancer_, twoZones(2, 0, 5), at(0));
+    look(false, at(1000));
+    noteReport(*Balancer_, handle("s0"), report(0, 150), at(1002));
+    const Decision Made = admit(*Balancer_, callAt(1, at(1004)), at(1004));
+    CPPUNIT_ASSERT_EQUAL(handle("s0"), Made.Server_);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(ALookBeforeACall);
+
+} // namespace
--- a/tests/traffic/routetabletest.cpp
+++ b/tests/traffic/routetabletest.cpp
@@ -29,6 +29,8 @@
 class FindingARoute : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FindingARoute);
   CPPUNIT_TEST(takesTheLongestMatchingPrefix);
+  CPPUNIT_TEST(looksAtTheHostFirst);
+  CPPUNIT_TEST(sharesTheCallsByWeight);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -46,6 +48,38 @@
                 longestPrefix(Routes, Path));
     }));
   }
+
+  void looksAtTheHostFirst() {
+    model::Route Any;
+    Any.Name_ = "any";
+    Any.PathPrefix_ = "/a/b/";
+    model::Route Own;
+    Own.Name_ = "own";
+    Own.PathPrefix_ = "/a/";
+    Own.Host_ = "Ficu.example";
+    const traffic::RouteTable Table({Any, Own});
+    CPPUNIT_ASSERT_EQUAL(std::string("own"),
+                         Table.find("/a/b/c", "ficu.example:8080")->Name_);
+    CPPUNIT_ASSERT_EQUAL(std::string("any"),
+                         Table.find("/a/b/c", "other.example")->Name_);
+    CPPUNIT_ASSERT(!Table.find("/a/c", "other.example"));
+  }
+
+  /// Already few calls of one process are shared by weight.
+  void sharesTheCallsByWeight() {
+    CPPUNIT_ASSERT(rc::check("within two calls", [] {
+      const auto Weight = *rc::gen::inRange(0, 101);
+      model::Route Shared;
+      Shared.PathPrefix_ = "/";
+      Shared.Parts_ = {{"one", double(Weight)}, {"two", 100.0 - Weight}};
+      traffic::RouteTable Table({Shared}, *rc::gen::inRange(0, 100) / 100.0);
+      constexpr int Calls = 50;
+      int ToOne = 0;
+      for (int I = 0; I < Calls; ++I)
+        ToOne += Table.choose("", "/x")->Service_ == "one";
+      RC_ASSERT(std::abs(ToOne - Calls * Weight / 100.0) <= 2);
+    }));
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(FindingARoute);
 
