Cut subsets by availability zone, with places from the directory's members

Cause of unused servers on the grown site: all processes had rank 0 in the fleet, since no member is met over links, and cut the same half of the servers. Ruled out: pages of the range (a trace showed all 246 servers read).

--- a/src/libcumingauge/control/core.h
+++ b/src/libcumingauge/control/core.h
@@ -47,7 +47,10 @@
   model::milliseconds LeavingBound_{2000};
   /// Pause between announcing itself and reading who else there is.
   model::milliseconds MeetingTime_{1500};
-  model::milliseconds MembersPeriod_{30000};
+  /// Between two reads of the members. Those that join read the list
+  /// themselves; what the others do with a count that is a little old errs by
+  /// as much as the fleet grows meanwhile.
+  model::milliseconds MembersPeriod_{120000};
 };
 
 // Inputs.
--- a/src/libcumingauge/control/directoryfollower.cpp
+++ b/src/libcumingauge/control/directoryfollower.cpp
@@ -317,6 +317,7 @@
   }
   Follower.Members_.NextAt_ =
       State.Now_ + jittered(State, State.Settings_.MembersPeriod_);
+  Follower.ListedMembers_ = Answer.Members_;
   State.Vms_.EntryVms_ = static_cast<unsigned>(Answer.Members_.size());
   State.Vms_.EntryVmsAt_ = State.Now_;
   State.ViewChanged_ = true;
--- a/src/libcumingauge/control/directoryfollower.h
+++ b/src/libcumingauge/control/directoryfollower.h
@@ -36,6 +36,7 @@
   std::uint64_t PagesRevision_ = 0;
   std::string NextPage_;
   std::map<std::string, ports::ListedServer> Listed_; ///< by name
+  std::vector<model::Member> ListedMembers_;
   std::optional<model::TimePoint> BackAt_; ///< end of the last outage
 };
 
--- a/src/libcumingauge/control/viewpublisher.cpp
+++ b/src/libcumingauge/control/viewpublisher.cpp
@@ -42,6 +42,19 @@
       record(State, model::EventKind::ServerLeaving, Server, versionOf(State));
 }
 
+/// With a directory, places come from its list of members.
+void fillListedPlaces(const CoreState &State, ControlView &View) {
+  const model::Member &Self = State.Settings_.Self_;
+  for (const model::Member &Listed : State.Directory_.ListedMembers_) {
+    const bool IsBefore = Listed.Process_ < Self.Process_;
+    View.FleetRank_ += IsBefore ? 1 : 0;
+    if (Listed.Zone_ != Self.Zone_)
+      continue;
+    ++View.ZoneSize_;
+    View.ZoneRank_ += IsBefore ? 1 : 0;
+  }
+}
+
 unsigned fleetRank(const CoreState &State) {
   const auto Live = liveMembers(State.Members_);
   return static_cast<unsigned>(
@@ -87,7 +100,9 @@
   return Left.Config_ == Right.Config_ &&
          Left.LeavingServers_ == Right.LeavingServers_ &&
          Left.FleetSize_ == Right.FleetSize_ &&
-         Left.FleetRank_ == Right.FleetRank_ && isSameProbePlace(Left, Right) &&
+         Left.FleetRank_ == Right.FleetRank_ &&
+         Left.ZoneSize_ == Right.ZoneSize_ &&
+         Left.ZoneRank_ == Right.ZoneRank_ && isSameProbePlace(Left, Right) &&
          Left.Confirmed_ == Right.Confirmed_;
 }
 
@@ -103,7 +118,10 @@
   View->Config_ = State.Log_.State_;
   View->LeavingServers_ = leavingServers(State.Leaving_, *State.Log_.State_);
   View->FleetSize_ = fleetSize(State);
-  View->FleetRank_ = fleetRank(State);
+  if (State.Settings_.FollowsDirectory_)
+    fillListedPlaces(State, *View);
+  else
+    View->FleetRank_ = fleetRank(State);
   fillProbePlace(State, *View);
   View->Confirmed_ = State.Confirmed_;
   if (State.View_ && isSameView(*State.View_, *View))
--- a/src/libcumingauge/control/vmlist.cpp
+++ b/src/libcumingauge/control/vmlist.cpp
@@ -81,7 +81,8 @@
 unsigned listedEntryVms(const CoreState &State) {
   const VmList &List = State.Vms_;
   const bool IsKnown =
-      List.EntryVmsAt_ && State.Now_ - *List.EntryVmsAt_ < CountHold;
+      List.EntryVmsAt_ && (State.Settings_.FollowsDirectory_ ||
+                           State.Now_ - *List.EntryVmsAt_ < CountHold);
   return IsKnown ? List.EntryVms_ : 0;
 }
 
--- a/src/libcumingauge/model/controlview.h
+++ b/src/libcumingauge/model/controlview.h
@@ -15,6 +15,10 @@
   std::set<std::string> LeavingServers_; ///< by mark, VM list or own word
   unsigned FleetSize_ = 1; ///< larger of VM list and peers, at least 1
   unsigned FleetRank_ = 0; ///< place of this process among the members
+  /// The same among those of the own availability zone; 0 where the zone's
+  /// members are not counted.
+  unsigned ZoneSize_ = 0;
+  unsigned ZoneRank_ = 0;
   /// Places among which the probing budget is shared, and the own one. They
   /// also count processes that ended without a goodbye a short while ago, for
   /// these may be beyond a partition and still sending probes.
--- a/src/libcumingauge/policy/subset.cpp
+++ b/src/libcumingauge/policy/subset.cpp
@@ -7,6 +7,10 @@
 
 /// Services up to this size are used whole where connections suffice.
 constexpr std::size_t WholeUpTo = 64;
+/// The same for the servers of one zone, and the least number of them: a look
+/// at fewer finds one at its usual pace less often.
+constexpr std::size_t ZoneWholeUpTo = 12;
+constexpr std::size_t ZoneSubsetLeast = 8;
 
 /// The van der Corput sequence as a 64-bit fraction: any first n of its
 /// values leave gaps of less than 2/n.
@@ -73,8 +77,35 @@
   return {startOf(reversedBits(Place.Place_), Count), Wanted};
 }
 
+std::vector<std::uint32_t> cut(std::vector<RingPlace> Servers, const Arc &Cut) {
+  std::sort(Servers.begin(), Servers.end(),
+            [](const RingPlace &Left, const RingPlace &Right) {
+              return Left.Hash_ != Right.Hash_ ? Left.Hash_ < Right.Hash_
+                                               : Left.Handle_ < Right.Handle_;
+            });
+  std::vector<std::uint32_t> Out;
+  Out.reserve(Cut.Length_);
+  for (std::size_t I = 0; I < Cut.Length_; ++I)
+    Out.push_back(Servers[(Cut.First_ + I) % Servers.size()].Handle_);
+  return Out;
+}
+
 } // namespace
 
+std::vector<std::uint32_t> zoneSubsetOf(std::vector<RingPlace> Servers,
+                                        const FleetPlace &Place) {
+  const std::size_t Count = Servers.size();
+  if (Count == 0)
+    return {};
+  const unsigned Deciders = std::max(Place.Deciders_, 1u);
+  const std::size_t NoGap = 4 * Count / Deciders + 2;
+  const std::size_t Length = std::min(Count, std::max(NoGap, ZoneSubsetLeast));
+  if (Count <= ZoneWholeUpTo || Length == Count)
+    return cut(std::move(Servers), {0, Count});
+  return cut(std::move(Servers),
+             {startOf(reversedBits(Place.Place_ % Deciders), Count), Length});
+}
+
 std::vector<std::uint32_t> subsetOf(std::vector<RingPlace> Servers,
                                     const FleetPlace &Place,
                                     unsigned MaxUsers) {
@@ -83,18 +114,9 @@
   const unsigned Deciders = std::max(Place.Deciders_, 1u);
   // A place may be too high for a moment while the fleet changes.
   const FleetPlace Known{Deciders, Place.Place_ % Deciders};
-  std::sort(Servers.begin(), Servers.end(),
-            [](const RingPlace &Left, const RingPlace &Right) {
-              return Left.Hash_ != Right.Hash_ ? Left.Hash_ < Right.Hash_
-                                               : Left.Handle_ < Right.Handle_;
-            });
   // The arc counts servers, not hash distance: even shares for all threads.
   const Arc Cut = arcOf(Servers.size(), Known, MaxUsers);
-  std::vector<std::uint32_t> Out;
-  Out.reserve(Cut.Length_);
-  for (std::size_t I = 0; I < Cut.Length_; ++I)
-    Out.push_back(Servers[(Cut.First_ + I) % Servers.size()].Handle_);
-  return Out;
+  return cut(std::move(Servers), Cut);
 }
 
 } // namespace cumingauge::policy
--- a/src/libcumingauge/policy/subset.h
+++ b/src/libcumingauge/policy/subset.h
@@ -23,4 +23,10 @@
                                     const FleetPlace &Place,
                                     unsigned MaxUsers = UINT32_MAX);
 
+/// The same among the servers of one availability zone for the threads of that
+/// zone: few servers, so that connections to them are used again before they
+/// are idle for too long.
+std::vector<std::uint32_t> zoneSubsetOf(std::vector<RingPlace> Servers,
+                                        const FleetPlace &Place);
+
 } // namespace cumingauge::policy
--- a/src/libcumingauge/policy/view.cpp
+++ b/src/libcumingauge/policy/view.cpp
@@ -99,17 +99,48 @@
   return Burst > 0 ? Burst / State.Deciders_ : TokenBucket().Cap_;
 }
 
-void cutSubset(BalancerState &State, ServiceRecord &Service) {
+RingPlace ringPlaceOf(const BalancerState &State, ServerHandle Handle) {
+  const model::BackendServer &Server = State.Servers_[Handle].Server_;
+  const std::string Key = identityKey(Server.Name_, Server.Vm_);
+  return {Handle, XXH64(Key.data(), Key.size(), 0)};
+}
+
+/// Place among the threads of the own zone.
+FleetPlace zonePlace(const BalancerState &State) {
+  const model::ControlView &View = *State.View_;
+  return {View.ZoneSize_ * State.Threads_,
+          View.ZoneRank_ * State.Threads_ + State.Thread_.value_or(0)};
+}
+
+/// Some servers of the own zone, and some of the others for when these do not
+/// suffice.
+std::vector<ServerHandle> cutByZone(const BalancerState &State,
+                                    const ServiceRecord &Service) {
+  std::vector<RingPlace> Near;
+  std::vector<RingPlace> Far;
+  for (const ServerHandle Handle : Service.Members_)
+    (State.Servers_[Handle].SameZone_ ? Near : Far)
+        .push_back(ringPlaceOf(State, Handle));
+  std::vector<ServerHandle> Out =
+      zoneSubsetOf(std::move(Near), zonePlace(State));
+  const auto Others = zoneSubsetOf(std::move(Far), fleetPlace(State));
+  Out.insert(Out.end(), Others.begin(), Others.end());
+  return Out;
+}
+
+std::vector<ServerHandle> cutByFleet(const BalancerState &State,
+                                     const ServiceRecord &Service) {
   std::vector<RingPlace> Ring;
-  for (const ServerHandle Handle : Service.Members_) {
-    ServerRecord &Record = State.Servers_[Handle];
-    Record.InSubset_ = false;
-    const std::string Key =
-        identityKey(Record.Server_.Name_, Record.Server_.Vm_);
-    Ring.push_back({Handle, XXH64(Key.data(), Key.size(), 0)});
-  }
-  Service.Subset_ =
-      subsetOf(std::move(Ring), fleetPlace(State), maxUsers(State));
+  for (const ServerHandle Handle : Service.Members_)
+    Ring.push_back(ringPlaceOf(State, Handle));
+  return subsetOf(std::move(Ring), fleetPlace(State), maxUsers(State));
+}
+
+void cutSubset(BalancerState &State, ServiceRecord &Service) {
+  for (const ServerHandle Handle : Service.Members_)
+    State.Servers_[Handle].InSubset_ = false;
+  Service.Subset_ = State.View_->ZoneSize_ > 0 ? cutByZone(State, Service)
+                                               : cutByFleet(State, Service);
   for (const ServerHandle Handle : Service.Subset_)
     State.Servers_[Handle].InSubset_ = true;
 }
@@ -141,11 +172,14 @@
                              State.Preset_.Measuring_.ProbesPerSecond_ !=
                                  Preset.Measuring_.ProbesPerSecond_;
   const FleetPlace FormerPlace = fleetPlace(State);
+  const FleetPlace FormerZonePlace =
+      State.View_ ? zonePlace(State) : FleetPlace{};
   const unsigned FormerUsers = maxUsers(State);
   State.View_ = View;
   State.Preset_ = Preset;
   State.Deciders_ = std::max(View->FleetSize_, 1u) * State.Threads_;
   const bool CutAll = FirstView || FormerPlace != fleetPlace(State) ||
+                      FormerZonePlace != zonePlace(State) ||
                       FormerUsers != maxUsers(State);
   takeServers(State, *View, FirstView, Now);
   for (ServiceRecord &Service : State.Services_) {
