Spread the list of servers over peer links in large zones

In a zone of 8 and more a few readers ask; each other process keeps links to two of them, gets what has changed and how well that is known, and asks for itself when the news are older than 0.6 of the leaving bound. Below 8 the links would cost more than they save.

--- a/src/libcumingauge/control/core.cpp
+++ b/src/libcumingauge/control/core.cpp
@@ -1,6 +1,7 @@
 #include "control/core.h"
 #include "control/corestate.h"
 #include "control/directoryfollower.h"
+#include "control/directorylinks.h"
 #include "control/heartbeats.h"
 #include "control/linkkeeper.h"
 #include "control/membership.h"
@@ -35,7 +36,8 @@
          std::to_string(
              std::chrono::duration_cast<model::milliseconds>(Gap).count()) +
              " ms");
-  beatNow(State);
+  if (!State.Settings_.FollowsDirectory_)
+    beatNow(State);
 }
 
 void noteTime(CoreState &State, model::TimePoint Now) {
@@ -51,7 +53,8 @@
   Link &From_;
 
   void operator()(const Heartbeat &Message) const {
-    takeHeartbeat(State_, From_, Message);
+    if (!State_.Settings_.FollowsDirectory_)
+      takeHeartbeat(State_, From_, Message);
   }
   void operator()(const Entries &Message) const {
     if (Message.Changes_.empty())
@@ -79,6 +82,14 @@
   void operator()(const TimelineRequest &Message) const {
     give(State_, AnswerOperator{From_.Id_, Message});
   }
+  void operator()(const DirectoryInterest &Message) const {
+    if (!From_.Operator_)
+      takeDirectoryInterest(State_, From_, Message);
+  }
+  void operator()(const DirectoryNews &Message) const {
+    if (!From_.Operator_)
+      takeDirectoryNews(State_, From_, Message);
+  }
   void operator()(const StatusReply & /*Message*/) const {}
   void operator()(const TimelineReply & /*Message*/) const {}
 };
@@ -128,11 +139,11 @@
   void tick() const {
     if (!State_.StartedAt_ || State_.IsStopping_)
       return;
+    if (State_.Settings_.FollowsDirectory_)
+      return followDirectory(State_);
     keepLinks(State_);
     beat(State_);
     superviseMembers(State_);
-    if (State_.Settings_.FollowsDirectory_)
-      return followDirectory(State_);
     fillGaps(State_);
     followStore(State_);
     pollVmList(State_);
--- a/src/libcumingauge/control/directoryfollower.cpp
+++ b/src/libcumingauge/control/directoryfollower.cpp
@@ -1,5 +1,6 @@
 #include "control/directoryfollower.h"
 #include "control/corestate.h"
+#include "control/directorylinks.h"
 #include "control/storefollower.h"
 #include <algorithm>
 
@@ -30,11 +31,14 @@
 /// Part of the time in which a leaving mark must be in force for which changes
 /// are gathered before they are asked for; the rest is for the call.
 constexpr double PausePart = 0.6;
+/// The same for a reader, whose news have to travel on.
+constexpr double ReaderPausePart = 0.35;
 
 /// Least time between two calls about one topic.
 model::Duration callPause(const CoreState &State) {
   const auto Bound = model::Duration(State.Settings_.LeavingBound_);
-  return std::chrono::duration_cast<model::Duration>(Bound * PausePart);
+  return std::chrono::duration_cast<model::Duration>(
+      Bound * (isReader(State) ? ReaderPausePart : PausePart));
 }
 
 StoreCallId callDirectory(CoreState &State, DirectoryRequest Request) {
@@ -156,7 +160,8 @@
 
 void followServers(CoreState &State) {
   DirectoryFollower &Follower = State.Directory_;
-  if (!isDueNow(State, Follower.Servers_))
+  if (!isDueNow(State, Follower.Servers_) ||
+      (Follower.Servers_.Revision_ > 0 && !mustAskDirectory(State)))
     return;
   DirectoryRequest Request =
       nextRequest(Follower.Servers_, DirectoryTopic::Servers);
@@ -224,6 +229,18 @@
   return true;
 }
 
+/// Notes which entries of a list have changed, for the peers' news.
+void noteChange(CoreState &State, const std::string &Name) {
+  State.Directory_.ChangedAt_[Name] = State.Directory_.KnownRevision_;
+}
+
+bool takeNotedEntry(CoreState &State, const ports::ServerEntry &Entry) {
+  if (!takeEntry(State, Entry))
+    return false;
+  noteChange(State, Entry.Name_);
+  return true;
+}
+
 /// Takes a whole list; true when it differs from the one before.
 bool takeList(CoreState &State,
               const std::map<std::string, ListedServer> &Read) {
@@ -238,12 +255,18 @@
   // A server that was leaving is gone for good.
   for (const std::string &Name : Missing)
     if (!isJustBack(State) || Follower.Listed_[Name].Leaving_)
-      Changed = takeEntry(State, {Name, std::nullopt}) || Changed;
+      Changed = takeNotedEntry(State, {Name, std::nullopt}) || Changed;
   for (const auto &[Name, Entry] : Read)
-    Changed = takeEntry(State, {Name, Entry}) || Changed;
+    Changed = takeNotedEntry(State, {Name, Entry}) || Changed;
   return Changed;
 }
 
+void noteKnown(CoreState &State, std::uint64_t Revision) {
+  DirectoryFollower &Follower = State.Directory_;
+  Follower.KnownRevision_ = std::max(Follower.KnownRevision_, Revision);
+  Follower.TrueAt_ = State.Now_;
+}
+
 /// Takes a page; true when the list is complete.
 bool takePage(CoreState &State, const ports::DirectoryResponse &Answer) {
   DirectoryFollower &Follower = State.Directory_;
@@ -274,6 +297,7 @@
       return;
     // Pages are no snapshot: what changed meanwhile is watched from the first.
     Feed.Revision_ = Follower.PagesRevision_;
+    noteKnown(State, Feed.Revision_);
     takeList(State, Follower.Pages_);
     Follower.Pages_.clear();
     Changed = true;
@@ -282,14 +306,15 @@
       Feed.Revision_ = 0;
   } else {
     Feed.Revision_ = std::max(Feed.Revision_, Answer.Revision_);
-    for (const ports::ServerEntry &Entry : Answer.Servers_)
-      Changed = takeEntry(State, Entry) || Changed;
+    Follower.TrueAt_ = State.Now_;
+    takeServerEntries(State, Answer.Servers_, Feed.Revision_);
   }
   if (HasNews || isJustBack(State))
     Feed.NextAt_ = State.Now_ + callPause(State);
   Follower.ServersRead_ = true;
   if (Changed)
     replaceState(State, *State.Log_.State_);
+  sendDirectoryNews(State);
 }
 
 // Members.
@@ -343,11 +368,26 @@
   dropOverdue(State, Follower.Configuration_, WatchWait);
   dropOverdue(State, Follower.Servers_, WatchWait);
   dropOverdue(State, Follower.Members_, model::Duration::zero());
+  keepDirectoryLinks(State);
   followConfiguration(State);
   followServers(State);
   followMembers(State);
 }
 
+void takeServerEntries(CoreState &State,
+                       const std::vector<ports::ServerEntry> &Entries,
+                       std::uint64_t Revision) {
+  DirectoryFollower &Follower = State.Directory_;
+  Follower.KnownRevision_ = std::max(Follower.KnownRevision_, Revision);
+  if (Follower.Servers_.Revision_ > 0)
+    Follower.Servers_.Revision_ = Follower.KnownRevision_;
+  bool Changed = false;
+  for (const ports::ServerEntry &Entry : Entries)
+    Changed = takeNotedEntry(State, Entry) || Changed;
+  if (Changed)
+    replaceState(State, *State.Log_.State_);
+}
+
 void takeDirectoryAnswer(CoreState &State, StoreCallId Call,
                          const ports::DirectoryResponse &Answer) {
   DirectoryFollower &Follower = State.Directory_;
@@ -382,6 +422,7 @@
     Feed->Revision_ = 0;
   }
   Follower.NextPage_.clear();
+  Follower.NewsTrueAt_.reset();
 }
 
 } // namespace cumingauge::control
--- a/src/libcumingauge/control/directoryfollower.h
+++ b/src/libcumingauge/control/directoryfollower.h
@@ -37,6 +37,13 @@
   std::string NextPage_;
   std::map<std::string, ports::ListedServer> Listed_; ///< by name
   std::vector<model::Member> ListedMembers_;
+  std::uint64_t KnownRevision_ = 0; ///< of the list; never goes back
+  model::TimePoint TrueAt_;         ///< moment of the last answer
+  /// Revision up to which each server's last change was seen, removed ones
+  /// included.
+  std::map<std::string, std::uint64_t> ChangedAt_;
+  /// Moment of which the last news from a peer tell.
+  std::optional<model::TimePoint> NewsTrueAt_;
   std::optional<model::TimePoint> BackAt_; ///< end of the last outage
 };
 
@@ -47,6 +54,11 @@
 void takeDirectoryAnswer(CoreState &State, StoreCallId Call,
                          const ports::DirectoryResponse &Answer);
 
+/// Takes changes of servers that a call or a peer has told.
+void takeServerEntries(CoreState &State,
+                       const std::vector<ports::ServerEntry> &Entries,
+                       std::uint64_t Revision);
+
 /// Has everything read again at once, after a pause of the process.
 void hurryDirectory(CoreState &State);
 
--- /dev/null
+++ b/src/libcumingauge/control/directorylinks.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "control/core.h"
+#include "control/linktable.h"
+
+/// Spreads the list of servers over peer links, so that only a few processes
+/// of a large availability zone ask the directory. The others keep links to
+/// two of these readers. A process whose news are older than a part of the
+/// leaving bound asks the directory itself.
+namespace cumingauge::control {
+
+struct CoreState;
+
+/// Whether this process has to ask the directory for changes of servers.
+bool mustAskDirectory(const CoreState &State);
+
+/// Whether other processes rely on what this one asks.
+bool isReader(const CoreState &State);
+
+/// Opens and closes links, and sends the news that are due.
+void keepDirectoryLinks(CoreState &State);
+
+/// A link is open: tells the reader what is known here.
+void greetReader(CoreState &State, const Link &Opened);
+
+/// A peer wants news from now on.
+void takeDirectoryInterest(CoreState &State, Link &From,
+                           const DirectoryInterest &Message);
+
+void takeDirectoryNews(CoreState &State, Link &From,
+                       const DirectoryNews &Message);
+
+/// Sends what has changed to every peer that wants news.
+void sendDirectoryNews(CoreState &State);
+
+} // namespace cumingauge::control
--- a/src/libcumingauge/control/linkkeeper.cpp
+++ b/src/libcumingauge/control/linkkeeper.cpp
@@ -1,5 +1,6 @@
 #include "control/linkkeeper.h"
 #include "control/corestate.h"
+#include "control/directorylinks.h"
 #include "control/heartbeats.h"
 #include "control/linkchoice.h"
 #include "control/membership.h"
@@ -26,29 +27,12 @@
   return {Value.Host_, Value.Port_};
 }
 
-bool isAvoided(const CoreState &State, const PeerAddress &Address) {
-  const auto Found = State.Links_.AvoidUntil_.find(Address);
-  return Found != State.Links_.AvoidUntil_.end() && Found->second > State.Now_;
-}
-
-void open(CoreState &State, const PeerAddress &Address) {
-  if (State.Links_.Opening_.count(Address) || isAvoided(State, Address))
-    return;
-  State.Links_.Opening_[Address] = State.Now_;
-  give(State, OpenLink{Address.Host_, Address.Port_});
-}
-
-void close(CoreState &State, LinkId Id, model::ResultCode Reason) {
-  give(State, CloseLink{Id, Reason});
-  State.Links_.Links_.erase(Id);
-}
-
 std::vector<const Member *> wantedPeers(const CoreState &State) {
   std::vector<const Member *> Candidates;
   for (const Member *Peer : livePeers(State)) {
     const bool IsLinked = findLinkTo(State.Links_, Peer->Process_) != nullptr;
     if (Peer->Status_ == MemberStatus::Alive &&
-        (IsLinked || !isAvoided(State, addressOf(*Peer))))
+        (IsLinked || !isAddressAvoided(State, addressOf(*Peer))))
       Candidates.push_back(Peer);
   }
   const CoreSettings &Settings = State.Settings_;
@@ -57,29 +41,6 @@
                       Settings.LinksToOtherRegions_});
 }
 
-/// Closes links that this process opened and has not wanted for a while.
-void closeUnwanted(CoreState &State,
-                   const std::vector<const Member *> &Wanted) {
-  std::vector<LinkId> Unwanted;
-  for (auto &[Id, Value] : State.Links_.Links_) {
-    const std::string &Process = Value.Peer_.Process_;
-    const bool IsWanted =
-        std::any_of(Wanted.begin(), Wanted.end(), [&](const Member *Peer) {
-          return Peer->Process_ == Process;
-        });
-    if (IsWanted || !Value.Ordered_ || Value.Operator_) {
-      Value.UnwantedSince_.reset();
-      continue;
-    }
-    if (!Value.UnwantedSince_)
-      Value.UnwantedSince_ = State.Now_;
-    if (State.Now_ - *Value.UnwantedSince_ >= UnwantedPatience)
-      Unwanted.push_back(Id);
-  }
-  for (const LinkId Id : Unwanted)
-    close(State, Id, model::ResultCode::Ok);
-}
-
 /// Closes links to members that are thought dead, so that they are opened
 /// anew when these return.
 void closeDead(CoreState &State) {
@@ -95,7 +56,7 @@
       Dead.push_back(Id);
   }
   for (const LinkId Id : Dead)
-    close(State, Id, model::ResultCode::PeerUnreachable);
+    closeLink(State, Id, model::ResultCode::PeerUnreachable);
 }
 
 bool isLinkedTo(const CoreState &State, const PeerAddress &Address) {
@@ -138,21 +99,11 @@
   for (unsigned I = 0; I < (IsAlone ? SeedsAtStart : 1) && !Lost.empty(); ++I) {
     const std::size_t Drawn =
         State.Random_(static_cast<std::uint32_t>(Lost.size()));
-    open(State, Lost[Drawn]);
+    openLink(State, Lost[Drawn]);
     Lost.erase(Lost.begin() + static_cast<std::ptrdiff_t>(Drawn));
   }
 }
 
-void dropLapsedAttempts(CoreState &State) {
-  auto &Opening = State.Links_.Opening_;
-  for (auto It = Opening.begin(); It != Opening.end();)
-    It = State.Now_ - It->second >= OpenTimeout ? Opening.erase(It)
-                                                : std::next(It);
-  auto &Avoid = State.Links_.AvoidUntil_;
-  for (auto It = Avoid.begin(); It != Avoid.end();)
-    It = It->second <= State.Now_ ? Avoid.erase(It) : std::next(It);
-}
-
 /// Of two links between the same processes, the one opened by the process
 /// with the larger name is closed, by that process.
 bool isSurplus(const CoreState &State, const Link &Opened) {
@@ -169,6 +120,55 @@
 
 } // namespace
 
+bool isAddressAvoided(const CoreState &State, const PeerAddress &Address) {
+  const auto Found = State.Links_.AvoidUntil_.find(Address);
+  return Found != State.Links_.AvoidUntil_.end() && Found->second > State.Now_;
+}
+
+void openLink(CoreState &State, const PeerAddress &Address) {
+  if (State.Links_.Opening_.count(Address) || isAddressAvoided(State, Address))
+    return;
+  State.Links_.Opening_[Address] = State.Now_;
+  give(State, OpenLink{Address.Host_, Address.Port_});
+}
+
+void closeLink(CoreState &State, LinkId Id, model::ResultCode Reason) {
+  give(State, CloseLink{Id, Reason});
+  State.Links_.Links_.erase(Id);
+}
+
+void closeUnwanted(CoreState &State,
+                   const std::vector<const Member *> &Wanted) {
+  std::vector<LinkId> Unwanted;
+  for (auto &[Id, Value] : State.Links_.Links_) {
+    const std::string &Process = Value.Peer_.Process_;
+    const bool IsWanted =
+        std::any_of(Wanted.begin(), Wanted.end(), [&](const Member *Peer) {
+          return Peer->Process_ == Process;
+        });
+    if (IsWanted || !Value.Ordered_ || Value.Operator_) {
+      Value.UnwantedSince_.reset();
+      continue;
+    }
+    if (!Value.UnwantedSince_)
+      Value.UnwantedSince_ = State.Now_;
+    if (State.Now_ - *Value.UnwantedSince_ >= UnwantedPatience)
+      Unwanted.push_back(Id);
+  }
+  for (const LinkId Id : Unwanted)
+    closeLink(State, Id, model::ResultCode::Ok);
+}
+
+void dropLapsedAttempts(CoreState &State) {
+  auto &Opening = State.Links_.Opening_;
+  for (auto It = Opening.begin(); It != Opening.end();)
+    It = State.Now_ - It->second >= OpenTimeout ? Opening.erase(It)
+                                                : std::next(It);
+  auto &Avoid = State.Links_.AvoidUntil_;
+  for (auto It = Avoid.begin(); It != Avoid.end();)
+    It = It->second <= State.Now_ ? Avoid.erase(It) : std::next(It);
+}
+
 void takeLinkOpened(CoreState &State, const LinkOpened &Input) {
   Link &Opened = State.Links_.Links_[Input.Link_];
   Opened = Link();
@@ -184,18 +184,20 @@
   const bool IsSelf = Input.Peer_.Process_ == State.Members_.Self_;
   const bool IsTooMany =
       !Opened.Ordered_ && State.Links_.Links_.size() > MaxPeerLinks;
-  if (IsTooMany) {
+  if (IsTooMany && !State.Settings_.FollowsDirectory_) {
     // The newcomer needs other members to link with.
     takeMember(State, Input.Peer_);
     sendTable(State, Opened);
   }
   if (IsSelf || IsTooMany || isSurplus(State, Opened)) {
-    close(State, Input.Link_, model::ResultCode::Ok);
+    closeLink(State, Input.Link_, model::ResultCode::Ok);
     if (IsSelf)
       State.Links_.AvoidUntil_[addressOf(Input.Peer_)] =
           State.Now_ + model::seconds(3600);
     return;
   }
+  if (State.Settings_.FollowsDirectory_)
+    return greetReader(State, Opened);
   takeMember(State, Input.Peer_);
   sendHeartbeat(State, Opened, /*AnswerNow=*/true);
 }
@@ -239,7 +241,7 @@
   const std::vector<const Member *> Wanted = wantedPeers(State);
   for (const Member *Peer : Wanted)
     if (!findLinkTo(State.Links_, Peer->Process_))
-      open(State, addressOf(*Peer));
+      openLink(State, addressOf(*Peer));
   closeUnwanted(State, Wanted);
   closeDead(State);
 }
--- a/src/libcumingauge/control/linkkeeper.h
+++ b/src/libcumingauge/control/linkkeeper.h
@@ -17,4 +17,21 @@
 /// Opens and closes what is due. To be called at every tick.
 void keepLinks(CoreState &State);
 
+// Parts of it, for other choices of peers.
+
+/// Whether an address has failed a short while ago.
+bool isAddressAvoided(const CoreState &State, const PeerAddress &Address);
+
+/// Orders a link unless one is being opened or the address is avoided.
+void openLink(CoreState &State, const PeerAddress &Address);
+
+void closeLink(CoreState &State, LinkId Id, model::ResultCode Reason);
+
+/// Closes links that this process opened and has not wanted for a while.
+void closeUnwanted(CoreState &State,
+                   const std::vector<const model::Member *> &Wanted);
+
+/// Forgets attempts that have failed or taken too long.
+void dropLapsedAttempts(CoreState &State);
+
 } // namespace cumingauge::control
--- a/src/libcumingauge/control/linktable.h
+++ b/src/libcumingauge/control/linktable.h
@@ -53,6 +53,9 @@
   std::optional<model::TimePoint> DigestDiffersSince_;
   std::optional<model::TimePoint> StateSentAt_;
   std::optional<model::TimePoint> UnwantedSince_;
+  /// What the peer knows of the directory's servers, if it wants news.
+  std::optional<std::uint64_t> KnownRevision_;
+  model::TimePoint NextNews_;
   StateAssembly Assembly_;
 };
 
--- a/src/libcumingauge/control/peermessage.h
+++ b/src/libcumingauge/control/peermessage.h
@@ -92,6 +92,32 @@
 };
 BOOST_DESCRIBE_STRUCT(ServerNews, (), (Sightings_))
 
+/// One entry of the directory's list of servers.
+struct ListedNews {
+  std::string Name_;
+  std::optional<model::BackendServer> Server_; ///< absent: it was removed
+  bool Leaving_ = false;
+};
+BOOST_DESCRIBE_STRUCT(ListedNews, (), (Name_, Server_, Leaving_))
+
+/// Wants the changes of the list after a revision, and news from then on.
+struct DirectoryInterest {
+  static constexpr const char *Kind = "directoryInterest";
+  std::uint64_t Revision_ = 0;
+};
+BOOST_DESCRIBE_STRUCT(DirectoryInterest, (), (Revision_))
+
+/// What has changed in the list of servers; sent without changes too, to show
+/// how far and how well the sender knows it.
+struct DirectoryNews {
+  static constexpr const char *Kind = "directoryNews";
+  std::uint64_t After_ = 0;    ///< changes since this revision
+  std::uint64_t Revision_ = 0; ///< up to this one
+  std::uint32_t AgeMs_ = 0;    ///< since the sender knew that for sure
+  std::vector<ListedNews> Servers_;
+};
+BOOST_DESCRIBE_STRUCT(DirectoryNews, (), (After_, Revision_, AgeMs_, Servers_))
+
 /// Operator: asks for the state of this process.
 struct StatusRequest {
   static constexpr const char *Kind = "statusRequest";
@@ -119,8 +145,9 @@
 };
 BOOST_DESCRIBE_STRUCT(TimelineReply, (), (Events_, Dropped_))
 
-using PeerMessage = std::variant<Heartbeat, Entries, WantEntries, StateChunk,
-                                 MemberNews, ServerNews, StatusRequest,
-                                 StatusReply, TimelineRequest, TimelineReply>;
+using PeerMessage =
+    std::variant<Heartbeat, Entries, WantEntries, StateChunk, MemberNews,
+                 ServerNews, StatusRequest, StatusReply, TimelineRequest,
+                 TimelineReply, DirectoryInterest, DirectoryNews>;
 
 } // namespace cumingauge::control
