Refuse a call at once that cannot be answered within its objective

Cause of the worst windows: in a burst of twice the usual load every call went to a full server and all were late.

--- a/src/libcumingauge/model/preset.h
+++ b/src/libcumingauge/model/preset.h
@@ -54,8 +54,12 @@
 struct QueueLimits {
   unsigned MaxQueued_ = 256;
   double MaxCallerShare_ = 0.5; ///< share of the queue one caller may fill
+  /// While no server has a free slot, a call that is expected to take longer
+  /// than this many objectives of its route is refused at once; 0: none is.
+  double ObjectiveSlack_ = 0;
 };
-BOOST_DESCRIBE_STRUCT(QueueLimits, (), (MaxQueued_, MaxCallerShare_))
+BOOST_DESCRIBE_STRUCT(QueueLimits, (),
+                      (MaxQueued_, MaxCallerShare_, ObjectiveSlack_))
 
 /// Connections and calls in flight to one backend server over the whole fleet.
 struct ServerLimits {
--- a/src/libcumingauge/policy/admission.cpp
+++ b/src/libcumingauge/policy/admission.cpp
@@ -123,8 +123,41 @@
     }
 }
 
+/// Age up to which a server's word on its load counts for this.
+constexpr model::Duration HeardLately = model::milliseconds(60);
+/// Urgent calls are given more time, so that they are refused less often than
+/// others of the same service.
+constexpr double UrgentSlack = 1.5;
+
 } // namespace
 
+bool isHopeless(const BalancerState &State, const ServiceRecord &Service,
+                const CallFacts &Call, model::TimePoint Now) {
+  const double Slack =
+      State.Preset_.Queue_.ObjectiveSlack_ *
+      (Call.Route_.Priority_ == model::Priority::Urgent ? UrgentSlack : 1);
+  const RouteLatency *Usual = findLatency(Service, Call.Route_.Name_);
+  const model::Duration Objective = Call.Route_.Objective_;
+  if (Slack <= 0 || !Usual || Objective <= model::Duration::zero())
+    return false;
+  const double Allowed = Slack * static_cast<double>(Objective.count()) -
+                         static_cast<double>((Now - Call.Arrived_).count());
+  bool HeardOfAny = false;
+  for (const ServerHandle Handle : Service.Subset_) {
+    const ServerRecord &Server = State.Servers_[Handle];
+    if (Server.Draining_ || Now - Server.Report_.HeardAt_ > HeardLately)
+      continue;
+    HeardOfAny = true;
+    const double Backlog = backlogOf(State, Service, Server, Now).Calls_;
+    const double Wait = std::max(0.0, Backlog + 1 - Server.Slots_);
+    const double Expected = Usual->MeanNs_ * std::max(1.0, Server.Pace_) *
+                            (1 + Wait / Server.Slots_);
+    if (Wait <= 0 || Expected <= Allowed)
+      return false;
+  }
+  return HeardOfAny;
+}
+
 model::Duration leastTime(const ServiceRecord &Service, const CallFacts &Call) {
   const RouteLatency *Record = findLatency(Service, Call.Route_.Name_);
   return Record ? model::Duration(
--- a/src/libcumingauge/policy/admission.h
+++ b/src/libcumingauge/policy/admission.h
@@ -10,6 +10,11 @@
 ServerHandle tryDispatch(BalancerState &State, ServiceRecord &Service,
                          const CallFacts &Call, model::TimePoint Now);
 
+/// Whether the call would be answered too late for its route's objective
+/// wherever it went, since all servers that were heard of just now are busy.
+bool isHopeless(const BalancerState &State, const ServiceRecord &Service,
+                const CallFacts &Call, model::TimePoint Now);
+
 /// Puts the call into the queue, or refuses it when it cannot be served in
 /// time or the queue has no place for it.
 Decision enqueue(BalancerState &State, ServiceRecord &Service,
--- a/src/libcumingauge/policy/balancer.cpp
+++ b/src/libcumingauge/policy/balancer.cpp
@@ -81,6 +81,10 @@
     return refuse(model::ResultCode::NotRunNoServer);
   depositFor(*Service, Call, State.Preset_);
   const bool Behind = mustWaitBehind(Service->Queue_, Call);
+  if (isHopeless(State, *Service, Call, Now)) {
+    count(State.Reasons_, ChoiceReason::RefusedHopeless);
+    return refuse(model::ResultCode::NotRunOverload);
+  }
   if (!Behind) {
     const ServerHandle Server = tryDispatch(State, *Service, Call, Now);
     if (Server != NoServer)
--- a/src/libcumingauge/policy/choicereason.h
+++ b/src/libcumingauge/policy/choicereason.h
@@ -24,15 +24,16 @@
   EjectionCeiling, ///< would have been ejected, but too many were
   ServerReturned,  ///< passed probation
   ProbeSent,
-  ProbeSpared, ///< due, but all figures were fresh
+  ProbeSpared,     ///< due, but all figures were fresh
+  RefusedHopeless, ///< no server could answer within the objective
 };
 BOOST_DESCRIBE_ENUM(ChoiceReason, ByMethod, OnProbation, TriedBefore,
                     LastResort, Hedged, QueuedForSlot, QueuedBehind,
                     QueueEvicted, RetryAllowed, RetryFree, RetryNotAllowed,
                     RetryNoBudget, ServerEjected, EjectionCeiling,
-                    ServerReturned, ProbeSent, ProbeSpared)
+                    ServerReturned, ProbeSent, ProbeSpared, RefusedHopeless)
 
-constexpr std::size_t ChoiceReasons = 17;
+constexpr std::size_t ChoiceReasons = 18;
 
 /// Counts since the start, by reason.
 using ReasonCounts = std::array<std::uint64_t, ChoiceReasons>;
