--- a/scripts/check-layers.sh
+++ b/scripts/check-layers.sh
@@ -20,6 +20,17 @@
 forbid codec "(policy|control|traffic|adapters|ports|emulator)/|$IO"
 forbid traffic "(adapters|emulator)/|$IO"
 forbid adapters "emulator/"
+forbid platform "(control|policy|emulator)/"
+forbid model "platform/"
+forbid control "platform/"
+forbid policy "platform/"
+forbid traffic "platform/"
+forbid adapters "platform/"
+WORDS='kv-(key|range|watch|txn)|Attempt-Id|Not-Executed|Expected-Instance|Response-Signature|Server-Load|op/config|latency-objective|traffic-split|cold-remaining'
+if grep -rnE "$WORDS" .. --include='*.h' --include='*.cpp' | grep -v '/platform/'; then
+  echo "the platform's words stay in platform/" >&2
+  STATUS=1
+fi
 if grep -rnE '(steady|system|high_resolution)_clock::now' model policy control codec traffic; then
   echo "time is passed in; only adapters read a clock" >&2
   STATUS=1
