Split the list of servers from the directory follower; refuse doubled settings keys

Cause, found while splitting: when half of the servers stay away after an outage, each read counted as a new outage and they were kept for ever. Test dropsServersThatStayAwayHoweverMany, written after the mend. A settings key that stands twice is refused with its path; before, the last one won. The emulator uses the library's base64. The demo's logs of standard output go to files.

--- a/scripts/demo/processes.sh
+++ b/scripts/demo/processes.sh
@@ -10,7 +10,7 @@
 start() {
   local NAME=$1
   shift
-  "$@" 2>"$OUT/$NAME.log" &
+  "$@" >"$OUT/$NAME.log" 2>&1 &
   PID=$!
   STARTED+=("$PID")
 }
--- a/src/libcumingauge/adapters/log.h
+++ b/src/libcumingauge/adapters/log.h
@@ -34,8 +34,8 @@
       : Name_(Name), Value_(std::to_string(Number)), IsJson_(true) {}
 
   /// A value that is JSON text already.
-  static LogField json(std::string_view Name, std::string Text) {
-    LogField Out(Name, std::move(Text));
+  static LogField json(std::string_view Name, const std::string &Text) {
+    LogField Out(Name, Text);
     Out.IsJson_ = true;
     return Out;
   }
--- a/src/libcumingauge/adapters/settings.cpp
+++ b/src/libcumingauge/adapters/settings.cpp
@@ -1,5 +1,7 @@
 #include "adapters/settings.h"
 #include <fstream>
+#include <functional>
+#include <set>
 #include <sstream>
 
 namespace cumingauge::adapters {
@@ -20,6 +22,44 @@
   return Value.is_discarded() ? codec::Json(Text) : Value;
 }
 
+/// Finds keys that stand twice in one object while a document is parsed; the
+/// parser itself would keep the last one.
+class DoubledKeys {
+public:
+  bool operator()(int /*Depth*/, codec::Json::parse_event_t Event,
+                  codec::Json &Parsed) {
+    using Step = codec::Json::parse_event_t;
+    if (Event == Step::object_start)
+      Open_.emplace_back();
+    else if (Event == Step::object_end)
+      Open_.pop_back();
+    else if (Event == Step::key)
+      noteKey(Parsed.get<std::string>());
+    return true;
+  }
+
+  const model::Problems &found() const { return Found_; }
+
+private:
+  struct Object {
+    std::set<std::string> Keys_;
+    std::string Key_; ///< whose value is parsed now
+  };
+
+  void noteKey(const std::string &Key) {
+    Open_.back().Key_ = Key;
+    if (Open_.back().Keys_.insert(Key).second)
+      return;
+    std::string Path;
+    for (const Object &Parent : Open_)
+      Path += "/" + Parent.Key_;
+    Found_.push_back({Path, "stands twice"});
+  }
+
+  std::vector<Object> Open_;
+  model::Problems Found_;
+};
+
 } // namespace
 
 boost::leaf::result<codec::Json>
@@ -32,7 +72,11 @@
       return fail(model::ResultCode::SettingsUnreadable, File,
                   "cannot be opened");
     try {
-      Document = codec::Json::parse(In);
+      DoubledKeys Doubled;
+      Document = codec::Json::parse(In, std::ref(Doubled));
+      if (!Doubled.found().empty())
+        return boost::leaf::new_error(
+            SettingsError{model::ResultCode::SettingsInvalid, Doubled.found()});
     } catch (const codec::Json::parse_error &Error) {
       return fail(model::ResultCode::SettingsMalformed, File, Error.what());
     }
--- a/src/libcumingauge/control/directoryfollower.cpp
+++ b/src/libcumingauge/control/directoryfollower.cpp
@@ -1,6 +1,7 @@
 #include "control/directoryfollower.h"
 #include "control/corestate.h"
 #include "control/directorylinks.h"
+#include "control/serverlist.h"
 #include "control/storefollower.h"
 #include <algorithm>
 
@@ -13,7 +14,6 @@
 using ports::DirectoryOperation;
 using ports::DirectoryRequest;
 using ports::DirectoryTopic;
-using ports::ListedServer;
 
 /// Longest wait that the directory allows a watch.
 constexpr model::milliseconds WatchWait{30000};
@@ -23,10 +23,6 @@
 /// Half of the time in which a server that lost its entry during an outage has
 /// it back, so that the end of the outage is seen soon.
 constexpr model::milliseconds LastRetry{1000};
-/// Servers whose entries lapsed during an outage register again within 2 s.
-constexpr model::milliseconds ReturnTime{2200};
-/// Part of the servers that are missing after an outage of the directory.
-constexpr double LapsedTogether = 0.5;
 constexpr model::seconds CallTimeout{5};
 /// Part of the time in which a leaving mark must be in force for which changes
 /// are gathered before they are asked for; the rest is for the call.
@@ -169,118 +165,6 @@
   issue(State, Follower.Servers_, std::move(Request));
 }
 
-/// Whether servers have written while this process could not read. A server
-/// writes whenever it starts, turns or warms up, but not when nothing changes,
-/// so entries that lapsed together are what shows an outage.
-bool didManyLapse(const DirectoryFollower &Follower,
-                  const std::map<std::string, ListedServer> &Read) {
-  std::size_t Missing = 0;
-  for (const auto &Entry : Follower.Listed_)
-    Missing += Read.count(Entry.first) == 0 && !Entry.second.Leaving_;
-  return Missing > 0 &&
-         static_cast<double>(Missing) >=
-             LapsedTogether * static_cast<double>(Follower.Listed_.size());
-}
-
-bool isJustBack(const CoreState &State) {
-  const auto &Back = State.Directory_.BackAt_;
-  return Back && State.Now_ - *Back < ReturnTime;
-}
-
-void recordDifference(CoreState &State, const ListedServer *Before,
-                      const ListedServer *After) {
-  const std::string &Name =
-      After ? After->Server_.Name_ : Before->Server_.Name_;
-  const auto Detail = [](const ListedServer &Listed) {
-    return Listed.Server_.Service_ + " " + Listed.Server_.Host_ + ":" +
-           std::to_string(Listed.Server_.Port_) + " vm " + Listed.Server_.Vm_;
-  };
-  if (!After)
-    record(State, EventKind::ServerGone, Name, versionOf(State), ResultCode::Ok,
-           Detail(*Before));
-  else if (!Before || Before->Server_.Vm_ != After->Server_.Vm_)
-    record(State, EventKind::ServerReady, Name, versionOf(State),
-           ResultCode::Ok, Detail(*After));
-}
-
-/// Whether two entries mean the same for choosing a server. How long it stays
-/// cold counts from the first time that it is listed.
-bool isSameListing(const ListedServer &Left, ListedServer Right) {
-  Right.Server_.ColdFor_ = Left.Server_.ColdFor_;
-  return Left.Server_ == Right.Server_ && Left.Leaving_ == Right.Leaving_;
-}
-
-/// True when the entry changed what is known of the server.
-bool takeEntry(CoreState &State, const ports::ServerEntry &Entry) {
-  auto &Listed = State.Directory_.Listed_;
-  const auto Known = Listed.find(Entry.Name_);
-  if (!Entry.Listed_) {
-    if (Known == Listed.end())
-      return false;
-    recordDifference(State, &Known->second, nullptr);
-    Listed.erase(Known);
-    return true;
-  }
-  if (Known != Listed.end() && isSameListing(Known->second, *Entry.Listed_))
-    return false;
-  recordDifference(State, Known == Listed.end() ? nullptr : &Known->second,
-                   &*Entry.Listed_);
-  Listed[Entry.Name_] = *Entry.Listed_;
-  return true;
-}
-
-/// Notes which entries of a list have changed, for the peers' news.
-void noteChange(CoreState &State, const std::string &Name) {
-  State.Directory_.ChangedAt_[Name] = State.Directory_.KnownRevision_;
-}
-
-bool takeNotedEntry(CoreState &State, const ports::ServerEntry &Entry) {
-  if (!takeEntry(State, Entry))
-    return false;
-  noteChange(State, Entry.Name_);
-  return true;
-}
-
-/// Takes a whole list; true when it differs from the one before.
-bool takeList(CoreState &State,
-              const std::map<std::string, ListedServer> &Read) {
-  DirectoryFollower &Follower = State.Directory_;
-  if (didManyLapse(Follower, Read))
-    Follower.BackAt_ = State.Now_;
-  bool Changed = false;
-  std::vector<std::string> Missing;
-  for (const auto &Entry : Follower.Listed_)
-    if (Read.count(Entry.first) == 0)
-      Missing.push_back(Entry.first);
-  // A server that was leaving is gone for good.
-  for (const std::string &Name : Missing)
-    if (!isJustBack(State) || Follower.Listed_[Name].Leaving_)
-      Changed = takeNotedEntry(State, {Name, std::nullopt}) || Changed;
-  for (const auto &[Name, Entry] : Read)
-    Changed = takeNotedEntry(State, {Name, Entry}) || Changed;
-  return Changed;
-}
-
-void noteKnown(CoreState &State, std::uint64_t Revision) {
-  DirectoryFollower &Follower = State.Directory_;
-  Follower.KnownRevision_ = std::max(Follower.KnownRevision_, Revision);
-  Follower.TrueAt_ = State.Now_;
-}
-
-/// Takes a page; true when the list is complete.
-bool takePage(CoreState &State, const ports::DirectoryResponse &Answer) {
-  DirectoryFollower &Follower = State.Directory_;
-  if (Follower.NextPage_.empty()) {
-    Follower.Pages_.clear();
-    Follower.PagesRevision_ = Answer.Revision_;
-  }
-  for (const ports::ServerEntry &Entry : Answer.Servers_)
-    if (Entry.Listed_)
-      Follower.Pages_[Entry.Name_] = *Entry.Listed_;
-  Follower.NextPage_ = Answer.Next_;
-  return Answer.Next_.empty();
-}
-
 void takeServersAnswer(CoreState &State,
                        const ports::DirectoryResponse &Answer) {
   DirectoryFollower &Follower = State.Directory_;
@@ -383,7 +267,7 @@
     Follower.Servers_.Revision_ = Follower.KnownRevision_;
   bool Changed = false;
   for (const ports::ServerEntry &Entry : Entries)
-    Changed = takeNotedEntry(State, Entry) || Changed;
+    Changed = takeEntry(State, Entry) || Changed;
   if (Changed)
     replaceState(State, *State.Log_.State_);
 }
--- /dev/null
+++ b/src/libcumingauge/control/serverlist.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "ports/directory.h"
+#include <cstdint>
+#include <map>
+#include <string>
+
+/// The list of servers as read from the directory or told by peers.
+namespace cumingauge::control {
+
+struct CoreState;
+
+/// Takes one entry; true when it changed what is known of the server.
+bool takeEntry(CoreState &State, const ports::ServerEntry &Entry);
+
+/// Takes a whole list.
+void takeList(CoreState &State,
+              const std::map<std::string, ports::ListedServer> &Read);
+
+/// Takes a page of a list; true when the list is complete.
+bool takePage(CoreState &State, const ports::DirectoryResponse &Answer);
+
+/// Everything up to a revision is known now.
+void noteKnown(CoreState &State, std::uint64_t Revision);
+
+/// Whether an outage of the directory has just ended, so that missing servers
+/// may still come back.
+bool isJustBack(const CoreState &State);
+
+} // namespace cumingauge::control
--- a/src/libcumingauge/emulator/storeanswers.cpp
+++ b/src/libcumingauge/emulator/storeanswers.cpp
@@ -1,6 +1,6 @@
 #include "emulator/storeanswers.h"
+#include "codec/base64.h"
 #include "emulator/jsonanswer.h"
-#include <openssl/evp.h>
 
 namespace cumingauge::emulator {
 
@@ -11,19 +11,9 @@
 
 const std::string KeyPath = "/v1/kv/";
 
-std::string base64(const std::string &Bytes) {
-  std::string Out(4 * ((Bytes.size() + 2) / 3) + 1, '\0');
-  const int Length =
-      EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Out.data()),
-                      reinterpret_cast<const unsigned char *>(Bytes.data()),
-                      static_cast<int>(Bytes.size()));
-  Out.resize(static_cast<std::size_t>(Length));
-  return Out;
-}
-
 Json keyEntry(const std::string &Key, const StoredValue &Stored) {
   Json Entry = {{"Key", Key},
-                {"Value", base64(Stored.Value_)},
+                {"Value", codec::encodeBase64(Stored.Value_)},
                 {"Flags", 0},
                 {"CreateIndex", Stored.CreateIndex_},
                 {"ModifyIndex", Stored.ModifyIndex_}};
--- a/tests/control/directorytest.cpp
+++ b/tests/control/directorytest.cpp
@@ -131,6 +131,7 @@
   CPPUNIT_TEST(readsAgainWhenTheHistoryIsGone);
   CPPUNIT_TEST(neverGoesBackToAnOlderVersion);
   CPPUNIT_TEST(keepsServersThatLapsedTogetherForAWhile);
+  CPPUNIT_TEST(dropsServersThatStayAwayHoweverMany);
   CPPUNIT_TEST(dropsAFewMissingServersAtOnce);
   CPPUNIT_TEST(readsEverythingAfterAPause);
   CPPUNIT_TEST(readsAllPages);
@@ -229,6 +230,21 @@
     CPPUNIT_ASSERT(!Running.isListed("c"));
   }
 
+  void dropsServersThatStayAwayHoweverMany() {
+    Process Running = settled();
+    Running.answer(Servers, failure());
+    Running.wait(model::seconds(1));
+    Running.answer(Servers, servers({server("a")}, 60));
+    for (std::uint64_t Revision = 61; Revision < 64; ++Revision) {
+      Running.wait(model::milliseconds(1300));
+      if (Running.call(Servers)->Request_.Operation_ ==
+          DirectoryOperation::Read)
+        Running.answer(Servers, servers({server("a")}, Revision));
+    }
+    CPPUNIT_ASSERT(Running.isListed("a"));
+    CPPUNIT_ASSERT(!Running.isListed("b") && !Running.isListed("c"));
+  }
+
   /// After a cut of its own the process must not wait for what is gone.
   void dropsAFewMissingServersAtOnce() {
     Process Running = settled();
--- a/tests/http/settingstest.cpp
+++ b/tests/http/settingstest.cpp
@@ -114,6 +114,7 @@
   CPPUNIT_TEST(areTakenWhenValid);
   CPPUNIT_TEST(areNamedWithThePathOfTheirFault);
   CPPUNIT_TEST(areNamedWithThePlaceWhereTheyAreNoJson);
+  CPPUNIT_TEST(areNamedWithThePathOfAKeyThatStandsTwice);
   CPPUNIT_TEST(areNamedWhenOutOfRange);
   CPPUNIT_TEST_SUITE_END();
 
@@ -137,6 +138,19 @@
     }));
   }
 
+  void areNamedWithThePathOfAKeyThatStandsTwice() {
+    const Checker Program;
+    std::string Text = validSettings().dump();
+    const std::string Port = "\"listen\":{";
+    const std::size_t At = Text.find(Port);
+    CPPUNIT_ASSERT(At != std::string::npos);
+    Text.insert(At + Port.size(), "\"port\":1,\"port\":2,");
+    const auto Verdict = Program.check(Text);
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(ResultCode::SettingsInvalid),
+                         Verdict.Status_);
+    CPPUNIT_ASSERT(Verdict.Text_.rfind("/listen/port: stands twice", 0) == 0U);
+  }
+
   void areNamedWithThePlaceWhereTheyAreNoJson() {
     const Checker Program;
     const std::string Whole = validSettings().dump();
