Let readers prove what they know; spread the configuration over peer links too

The age that a reader tells is now that of the last call that was answered, and while its watches wait it pings the directory every 0.35 of the bound with a read that costs a tenth. Ruled out: shorter watches (a call in full each), keep-alive probes below 1 s (whole seconds only).

The configuration travels with the same news, so that only readers watch it, and the first watch of each process waits for the pause after its first reads. A process whose news end reads the topic: a watch from an old revision may miss what was forgotten meanwhile.

--- a/src/libcumingauge/control/core.h
+++ b/src/libcumingauge/control/core.h
@@ -45,8 +45,6 @@
   bool FollowsDirectory_ = false;
   /// Time within which a server that leaves gets no new work.
   model::milliseconds LeavingBound_{2000};
-  /// Pause between announcing itself and reading who else there is.
-  model::milliseconds MeetingTime_{1500};
   /// Between two reads of the members. Those that join read the list
   /// themselves; what the others do with a count that is a little old errs by
   /// as much as the fleet grows meanwhile.
--- a/src/libcumingauge/control/directoryfollower.cpp
+++ b/src/libcumingauge/control/directoryfollower.cpp
@@ -27,14 +27,24 @@
 /// Part of the time in which a leaving mark must be in force for which changes
 /// are gathered before they are asked for; the rest is for the call.
 constexpr double PausePart = 0.6;
+/// Part of the same time after which a reader pings the directory. News then
+/// reach the others well before they count as missing.
+constexpr double ProofPart = 0.35;
 /// The same for a reader, whose news have to travel on.
 constexpr double ReaderPausePart = 0.35;
+/// Part of the same time between announcing itself and reading who else there
+/// is. Links to readers then stand before the pause after the first reads is
+/// over, so that the other processes never set a watch.
+constexpr double MeetingPart = 0.4;
+
+model::Duration partOfBound(const CoreState &State, double Part) {
+  const auto Bound = model::Duration(State.Settings_.LeavingBound_);
+  return std::chrono::duration_cast<model::Duration>(Bound * Part);
+}
 
 /// Least time between two calls about one topic.
 model::Duration callPause(const CoreState &State) {
-  const auto Bound = model::Duration(State.Settings_.LeavingBound_);
-  return std::chrono::duration_cast<model::Duration>(
-      Bound * (isReader(State) ? ReaderPausePart : PausePart));
+  return partOfBound(State, isReader(State) ? ReaderPausePart : PausePart);
 }
 
 StoreCallId callDirectory(CoreState &State, DirectoryRequest Request) {
@@ -83,9 +93,8 @@
   }
   State.Log_.State_ =
       std::make_shared<const model::ConfigState>(std::move(Next));
-  State.HasState_ =
-      State.HasState_ || (State.Directory_.Configuration_.Revision_ > 0 &&
-                          State.Directory_.Servers_.Revision_ > 0);
+  State.HasState_ = State.HasState_ || (State.Directory_.Configuration_.Read_ &&
+                                        State.Directory_.Servers_.Read_);
   State.Confirmed_ = State.HasState_;
   State.ViewChanged_ = true;
 }
@@ -111,30 +120,21 @@
           State.Now_ - Feed.Issued_ < WatchWait - EarlyAnswer);
 }
 
+/// Whether a call about the topic is due. One that peers tell of is not asked
+/// about, and is read as a whole once they fall silent.
+bool mustCall(const CoreState &State, const DirectoryFeed &Feed) {
+  return isDueNow(State, Feed) &&
+         (!Feed.Read_ || mustAskDirectory(State, Feed));
+}
+
 // Configuration.
 
 void followConfiguration(CoreState &State) {
   DirectoryFeed &Feed = State.Directory_.Configuration_;
-  if (isDueNow(State, Feed))
+  if (mustCall(State, Feed))
     issue(State, Feed, nextRequest(Feed, DirectoryTopic::Configuration));
 }
 
-void takeConfiguration(CoreState &State,
-                       const ports::ListedConfiguration &Read) {
-  const std::uint64_t Own = versionOf(State);
-  if (Read.Version_ < Own)
-    return record(State, EventKind::Alarm, "configuration", Read.Version_,
-                  ResultCode::StoreBehindFleet, "is older than the one in use");
-  if (Read.Version_ == Own)
-    return;
-  model::ConfigState Next = *State.Log_.State_;
-  Next.Version_ = Read.Version_;
-  Next.PresetInForce_ = Read.Preset_.Name_;
-  Next.Presets_ = {{Read.Preset_.Name_, Read.Preset_}};
-  replaceState(State, std::move(Next));
-  record(State, EventKind::ChangeApplied, Read.Preset_.Name_, Read.Version_);
-}
-
 void takeConfigurationAnswer(CoreState &State,
                              const ports::DirectoryResponse &Answer) {
   DirectoryFeed &Feed = State.Directory_.Configuration_;
@@ -144,20 +144,20 @@
     Feed.NextAt_ = State.Now_;
     return;
   }
-  const bool WasWatch = Feed.Revision_ > 0;
-  Feed.NextAt_ =
-      WasWatch && HasNews ? State.Now_ + callPause(State) : State.Now_;
+  Feed.TrueAt_ = Feed.Revision_ == 0 ? Feed.Issued_ : State.Now_;
+  Feed.NextAt_ = HasNews ? State.Now_ + callPause(State) : State.Now_;
   Feed.Revision_ = std::max(Feed.Revision_, Answer.Revision_);
+  Feed.Read_ = true;
   if (HasNews)
     takeConfiguration(State, *Answer.Configuration_);
+  sendDirectoryNews(State);
 }
 
 // Servers.
 
 void followServers(CoreState &State) {
   DirectoryFollower &Follower = State.Directory_;
-  if (!isDueNow(State, Follower.Servers_) ||
-      (Follower.Servers_.Revision_ > 0 && !mustAskDirectory(State)))
+  if (!mustCall(State, Follower.Servers_))
     return;
   DirectoryRequest Request =
       nextRequest(Follower.Servers_, DirectoryTopic::Servers);
@@ -176,11 +176,13 @@
     return;
   }
   bool Changed = false;
-  if (Feed.Revision_ == 0) {
+  const bool WasRead = Feed.Revision_ == 0;
+  if (WasRead) {
     if (!takePage(State, Answer))
       return;
     // Pages are no snapshot: what changed meanwhile is watched from the first.
     Feed.Revision_ = Follower.PagesRevision_;
+    Feed.TrueAt_ = Follower.PagesTrueAt_;
     noteKnown(State, Feed.Revision_);
     takeList(State, Follower.Pages_);
     Follower.Pages_.clear();
@@ -190,12 +192,12 @@
       Feed.Revision_ = 0;
   } else {
     Feed.Revision_ = std::max(Feed.Revision_, Answer.Revision_);
-    Follower.TrueAt_ = State.Now_;
+    Feed.TrueAt_ = State.Now_;
     takeServerEntries(State, Answer.Servers_, Feed.Revision_);
   }
-  if (HasNews || isJustBack(State))
+  if (HasNews || WasRead)
     Feed.NextAt_ = State.Now_ + callPause(State);
-  Follower.ServersRead_ = true;
+  Feed.Read_ = true;
   if (Changed)
     replaceState(State, *State.Log_.State_);
   sendDirectoryNews(State);
@@ -221,7 +223,7 @@
   DirectoryFollower &Follower = State.Directory_;
   if (!Follower.Announced_) {
     Follower.Announced_ = true;
-    Follower.Members_.NextAt_ = State.Now_ + State.Settings_.MeetingTime_;
+    Follower.Members_.NextAt_ = State.Now_ + partOfBound(State, MeetingPart);
     return;
   }
   Follower.Members_.NextAt_ =
@@ -232,6 +234,40 @@
   State.ViewChanged_ = true;
 }
 
+// Proof.
+
+bool isWatching(const DirectoryFeed &Feed) {
+  return Feed.Call_ != 0 && Feed.Revision_ > 0;
+}
+
+bool needsProof(const CoreState &State, const DirectoryFeed &Feed) {
+  return isWatching(Feed) &&
+         State.Now_ - Feed.TrueAt_ >= partOfBound(State, ProofPart);
+}
+
+void provePlace(CoreState &State) {
+  DirectoryFollower &Follower = State.Directory_;
+  if (!isReader(State) || !isDueNow(State, Follower.Proof_) ||
+      (!needsProof(State, Follower.Servers_) &&
+       !needsProof(State, Follower.Configuration_)))
+    return;
+  DirectoryRequest Request;
+  Request.Operation_ = DirectoryOperation::Ping;
+  issue(State, Follower.Proof_, std::move(Request));
+}
+
+/// What waited in the directory all the while has missed nothing up to the
+/// moment at which the ping was sent.
+void takeProof(CoreState &State) {
+  DirectoryFollower &Follower = State.Directory_;
+  const model::TimePoint At = Follower.Proof_.Issued_;
+  Follower.Proof_.NextAt_ = State.Now_;
+  for (DirectoryFeed *Feed : {&Follower.Configuration_, &Follower.Servers_})
+    if (isWatching(*Feed) && Feed->Issued_ <= At)
+      Feed->TrueAt_ = std::max(Feed->TrueAt_, At);
+  sendDirectoryNews(State);
+}
+
 bool isAnswerFor(const DirectoryFeed &Feed, StoreCallId Call) {
   return Call != 0 && Feed.Call_ == Call;
 }
@@ -252,10 +288,12 @@
   dropOverdue(State, Follower.Configuration_, WatchWait);
   dropOverdue(State, Follower.Servers_, WatchWait);
   dropOverdue(State, Follower.Members_, model::Duration::zero());
+  dropOverdue(State, Follower.Proof_, model::Duration::zero());
   keepDirectoryLinks(State);
   followConfiguration(State);
   followServers(State);
   followMembers(State);
+  provePlace(State);
 }
 
 void takeServerEntries(CoreState &State,
@@ -272,11 +310,27 @@
     replaceState(State, *State.Log_.State_);
 }
 
+void takeConfiguration(CoreState &State,
+                       const ports::ListedConfiguration &Read) {
+  const std::uint64_t Own = versionOf(State);
+  if (Read.Version_ < Own)
+    return record(State, EventKind::Alarm, "configuration", Read.Version_,
+                  ResultCode::StoreBehindFleet, "is older than the one in use");
+  if (Read.Version_ == Own)
+    return;
+  model::ConfigState Next = *State.Log_.State_;
+  Next.Version_ = Read.Version_;
+  Next.PresetInForce_ = Read.Preset_.Name_;
+  Next.Presets_ = {{Read.Preset_.Name_, Read.Preset_}};
+  replaceState(State, std::move(Next));
+  record(State, EventKind::ChangeApplied, Read.Preset_.Name_, Read.Version_);
+}
+
 void takeDirectoryAnswer(CoreState &State, StoreCallId Call,
                          const ports::DirectoryResponse &Answer) {
   DirectoryFollower &Follower = State.Directory_;
-  for (DirectoryFeed *Feed :
-       {&Follower.Configuration_, &Follower.Servers_, &Follower.Members_}) {
+  for (DirectoryFeed *Feed : {&Follower.Configuration_, &Follower.Servers_,
+                              &Follower.Members_, &Follower.Proof_}) {
     if (!isAnswerFor(*Feed, Call))
       continue;
     Feed->Call_ = 0;
@@ -292,8 +346,10 @@
       takeConfigurationAnswer(State, Answer);
     else if (Feed == &Follower.Servers_)
       takeServersAnswer(State, Answer);
-    else
+    else if (Feed == &Follower.Members_)
       takeMembersAnswer(State, Answer);
+    else
+      takeProof(State);
     return followDirectory(State);
   }
 }
@@ -304,9 +360,9 @@
     Feed->Call_ = 0; // an answer from before the pause may be as old
     Feed->NextAt_ = State.Now_;
     Feed->Revision_ = 0;
+    Feed->NewsTrueAt_.reset();
   }
   Follower.NextPage_.clear();
-  Follower.NewsTrueAt_.reset();
 }
 
 } // namespace cumingauge::control
--- a/src/libcumingauge/control/directoryfollower.h
+++ b/src/libcumingauge/control/directoryfollower.h
@@ -21,29 +21,34 @@
   unsigned Failures_ = 0; ///< in a row
   /// Everything up to it is known; 0: the topic must be read as a whole.
   std::uint64_t Revision_ = 0;
+  bool Read_ = false; ///< at least once
+  /// Moment of which own calls have shown the topic.
+  model::TimePoint TrueAt_;
+  /// The same by the word of a peer.
+  std::optional<model::TimePoint> NewsTrueAt_;
 };
 
 /// Follows a directory: reads the configuration and the servers and then
-/// watches both, with a pause after each change so that many changes cost few
-/// calls. The configuration's version never goes back.
+/// watches both, with a pause after each answer so that many changes cost few
+/// calls. The configuration's version never goes back. A watch that waits does
+/// not show that the directory is still reached, so processes on which others
+/// rely ping it meanwhile.
 struct DirectoryFollower {
   DirectoryFeed Configuration_;
   DirectoryFeed Servers_;
   DirectoryFeed Members_;
+  DirectoryFeed Proof_; ///< pings of a reader
   bool Announced_ = false;
-  bool ServersRead_ = false;                         ///< at least once
   std::map<std::string, ports::ListedServer> Pages_; ///< of the read under way
   std::uint64_t PagesRevision_ = 0;
+  model::TimePoint PagesTrueAt_; ///< when the first page was asked for
   std::string NextPage_;
   std::map<std::string, ports::ListedServer> Listed_; ///< by name
   std::vector<model::Member> ListedMembers_;
   std::uint64_t KnownRevision_ = 0; ///< of the list; never goes back
-  model::TimePoint TrueAt_;         ///< moment of the last answer
   /// Revision up to which each server's last change was seen, removed ones
   /// included.
   std::map<std::string, std::uint64_t> ChangedAt_;
-  /// Moment of which the last news from a peer tell.
-  std::optional<model::TimePoint> NewsTrueAt_;
   std::optional<model::TimePoint> BackAt_; ///< end of the last outage
 };
 
@@ -59,6 +64,10 @@
                        const std::vector<ports::ServerEntry> &Entries,
                        std::uint64_t Revision);
 
+/// Takes a configuration that a call or a peer has told.
+void takeConfiguration(CoreState &State,
+                       const ports::ListedConfiguration &Read);
+
 /// Has everything read again at once, after a pause of the process.
 void hurryDirectory(CoreState &State);
 
--- a/src/libcumingauge/control/directorylinks.cpp
+++ b/src/libcumingauge/control/directorylinks.cpp
@@ -18,8 +18,9 @@
 /// member keeps: well below the limit of links of a process.
 constexpr std::size_t MembersPerReader = 8;
 constexpr std::size_t ReadersPerMember = 2;
-/// Part of the leaving bound between two news without a change.
-constexpr double NewsPart = 0.2;
+/// Part of the leaving bound after which news are sent without a change and
+/// without a new proof, so that the link does not fall silent.
+constexpr double NewsPart = 0.4;
 /// Part of the leaving bound after which news count as missing. A reader asks
 /// more often than that, and the rest suffices for a call of one's own.
 constexpr double MissingPart = 0.6;
@@ -85,23 +86,25 @@
   return Readers;
 }
 
-/// Moment of which this process knows the list of servers.
-model::TimePoint trueAt(const CoreState &State) {
-  const DirectoryFollower &Follower = State.Directory_;
-  const DirectoryFeed &Feed = Follower.Servers_;
-  const bool IsWatching = Feed.Call_ != 0 && Feed.Revision_ > 0;
-  return IsWatching ? State.Now_ : Follower.TrueAt_;
+/// How long ago calls of this process have shown a topic.
+std::uint32_t ageMs(const CoreState &State, const DirectoryFeed &Feed) {
+  return static_cast<std::uint32_t>(
+      std::chrono::duration_cast<model::milliseconds>(State.Now_ - Feed.TrueAt_)
+          .count());
 }
 
-DirectoryNews newsFor(const CoreState &State, std::uint64_t Known) {
+DirectoryNews newsFor(const CoreState &State, const Link &To) {
   const DirectoryFollower &Follower = State.Directory_;
+  const std::uint64_t Known = *To.KnownRevision_;
   DirectoryNews Out;
   Out.After_ = Known;
   Out.Revision_ = Follower.KnownRevision_;
-  Out.AgeMs_ = static_cast<std::uint32_t>(
-      std::chrono::duration_cast<model::milliseconds>(State.Now_ -
-                                                      trueAt(State))
-          .count());
+  Out.AgeMs_ = ageMs(State, Follower.Servers_);
+  Out.Version_ = versionOf(State);
+  Out.VersionAgeMs_ = ageMs(State, Follower.Configuration_);
+  if (const model::Preset *Preset = model::presetInForce(*State.Log_.State_);
+      Preset && Out.Version_ > To.KnownVersion_)
+    Out.Preset_ = *Preset;
   for (const auto &[Name, Revision] : Follower.ChangedAt_) {
     if (Revision <= Known)
       continue;
@@ -118,8 +121,46 @@
 
 void sendNews(CoreState &State, Link &To) {
   To.NextNews_ = State.Now_ + partOfBound(State, NewsPart);
-  send(State, To, newsFor(State, *To.KnownRevision_));
+  send(State, To, newsFor(State, To));
   To.KnownRevision_ = State.Directory_.KnownRevision_;
+  To.KnownVersion_ = versionOf(State);
+}
+
+bool isListRead(const CoreState &State) {
+  return State.Directory_.Servers_.Read_ &&
+         State.Directory_.Configuration_.Read_;
+}
+
+DirectoryInterest ownInterest(const CoreState &State) {
+  return {State.Directory_.KnownRevision_, versionOf(State)};
+}
+
+std::vector<ports::ServerEntry> entriesOf(const DirectoryNews &Message) {
+  std::vector<ports::ServerEntry> Out;
+  for (const ListedNews &News : Message.Servers_) {
+    ports::ServerEntry Entry{News.Name_, std::nullopt};
+    if (News.Server_)
+      Entry.Listed_ = ports::ListedServer{*News.Server_, News.Leaving_};
+    Out.push_back(std::move(Entry));
+  }
+  return Out;
+}
+
+/// Others rely on this process from now on, sooner than its own pause ends.
+void hurryAsReader(CoreState &State) {
+  DirectoryFollower &Follower = State.Directory_;
+  for (DirectoryFeed *Feed : {&Follower.Configuration_, &Follower.Servers_})
+    if (Feed->Failures_ == 0)
+      Feed->NextAt_ = std::min(Feed->NextAt_, State.Now_);
+}
+
+/// A peer has shown the topic. When its news end, the topic is read: a watch
+/// from an old revision may miss what was forgotten meanwhile.
+void noteNews(CoreState &State, DirectoryFeed &Feed, std::uint32_t AgeMs) {
+  const model::TimePoint TrueAt = State.Now_ - model::milliseconds(AgeMs);
+  Feed.NewsTrueAt_ = std::max(Feed.NewsTrueAt_.value_or(TrueAt), TrueAt);
+  if (Feed.Call_ == 0 && !isReader(State))
+    Feed.Revision_ = 0;
 }
 
 void dropSilentLinks(CoreState &State) {
@@ -156,9 +197,9 @@
                      });
 }
 
-bool mustAskDirectory(const CoreState &State) {
+bool mustAskDirectory(const CoreState &State, const DirectoryFeed &Feed) {
   const bool HasNews =
-      State.Now_ - State.Directory_.NewsTrueAt_.value_or(model::TimePoint()) <
+      State.Now_ - Feed.NewsTrueAt_.value_or(model::TimePoint()) <
       partOfBound(State, MissingPart);
   return !HasNews || isReader(State);
 }
@@ -166,7 +207,7 @@
 void keepDirectoryLinks(CoreState &State) {
   dropSilentLinks(State);
   chooseReaders(State);
-  if (!State.Directory_.ServersRead_)
+  if (!isListRead(State))
     return;
   for (auto &[Id, To] : State.Links_.Links_)
     if (To.KnownRevision_ && State.Now_ >= To.NextNews_)
@@ -175,40 +216,44 @@
 
 void greetReader(CoreState &State, const Link &Opened) {
   if (Opened.Ordered_)
-    send(State, Opened, DirectoryInterest{State.Directory_.KnownRevision_});
+    send(State, Opened, ownInterest(State));
 }
 
 void takeDirectoryInterest(CoreState &State, Link &From,
                            const DirectoryInterest &Message) {
+  if (!isReader(State))
+    hurryAsReader(State);
   From.KnownRevision_ = Message.Revision_;
-  if (State.Directory_.ServersRead_)
+  From.KnownVersion_ = Message.Version_;
+  if (isListRead(State))
     sendNews(State, From);
 }
 
 void takeDirectoryNews(CoreState &State, Link &From,
                        const DirectoryNews &Message) {
   DirectoryFollower &Follower = State.Directory_;
-  if (Message.Revision_ < Follower.KnownRevision_ || !Follower.ServersRead_)
-    return; // the reader is behind what is known here
-  if (Message.After_ > Follower.KnownRevision_) {
-    send(State, From, DirectoryInterest{Follower.KnownRevision_});
+  if (!isListRead(State))
     return;
+  const bool LacksChanges = Message.After_ > Follower.KnownRevision_;
+  const bool LacksPreset =
+      Message.Version_ > versionOf(State) && !Message.Preset_;
+  if (LacksChanges || LacksPreset)
+    return send(State, From, ownInterest(State));
+  // A reader that is behind what is known here proves nothing.
+  if (Message.Version_ >= versionOf(State)) {
+    if (Message.Preset_)
+      takeConfiguration(State, {Message.Version_, *Message.Preset_});
+    noteNews(State, Follower.Configuration_, Message.VersionAgeMs_);
   }
-  std::vector<ports::ServerEntry> Entries;
-  for (const ListedNews &News : Message.Servers_) {
-    ports::ServerEntry Entry{News.Name_, std::nullopt};
-    if (News.Server_)
-      Entry.Listed_ = ports::ListedServer{*News.Server_, News.Leaving_};
-    Entries.push_back(std::move(Entry));
+  if (Message.Revision_ >= Follower.KnownRevision_) {
+    noteNews(State, Follower.Servers_, Message.AgeMs_);
+    takeServerEntries(State, entriesOf(Message), Message.Revision_);
   }
-  const model::TimePoint TrueAt =
-      State.Now_ - model::milliseconds(Message.AgeMs_);
-  Follower.NewsTrueAt_ =
-      std::max(Follower.NewsTrueAt_.value_or(TrueAt), TrueAt);
-  takeServerEntries(State, Entries, Message.Revision_);
 }
 
 void sendDirectoryNews(CoreState &State) {
+  if (!isListRead(State))
+    return;
   for (auto &[Id, To] : State.Links_.Links_)
     if (To.KnownRevision_)
       sendNews(State, To);
--- a/src/libcumingauge/control/directorylinks.h
+++ b/src/libcumingauge/control/directorylinks.h
@@ -3,16 +3,17 @@
 #include "control/core.h"
 #include "control/linktable.h"
 
-/// Spreads the list of servers over peer links, so that only a few processes
-/// of a large availability zone ask the directory. The others keep links to
-/// two of these readers. A process whose news are older than a part of the
-/// leaving bound asks the directory itself.
+/// Spreads the configuration and the list of servers over peer links, so that
+/// only a few processes of a large availability zone ask the directory. The
+/// others keep links to two of these readers. A process whose news are older
+/// than a part of the leaving bound asks the directory itself.
 namespace cumingauge::control {
 
 struct CoreState;
+struct DirectoryFeed;
 
-/// Whether this process has to ask the directory for changes of servers.
-bool mustAskDirectory(const CoreState &State);
+/// Whether this process has to ask the directory about a topic.
+bool mustAskDirectory(const CoreState &State, const DirectoryFeed &Feed);
 
 /// Whether other processes rely on what this one asks.
 bool isReader(const CoreState &State);
--- a/src/libcumingauge/control/linktable.h
+++ b/src/libcumingauge/control/linktable.h
@@ -55,6 +55,7 @@
   std::optional<model::TimePoint> UnwantedSince_;
   /// What the peer knows of the directory's servers, if it wants news.
   std::optional<std::uint64_t> KnownRevision_;
+  std::uint64_t KnownVersion_ = 0; ///< the same of its configuration
   model::TimePoint NextNews_;
   StateAssembly Assembly_;
 };
--- a/src/libcumingauge/control/peermessage.h
+++ b/src/libcumingauge/control/peermessage.h
@@ -4,6 +4,7 @@
 #include "model/event.h"
 #include "model/loadreport.h"
 #include "model/member.h"
+#include "model/preset.h"
 #include "model/processstatus.h"
 #include <cstdint>
 #include <optional>
@@ -100,23 +101,31 @@
 };
 BOOST_DESCRIBE_STRUCT(ListedNews, (), (Name_, Server_, Leaving_))
 
-/// Wants the changes of the list after a revision, and news from then on.
+/// Wants the configuration after a version and the changes of the list after a
+/// revision, and news from then on.
 struct DirectoryInterest {
   static constexpr const char *Kind = "directoryInterest";
   std::uint64_t Revision_ = 0;
+  std::uint64_t Version_ = 0;
 };
-BOOST_DESCRIBE_STRUCT(DirectoryInterest, (), (Revision_))
+BOOST_DESCRIBE_STRUCT(DirectoryInterest, (), (Revision_, Version_))
 
-/// What has changed in the list of servers; sent without changes too, to show
-/// how far and how well the sender knows it.
+/// What has changed in the directory; sent without changes too, to show how far
+/// and how well the sender knows it.
 struct DirectoryNews {
   static constexpr const char *Kind = "directoryNews";
-  std::uint64_t After_ = 0;    ///< changes since this revision
+  std::uint64_t After_ = 0;    ///< changes of the list since this revision
   std::uint64_t Revision_ = 0; ///< up to this one
   std::uint32_t AgeMs_ = 0;    ///< since the sender knew that for sure
   std::vector<ListedNews> Servers_;
+  std::uint64_t Version_ = 0;      ///< of the configuration
+  std::uint32_t VersionAgeMs_ = 0; ///< since it was the newest for sure
+  std::optional<model::Preset>
+      Preset_; ///< of a version that is new to the peer
 };
-BOOST_DESCRIBE_STRUCT(DirectoryNews, (), (After_, Revision_, AgeMs_, Servers_))
+BOOST_DESCRIBE_STRUCT(DirectoryNews, (),
+                      (After_, Revision_, AgeMs_, Servers_, Version_,
+                       VersionAgeMs_, Preset_))
 
 /// Operator: asks for the state of this process.
 struct StatusRequest {
--- a/src/libcumingauge/control/serverlist.cpp
+++ b/src/libcumingauge/control/serverlist.cpp
@@ -110,7 +110,6 @@
 void noteKnown(CoreState &State, std::uint64_t Revision) {
   DirectoryFollower &Follower = State.Directory_;
   Follower.KnownRevision_ = std::max(Follower.KnownRevision_, Revision);
-  Follower.TrueAt_ = State.Now_;
 }
 
 bool takePage(CoreState &State, const ports::DirectoryResponse &Answer) {
@@ -118,6 +117,7 @@
   if (Follower.NextPage_.empty()) {
     Follower.Pages_.clear();
     Follower.PagesRevision_ = Answer.Revision_;
+    Follower.PagesTrueAt_ = Follower.Servers_.Issued_;
   }
   for (const ports::ServerEntry &Entry : Answer.Servers_)
     if (Entry.Listed_)
--- a/src/libcumingauge/platform/directoryclient.cpp
+++ b/src/libcumingauge/platform/directoryclient.cpp
@@ -72,6 +72,10 @@
     Out.ContentType_ = "application/json";
     Out.NewConnection_ = true;
     break;
+  case DirectoryOperation::Ping:
+    Out.Target_ =
+        std::string(words::ReadKey) + words::AbsentKey + words::AllowStale;
+    break;
   }
   return Out;
 }
@@ -208,6 +212,9 @@
     Out.HistoryGone_ = true;
     return Out;
   }
+  if (Request.Operation_ == DirectoryOperation::Ping &&
+      Answer.Status_ == HttpNotFound)
+    return DirectoryResponse();
   if (Answer.Status_ == HttpNotFound && !IsWrite)
     return readItems(Request, Base, Answer.Body_);
   if (Answer.Status_ == HttpTooManyRequests)
--- a/src/libcumingauge/platform/words.h
+++ b/src/libcumingauge/platform/words.h
@@ -14,6 +14,8 @@
 // Calls of the metadata store.
 constexpr const char *ReadKey = "/kv-key?key=";
 constexpr const char *ReadRange = "/kv-range?prefix=";
+/// A tenth of the price of a read; what it shows may be seconds old.
+constexpr const char *AllowStale = "&allow-stale=1";
 constexpr const char *Watch = "/kv-watch?prefix=";
 constexpr const char *Transaction = "/kv-txn";
 
@@ -21,5 +23,7 @@
 constexpr const char *ConfigurationKey = "op/config";
 constexpr const char *ServersPrefix = "servers/";
 constexpr const char *MembersPrefix = "cumingauge/members/";
+/// Never written: reading it takes the least that a read can take.
+constexpr const char *AbsentKey = "cumingauge/absent";
 
 } // namespace cumingauge::platform::words
--- a/src/libcumingauge/ports/directory.h
+++ b/src/libcumingauge/ports/directory.h
@@ -19,9 +19,10 @@
 enum class DirectoryTopic { Configuration, Servers, Members };
 
 enum class DirectoryOperation {
-  Read,    ///< everything of the topic, page by page
-  Watch,   ///< what has changed after After_, once there is any, or at Wait_
-  Announce ///< registers Self_ among the members
+  Read,     ///< everything of the topic, page by page
+  Watch,    ///< what has changed after After_, once there is any, or at Wait_
+  Announce, ///< registers Self_ among the members
+  Ping      ///< an answer shows that the directory is reached; costs little
 };
 
 struct DirectoryRequest {
--- a/tests/control/directorylinkstest.cpp
+++ b/tests/control/directorylinkstest.cpp
@@ -62,6 +62,18 @@
     answerWatches();
   }
 
+  /// Writes a configuration; watches hear of it at once.
+  void configure(std::uint64_t Version) {
+    ++Revision_;
+    ConfigRevision_ = Revision_;
+    ConfigVersion_ = Version;
+    answerWatches();
+  }
+
+  /// Cuts a process from the directory but not from its peers. What it has
+  /// asked is never answered, and further calls fail.
+  void cut(unsigned Number) { Cut_.insert(Number); }
+
   void kill(unsigned Number) {
     Dead_.insert(Number);
     for (auto It = Links_.begin(); It != Links_.end();) {
@@ -79,7 +91,15 @@
   unsigned knowingThatLeaves(const std::string &Name) const {
     unsigned Out = 0;
     for (unsigned I = 0; I < ZoneSize; ++I)
-      Out += !Dead_.count(I) && isLeaving(I, Name);
+      Out += !Dead_.count(I) && !Cut_.count(I) && isLeaving(I, Name);
+    return Out;
+  }
+
+  unsigned knowingVersion(std::uint64_t Version) const {
+    unsigned Out = 0;
+    for (const auto &[Number, View] : Views_)
+      Out += !Dead_.count(Number) && !Cut_.count(Number) &&
+             View->Config_->Version_ == Version;
     return Out;
   }
 
@@ -87,19 +107,27 @@
   std::set<unsigned> watchers() const {
     std::set<unsigned> Out;
     for (const auto &Watch : Watches_)
-      if (!Dead_.count(Watch.Process_))
+      if (Watch.Topic_ == DirectoryTopic::Servers &&
+          !Dead_.count(Watch.Process_) && !Cut_.count(Watch.Process_))
         Out.insert(Watch.Process_);
     return Out;
   }
 
-  unsigned alive() const {
-    return ZoneSize - static_cast<unsigned>(Dead_.size());
+  unsigned inTouch() const {
+    unsigned Out = 0;
+    for (unsigned I = 0; I < ZoneSize; ++I)
+      Out += !Dead_.count(I) && !Cut_.count(I);
+    return Out;
   }
+
+  /// Calls that the directory charges for in full.
   unsigned calls() const { return Calls_; }
+  unsigned pings() const { return Pings_; }
 
 private:
   struct Watch {
     unsigned Process_;
+    DirectoryTopic Topic_;
     StoreCallId Call_;
     std::uint64_t After_;
     model::TimePoint End_;
@@ -138,30 +166,43 @@
   }
 
   void execute(unsigned Number, const CallDirectory &Order) {
-    ++Calls_;
     const ports::DirectoryRequest &Asked = Order.Request_;
     ports::DirectoryResponse Answer;
     Answer.Revision_ = Revision_;
+    if (Cut_.count(Number)) {
+      Answer.Code_ = model::ResultCode::StoreUnavailable;
+      return feed(Number, DirectoryAnswered{Order.Call_, Answer});
+    }
+    ++(Asked.Operation_ == DirectoryOperation::Ping ? Pings_ : Calls_);
     if (Asked.Operation_ == DirectoryOperation::Watch) {
-      if (Asked.Topic_ == DirectoryTopic::Servers) {
-        Watches_.push_back(
-            {Number, Order.Call_, Asked.After_, Now_ + Asked.Wait_});
-        answerWatches();
-      }
-      return; // the configuration does not change here
+      Watches_.push_back({Number, Asked.Topic_, Order.Call_, Asked.After_,
+                          Now_ + Asked.Wait_});
+      return answerWatches();
     }
-    if (Asked.Topic_ == DirectoryTopic::Configuration) {
+    if (Asked.Operation_ == DirectoryOperation::Read)
+      fill(Answer, Asked.Topic_, 0);
+    feed(Number, DirectoryAnswered{Order.Call_, Answer});
+  }
+
+  /// What a topic holds, or what has changed in it after a revision.
+  void fill(ports::DirectoryResponse &Answer, DirectoryTopic Topic,
+            std::uint64_t After) const {
+    if (Topic == DirectoryTopic::Configuration && ConfigRevision_ > After) {
       Answer.Configuration_.emplace();
-      Answer.Configuration_->Version_ = 1;
-      Answer.Configuration_->Preset_.Name_ = "version 1";
-    } else if (Asked.Topic_ == DirectoryTopic::Servers) {
+      Answer.Configuration_->Version_ = ConfigVersion_;
+      Answer.Configuration_->Preset_.Name_ =
+          "version " + std::to_string(ConfigVersion_);
+    }
+    if (Topic == DirectoryTopic::Servers && After == 0)
       for (const auto &Entry : Entries_)
         Answer.Servers_.push_back(Entry.second);
-    } else if (Asked.Operation_ == DirectoryOperation::Read) {
+    if (Topic == DirectoryTopic::Servers && After > 0)
+      for (const auto &[Revision, Entry] : Log_)
+        if (Revision > After)
+          Answer.Servers_.push_back(Entry);
+    if (Topic == DirectoryTopic::Members)
       for (unsigned I = 0; I < ZoneSize; ++I)
         Answer.Members_.push_back(memberOf(I));
-    }
-    feed(Number, DirectoryAnswered{Order.Call_, Answer});
   }
 
   void answerWatches() {
@@ -169,10 +210,10 @@
       const Watch Asked = Watches_[I];
       ports::DirectoryResponse Answer;
       Answer.Revision_ = Revision_;
-      for (const auto &[Revision, Entry] : Log_)
-        if (Revision > Asked.After_)
-          Answer.Servers_.push_back(Entry);
-      if (Answer.Servers_.empty() || Dead_.count(Asked.Process_)) {
+      fill(Answer, Asked.Topic_, Asked.After_);
+      const bool HasNews = Answer.Configuration_ || !Answer.Servers_.empty();
+      if (!HasNews || Dead_.count(Asked.Process_) ||
+          Cut_.count(Asked.Process_)) {
         ++I;
         continue;
       }
@@ -187,12 +228,16 @@
   std::map<std::string, ports::ServerEntry> Entries_;
   std::vector<std::pair<std::uint64_t, ports::ServerEntry>> Log_;
   std::uint64_t Revision_ = 10;
+  std::uint64_t ConfigVersion_ = 1;
+  std::uint64_t ConfigRevision_ = 10;
   std::vector<Watch> Watches_;
   std::map<LinkId, std::pair<unsigned, unsigned>> Links_;
   LinkId LastLink_ = 0;
   std::set<unsigned> Dead_;
+  std::set<unsigned> Cut_;
   std::map<unsigned, std::shared_ptr<const model::ControlView>> Views_;
   unsigned Calls_ = 0;
+  unsigned Pings_ = 0;
 };
 
 class SpreadingTheListOfServers : public CppUnit::TestFixture {
@@ -200,6 +245,10 @@
   CPPUNIT_TEST(bringsALeavingMarkToEveryProcessAtOnce);
   CPPUNIT_TEST(leavesTheDirectoryToAFewReaders);
   CPPUNIT_TEST(goesOnWithinTheBoundWhenAllReadersDie);
+  CPPUNIT_TEST(goesOnWithinTheBoundWhenReadersLoseTheDirectory);
+  CPPUNIT_TEST(bringsAConfigurationToEveryProcessAtOnce);
+  CPPUNIT_TEST(startsWithFewCallsOfEachProcess);
+  CPPUNIT_TEST(restsWithFewCalls);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -232,11 +281,55 @@
       Fleet.kill(Reader);
     Fleet.put(server("a", true));
     Fleet.wait(model::milliseconds(1900)); // the bound is 2 s
-    CPPUNIT_ASSERT_EQUAL(Fleet.alive(), Fleet.knowingThatLeaves("a"));
+    CPPUNIT_ASSERT_EQUAL(Fleet.inTouch(), Fleet.knowingThatLeaves("a"));
     Fleet.wait(model::seconds(8));
     Fleet.put(server("b", true));
     Fleet.wait(model::milliseconds(1900));
-    CPPUNIT_ASSERT_EQUAL(Fleet.alive(), Fleet.knowingThatLeaves("b"));
+    CPPUNIT_ASSERT_EQUAL(Fleet.inTouch(), Fleet.knowingThatLeaves("b"));
+  }
+
+  void goesOnWithinTheBoundWhenReadersLoseTheDirectory() {
+    Zone Fleet;
+    Fleet.put(server("c"));
+    Fleet.wait(model::seconds(3));
+    for (const unsigned Reader : Fleet.watchers())
+      Fleet.cut(Reader);
+    CPPUNIT_ASSERT(Fleet.inTouch() > ZoneSize / 2);
+    Fleet.put(server("a", true));
+    Fleet.configure(2);
+    Fleet.wait(model::milliseconds(1900)); // the bound is 2 s
+    CPPUNIT_ASSERT_EQUAL(Fleet.inTouch(), Fleet.knowingThatLeaves("a"));
+    CPPUNIT_ASSERT_EQUAL(Fleet.inTouch(), Fleet.knowingVersion(2));
+  }
+
+  void bringsAConfigurationToEveryProcessAtOnce() {
+    Zone Fleet;
+    const unsigned Before = Fleet.calls();
+    Fleet.configure(2);
+    Fleet.wait(model::milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(ZoneSize, Fleet.knowingVersion(2));
+    Fleet.wait(model::seconds(3));
+    Fleet.configure(3);
+    Fleet.wait(model::milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(ZoneSize, Fleet.knowingVersion(3));
+    // Only readers watch; each sets its watch again after a change.
+    CPPUNIT_ASSERT(Fleet.calls() - Before <= 2 * 4);
+  }
+
+  void startsWithFewCallsOfEachProcess() {
+    Zone Fleet;
+    // Announcement, members, configuration, servers; two watches of a reader.
+    CPPUNIT_ASSERT(Fleet.calls() <= 4 * ZoneSize + 2 * 4);
+  }
+
+  void restsWithFewCalls() {
+    Zone Fleet;
+    const unsigned Before = Fleet.calls();
+    const unsigned PingsBefore = Fleet.pings();
+    Fleet.wait(model::seconds(20));
+    CPPUNIT_ASSERT_EQUAL(Before, Fleet.calls());
+    // A reader shows every 0.7 s that it reaches the directory.
+    CPPUNIT_ASSERT(Fleet.pings() - PingsBefore <= 4 * 20 * 10 / 7);
   }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(SpreadingTheListOfServers);
