Run pipelined calls beside each other and answer them in order

Cause: a caller's further requests waited in its buffer until the call before them had ended, so the second of two lookups took twice as long. Calls that may repeat, have no body and come behind another on the connection are started at once, eight at most; their answers are held until their turn has come. One that must not repeat waits for its turn, and all behind it. A draining connection closes behind the last call that runs.

--- /dev/null
+++ b/src/libcumingauge/adapters/heldanswer.cpp
@@ -0,0 +1,95 @@
+#include "adapters/heldanswer.h"
+#include "adapters/httpcall.h"
+
+namespace cumingauge::adapters {
+
+namespace {
+
+/// Bytes of an answer that are read before its turn has come: a few of the
+/// usual answers, so that a caller cannot fill the memory by pipelining.
+constexpr std::size_t MaxHeldBytes = 65536;
+
+} // namespace
+
+HeldAnswer::HeldAnswer(const boost::asio::any_io_executor &Executor)
+    : Timer_(Executor) {}
+
+HeldAnswer::~HeldAnswer() = default;
+
+void HeldAnswer::start(std::shared_ptr<HttpCall> Call) {
+  Call_ = std::move(Call);
+  const auto Started = Call_;
+  Started->start();
+}
+
+void HeldAnswer::drop() {
+  Timer_.cancel();
+  Resume_ = nullptr;
+  const auto Call = std::move(Call_);
+  Call_ = nullptr;
+  if (Call)
+    Call->onCallerLeft();
+}
+
+void HeldAnswer::release(const std::shared_ptr<CallerSide> &To) {
+  Timer_.cancel();
+  const auto Self = shared_from_this();
+  if (Call_)
+    Call_->answerTo(To);
+  if (Code_)
+    To->answer(*Code_);
+  if (Head_)
+    To->forwardHead(*Head_);
+  if (BodyGiven_)
+    // The piece is written from here, so this stays until it is done.
+    To->forwardBody(Body_, Last_, [Self, Resume = std::move(Resume_)] {
+      if (Resume)
+        Resume();
+    });
+  if (Broken_)
+    return To->breakOff();
+  if (!Call_)
+    To->endCall();
+}
+
+void HeldAnswer::answer(model::ResultCode Code) { Code_ = Code; }
+
+void HeldAnswer::forwardHead(const traffic::AnswerHead &Head) { Head_ = Head; }
+
+bool HeldAnswer::forwardBody(std::string_view Bytes, bool Last,
+                             std::function<void()> Done) {
+  Body_.append(Bytes);
+  BodyGiven_ = true;
+  Last_ = Last;
+  if (Last)
+    return true;
+  if (Body_.size() < MaxHeldBytes)
+    Done();
+  else
+    Resume_ = std::move(Done);
+  return false;
+}
+
+void HeldAnswer::breakOff() { Broken_ = true; }
+
+void HeldAnswer::pullBody(PieceHandler) {
+  // Only calls whose request has been read whole run ahead of their turn.
+}
+
+void HeldAnswer::endCall() {
+  Timer_.cancel();
+  Call_ = nullptr;
+}
+
+void HeldAnswer::setAlarm(model::TimePoint When) {
+  Timer_.expires_at(When);
+  Timer_.async_wait([Weak = weak_from_this()](boost::system::error_code Error) {
+    const auto Self = Weak.lock();
+    if (!Error && Self && Self->Call_) {
+      const auto Call = Self->Call_;
+      Call->onAlarm(std::chrono::steady_clock::now());
+    }
+  });
+}
+
+} // namespace cumingauge::adapters
--- a/src/libcumingauge/adapters/httpcall.cpp
+++ b/src/libcumingauge/adapters/httpcall.cpp
@@ -35,10 +35,9 @@
 
 } // namespace
 
-HttpCall::HttpCall(HttpWorker &Worker,
-                   std::shared_ptr<HttpCallerSession> Session,
+HttpCall::HttpCall(HttpWorker &Worker, std::shared_ptr<CallerSide> Caller,
                    HttpCallRequest Incoming)
-    : Worker_(Worker), Session_(std::move(Session)),
+    : Worker_(Worker), Caller_(std::move(Caller)),
       Request_(std::move(Incoming)),
       Facts_(factsOf(Request_, Worker.nextCallId())), Life_(rulesOf(Request_)),
       HedgeAt_(model::TimePoint::max()) {
@@ -59,6 +58,11 @@
   apply(traffic::CallArrived{});
 }
 
+void HttpCall::answerTo(std::shared_ptr<CallerSide> Caller) {
+  Caller_ = std::move(Caller);
+  setAlarm();
+}
+
 void HttpCall::decide(const policy::Decision &Decision) {
   if (Decision.Verdict_ == policy::Verdict::Dispatch)
     apply(traffic::ServerChosen{Decision.Server_});
@@ -80,7 +84,7 @@
 
 void HttpCall::setAlarm() {
   if (!Life_.isEnded())
-    Session_->setAlarm(std::min(Request_.Deadline_, HedgeAt_));
+    Caller_->setAlarm(std::min(Request_.Deadline_, HedgeAt_));
 }
 
 void HttpCall::apply(const traffic::CallEvent &Event) {
@@ -236,8 +240,8 @@
     return Connection->resume();
   }
   AnswerForwarded_ = Last;
-  if (Session_->forwardBody(Connection->body(), Last,
-                            [Connection] { Connection->resume(); }))
+  if (Caller_->forwardBody(Connection->body(), Last,
+                           [Connection] { Connection->resume(); }))
     Connection->resume();
 }
 
@@ -253,8 +257,8 @@
   const auto Connection = attempt(Number).Connection_;
   if (Forwarding_ != Number || !Connection)
     return;
-  Session_->forwardBody(attempt(Number).KeptBody_, /*Last=*/false,
-                        [Connection] { Connection->resume(); });
+  Caller_->forwardBody(attempt(Number).KeptBody_, /*Last=*/false,
+                       [Connection] { Connection->resume(); });
 }
 
 /// A server's own error may be followed by a better answer of another server.
@@ -276,7 +280,7 @@
   if (Forwarding_ != Number)
     return;
   AnswerForwarded_ = true;
-  Session_->forwardBody(attempt(Number).KeptBody_, /*Last=*/true, [] {});
+  Caller_->forwardBody(attempt(Number).KeptBody_, /*Last=*/true, [] {});
 }
 
 void HttpCall::onEnd(AttemptNumber Number) {
@@ -289,7 +293,7 @@
   attempt(Number).Connection_ = nullptr;
   if (!AnswerForwarded_) {
     AnswerForwarded_ = true;
-    Session_->forwardBody({}, /*Last=*/true, [] {});
+    Caller_->forwardBody({}, /*Last=*/true, [] {});
   }
   apply(traffic::AnswerEnded{Number,
                              Connection->head().Status_ >= StatusServerError});
@@ -301,14 +305,14 @@
 }
 
 void HttpCall::pullBody(AttemptNumber Number) {
-  Session_->pullBody([Self = shared_from_this(),
-                      Number](const HttpCallerSession::BodyPiece &Piece) {
-    Self->sendPiece(Number, Piece);
-  });
+  Caller_->pullBody(
+      [Self = shared_from_this(), Number](const CallerSide::BodyPiece &Piece) {
+        Self->sendPiece(Number, Piece);
+      });
 }
 
 void HttpCall::sendPiece(AttemptNumber Number,
-                         const HttpCallerSession::BodyPiece &Piece) {
+                         const CallerSide::BodyPiece &Piece) {
   const auto Connection = attempt(Number).Connection_;
   if (!Connection)
     return;
@@ -327,7 +331,7 @@
 
 void HttpCall::perform(const traffic::ForwardAnswer &Action) {
   Forwarding_ = Action.Attempt_;
-  Session_->forwardHead(attempt(Action.Attempt_).Connection_->head());
+  Caller_->forwardHead(attempt(Action.Attempt_).Connection_->head());
 }
 
 void HttpCall::perform(const traffic::DropAttempt &Action) {
@@ -360,14 +364,14 @@
 }
 
 void HttpCall::perform(const traffic::AnswerCaller &Action) {
-  Session_->answer(Action.Code_);
+  Caller_->answer(Action.Code_);
 }
 
-void HttpCall::perform(const traffic::BreakAnswer &) { Session_->breakOff(); }
+void HttpCall::perform(const traffic::BreakAnswer &) { Caller_->breakOff(); }
 
 void HttpCall::perform(const traffic::EndCall &Action) {
   Worker_.noteCallEnded(*this, Action.Code_);
-  Session_->endCall();
+  Caller_->endCall();
 }
 
 } // namespace cumingauge::adapters
--- a/src/libcumingauge/adapters/httpcall.h
+++ b/src/libcumingauge/adapters/httpcall.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "adapters/httpcallersession.h"
+#include "adapters/callerside.h"
 #include "adapters/httpcallrequest.h"
 #include "adapters/httppool.h"
 #include "model/attempttrace.h"
@@ -19,17 +19,20 @@
 /// other.
 class HttpCall : public std::enable_shared_from_this<HttpCall> {
 public:
-  HttpCall(HttpWorker &Worker, std::shared_ptr<HttpCallerSession> Session,
+  HttpCall(HttpWorker &Worker, std::shared_ptr<CallerSide> Caller,
            HttpCallRequest Incoming);
 
   void start();
 
+  /// From now on answers to another side, when the call's turn has come.
+  void answerTo(std::shared_ptr<CallerSide> Caller);
+
   /// Takes the balancer's decision on this call.
   void decide(const policy::Decision &Decision);
 
   void onCallerLeft();
 
-  /// To be called at the time of the session's alarm.
+  /// To be called at the time that was set with the caller's side.
   void onAlarm(model::TimePoint Now);
 
   const policy::CallFacts &facts() const { return Facts_; }
@@ -78,12 +81,12 @@
   void onFailure(traffic::AttemptNumber Number, traffic::AttemptFate Fate);
   void pullBody(traffic::AttemptNumber Number);
   void sendPiece(traffic::AttemptNumber Number,
-                 const HttpCallerSession::BodyPiece &Piece);
+                 const CallerSide::BodyPiece &Piece);
   std::string requestHead(traffic::AttemptNumber Number) const;
   void setAlarm();
 
   HttpWorker &Worker_;
-  std::shared_ptr<HttpCallerSession> Session_;
+  std::shared_ptr<CallerSide> Caller_;
   HttpCallRequest Request_;
   policy::CallFacts Facts_;
   traffic::CallLifecycle Life_;
--- a/src/libcumingauge/adapters/httpcalleranswers.cpp
+++ b/src/libcumingauge/adapters/httpcalleranswers.cpp
@@ -5,6 +5,7 @@
 #include "adapters/httpworker.h"
 #include <array>
 #include <boost/asio/write.hpp>
+#include <utility>
 
 namespace cumingauge::adapters {
 
@@ -89,7 +90,7 @@
   AnswerBegun_ = true;
   const unsigned Status = model::httpStatusOf(Code);
   const std::string Text = codeText(Code);
-  KeepAlive_ = KeepAlive_ && RequestRead_ && !Draining_;
+  KeepAlive_ = RequestRead_ && !endsAfterAnswer();
   Out_ += "HTTP/1.1 " + std::to_string(Status) + " " + reasonOf(Status);
   Out_ += "\r\n";
   const traffic::Dialect &Names = Worker_.dialect();
@@ -114,7 +115,7 @@
   if (Phase_ != Phase::Call)
     return;
   AnswerBegun_ = true;
-  KeepAlive_ = KeepAlive_ && RequestRead_ && !Draining_;
+  KeepAlive_ = RequestRead_ && !endsAfterAnswer();
   BodyHidden_ = ToHead_ || Head.Status_ == StatusNoContent ||
                 Head.Status_ == StatusNotModified;
   ChunkedAnswer_ = Head.Framing_ == Framing::Chunked && ChunksAllowed_;
@@ -206,7 +207,7 @@
 void HttpCallerSession::finishAnswer() {
   if (Phase_ != Phase::Call || !AnswerDone_ || !CallEnded_ || Busy_)
     return;
-  if (KeepAlive_ && !Draining_)
+  if (KeepAlive_ && !endsAfterAnswer())
     nextRequest();
   else
     lingerClose();
@@ -220,9 +221,13 @@
   BodyHidden_ = false;
   ChunkedAnswer_ = false;
   BodyBytes_ = 0;
+  if (!Ahead_.empty())
+    return takeTurn();
   setLimit(Reader_.isInside() ? Worker_.limits().HeadTimeout_
                               : Worker_.limits().IdleTimeout_);
-  advance();
+  const auto Waiting = std::exchange(Waiting_, std::nullopt);
+  if (!Waiting || takeStep(*Waiting))
+    advance();
 }
 
 void HttpCallerSession::lingerClose() {
@@ -247,6 +252,8 @@
   Call_ = nullptr;
   if (Call)
     Call->onCallerLeft();
+  for (const CallAhead &Dropped : std::exchange(Ahead_, {}))
+    Dropped.Answer_->drop();
   Worker_.noteSessionClosed(*this);
 }
 
--- a/src/libcumingauge/adapters/httpcallersession.cpp
+++ b/src/libcumingauge/adapters/httpcallersession.cpp
@@ -14,6 +14,9 @@
 
 /// Pipelined requests that are read while a call runs.
 constexpr std::size_t MaxPipelinedBytes = 16384;
+/// Pipelined calls of one caller that run before their turn: more than callers
+/// send in one go, few enough that one caller cannot fill the servers.
+constexpr std::size_t MaxCallsAhead = 8;
 
 } // namespace
 
@@ -75,6 +78,7 @@
     return streamBody();
   if (Phase_ != Phase::Call)
     return advance();
+  readAhead();
   if (Reader_.buffered() < MaxPipelinedBytes && RequestRead_)
     read();
 }
@@ -149,8 +153,9 @@
   return false;
 }
 
-void HttpCallerSession::dispatch(bool Complete) {
-  HttpCallRequest &Request = *Incoming_;
+/// Fills in what follows from the head that was read.
+HttpCallRequest HttpCallerSession::completeRequest(HttpCallRequest Request,
+                                                   bool Complete) {
   Request.Head_ = std::move(Reader_.head());
   Request.BodyComplete_ = Complete;
   Request.Caller_ =
@@ -159,6 +164,11 @@
   if (Request.Head_.Deadline_)
     Allowed = std::min(Allowed, *Request.Head_.Deadline_);
   Request.Deadline_ = Request.Arrived_ + Allowed;
+  return Request;
+}
+
+void HttpCallerSession::dispatch(bool Complete) {
+  HttpCallRequest Request = completeRequest(std::move(*Incoming_), Complete);
   Phase_ = Phase::Call;
   Limit_ = model::TimePoint::max();
   RequestRead_ = Complete;
@@ -173,9 +183,83 @@
   Incoming_.reset();
   const auto Call = Call_;
   Call->start();
+  if (!Complete || Phase_ != Phase::Call)
+    return;
+  readAhead();
   // A read under way shows when the caller hangs up.
-  if (Complete && Phase_ == Phase::Call)
-    read();
+  read();
+}
+
+// Pipelined requests.
+
+bool HttpCallerSession::mayRunAhead(const traffic::RequestHead &Head) const {
+  const bool HasNoBody =
+      Head.Framing_ == traffic::Framing::None ||
+      (Head.Framing_ == traffic::Framing::Length && Head.Length_ == 0);
+  if (!HasNoBody || Head.ExpectsContinue_ || Head.IsHead_ || Head.Http10_)
+    return false;
+  const auto Admission = Worker_.findRoute(Head.Host_, Head.Target_);
+  return Admission.Route_ && Admission.Route_->Idempotent_;
+}
+
+/// Starts the calls of further requests that have come. The first that must
+/// not run beside others waits for its turn, and all after it.
+void HttpCallerSession::readAhead() {
+  while (Phase_ == Phase::Call && RequestRead_ && !Waiting_ &&
+         Ahead_.size() < MaxCallsAhead && !endsAfterAnswer()) {
+    const ReadStep Step = Reader_.next();
+    if (Step == ReadStep::NeedMore)
+      return;
+    if (Step == ReadStep::Head && mayRunAhead(Reader_.head()))
+      startAhead();
+    else
+      Waiting_ = Step;
+  }
+}
+
+void HttpCallerSession::startAhead() {
+  HttpCallRequest Incoming;
+  Incoming.Arrived_ = Worker_.now();
+  Incoming.Route_ =
+      Worker_.findRoute(Reader_.head().Host_, Reader_.head().Target_).Route_;
+  HttpCallRequest Request =
+      completeRequest(std::move(Incoming), /*Complete=*/true);
+  CallAhead Started;
+  Started.KeepAlive_ = Request.Head_.KeepAlive_;
+  Started.Answer_ = std::make_shared<HeldAnswer>(Socket_.get_executor());
+  Reader_.next(); // the end of a request without a body
+  Reader_.startNext();
+  const auto Call =
+      std::make_shared<HttpCall>(Worker_, Started.Answer_, std::move(Request));
+  Started.CallId_ = Call->callId();
+  const auto Answer = Started.Answer_;
+  Ahead_.push_back(std::move(Started));
+  Answer->start(Call);
+}
+
+/// The next of the calls that run ahead is to be answered.
+void HttpCallerSession::takeTurn() {
+  const CallAhead Next = std::move(Ahead_.front());
+  Ahead_.pop_front();
+  Phase_ = Phase::Call;
+  Limit_ = model::TimePoint::max();
+  RequestRead_ = true;
+  KeepAlive_ = Next.KeepAlive_;
+  ToHead_ = false;
+  ChunksAllowed_ = true;
+  CallId_ = Next.CallId_;
+  Call_ = Next.Answer_->call();
+  Next.Answer_->release(shared_from_this());
+  if (Phase_ != Phase::Call)
+    return;
+  readAhead();
+  read();
+}
+
+/// Whether the connection closes after the answer that is due. Calls that run
+/// ahead are answered first.
+bool HttpCallerSession::endsAfterAnswer() const {
+  return Ahead_.empty() && (!KeepAlive_ || Draining_);
 }
 
 void HttpCallerSession::pullBody(PieceHandler Handler) {
--- a/src/libcumingauge/adapters/httpcallersession.h
+++ b/src/libcumingauge/adapters/httpcallersession.h
@@ -1,12 +1,16 @@
 #pragma once
 
+#include "adapters/callerside.h"
+#include "adapters/heldanswer.h"
 #include "adapters/httpcallrequest.h"
 #include "adapters/httprequestreader.h"
 #include "model/time.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -15,20 +19,14 @@
 class HttpCall;
 class HttpWorker;
 
-/// The connection of one caller. Runs one call at a time; further requests
-/// wait in its buffer.
+/// The connection of one caller. Answers its requests in their order; calls
+/// that may run more than once run beside each other.
 class HttpCallerSession
-    : public std::enable_shared_from_this<HttpCallerSession> {
+    : public CallerSide,
+      public std::enable_shared_from_this<HttpCallerSession> {
 public:
-  /// A piece of a request body that is not kept; Ended_ with the last one.
-  struct BodyPiece {
-    std::string_view Bytes_;
-    bool Last_ = false;
-  };
-  using PieceHandler = std::function<void(BodyPiece)>;
-
   HttpCallerSession(boost::asio::ip::tcp::socket Socket, HttpWorker &Worker);
-  ~HttpCallerSession();
+  ~HttpCallerSession() override;
 
   /// Serves the connection.
   void start();
@@ -42,36 +40,29 @@
   /// Closes it if it carries no call.
   void closeIfIdle();
 
-  // For the call in progress.
-
-  /// Writes an answer of this process.
-  void answer(model::ResultCode Code);
+  // For the call whose turn it is.
 
-  /// Takes the head of a backend server's answer; written with the first
-  /// piece of the body.
-  void forwardHead(const traffic::AnswerHead &Head);
-
-  /// Writes a piece of the answer.
-  /// \returns true when the piece was copied and \p Done will not be called;
-  /// only for a last piece.
+  void answer(model::ResultCode Code) override;
+  void forwardHead(const traffic::AnswerHead &Head) override;
   bool forwardBody(std::string_view Bytes, bool Last,
-                   std::function<void()> Done);
+                   std::function<void()> Done) override;
 
   /// Closes the connection so that the caller sees a broken transfer.
-  void breakOff();
-
-  /// Asks for the next piece of a request body that is not kept.
-  void pullBody(PieceHandler Handler);
-
-  /// The call has ended.
-  void endCall();
-
-  /// Wakes the call at a time, or earlier.
-  void setAlarm(model::TimePoint When);
+  void breakOff() override;
+  void pullBody(PieceHandler Handler) override;
+  void endCall() override;
+  void setAlarm(model::TimePoint When) override;
 
 private:
   enum class Phase { Head, KeptBody, Call, Closing, Closed };
 
+  /// A pipelined call that runs before its turn.
+  struct CallAhead {
+    std::shared_ptr<HeldAnswer> Answer_;
+    std::string CallId_;
+    bool KeepAlive_ = true;
+  };
+
   void read();
   void onRead(boost::system::error_code Error, std::size_t Bytes);
   void advance();
@@ -79,6 +70,12 @@
   bool takeHead();
   bool takeBodyPiece();
   void dispatch(bool Complete);
+  HttpCallRequest completeRequest(HttpCallRequest Request, bool Complete);
+  void readAhead();
+  bool mayRunAhead(const traffic::RequestHead &Head) const;
+  void startAhead();
+  void takeTurn();
+  bool endsAfterAnswer() const;
   void streamBody();
   void deliverPiece(BodyPiece Piece);
   void refuseRequest(model::ResultCode Code);
@@ -100,6 +97,9 @@
   RequestReader Reader_;
   std::string Peer_;
   std::shared_ptr<HttpCall> Call_;
+  std::deque<CallAhead> Ahead_; ///< in the order of their requests
+  /// What was read of a request that must wait for its turn.
+  std::optional<ReadStep> Waiting_;
   Phase Phase_ = Phase::Head;
   model::TimePoint Limit_; ///< of the phase; closes the connection
   model::TimePoint Alarm_; ///< of the call
--- /dev/null
+++ b/tests/http/pipeliningtest.cpp
@@ -0,0 +1,193 @@
+#include "http/frontend.h"
+#include "http/scriptedserver.h"
+#include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <cppunit/extensions/HelperMacros.h>
+#include <mutex>
+
+using namespace cumingauge;
+using namespace cumingauge::test;
+
+namespace {
+
+using Request = ScriptedServer::Request;
+
+/// Opens once; a script waits there, ten seconds at the most.
+class Gate {
+public:
+  void open() {
+    const std::lock_guard<std::mutex> Lock(Mutex_);
+    Open_ = true;
+    Opened_.notify_all();
+  }
+
+  bool pass() {
+    std::unique_lock<std::mutex> Lock(Mutex_);
+    return Opened_.wait_for(Lock, std::chrono::seconds(10),
+                            [this] { return Open_; });
+  }
+
+private:
+  std::mutex Mutex_;
+  std::condition_variable Opened_;
+  bool Open_ = false;
+};
+
+bool isFor(const Request &Seen, const std::string &Target) {
+  return Seen.Head_.find(Target + " ") != std::string::npos;
+}
+
+std::size_t countOf(const ScriptedServer &Server, const std::string &Target) {
+  const auto Seen = Server.requests();
+  return static_cast<std::size_t>(
+      std::count_if(Seen.begin(), Seen.end(),
+                    [&](const Request &One) { return isFor(One, Target); }));
+}
+
+std::string search(const std::string &What) {
+  return request("GET", "/search/" + What);
+}
+
+class PipelinedRequests : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PipelinedRequests);
+  CPPUNIT_TEST(runBesideEachOther);
+  CPPUNIT_TEST(areAnsweredInTheirOrder);
+  CPPUNIT_TEST(waitForTheirTurnWhenTheyMustNotRepeat);
+  CPPUNIT_TEST(areRefusedInTheirOrder);
+  CPPUNIT_TEST(areHeldInPartWhenTheirAnswersAreLong);
+  CPPUNIT_TEST(areDroppedWhenTheCallerHangsUp);
+  CPPUNIT_TEST(areAllAnsweredBeforeADrainingConnectionCloses);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void runBesideEachOther() {
+    Gate Second;
+    ScriptedServer Server([&](const Request &Seen) {
+      if (isFor(Seen, "/search/1") && !Second.pass())
+        return std::string();
+      if (isFor(Seen, "/search/2"))
+        Second.open();
+      return ScriptedServer::answer("found");
+    });
+    FrontEnd Front({{"cat-1", Server.port()}}, {}, 1);
+    RawCaller Caller(Front.port());
+    Caller.send(search("1") + search("2"));
+    CPPUNIT_ASSERT_EQUAL(200U, Caller.read().Status_);
+    CPPUNIT_ASSERT_EQUAL(200U, Caller.read().Status_);
+  }
+
+  void areAnsweredInTheirOrder() {
+    Gate Others;
+    ScriptedServer Server([&](const Request &Seen) {
+      if (isFor(Seen, "/search/1"))
+        Others.pass();
+      const std::size_t At = Seen.Head_.find("/search/") + 8;
+      return ScriptedServer::answer(Seen.Head_.substr(At, 1));
+    });
+    FrontEnd Front({{"cat-1", Server.port()}}, {}, 1);
+    RawCaller Caller(Front.port());
+    std::string All;
+    for (char Digit = '1'; Digit <= '9'; ++Digit)
+      All += search(std::string(1, Digit));
+    Caller.send(All);
+    CPPUNIT_ASSERT(eventually([&] { return Server.requests().size() == 9; }));
+    Others.open();
+    for (char Digit = '1'; Digit <= '9'; ++Digit)
+      CPPUNIT_ASSERT_EQUAL(std::string(1, Digit), Caller.read().Body_);
+    CPPUNIT_ASSERT_EQUAL(std::string("7"), Caller.call(search("7")).Body_);
+  }
+
+  void waitForTheirTurnWhenTheyMustNotRepeat() {
+    Gate First;
+    std::atomic<bool> Early{false};
+    std::atomic<bool> Answered{false};
+    ScriptedServer Server([&](const Request &Seen) {
+      if (isFor(Seen, "/search/1"))
+        First.pass();
+      if (isFor(Seen, "/licence") && !Answered)
+        Early = true;
+      return ScriptedServer::answer("done");
+    });
+    FrontEnd Front({{"cat-1", Server.port()}}, {}, 1);
+    RawCaller Caller(Front.port());
+    Caller.send(search("1") + search("2") +
+                request("POST", "/licence", "", "x") + search("3"));
+    CPPUNIT_ASSERT(
+        eventually([&] { return countOf(Server, "/search/2") == 1; }));
+    Answered = true;
+    First.open();
+    for (int I = 0; I < 4; ++I)
+      CPPUNIT_ASSERT_EQUAL(200U, Caller.read().Status_);
+    CPPUNIT_ASSERT(!Early);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), countOf(Server, "/licence"));
+  }
+
+  void areRefusedInTheirOrder() {
+    ScriptedServer Server(
+        [](const Request &) { return ScriptedServer::answer("found"); });
+    FrontEnd Front({{"cat-1", Server.port()}}, {}, 1);
+    RawCaller Caller(Front.port());
+    Caller.send(search("1") + request("GET", "/nowhere") + search("2"));
+    CPPUNIT_ASSERT_EQUAL(200U, Caller.read().Status_);
+    CPPUNIT_ASSERT_EQUAL(404U, Caller.read().Status_);
+  }
+
+  void areHeldInPartWhenTheirAnswersAreLong() {
+    const std::string Long(1048576, 'b');
+    Gate First;
+    ScriptedServer Server([&](const Request &Seen) {
+      if (isFor(Seen, "/search/1"))
+        First.pass();
+      return ScriptedServer::answer(isFor(Seen, "/search/2") ? Long : "short");
+    });
+    FrontEnd Front({{"cat-1", Server.port()}}, {}, 1);
+    RawCaller Caller(Front.port());
+    Caller.send(search("1") + search("2") + search("3"));
+    CPPUNIT_ASSERT(
+        eventually([&] { return countOf(Server, "/search/3") == 1; }));
+    First.open();
+    CPPUNIT_ASSERT_EQUAL(std::string("short"), Caller.read().Body_);
+    CPPUNIT_ASSERT(Long == Caller.read().Body_);
+    CPPUNIT_ASSERT_EQUAL(std::string("short"), Caller.read().Body_);
+  }
+
+  void areDroppedWhenTheCallerHangsUp() {
+    Gate End;
+    ScriptedServer Server([&](const Request &) {
+      End.pass();
+      return ScriptedServer::answer("late");
+    });
+    FrontEnd Front({{"cat-1", Server.port()}}, {}, 1);
+    RawCaller Caller(Front.port());
+    Caller.send(search("1") + search("2") + search("3"));
+    CPPUNIT_ASSERT(eventually([&] { return Server.requests().size() == 3; }));
+    Caller.hangUp();
+    CPPUNIT_ASSERT(
+        eventually([&] { return Front.traffic().figures().InFlight_ == 0; }));
+    End.open();
+  }
+
+  void areAllAnsweredBeforeADrainingConnectionCloses() {
+    Gate End;
+    ScriptedServer Server([&](const Request &) {
+      End.pass();
+      return ScriptedServer::answer("found");
+    });
+    FrontEnd Front({{"cat-1", Server.port()}}, {}, 1);
+    RawCaller Caller(Front.port());
+    Caller.send(search("1") + search("2"));
+    CPPUNIT_ASSERT(eventually([&] { return Server.requests().size() == 2; }));
+    Front.traffic().drain([] {});
+    End.open();
+    const auto First = Caller.read();
+    CPPUNIT_ASSERT_EQUAL(200U, First.Status_);
+    CPPUNIT_ASSERT(First.Head_.find("Connection: close") == std::string::npos);
+    const auto Second = Caller.read();
+    CPPUNIT_ASSERT_EQUAL(200U, Second.Status_);
+    CPPUNIT_ASSERT(Second.Head_.find("Connection: close") != std::string::npos);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(PipelinedRequests);
+
+} // namespace
