Read the directory on VMs with fast links; tell many servers in one line; add a soak

Readers are now the VMs with the fastest links (`linkMbps`), two a zone there; more than eight changes get one line, ServersChanged. While the directory is away, processes with readers ask every 2.4 s and no longer each second. Items of an answer are read without a copy.

--- /dev/null
+++ b/bench/soak/callers.py
@@ -0,0 +1,149 @@
+"""Callers behind a balancer like the platform's, and the operator's probes."""
+
+import asyncio
+
+import wire
+from servers import body_of, signature
+
+MISSES_ALLOWED = 1  # the second miss takes a process out
+ROUTES = (("GET", "/search/", True, 0.8, 8), ("POST", "/licence/", False, 1.0, 3),
+          ("GET", "/lookup/", True, 1.5, 4))
+
+
+class Balancer:
+    """Asks each process every second whether it is ready."""
+
+    def __init__(self, entries):
+        self.entries = entries
+        self.misses = {entry.name: 0 for entry in entries}
+
+    async def watch(self):
+        while True:
+            await asyncio.gather(*(self._ask(entry) for entry in self.entries))
+            await asyncio.sleep(1.0)
+
+    async def _ask(self, entry):
+        try:
+            answer = await asyncio.wait_for(exchange(entry.admin_port, "GET", "/readyz", {}), 1.0)
+            ready = answer is not None and answer.status == 200
+        except (asyncio.TimeoutError, OSError, wire.Closed):
+            ready = False
+        self.misses[entry.name] = 0 if ready else self.misses[entry.name] + 1
+
+    def choose(self, random):
+        ready = [e for e in self.entries if self.misses[e.name] <= MISSES_ALLOWED]
+        return random.choice(ready or self.entries)
+
+
+async def exchange(port, method, target, fields, body=b""):
+    """One request on a connection of its own; None when it just ended."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    try:
+        writer.write(wire.compose(f"{method} {target} HTTP/1.1", dict(fields, Host="soak.example"), body))
+        return await wire.read_message(reader)
+    finally:
+        writer.close()
+
+
+class Caller:
+    """Sends calls one after the other; keeps its connection while it lasts."""
+
+    def __init__(self, number, balancer, judge, random):
+        self.number, self.balancer, self.judge, self.random = number, balancer, judge, random
+        self.entry = self.reader = self.writer = None
+        self.made = 0
+
+    def hang_up(self):
+        if self.writer is not None:
+            self.writer.close()
+        self.writer = None
+
+    async def run(self, pause):
+        while True:
+            await asyncio.sleep(pause * (0.5 + self.random.random()))
+            await self.call()
+
+    async def call(self):
+        method, prefix, is_safe, deadline, _ = self.random.choices(
+            ROUTES, weights=[route[4] for route in ROUTES])[0]
+        if self.writer is None or self.random.random() < 0.1:
+            self.hang_up()
+            self.entry = self.balancer.choose(self.random)
+            try:
+                self.reader, self.writer = await asyncio.wait_for(
+                    asyncio.open_connection("127.0.0.1", self.entry.proxy.port), 1.0)
+            except (OSError, asyncio.TimeoutError):
+                self.writer = None
+                return
+        self.made += 1
+        call = f"c{self.number}-{self.made}"
+        self.judge.note_sent(call, self.entry.name, is_safe)
+        fields = {"Host": "soak.example", "Attempt-Id": call,
+                  "Deadline-Milliseconds": int(deadline * 1000)}
+        body = b"x" * 200 if method == "POST" else b""
+        try:
+            self.writer.write(wire.compose(f"{method} {prefix}{call} HTTP/1.1", fields, body))
+            answer = await asyncio.wait_for(wire.read_message(self.reader), deadline + 0.5)
+        except asyncio.TimeoutError:
+            self.judge.note_unanswered(call, self.entry.name)
+            return self.hang_up()
+        except (wire.Closed, ConnectionError):
+            answer = None
+        self.judge.note_answer(call, self.entry.name, answer, signature(call), body_of(call))
+        if answer is None or answer.fields.get("connection") == "close":
+            self.hang_up()
+
+
+class Operator:
+    """Writes configurations and looks at each process which one is in force."""
+
+    def __init__(self, store, entries, judge, random):
+        self.store, self.entries, self.judge, self.random = store, entries, judge, random
+        self.version = 1
+        self.accepted_at = -1e9
+        self.seen = {}  # (process, its life): newest version seen there
+
+    def document(self):
+        def route(prefix, service, kind, timeout):
+            return {"name": prefix.strip("/"), "host": "soak.example", "prefix": prefix,
+                    "kind": kind, "timeout-ms": timeout, "latency-objective-ms": timeout // 2,
+                    "priority": 2 if kind == "safe" else 1, "service": service, "attempts": 2}
+        return {"version": self.version,
+                "routes": [route("/search/", "catalogo", "safe", 800),
+                           route("/licence/", "catalogo", "unsafe", 1000),
+                           route("/lookup/", "diritti", "safe", 1500),
+                           route(f"/v{self.version}/", "catalogo", "safe", 800)],
+                "services": [{"name": name, "health-check-path": "/health", "connection-limit": 220}
+                             for name in ("catalogo", "diritti")],
+                "limits": {"max-header-bytes": 16384, "max-body-bytes": 65536,
+                           "header-timeout-ms": 5000, "idle-timeout-ms": 20000}}
+
+    async def configure(self):
+        self.version += self.random.randint(1, 3)
+        await self.store.put("op/config", self.document())
+        self.accepted_at = self.judge.clock()
+
+    async def look(self, number):
+        entry = self.random.choice(self.entries)
+        life, version, accepted = entry.life, self.version, self.accepted_at
+        call, at = f"o{number}", self.judge.clock()
+        self.judge.note_sent(call, entry.name, True)
+        fields = {"Attempt-Id": call, "Deadline-Milliseconds": 800}
+        old = self.seen.get((entry.name, life), 0)
+        target = version if self.random.random() < 0.7 or not old else old
+        try:
+            answer = await asyncio.wait_for(
+                exchange(entry.port, "GET", f"/v{target}/x", fields), 1.5)
+        except (asyncio.TimeoutError, OSError, wire.Closed):
+            return
+        if answer is None or entry.life != life:
+            return
+        is_known = answer.status != 404 and answer.status != 503
+        if target == version and answer.status == 404 and version == self.version \
+                and at > accepted + 2.0 and self.judge.in_touch(entry.name, accepted):
+            self.judge.fault("CONFIG", f"{entry.name} has no version {version} "
+                                       f"{at - accepted:.3f} s after it was accepted")
+        if is_known:
+            if target < self.seen.get((entry.name, life), 0):
+                self.judge.fault("CONFIG", f"{entry.name} went back to version {target}")
+            self.seen[entry.name, life] = max(target, self.seen.get((entry.name, life), 0))
--- /dev/null
+++ b/bench/soak/fleet.py
@@ -0,0 +1,235 @@
+"""The processes, servers and callers of one seed, and what is done to them."""
+
+import asyncio
+import os
+import random
+import re
+import signal
+import socket
+import subprocess
+import time
+
+from callers import ROUTES, Balancer, Caller, Operator, exchange
+from judge import STALL_SECONDS, Judge
+from proxy import Proxy
+from schedule import draw_schedule
+from servers import Server, signature
+from store import Store
+
+GRACE_SECONDS = 6
+SERVERS_PER_ZONE = 4
+CALLERS = 60
+CALLER_PAUSE_SECONDS = 0.35
+READY_SECONDS = 20
+RECOVERY_SECONDS = 6
+RECOVERY_SHARE = 0.95
+
+
+class Entry:
+    """One entry process, restarted under its name when it ends."""
+
+    def __init__(self, fleet, name, zone):
+        self.fleet, self.name, self.zone = fleet, name, zone
+        self.port = self.admin_port = self.peer_port = 0
+        self.proxy = self.store_proxy = None
+        self.process = None
+        self.life = 0
+        self.stopping = False
+
+    def settings(self):
+        values = {"node": self.name, "zone": self.zone, "region": "soak", "ip-address": "127.0.0.1",
+                  "internal-port-range.0": self.peer_port,
+                  "platform.address": f"127.0.0.1:{self.store_proxy.port}",
+                  "listen-addresses.front": f"127.0.0.1:{self.port}",
+                  "listen-addresses.ready-address": f"127.0.0.1:{self.admin_port}",
+                  "bounds.drain-ms": 2000, "bounds.grace-period-s": GRACE_SECONDS,
+                  "bounds.retry-budget-ratio": 0.2, "bounds.retry-budget-slack": 58}
+        template = (self.fleet.root / "deploy/settings.json").read_text()
+        return re.sub(r"\{\{([^}]*)\}\}", lambda m: str(values[m.group(1)]), template)
+
+    def start(self):
+        path = self.fleet.out / f"{self.name}.json"
+        path.write_text(self.settings())
+        log = open(self.fleet.out / f"{self.name}.log", "ab")
+        self.process = subprocess.Popen([self.fleet.options.program, "--settings", str(path)],
+                                        stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+        log.close()
+        self.life += 1
+        self.stopping = False
+
+    def signal(self, number):
+        if self.process.poll() is None:
+            os.kill(self.process.pid, number)
+
+
+class Fleet:
+    def __init__(self, root, out, options, seed):
+        self.root, self.out, self.options = root, out, options
+        self.random = random.Random(seed)
+        self.clock = time.monotonic
+        self.judge = Judge(self.clock)
+        self.store = Store(self.clock)
+        self.store.random = self.random
+        self.entries, self.servers, self.proxies = [], [], {}
+        self.tasks = []
+        self.names = 0
+
+    # Building.
+
+    async def build(self):
+        ports = iter(free_ports(random.Random(), 3 * self.options.entries))
+        for i in range(self.options.entries):
+            zone = f"zone-{'ab'[i % 2]}"
+            entry = Entry(self, f"front-{zone}-{i // 2 + 1}", zone)
+            port = await self._store_port(entry.name)
+            entry.store_proxy = await Proxy(port).open()
+            entry.port, entry.admin_port, entry.peer_port = next(ports), next(ports), next(ports)
+            entry.proxy = await Proxy(entry.port).open()
+            self.entries.append(entry)
+        self.operator = Operator(self.store, self.entries, self.judge, self.random)
+        self.balancer = Balancer(self.entries)
+        await self.store.put("op/config", self.operator.document())
+        for service in ("catalogo", "diritti"):
+            for zone in ("zone-a", "zone-b"):
+                for _ in range(SERVERS_PER_ZONE):
+                    await self.add_server(service, zone)
+        for entry in self.entries:
+            entry.start()
+
+    async def _store_port(self, process):
+        server = await asyncio.start_server(
+            lambda r, w: self.store.serve(process, r, w), "127.0.0.1", 0)
+        self.tasks.append(server)
+        return server.sockets[0].getsockname()[1]
+
+    async def add_server(self, service, zone, proxy=None):
+        self.names += 1
+        server = Server(f"i-{self.names:04x}", service, zone, self.judge, self.random, self.clock)
+        await server.open()
+        if proxy is None:
+            proxy = await Proxy(server.port).open()
+        proxy.target_port = server.port
+        proxy.reset_all()
+        self.proxies[server.name] = proxy
+        self.servers.append(server)
+        await self.register(server)
+        return server
+
+    async def register(self, server):
+        await self.store.put(f"servers/{server.name}", server.entry(self.proxies[server.name].port))
+
+    # Playing.
+
+    async def play(self):
+        await self.build()
+        self.spawn(self.balancer.watch())
+        self.spawn(self.feel_stalls())
+        self.spawn(self.restart_ended())
+        await self.wait_ready()
+        callers = [Caller(i, self.balancer, self.judge, self.random) for i in range(CALLERS)]
+        for caller in callers:
+            self.spawn(caller.run(CALLER_PAUSE_SECONDS))
+        self.spawn(self.look_at_configurations())
+        begin = self.clock()
+        schedule = draw_schedule(self.random, self.options.seconds)
+        running = []
+        for fault in schedule:
+            await asyncio.sleep(max(0, begin + fault.at - self.clock()))
+            running.append(asyncio.create_task(fault.act(self)))
+        await asyncio.sleep(max(0, begin + self.options.seconds - self.clock()))
+        await asyncio.gather(*running)
+        await asyncio.sleep(RECOVERY_SECONDS)
+        await self.check_recovery()
+        # What is cancelled now has nothing left to say.
+        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        for task in self.tasks:
+            if isinstance(task, asyncio.Task):
+                task.cancel()
+        self.judge.finish(len(self.judge.sent))
+        return {"faults": self.judge.faults, "calls": len(self.judge.sent),
+                "told": {str(k): v for k, v in sorted(self.judge.told.items(), key=str)},
+                "storeCalls": self.store.calls,
+                "schedule": [f"{f.at:.2f} {f.name}" for f in schedule]}
+
+    def spawn(self, work):
+        self.tasks.append(asyncio.create_task(work))
+
+    async def wait_ready(self):
+        end = self.clock() + READY_SECONDS
+        while any(self.balancer.misses[e.name] for e in self.entries) or self.clock() < end - READY_SECONDS + 2:
+            if self.clock() > end:
+                self.judge.fault("START", "not all processes are ready")
+                return
+            await asyncio.sleep(0.1)
+
+    async def feel_stalls(self):
+        last = self.clock()
+        while True:
+            await asyncio.sleep(0.05)
+            if self.clock() - last > 0.05 + STALL_SECONDS:
+                self.judge.disturb()
+            last = self.clock()
+
+    async def restart_ended(self):
+        while True:
+            await asyncio.sleep(0.1)
+            for entry in self.entries:
+                code = entry.process.poll()
+                if code is None:
+                    continue
+                if not entry.stopping:
+                    self.judge.fault("ENDED", f"{entry.name} ended by itself with {code}")
+                self.judge.disturb(entry.name)
+                entry.start()
+
+    async def look_at_configurations(self):
+        number = 0
+        while True:
+            await asyncio.sleep(0.1)
+            number += 1
+            await self.operator.look(number)
+
+    async def check_recovery(self):
+        served, asked = 0, 0
+        for entry in self.entries:
+            for i in range(3):
+                call = f"r-{entry.name}-{i}"
+                self.judge.note_sent(call, entry.name, True)
+                asked += 1
+                try:
+                    answer = await asyncio.wait_for(exchange(
+                        entry.port, "GET", f"{ROUTES[0][1]}{call}",
+                        {"Attempt-Id": call, "Deadline-Milliseconds": 800}), 1.5)
+                except (OSError, asyncio.TimeoutError):
+                    continue
+                served += answer is not None and answer.fields.get("response-signature") == signature(call)
+        if served < RECOVERY_SHARE * asked:
+            self.judge.fault("RECOVER", f"{served} of {asked} calls served after the faults")
+
+    def end_processes(self):
+        """Ends the processes that this has started, by their ids."""
+        for entry in self.entries:
+            if entry.process is not None and entry.process.poll() is None:
+                os.kill(entry.process.pid, signal.SIGCONT)
+                entry.process.kill()
+                entry.process.wait()
+
+
+def free_ports(random, count):
+    """Ports below the range from which outgoing connections take theirs."""
+    for _ in range(100):
+        first = random.randrange(20000, 31000)
+        ports = list(range(first, first + count))
+        if all(is_free(port) for port in ports):
+            return ports
+    raise RuntimeError("no free ports")
+
+
+def is_free(port):
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
--- /dev/null
+++ b/bench/soak/servers.py
@@ -0,0 +1,123 @@
+"""Stand-ins for backend servers. They note every run and misbehave on demand."""
+
+import asyncio
+import hashlib
+
+import wire
+
+HEARTBEAT_SECONDS = 1.5
+QUEUED = 4
+
+
+def signature(call):
+    return hashlib.sha256(call.encode()).hexdigest()[:16]
+
+
+def body_of(call, size=900):
+    return (call + ":").encode() * (size // (len(call) + 1) + 1)
+
+
+class Server:
+    """One incarnation of a backend server behind a proxy of its own."""
+
+    def __init__(self, name, service, zone, judge, random, clock):
+        self.name, self.service, self.zone = name, service, zone
+        self.judge, self.random, self.clock = judge, random, clock
+        self.slots, self.running, self.waiting = 3, 0, 0
+        self.pace = 1.0
+        self.state = "ready"
+        self.work = 0.03
+        self.fails = self.loses = self.garbles = 0.0
+        self.doubles = 0.0
+        self.gone = False
+        self.free = asyncio.Condition()
+        self.port = 0
+        self._server = None
+        self._writers = set()
+
+    async def open(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    def heal(self):
+        self.pace = 1.0
+        self.fails = self.loses = self.garbles = self.doubles = 0.0
+
+    def crash(self):
+        self.gone = True
+        self._server.close()
+        for writer in list(self._writers):
+            wire.reset(writer)
+
+    def entry(self, proxy_port):
+        return {"address": f"127.0.0.1:{proxy_port}",
+                "information": {"service": self.service, "version": "v1",
+                                "zone": self.zone, "slots": self.slots},
+                "status": {"state": self.state, "sequence": 1, "cold-remaining-ms": 0}}
+
+    def load(self):
+        return f"{self.running},{self.waiting},{self.slots},{int(self.pace * 100)}"
+
+    async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        try:
+            while (request := await wire.read_message(reader)) is not None:
+                if request.target == "/health":
+                    await self._send(writer, "200 OK" if self.state == "ready" else "503 X", {})
+                elif not await self._answer(request, writer):
+                    return wire.reset(writer)
+        except (wire.Closed, ConnectionError, OSError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _send(self, writer, status, fields, body=b""):
+        fields = dict(fields, **{"Instance-Id": self.name, "Server-Load": self.load()})
+        if self.state != "ready":
+            fields["Connection"] = "close"
+        writer.write(wire.compose(f"HTTP/1.1 {status}", fields, body))
+        await writer.drain()
+
+    async def _answer(self, request, writer):
+        """False to reset the connection."""
+        call = request.fields.get("attempt-id", "")
+        if request.fields.get("expected-instance") != self.name:
+            await self._send(writer, "421 Misdirected Request", {})
+            return True
+        if self.running >= self.slots and self.waiting >= QUEUED:
+            await self._send(writer, "503 Full", {"Attempt-Id": call, "Not-Executed": "1"})
+            return True
+        if self.running >= self.slots:
+            self.waiting += 1
+            async with self.free:
+                await self.free.wait_for(lambda: self.running < self.slots)
+            self.waiting -= 1
+        self.running += 1
+        self.judge.note_run(call, self, request)
+        await asyncio.sleep(self.work * self.pace * (0.5 + self.random.random()))
+        self.running -= 1
+        async with self.free:
+            self.free.notify()
+        return await self._finish(call, writer)
+
+    async def _finish(self, call, writer):
+        fields = {"Attempt-Id": call, "Response-Signature": signature(call)}
+        if self.random.random() < self.loses:
+            return False
+        if self.random.random() < self.fails:
+            self.judge.note_end(call, 500)
+            await self._send(writer, "500 Internal Server Error", fields)
+            return True
+        body = body_of(call)
+        if self.random.random() < self.garbles:
+            whole = wire.compose("HTTP/1.1 200 OK", fields, body)
+            writer.write(whole[: len(whole) // 2])
+            await writer.drain()
+            return False
+        self.judge.note_end(call, 200)
+        await self._send(writer, "200 OK", fields, body)
+        if self.random.random() < self.doubles:
+            await self._send(writer, "200 OK", fields, body)
+        return True
--- a/src/libcumingauge/adapters/controlruntime.cpp
+++ b/src/libcumingauge/adapters/controlruntime.cpp
@@ -99,6 +99,7 @@
     Self.Region_ = Settings_.Region_;
     Self.Host_ = Settings_.Peer_.Host_;
     Self.Port_ = Links_.port();
+    Self.LinkMbps_ = Settings_.LinkMbps_;
     Links_.setSelf(Self);
     control::CoreSettings CoreOptions = coreSettings(Settings_, Self);
     CoreOptions.FollowsDirectory_ = Directory_.Execute_ != nullptr;
--- a/src/libcumingauge/adapters/controlruntime.h
+++ b/src/libcumingauge/adapters/controlruntime.h
@@ -30,11 +30,13 @@
   model::milliseconds TickPeriod_{50};
   /// With a directory: a server that leaves gets no new work after this time.
   model::milliseconds LeavingBound_{2000};
+  /// Of this VM; processes with fast links are asked first to pass news on.
+  double LinkMbps_ = 0;
 };
 BOOST_DESCRIBE_STRUCT(ControlSettings, (),
                       (Process_, Zone_, Region_, Peer_, Store_, SeedPeers_,
                        Key_, FreshnessLimit_, HeartbeatPeriod_, EventRingSize_,
-                       TickPeriod_, LeavingBound_))
+                       TickPeriod_, LeavingBound_, LinkMbps_))
 
 /// Range checks; empty when valid.
 model::Problems checkControlSettings(const ControlSettings &Settings,
--- a/src/libcumingauge/control/directoryfollower.cpp
+++ b/src/libcumingauge/control/directoryfollower.cpp
@@ -23,6 +23,10 @@
 /// Half of the time in which a server that lost its entry during an outage has
 /// it back, so that the end of the outage is seen soon.
 constexpr model::milliseconds LastRetry{1000};
+/// The same with readers, which ask sooner and tell when they are answered.
+/// With the jitter it stays within the 3 s after an outage in which nothing
+/// has to be in force yet.
+constexpr model::milliseconds LastRetryWithReaders{2400};
 constexpr model::seconds CallTimeout{5};
 /// Part of the time in which a leaving mark must be in force for which changes
 /// are gathered before they are asked for; the rest is for the call.
@@ -64,11 +68,13 @@
 
 void noteFailure(CoreState &State, DirectoryFeed &Feed) {
   noteStoreHealth(State, /*Works=*/false);
-  const unsigned Doublings = std::min(Feed.Failures_, 4U);
+  const unsigned Doublings = std::min(Feed.Failures_, 5U);
   ++Feed.Failures_;
-  Feed.NextAt_ = State.Now_ +
-                 jittered(State, std::min<model::Duration>(
-                                     FirstRetry * (1 << Doublings), LastRetry));
+  const model::Duration Last =
+      hasReaders(State) && !isReader(State) ? LastRetryWithReaders : LastRetry;
+  Feed.NextAt_ =
+      State.Now_ + jittered(State, std::min<model::Duration>(
+                                       FirstRetry * (1 << Doublings), Last));
 }
 
 void noteSuccess(CoreState &State, DirectoryFeed &Feed) {
@@ -303,10 +309,7 @@
   Follower.KnownRevision_ = std::max(Follower.KnownRevision_, Revision);
   if (Follower.Servers_.Revision_ > 0)
     Follower.Servers_.Revision_ = Follower.KnownRevision_;
-  bool Changed = false;
-  for (const ports::ServerEntry &Entry : Entries)
-    Changed = takeEntry(State, Entry) || Changed;
-  if (Changed)
+  if (takeEntries(State, Entries))
     replaceState(State, *State.Log_.State_);
 }
 
--- a/src/libcumingauge/control/directorylinks.cpp
+++ b/src/libcumingauge/control/directorylinks.cpp
@@ -14,9 +14,13 @@
 /// In a smaller zone, links cost more than the calls that they save.
 constexpr std::size_t LeastZone = 8;
 constexpr std::size_t LeastReaders = 2;
-/// A reader has links to an eighth of its zone for each of the two that every
-/// member keeps: well below the limit of links of a process.
+/// Members for each reader. With two links of each member, a reader has links
+/// to twice as many, and a change of the whole list of 300 servers is some 50
+/// KB to each: 0.7 s on a link of 10 Mbit/s for 17 of them.
 constexpr std::size_t MembersPerReader = 8;
+/// The same where some links are so many times as fast as the slowest.
+constexpr std::size_t MembersPerFastReader = 24;
+constexpr double FastLink = 4;
 constexpr std::size_t ReadersPerMember = 2;
 /// Part of the leaving bound after which news are sent without a change and
 /// without a new proof, so that the link does not fall silent.
@@ -43,14 +47,20 @@
     if (Listed.Zone_ == State.Settings_.Self_.Zone_)
       Out.push_back(&Listed);
   std::sort(Out.begin(), Out.end(), [](const Member *L, const Member *R) {
+    if (L->LinkMbps_ != R->LinkMbps_)
+      return L->LinkMbps_ > R->LinkMbps_;
     return rendezvousWeight("directory", L->Process_) >
            rendezvousWeight("directory", R->Process_);
   });
   return Out;
 }
 
-std::size_t readersOf(std::size_t Zone) {
-  return std::max(LeastReaders, Zone / MembersPerReader);
+/// How many of a zone, in the order of zoneByRank, are readers.
+std::size_t readersOf(const Members &Zone) {
+  const bool HasFast =
+      Zone.front()->LinkMbps_ > FastLink * Zone.back()->LinkMbps_;
+  return std::max(LeastReaders, Zone.size() / (HasFast ? MembersPerFastReader
+                                                       : MembersPerReader));
 }
 
 bool isSelf(const CoreState &State, const Member &Value) {
@@ -58,7 +68,8 @@
 }
 
 bool isReaderByRank(const CoreState &State, const Members &Zone) {
-  const std::size_t Readers = std::min(readersOf(Zone.size()), Zone.size());
+  const std::size_t Readers =
+      Zone.empty() ? 0 : std::min(readersOf(Zone), Zone.size());
   return std::any_of(
       Zone.begin(), Zone.begin() + static_cast<std::ptrdiff_t>(Readers),
       [&](const Member *Value) { return isSelf(State, *Value); });
@@ -72,7 +83,7 @@
     return {};
   Members Readers;
   for (const Member *Value : Zone)
-    if (Readers.size() < readersOf(Zone.size()) && !isSelf(State, *Value) &&
+    if (Readers.size() < readersOf(Zone) && !isSelf(State, *Value) &&
         (findLinkTo(State.Links_, Value->Process_) ||
          !isAddressAvoided(State, addressOf(*Value))))
       Readers.push_back(Value);
@@ -197,6 +208,13 @@
                      });
 }
 
+bool hasReaders(const CoreState &State) {
+  return std::any_of(State.Links_.Links_.begin(), State.Links_.Links_.end(),
+                     [](const auto &Entry) {
+                       return Entry.second.Ordered_ && !Entry.second.Operator_;
+                     });
+}
+
 bool mustAskDirectory(const CoreState &State, const DirectoryFeed &Feed) {
   const bool HasNews =
       State.Now_ - Feed.NewsTrueAt_.value_or(model::TimePoint()) <
--- a/src/libcumingauge/control/directorylinks.h
+++ b/src/libcumingauge/control/directorylinks.h
@@ -18,6 +18,9 @@
 /// Whether other processes rely on what this one asks.
 bool isReader(const CoreState &State);
 
+/// Whether this process has links to readers.
+bool hasReaders(const CoreState &State);
+
 /// Opens and closes links, and sends the news that are due.
 void keepDirectoryLinks(CoreState &State);
 
--- a/src/libcumingauge/control/linkkeeper.cpp
+++ b/src/libcumingauge/control/linkkeeper.cpp
@@ -22,6 +22,9 @@
 constexpr unsigned SeedsAtStart = 3;
 /// A process refuses links beyond this; the peer then chooses another.
 constexpr std::size_t MaxPeerLinks = 32;
+/// The same for a reader: twice its members, and as many again while others
+/// are away.
+constexpr std::size_t MaxReaderLinks = 96;
 
 PeerAddress addressOf(const Member &Value) {
   return {Value.Host_, Value.Port_};
@@ -182,8 +185,10 @@
   if (Input.Ordered_)
     State.Links_.Opening_.erase(addressOf(Input.Peer_));
   const bool IsSelf = Input.Peer_.Process_ == State.Members_.Self_;
+  const std::size_t MaxLinks =
+      State.Settings_.FollowsDirectory_ ? MaxReaderLinks : MaxPeerLinks;
   const bool IsTooMany =
-      !Opened.Ordered_ && State.Links_.Links_.size() > MaxPeerLinks;
+      !Opened.Ordered_ && State.Links_.Links_.size() > MaxLinks;
   if (IsTooMany && !State.Settings_.FollowsDirectory_) {
     // The newcomer needs other members to link with.
     takeMember(State, Input.Peer_);
--- a/src/libcumingauge/control/serverlist.cpp
+++ b/src/libcumingauge/control/serverlist.cpp
@@ -14,6 +14,8 @@
 constexpr model::milliseconds ReturnTime{2200};
 /// Part of the servers that are missing after an outage of the directory.
 constexpr double LapsedTogether = 0.5;
+/// Changes that get a line each; a line costs some 30 us of the control thread.
+constexpr std::size_t LinesAtOnce = 8;
 /// Servers still missing so soon after an outage are gone, however many.
 constexpr model::seconds OneOutage{10};
 
@@ -29,20 +31,46 @@
              LapsedTogether * static_cast<double>(Follower.Listed_.size());
 }
 
-void recordDifference(CoreState &State, const ListedServer *Before,
-                      const ListedServer *After) {
-  const std::string &Name =
-      After ? After->Server_.Name_ : Before->Server_.Name_;
-  const auto Detail = [](const ListedServer &Listed) {
-    return Listed.Server_.Service_ + " " + Listed.Server_.Host_ + ":" +
-           std::to_string(Listed.Server_.Port_) + " vm " + Listed.Server_.Vm_;
-  };
+std::string describe(const ListedServer &Listed) {
+  return Listed.Server_.Service_ + " " + Listed.Server_.Host_ + ":" +
+         std::to_string(Listed.Server_.Port_) + " vm " + Listed.Server_.Vm_;
+}
+
+/// Servers that came and went together.
+struct Differences {
+  std::vector<ListedServer> Ready_;
+  std::vector<ListedServer> Gone_;
+};
+
+void note(Differences &Out, const ListedServer *Before,
+          const ListedServer *After) {
   if (!After)
-    record(State, EventKind::ServerGone, Name, versionOf(State), ResultCode::Ok,
-           Detail(*Before));
+    Out.Gone_.push_back(*Before);
   else if (!Before || Before->Server_.Vm_ != After->Server_.Vm_)
-    record(State, EventKind::ServerReady, Name, versionOf(State),
-           ResultCode::Ok, Detail(*After));
+    Out.Ready_.push_back(*After);
+}
+
+std::string namesOf(const std::vector<ListedServer> &Servers) {
+  std::string Out;
+  for (const ListedServer &Listed : Servers)
+    Out += " " + Listed.Server_.Vm_;
+  return Out;
+}
+
+/// A line for each, or one for all where they are many: at a start, after an
+/// outage.
+void recordDifferences(CoreState &State, const Differences &Found) {
+  if (Found.Ready_.size() + Found.Gone_.size() > LinesAtOnce)
+    return record(State, EventKind::ServersChanged, "servers", versionOf(State),
+                  ResultCode::Ok,
+                  "ready:" + namesOf(Found.Ready_) +
+                      "; gone:" + namesOf(Found.Gone_));
+  for (const ListedServer &Listed : Found.Ready_)
+    record(State, EventKind::ServerReady, Listed.Server_.Name_,
+           versionOf(State), ResultCode::Ok, describe(Listed));
+  for (const ListedServer &Listed : Found.Gone_)
+    record(State, EventKind::ServerGone, Listed.Server_.Name_, versionOf(State),
+           ResultCode::Ok, describe(Listed));
 }
 
 /// Whether two entries mean the same for choosing a server. How long it stays
@@ -53,24 +81,33 @@
 }
 
 /// Takes an entry without noting it for the peers.
-bool changeListed(CoreState &State, const ports::ServerEntry &Entry) {
+bool changeListed(CoreState &State, const ports::ServerEntry &Entry,
+                  Differences &Found) {
   auto &Listed = State.Directory_.Listed_;
   const auto Known = Listed.find(Entry.Name_);
   if (!Entry.Listed_) {
     if (Known == Listed.end())
       return false;
-    recordDifference(State, &Known->second, nullptr);
+    note(Found, &Known->second, nullptr);
     Listed.erase(Known);
     return true;
   }
   if (Known != Listed.end() && isSameListing(Known->second, *Entry.Listed_))
     return false;
-  recordDifference(State, Known == Listed.end() ? nullptr : &Known->second,
-                   &*Entry.Listed_);
+  note(Found, Known == Listed.end() ? nullptr : &Known->second,
+       &*Entry.Listed_);
   Listed[Entry.Name_] = *Entry.Listed_;
   return true;
 }
 
+bool takeEntry(CoreState &State, const ports::ServerEntry &Entry,
+               Differences &Found) {
+  if (!changeListed(State, Entry, Found))
+    return false;
+  State.Directory_.ChangedAt_[Entry.Name_] = State.Directory_.KnownRevision_;
+  return true;
+}
+
 bool mayBeNewOutage(const CoreState &State) {
   const auto &Back = State.Directory_.BackAt_;
   return !Back || State.Now_ - *Back >= OneOutage;
@@ -83,11 +120,14 @@
   return Back && State.Now_ - *Back < ReturnTime;
 }
 
-bool takeEntry(CoreState &State, const ports::ServerEntry &Entry) {
-  if (!changeListed(State, Entry))
-    return false;
-  State.Directory_.ChangedAt_[Entry.Name_] = State.Directory_.KnownRevision_;
-  return true;
+bool takeEntries(CoreState &State,
+                 const std::vector<ports::ServerEntry> &Entries) {
+  Differences Found;
+  bool Changed = false;
+  for (const ports::ServerEntry &Entry : Entries)
+    Changed = takeEntry(State, Entry, Found) || Changed;
+  recordDifferences(State, Found);
+  return Changed;
 }
 
 void takeList(CoreState &State,
@@ -99,12 +139,14 @@
   for (const auto &Entry : Follower.Listed_)
     if (Read.count(Entry.first) == 0)
       Missing.push_back(Entry.first);
+  Differences Found;
   // A server that was leaving is gone for good.
   for (const std::string &Name : Missing)
     if (!isJustBack(State) || Follower.Listed_[Name].Leaving_)
-      takeEntry(State, {Name, std::nullopt});
+      takeEntry(State, {Name, std::nullopt}, Found);
   for (const auto &[Name, Entry] : Read)
-    takeEntry(State, {Name, Entry});
+    takeEntry(State, {Name, Entry}, Found);
+  recordDifferences(State, Found);
 }
 
 void noteKnown(CoreState &State, std::uint64_t Revision) {
--- a/src/libcumingauge/control/serverlist.h
+++ b/src/libcumingauge/control/serverlist.h
@@ -4,14 +4,16 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 /// The list of servers as read from the directory or told by peers.
 namespace cumingauge::control {
 
 struct CoreState;
 
-/// Takes one entry; true when it changed what is known of the server.
-bool takeEntry(CoreState &State, const ports::ServerEntry &Entry);
+/// Takes entries; true when they changed what is known of a server.
+bool takeEntries(CoreState &State,
+                 const std::vector<ports::ServerEntry> &Entries);
 
 /// Takes a whole list.
 void takeList(CoreState &State,
--- a/src/libcumingauge/model/event.h
+++ b/src/libcumingauge/model/event.h
@@ -29,6 +29,7 @@
   ServerLeaving,
   ServerEjected,
   ServerGone,
+  ServersChanged, ///< many at once; the detail names them
   ServerLastCallEnded,
   CallRetried,
   CallHedged,
@@ -45,9 +46,10 @@
 BOOST_DESCRIBE_ENUM(EventKind, ChangeAccepted, ChangeSeen, ChangeApplied,
                     MemberJoined, MemberSuspected, MemberDead, MemberReturned,
                     ServerCold, ServerReady, ServerLeaving, ServerEjected,
-                    ServerGone, ServerLastCallEnded, CallRetried, CallHedged,
-                    CallRefused, BudgetSpent, PauseFound, StoreAway, StoreBack,
-                    ProcessStarted, ProcessReady, ProcessStopping, Alarm)
+                    ServerGone, ServersChanged, ServerLastCallEnded,
+                    CallRetried, CallHedged, CallRefused, BudgetSpent,
+                    PauseFound, StoreAway, StoreBack, ProcessStarted,
+                    ProcessReady, ProcessStopping, Alarm)
 
 /// One event of one process.
 struct Event {
--- a/src/libcumingauge/model/member.h
+++ b/src/libcumingauge/model/member.h
@@ -21,9 +21,11 @@
   std::string Host_; ///< address of the peer link
   std::uint16_t Port_ = 0;
   MemberStatus Status_ = MemberStatus::Alive;
+  /// Megabits a second of its VM's link; 0: not told.
+  double LinkMbps_ = 0;
 };
 BOOST_DESCRIBE_STRUCT(Member, (),
                       (Process_, Incarnation_, Zone_, Region_, Host_, Port_,
-                       Status_))
+                       Status_, LinkMbps_))
 
 } // namespace cumingauge::model
--- a/src/libcumingauge/platform/directoryclient.cpp
+++ b/src/libcumingauge/platform/directoryclient.cpp
@@ -6,6 +6,7 @@
 #include "platform/jsonfields.h"
 #include "platform/serverentry.h"
 #include "platform/words.h"
+#include <algorithm>
 
 namespace cumingauge::platform {
 
@@ -166,14 +167,12 @@
   return Out;
 }
 
-/// Items of a range, events of a watch, or the item itself.
-std::vector<Json> itemsOf(const Json &Document) {
+/// Items of a range, or events of a watch; null for an item on its own.
+const Json *findList(const Json &Document) {
   for (const char *Name : {"items", "events"})
     if (const Json *List = findField(Document, Name))
-      return List->is_array() ? List->get<std::vector<Json>>()
-                              : std::vector<Json>();
-  return findField(Document, "key") ? std::vector<Json>{Document}
-                                    : std::vector<Json>();
+      return List;
+  return nullptr;
 }
 
 DirectoryResponse readItems(const DirectoryRequest &Request,
@@ -187,10 +186,14 @@
   Out.Revision_ = *Revision;
   AnswerReader Reader(Request, Base, Out);
   std::string LastKey;
-  for (const Json &Item : itemsOf(Document)) {
+  const auto Take = [&](const Json &Item) {
     LastKey = textField(Item, "key").value_or(LastKey);
     Reader.take(Item);
-  }
+  };
+  if (const Json *List = findList(Document))
+    std::for_each(List->begin(), List->end(), Take);
+  else if (findField(Document, "key"))
+    Take(Document);
   const Json *More = findField(Document, "has-more");
   if (More && More->is_boolean() && More->get<bool>())
     Out.Next_ = LastKey;
--- a/tests/control/directorylinkstest.cpp
+++ b/tests/control/directorylinkstest.cpp
@@ -17,6 +17,8 @@
   Out.Zone_ = "milano-a";
   Out.Host_ = "10.0.0." + std::to_string(Number);
   Out.Port_ = 7000;
+  const bool IsFast = Number == 3 || Number == 12;
+  Out.LinkMbps_ = IsFast ? 200 : 10;
   return Out;
 }
 
@@ -74,6 +76,16 @@
   /// asked is never answered, and further calls fail.
   void cut(unsigned Number) { Cut_.insert(Number); }
 
+  /// While it is away, the directory drops every call.
+  void setAway(bool Away) {
+    Away_ = Away;
+    if (!Away)
+      return;
+    const auto Dropped = std::exchange(Watches_, {});
+    for (const Watch &Asked : Dropped)
+      feed(Asked.Process_, DirectoryAnswered{Asked.Call_, unavailable()});
+  }
+
   void kill(unsigned Number) {
     Dead_.insert(Number);
     for (auto It = Links_.begin(); It != Links_.end();) {
@@ -167,13 +179,13 @@
 
   void execute(unsigned Number, const CallDirectory &Order) {
     const ports::DirectoryRequest &Asked = Order.Request_;
+    if (Cut_.count(Number))
+      return feed(Number, DirectoryAnswered{Order.Call_, unavailable()});
+    ++(Asked.Operation_ == DirectoryOperation::Ping ? Pings_ : Calls_);
+    if (Away_)
+      return feed(Number, DirectoryAnswered{Order.Call_, unavailable()});
     ports::DirectoryResponse Answer;
     Answer.Revision_ = Revision_;
-    if (Cut_.count(Number)) {
-      Answer.Code_ = model::ResultCode::StoreUnavailable;
-      return feed(Number, DirectoryAnswered{Order.Call_, Answer});
-    }
-    ++(Asked.Operation_ == DirectoryOperation::Ping ? Pings_ : Calls_);
     if (Asked.Operation_ == DirectoryOperation::Watch) {
       Watches_.push_back({Number, Asked.Topic_, Order.Call_, Asked.After_,
                           Now_ + Asked.Wait_});
@@ -184,6 +196,12 @@
     feed(Number, DirectoryAnswered{Order.Call_, Answer});
   }
 
+  static ports::DirectoryResponse unavailable() {
+    ports::DirectoryResponse Out;
+    Out.Code_ = model::ResultCode::StoreUnavailable;
+    return Out;
+  }
+
   /// What a topic holds, or what has changed in it after a revision.
   void fill(ports::DirectoryResponse &Answer, DirectoryTopic Topic,
             std::uint64_t After) const {
@@ -235,6 +253,7 @@
   LinkId LastLink_ = 0;
   std::set<unsigned> Dead_;
   std::set<unsigned> Cut_;
+  bool Away_ = false;
   std::map<unsigned, std::shared_ptr<const model::ControlView>> Views_;
   unsigned Calls_ = 0;
   unsigned Pings_ = 0;
@@ -247,6 +266,8 @@
   CPPUNIT_TEST(goesOnWithinTheBoundWhenAllReadersDie);
   CPPUNIT_TEST(goesOnWithinTheBoundWhenReadersLoseTheDirectory);
   CPPUNIT_TEST(bringsAConfigurationToEveryProcessAtOnce);
+  CPPUNIT_TEST(readsOnVmsWithFastLinks);
+  CPPUNIT_TEST(asksSeldomWhileTheDirectoryIsAway);
   CPPUNIT_TEST(startsWithFewCallsOfEachProcess);
   CPPUNIT_TEST(restsWithFewCalls);
   CPPUNIT_TEST_SUITE_END();
@@ -316,6 +337,28 @@
     CPPUNIT_ASSERT(Fleet.calls() - Before <= 2 * 4);
   }
 
+  void readsOnVmsWithFastLinks() {
+    Zone Fleet;
+    Fleet.put(server("c"));
+    Fleet.wait(model::seconds(3));
+    CPPUNIT_ASSERT((std::set<unsigned>{3, 12}) == Fleet.watchers());
+  }
+
+  void asksSeldomWhileTheDirectoryIsAway() {
+    Zone Fleet;
+    Fleet.setAway(true);
+    Fleet.wait(model::seconds(10));
+    const unsigned Before = Fleet.calls();
+    Fleet.wait(model::seconds(10));
+    // Both topics: each second by the readers, every 2 s by the others.
+    CPPUNIT_ASSERT(Fleet.calls() - Before <=
+                   2 * (2 * 10 * 4 / 3 + 14 * 10 * 2 / 3));
+    Fleet.setAway(false);
+    Fleet.put(server("a", true));
+    Fleet.wait(model::milliseconds(3000)); // until all must be in touch again
+    CPPUNIT_ASSERT_EQUAL(ZoneSize, Fleet.knowingThatLeaves("a"));
+  }
+
   void startsWithFewCallsOfEachProcess() {
     Zone Fleet;
     // Announcement, members, configuration, servers; two watches of a reader.
