Prefer servers heard of just now; read the store at once after a pause

Cause of late answers beside servers with room: under load the servers that had been asked looked full, and the call went to one that had not been asked, whose estimate is the usual load.

Cause of the slow first call after a pause of a process without peers: the call that was under way from before the pause held the next one back, which was a watch of 500 ms. After a pause, and at the start, the end of the log is read at once. A call with less time left than half a usual answer takes is refused as not run instead of being sent. Tests seen to fail before: goesOnSoonAfterAPauseIn AFleetOfOne, isRefusedWhenTooLittleTimeIsLeft, leadsAwayFromAServerThatWasNot LookedAt.

--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -18,6 +18,7 @@
 
 GRACE_SECONDS = 6
 SERVERS_PER_ZONE = 4
+FAST_PER_ZONE, FAST_MBPS, SLOW_MBPS = 2, 200, 10
 CALLERS = 60
 CALLER_PAUSE_SECONDS = 0.35
 READY_SECONDS = 20
@@ -28,8 +29,9 @@
 class Entry:
     """One entry process, restarted under its name when it ends."""
 
-    def __init__(self, fleet, name, zone):
+    def __init__(self, fleet, name, zone, link_mbps):
         self.fleet, self.name, self.zone = fleet, name, zone
+        self.link_mbps = link_mbps
         self.port = self.admin_port = self.peer_port = 0
         self.proxy = self.store_proxy = None
         self.process = None
@@ -39,6 +41,7 @@
     def settings(self):
         values = {"node": self.name, "zone": self.zone, "region": "soak", "ip-address": "127.0.0.1",
                   "internal-port-range.0": self.peer_port,
+                  "limits.link-mbps": self.link_mbps,
                   "platform.address": f"127.0.0.1:{self.store_proxy.port}",
                   "listen-addresses.front": f"127.0.0.1:{self.port}",
                   "listen-addresses.ready-address": f"127.0.0.1:{self.admin_port}",
@@ -80,7 +83,8 @@
         ports = iter(free_ports(random.Random(), 3 * self.options.entries))
         for i in range(self.options.entries):
             zone = f"zone-{'ab'[i % 2]}"
-            entry = Entry(self, f"front-{zone}-{i // 2 + 1}", zone)
+            entry = Entry(self, f"front-{zone}-{i // 2 + 1}", zone,
+                          FAST_MBPS if i // 2 < FAST_PER_ZONE else SLOW_MBPS)
             port = await self._store_port(entry.name)
             entry.store_proxy = await Proxy(port).open()
             entry.port, entry.admin_port, entry.peer_port = next(ports), next(ports), next(ports)
@@ -140,17 +144,21 @@
         await asyncio.gather(*running)
         await asyncio.sleep(RECOVERY_SECONDS)
         await self.check_recovery()
-        # What is cancelled now has nothing left to say.
-        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
-        for task in self.tasks:
-            if isinstance(task, asyncio.Task):
-                task.cancel()
+        await self.end_tasks()
         self.judge.finish(len(self.judge.sent))
         return {"faults": self.judge.faults, "calls": len(self.judge.sent),
                 "told": {str(k): v for k, v in sorted(self.judge.told.items(), key=str)},
                 "storeCalls": self.store.calls,
                 "schedule": [f"{f.at:.2f} {f.name}" for f in schedule]}
 
+    async def end_tasks(self):
+        # What is cancelled now has nothing left to say.
+        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in others:
+            task.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
+
     def spawn(self, work):
         self.tasks.append(asyncio.create_task(work))
 
--- a/src/libcumingauge/control/core.cpp
+++ b/src/libcumingauge/control/core.cpp
@@ -25,7 +25,7 @@
   State.LastExchange_.reset();
   State.Follower_.Failures_ = 0;
   State.Follower_.Away_ = false;
-  hurryStore(State);
+  restartStore(State);
   if (State.Settings_.FollowsDirectory_)
     hurryDirectory(State);
   forgetHeartbeats(State);
--- a/src/libcumingauge/control/storefollower.cpp
+++ b/src/libcumingauge/control/storefollower.cpp
@@ -71,7 +71,9 @@
 
 void startReading(CoreState &State) {
   ports::StoreRequest Request = getEntry(versionOf(State) + 1);
-  if (isWatcher(State)) {
+  // A watch would hold back the first exchange after a start or a pause, for
+  // which calls wait.
+  if (isWatcher(State) && State.LastExchange_) {
     Request.Operation_ = StoreOperation::Watch;
     Request.Wait_ = peerLinks(State.Links_).empty()
                         ? WatchWithoutPeers
@@ -300,6 +302,12 @@
     Follower.NextAt_ = State.Now_;
 }
 
+void restartStore(CoreState &State) {
+  // What is under way may have been answered before the pause.
+  State.Follower_.Activity_ = Activity::Idle;
+  State.Follower_.NextAt_ = State.Now_;
+}
+
 void reloadFromStore(CoreState &State) { State.Follower_.LoadWanted_ = true; }
 
 } // namespace cumingauge::control
--- a/src/libcumingauge/control/storefollower.h
+++ b/src/libcumingauge/control/storefollower.h
@@ -45,6 +45,9 @@
 /// Has the store asked at once.
 void hurryStore(CoreState &State);
 
+/// Reads the store again at once after a pause, whatever was under way.
+void restartStore(CoreState &State);
+
 /// Has the whole state read again, since contents disagree.
 void reloadFromStore(CoreState &State);
 
--- a/src/libcumingauge/policy/admission.cpp
+++ b/src/libcumingauge/policy/admission.cpp
@@ -124,8 +124,6 @@
     }
 }
 
-/// Age up to which a server's word on its load counts for this.
-constexpr model::Duration HeardLately = model::milliseconds(60);
 /// Urgent calls are given more time, so that they are refused less often than
 /// others of the same service.
 constexpr double UrgentSlack = 1.5;
@@ -146,7 +144,7 @@
   bool HeardOfAny = false;
   for (const ServerHandle Handle : Service.Subset_) {
     const ServerRecord &Server = State.Servers_[Handle];
-    if (Server.Draining_ || Now - Server.Report_.HeardAt_ > HeardLately)
+    if (Server.Draining_ || !wasHeardLately(Server, Now))
       continue;
     HeardOfAny = true;
     const double Backlog = backlogOf(State, Service, Server, Now).Calls_;
--- a/src/libcumingauge/policy/assessment.cpp
+++ b/src/libcumingauge/policy/assessment.cpp
@@ -15,12 +15,16 @@
 /// Cost of a full set of busy slots before any call waits, in usual
 /// latencies: reports are old, so an idle server beats a nearly busy one.
 constexpr double BusyCost = 0.5;
+/// Age up to which a server's word on its load counts: a pace is redrawn
+/// several times a second.
+constexpr model::Duration HeardLately = model::milliseconds(60);
 /// What a call waits at a full server, in times of what its queue alone
 /// explains: other processes have seen the same report, and servers slow down
 /// when they are full. Of the calls sent to a server with all slots busy, three
 /// in four were late where the queue alone explained none.
 constexpr double WaitAtFull = 3;
-/// Cost of a server that did not answer a look, in those of one that did.
+/// Cost of a server that did not answer a look, or was not looked at for
+/// longer than HeardLately, in those of one that was heard of.
 constexpr double SilentCost = 3;
 /// A look tells of the moment only.
 constexpr model::Duration LookLasts = model::milliseconds(30);
@@ -85,9 +89,13 @@
   return 1 + (Server.Pace_ - 1) * Weight;
 }
 
+/// Where servers are looked at, one that was not heard of may be full.
 bool isSilent(const ServerRecord &Server, const Comparison &With) {
-  return Server.LookedAt_ > Server.Report_.HeardAt_ &&
-         With.Now_ - Server.LookedAt_ < LookLasts;
+  if (With.State_.Preset_.Measuring_.LookWidth_ == 0)
+    return false;
+  const bool LeftALook = Server.LookedAt_ > Server.Report_.HeardAt_ &&
+                         With.Now_ - Server.LookedAt_ < LookLasts;
+  return LeftALook || !wasHeardLately(Server, With.Now_);
 }
 
 double costOf(const ServerRecord &Server, double Backlog,
@@ -153,6 +161,10 @@
   return WaitAtFull * std::max(0.0, Backlog + 1 - Slots) / Slots;
 }
 
+bool wasHeardLately(const ServerRecord &Server, model::TimePoint Now) {
+  return Now - Server.Report_.HeardAt_ <= HeardLately;
+}
+
 bool mayTake(ServerHandle Handle, const Comparison &With) {
   const ServerRecord &Server = With.State_.Servers_[Handle];
   if (Server.Draining_ || !standingAllows(Server, With))
--- a/src/libcumingauge/policy/assessment.h
+++ b/src/libcumingauge/policy/assessment.h
@@ -38,6 +38,9 @@
 /// \param Slots those that count now; fewer while the server is cold.
 double expectedWait(double Backlog, double Slots);
 
+/// Whether a server has told its load so lately that it still holds.
+bool wasHeardLately(const ServerRecord &Server, model::TimePoint Now);
+
 Assessment assess(ServerHandle Handle, const Comparison &With);
 
 /// Whether nothing but its backlog can make the server unusable.
--- a/src/libcumingauge/policy/balancer.cpp
+++ b/src/libcumingauge/policy/balancer.cpp
@@ -80,6 +80,8 @@
   if (!Service || Service->Members_.empty())
     return refuse(model::ResultCode::NotRunNoServer);
   depositFor(*Service, Call, State.Preset_);
+  if (Now + leastTime(*Service, Call) >= Call.Deadline_)
+    return refuse(model::ResultCode::NotRunDeadline);
   const bool Behind = mustWaitBehind(Service->Queue_, Call);
   if (isHopeless(State, *Service, Call, Now)) {
     count(State.Reasons_, ChoiceReason::RefusedHopeless);
--- a/tests/control/freshnesstest.cpp
+++ b/tests/control/freshnesstest.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(goesOnInAFleetOfOneBetweenAnswersOfTheStore);
   CPPUNIT_TEST(stopsAFewSecondsAfterIsolation);
   CPPUNIT_TEST(waitsAfterAPauseForAnExchange);
+  CPPUNIT_TEST(goesOnSoonAfterAPauseInAFleetOfOne);
   CPPUNIT_TEST(waitsWhenTheControlThreadStandsStill);
   CPPUNIT_TEST_SUITE_END();
 
@@ -81,6 +82,20 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), Fleet.version(2));
   }
 
+  /// Callers wait for it: a tenth of a second is little of their time.
+  void goesOnSoonAfterAPauseInAFleetOfOne() {
+    for (const unsigned Pause : {1, 4, 12, 60}) {
+      FakeFleet Fleet(1, 45);
+      Fleet.Processes_[0].Settings_.SeedPeers_.clear();
+      start(Fleet);
+      Fleet.pause(0);
+      Fleet.run(seconds(Pause));
+      Fleet.resume(0);
+      Fleet.run(milliseconds(100));
+      CPPUNIT_ASSERT(Fleet.mayDispatch(0));
+    }
+  }
+
   void waitsWhenTheControlThreadStandsStill() {
     FreshnessFacts Facts;
     Facts.LastStep_ = model::TimePoint(seconds(100));
--- a/tests/policy/hopelesstest.cpp
+++ b/tests/policy/hopelesstest.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(isSentWhenNothingNewIsKnown);
   CPPUNIT_TEST(isSentLongerWhenItIsUrgent);
   CPPUNIT_TEST(isSentWhereTheRuleIsOff);
+  CPPUNIT_TEST(isRefusedWhenTooLittleTimeIsLeft);
   CPPUNIT_TEST_SUITE_END();
 
   std::shared_ptr<BalancerState> Balancer_ =
@@ -103,6 +104,19 @@
     CPPUNIT_ASSERT(ask(model::Priority::Normal, at(1000)).Verdict_ !=
                    Verdict::Refuse);
   }
+
+  /// It has waited for something else, such as a fresh view.
+  void isRefusedWhenTooLittleTimeIsLeft() {
+    start(0);
+    CallFacts Call = callAt(1, at(1000), routeWith(model::Priority::Normal));
+    Call.Deadline_ = at(1040); // answers usually take 100 ms
+    const Decision Late = admit(*Balancer_, Call, at(1000));
+    CPPUNIT_ASSERT(Late.Verdict_ == Verdict::Refuse);
+    CPPUNIT_ASSERT(Late.Reason_ == model::ResultCode::NotRunDeadline);
+    Call.Deadline_ = at(1090);
+    CPPUNIT_ASSERT(admit(*Balancer_, Call, at(1000)).Verdict_ ==
+                   Verdict::Dispatch);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(ACallThatCannotBeInTime);
 
--- a/tests/policy/looktest.cpp
+++ b/tests/policy/looktest.cpp
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(findsAGoodServerNear);
   CPPUNIT_TEST(leadsToTheServerAtItsUsualPace);
   CPPUNIT_TEST(leadsAwayFromAServerThatIsSilent);
+  CPPUNIT_TEST(leadsAwayFromAServerThatWasNotLookedAt);
   CPPUNIT_TEST_SUITE_END();
 
   std::shared_ptr<BalancerState> Balancer_ =
@@ -132,6 +133,18 @@
     const Decision Made = admit(*Balancer_, callAt(1, at(1004)), at(1004));
     CPPUNIT_ASSERT_EQUAL(handle("s0"), Made.Server_);
   }
+
+  /// All servers are rather busy, but only of one this is known just now.
+  void leadsAwayFromAServerThatWasNotLookedAt() {
+    apply(*Balancer_, twoZones(2, 0, 5), at(0));
+    for (const std::string Name : {"s0", "s1"})
+      for (int I = 0; I < 100; ++I)
+        noteReport(*Balancer_, handle(Name), report(I % 2 ? 2 : 3, 100),
+                   at(500 + I));
+    noteReport(*Balancer_, handle("s0"), report(1, 200), at(1000));
+    const Decision Made = admit(*Balancer_, callAt(1, at(1001)), at(1001));
+    CPPUNIT_ASSERT_EQUAL(handle("s0"), Made.Server_);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(ALookBeforeACall);
 
