--- a/bench/soak/servers.py
+++ b/bench/soak/servers.py
@@ -5,7 +5,6 @@
 
 import wire
 
-HEARTBEAT_SECONDS = 1.5
 QUEUED = 4
 
 
@@ -30,7 +29,7 @@
         self.fails = self.loses = self.garbles = 0.0
         self.doubles = 0.0
         self.gone = False
-        self.free = asyncio.Condition()
+        self.free = asyncio.Event()
         self.port = 0
         self._server = None
         self._writers = set()
@@ -91,15 +90,15 @@
             return True
         if self.running >= self.slots:
             self.waiting += 1
-            async with self.free:
-                await self.free.wait_for(lambda: self.running < self.slots)
+            while self.running >= self.slots:
+                self.free.clear()
+                await self.free.wait()
             self.waiting -= 1
         self.running += 1
         self.judge.note_run(call, self, request)
         await asyncio.sleep(self.work * self.pace * (0.5 + self.random.random()))
         self.running -= 1
-        async with self.free:
-            self.free.notify()
+        self.free.set()
         return await self._finish(call, writer)
 
     async def _finish(self, call, writer):
--- a/bench/soak/store.py
+++ b/bench/soak/store.py
@@ -8,7 +8,6 @@
 import wire
 
 PAGE_ITEMS = 50
-RETURN_SECONDS = 1.5  # servers whose entries lapsed register again within 2 s
 
 
 class Store:
@@ -20,7 +19,7 @@
         self.events = []
         self.revision = 10
         self.forgotten = 0  # history up to this revision is gone
-        self.changed = asyncio.Condition()
+        self.changed = asyncio.Event()  # replaced at each change
         self.calls = 0
         self.down = False
         self.slow = 0.0
@@ -46,8 +45,8 @@
 
     async def _tell(self, event):
         self.events.append(event)
-        async with self.changed:
-            self.changed.notify_all()
+        told, self.changed = self.changed, asyncio.Event()
+        told.set()
 
     def forget(self):
         self.forgotten = self.revision
@@ -115,8 +114,7 @@
             if news or left <= 0:
                 return wire.compose_json(200, {"events": news, "at": self.revision})
             try:
-                async with self.changed:
-                    await asyncio.wait_for(self.changed.wait(), min(left, 0.5))
+                await asyncio.wait_for(self.changed.wait(), min(left, 0.5))
             except asyncio.TimeoutError:
                 pass
             if self.down or process in self.turned_away:
