--- a/bench/fleetnode.cpp
+++ b/bench/fleetnode.cpp
@@ -38,8 +38,11 @@
 }
 
 void logFigures(const adapters::ControlFigures &Now) {
+  std::uint64_t StoreCalls = 0;
+  for (const auto &Entry : Now.StoreCalls_)
+    StoreCalls += Entry.second;
   adapters::log(adapters::LogLevel::Info, "figures",
-                {{"storeCalls", Now.StoreCalls_},
+                {{"storeCalls", StoreCalls},
                  {"messagesSent", Now.PeerMessagesSent_},
                  {"messagesReceived", Now.PeerMessagesReceived_},
                  {"bytesSent", Now.PeerBytesSent_},
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -154,10 +154,11 @@
     async def end_tasks(self):
         # What is cancelled now has nothing left to say.
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
-        others = asyncio.all_tasks() - {asyncio.current_task()}
-        for task in others:
-            task.cancel()
-        await asyncio.gather(*others, return_exceptions=True)
+        # asyncio.wait_for may swallow a cancellation, so it is repeated.
+        while others := asyncio.all_tasks() - {asyncio.current_task()}:
+            for task in others:
+                task.cancel()
+            await asyncio.wait(others, timeout=1.0)
 
     def spawn(self, work):
         self.tasks.append(asyncio.create_task(work))
--- a/src/libcumingauge/adapters/controlruntime.cpp
+++ b/src/libcumingauge/adapters/controlruntime.cpp
@@ -45,6 +45,18 @@
          static_cast<std::uint64_t>(Used.tv_nsec) / 1000U;
 }
 
+std::string nameOf(const ports::StoreRequest &Request) {
+  return boost::describe::enum_to_string(Request.Operation_, "");
+}
+
+std::string nameOf(const ports::DirectoryRequest &Request) {
+  const std::string Operation =
+      boost::describe::enum_to_string(Request.Operation_, "");
+  if (Request.Operation_ == ports::DirectoryOperation::Ping)
+    return Operation;
+  return Operation + boost::describe::enum_to_string(Request.Topic_, "");
+}
+
 HttpClientSettings storeSettings(const ControlSettings &Settings) {
   HttpClientSettings Out;
   Out.Host_ = Settings.Store_.Host_;
@@ -226,21 +238,27 @@
         std::memory_order_release);
   }
 
+  void count(const std::string &What, model::ResultCode Code) {
+    ++StoreCalls_[{What, std::string(model::nameOf(Code))}];
+  }
+
   void execute(const control::CallStore &Order) {
-    ++StoreCalls_;
-    Store_.Execute_(Order.Request_, [this, Call = Order.Call_](
+    const std::string What = nameOf(Order.Request_);
+    Store_.Execute_(Order.Request_, [this, What, Call = Order.Call_](
                                         const ports::StoreResponse &Response) {
+      count(What, Response.Code_);
       feed(control::StoreAnswered{Call, Response});
     });
   }
 
   void execute(const control::CallDirectory &Order) {
-    ++StoreCalls_;
-    Directory_.Execute_(
-        Order.Request_,
-        [this, Call = Order.Call_](const ports::DirectoryResponse &Response) {
-          feed(control::DirectoryAnswered{Call, Response});
-        });
+    const std::string What = nameOf(Order.Request_);
+    Directory_.Execute_(Order.Request_,
+                        [this, What, Call = Order.Call_](
+                            const ports::DirectoryResponse &Response) {
+                          count(What, Response.Code_);
+                          feed(control::DirectoryAnswered{Call, Response});
+                        });
   }
 
   void execute(const control::OpenLink &Order) {
@@ -341,7 +359,7 @@
   std::set<control::LinkId> OperatorLinks_;
   std::deque<CoreInput> Waiting_;
   bool IsFeeding_ = false;
-  std::uint64_t StoreCalls_ = 0;
+  StoreCallCounts StoreCalls_;
   model::TimePoint NextFigures_;
 
   /// Nanoseconds of the monotonic clock.
--- a/src/libcumingauge/adapters/controlruntime.h
+++ b/src/libcumingauge/adapters/controlruntime.h
@@ -8,8 +8,10 @@
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cumingauge::adapters {
@@ -42,9 +44,14 @@
 model::Problems checkControlSettings(const ControlSettings &Settings,
                                      const std::string &Path);
 
+/// Calls to the platform's service that have ended, by what was asked and by
+/// the name of the result code.
+using StoreCallCounts =
+    std::map<std::pair<std::string, std::string>, std::uint64_t>;
+
 /// Figures of the control thread for the metrics page.
 struct ControlFigures {
-  std::uint64_t StoreCalls_ = 0;
+  StoreCallCounts StoreCalls_;
   std::uint64_t PeerMessagesSent_ = 0;
   std::uint64_t PeerMessagesReceived_ = 0;
   std::uint64_t PeerBytesSent_ = 0;
--- a/src/libcumingauge/adapters/metricspage.cpp
+++ b/src/libcumingauge/adapters/metricspage.cpp
@@ -102,6 +102,17 @@
   return Family;
 }
 
+MetricFamily storeCallsFamily(const StoreCallCounts &Calls) {
+  MetricFamily Family =
+      makeFamily("cumingauge_store_calls_total",
+                 "Ended calls to the platform's service, watches included",
+                 MetricType::Counter);
+  for (const auto &[Kind, Count] : Calls)
+    addValue(Family, static_cast<double>(Count),
+             {{"call", Kind.first}, {"code", Kind.second}});
+  return Family;
+}
+
 void addTraffic(const traffic::TrafficFigures &Traffic,
                 std::vector<MetricFamily> &Out) {
   const auto Number = [](std::uint64_t N) { return static_cast<double>(N); };
@@ -143,9 +154,7 @@
   Out.push_back(gauge("cumingauge_view_age_seconds",
                       "Time since the last exchange with a peer or the store",
                       Number(Control.ViewAgeMs_) / MsPerSecond));
-  Out.push_back(counter("cumingauge_store_calls_total",
-                        "Calls to the key-value service, watches included",
-                        Number(Control.StoreCalls_)));
+  Out.push_back(storeCallsFamily(Control.StoreCalls_));
   Out.push_back(byDirection("cumingauge_peer_messages_total",
                             "Messages on peer links",
                             Number(Control.PeerMessagesSent_),
--- a/src/libcumingauge/ports/directory.h
+++ b/src/libcumingauge/ports/directory.h
@@ -17,6 +17,7 @@
 /// What a directory holds: the operators' configuration, the backend servers
 /// that have registered themselves, and the entry processes.
 enum class DirectoryTopic { Configuration, Servers, Members };
+BOOST_DESCRIBE_ENUM(DirectoryTopic, Configuration, Servers, Members)
 
 enum class DirectoryOperation {
   Read,     ///< everything of the topic, page by page
@@ -24,6 +25,7 @@
   Announce, ///< registers Self_ among the members
   Ping      ///< an answer shows that the directory is reached; costs little
 };
+BOOST_DESCRIBE_ENUM(DirectoryOperation, Read, Watch, Announce, Ping)
 
 struct DirectoryRequest {
   DirectoryOperation Operation_ = DirectoryOperation::Read;
--- a/src/libcumingauge/ports/store.h
+++ b/src/libcumingauge/ports/store.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "model/describe.h"
 #include "model/resultcode.h"
 #include "model/time.h"
 #include <cstdint>
@@ -18,6 +19,8 @@
   Watch, ///< answers when the key is newer than Index_, or after Wait_
   ListVms
 };
+BOOST_DESCRIBE_ENUM(StoreOperation, Get, CreateIfAbsent, CompareAndSwap, Delete,
+                    Watch, ListVms)
 
 struct StoreRequest {
   StoreOperation Operation_ = StoreOperation::Get;
