--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -69,6 +69,8 @@
     def __init__(self, root, out, options, seed):
         self.root, self.out, self.options = root, out, options
         self.random = random.Random(seed)
+        # Faults have draws of their own, which traffic does not disturb.
+        self.fault_random = random.Random(f"faults {seed}")
         self.clock = time.monotonic
         self.judge = Judge(self.clock)
         self.store = Store(self.clock)
@@ -135,7 +137,7 @@
             self.spawn(caller.run(CALLER_PAUSE_SECONDS))
         self.spawn(self.look_at_configurations())
         begin = self.clock()
-        schedule = draw_schedule(self.random, self.options.seconds)
+        schedule = draw_schedule(self.fault_random, self.options.seconds)
         running = []
         for fault in schedule:
             await asyncio.sleep(max(0, begin + fault.at - self.clock()))
