--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -36,7 +36,7 @@
         self.proxy = self.store_proxy = None
         self.process = None
         self.life = 0
-        self.stopping = False
+        self.stopping = self.killed = False
 
     def settings(self):
         values = {"node": self.name, "zone": self.zone, "region": "soak", "ip-address": "127.0.0.1",
@@ -148,6 +148,7 @@
         await self.check_recovery()
         await self.end_tasks()
         self.judge.finish(len(self.judge.sent))
+        self.judge.check_explained(self.logged_calls())
         return {"faults": self.judge.faults, "calls": len(self.judge.sent),
                 "told": {str(k): v for k, v in sorted(self.judge.told.items(), key=str)},
                 "storeCalls": self.store.calls,
@@ -217,6 +218,17 @@
         if served < RECOVERY_SHARE * asked:
             self.judge.fault("RECOVER", f"{served} of {asked} calls served after the faults")
 
+    def logged_calls(self):
+        """Ids of the calls with a line in the log, by process."""
+        out = {}
+        for entry in self.entries:
+            if entry.killed:
+                continue
+            lines = (self.out / f"{entry.name}.log").read_text(errors="replace").splitlines()
+            found = (re.search(r'"call":"([^"]*)"', line) for line in lines)
+            out[entry.name] = {match.group(1) for match in found if match}
+        return out
+
     def end_processes(self):
         """Ends the processes that this has started, by their ids."""
         for entry in self.entries:
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -32,6 +32,7 @@
         self.lost = {}        # process: connections ended without an answer
         self.told = {}        # status or "closed": count
         self.held = 0
+        self.refused = []     # (call, process) that got a failure of the process
 
     def fault(self, rule, text):
         if len(self.faults) < MOST_FAULTS:
@@ -82,6 +83,8 @@
             if call in self.runs and self.in_touch(process, at):
                 self.lost.setdefault(process, []).append(call)
             return
+        if status >= 500 and "response-signature" not in answer.fields:
+            self.refused.append((call, process))
         if status // 100 == 2:
             if answer.fields.get("response-signature") != signature or answer.body != body:
                 self.fault("MIXED", f"{call} from {process} got another body")
@@ -105,6 +108,13 @@
             self.fault("CONFIG", f"{self.held} calls had no answer at their timeout")
         self._check_budget()
 
+    def check_explained(self, logged):
+        """Each failure that a process made up must be in its log, by the id of
+        the call. Logs of processes that were killed may lack their last lines."""
+        for call, process in self.refused:
+            if process in logged and call not in logged[process]:
+                self.fault("UNEXPLAINED", f"{call} failed at {process} without a line")
+
     def _check_budget(self):
         requests = [at for at, _, _ in self.sent.values()]
         repeats = [at for at, is_first in self.arrivals if not is_first]
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -38,7 +38,7 @@
     async def act(fleet):
         for entry in some(random, fleet.entries, random.choice((0.05, 0.2, 0.6))):
             fleet.judge.disturb(entry.name)
-            entry.stopping = True
+            entry.stopping = entry.killed = True
             entry.signal(signal.SIGKILL)
     return act
 
--- a/src/libcumingauge/control/directoryfollower.cpp
+++ b/src/libcumingauge/control/directoryfollower.cpp
@@ -251,7 +251,7 @@
          State.Now_ - Feed.TrueAt_ >= partOfBound(State, ProofPart);
 }
 
-void provePlace(CoreState &State) {
+void pingForOthers(CoreState &State) {
   DirectoryFollower &Follower = State.Directory_;
   if (!isReader(State) || !isDueNow(State, Follower.Proof_) ||
       (!needsProof(State, Follower.Servers_) &&
@@ -299,7 +299,7 @@
   followConfiguration(State);
   followServers(State);
   followMembers(State);
-  provePlace(State);
+  pingForOthers(State);
 }
 
 void takeServerEntries(CoreState &State,
--- a/tests/control/fakefleet.h
+++ b/tests/control/fakefleet.h
@@ -17,6 +17,11 @@
 
 using model::TimePoint;
 
+/// Fixed times of the fake network, and the port of the first process.
+constexpr model::milliseconds StoreLatency{3};
+constexpr model::milliseconds LostAnswerAfter{1000};
+constexpr std::uint16_t FirstPort = 7000;
+
 /// One process of the fake fleet; Core_ is null while it is down.
 struct FakeProcess {
   control::CoreSettings Settings_;
--- /dev/null
+++ b/tests/control/fakefleetnetwork.cpp
@@ -0,0 +1,165 @@
+// The fake fleet's way to the store and its links.
+#include "fakefleet.h"
+#include <algorithm>
+
+namespace cumingauge::fakes {
+
+using namespace control;
+using model::milliseconds;
+
+namespace {
+
+constexpr milliseconds LinkLatency{1};
+constexpr milliseconds ConnectTimeout{1000};
+
+} // namespace
+
+void FakeFleet::callStore(unsigned Index, const CallStore &Order) {
+  ++StoreCalls_;
+  const unsigned Life = Processes_[Index].Life_;
+  const auto Answer = [this, Index, Life, Call = Order.Call_](
+                          const ports::StoreResponse &Response) {
+    answerStore(Index, Life, Call, Response);
+  };
+  ports::StoreResponse Failure;
+  if (!reachesStore(Index) || chance(Faults_.RefuseCall_)) {
+    const bool IsSlow = chance(50);
+    Failure.Code_ = IsSlow ? model::ResultCode::StoreTimeout
+                           : model::ResultCode::StoreUnavailable;
+    at(IsSlow ? LostAnswerAfter : StoreLatency,
+       [Answer, Failure] { Answer(Failure); });
+    return;
+  }
+  if (Order.Request_.Operation_ == ports::StoreOperation::Watch) {
+    startWatch(Index, Life, Order);
+    return;
+  }
+  Failure.Code_ = model::ResultCode::StoreTimeout;
+  if (chance(Faults_.LandLate_)) {
+    at(milliseconds(500 + Random_(8000)),
+       [this, Request = Order.Request_] { Store_.execute(Request); });
+    at(LostAnswerAfter, [Answer, Failure] { Answer(Failure); });
+    return;
+  }
+  const bool IsLost = chance(Faults_.LoseAnswer_);
+  at(StoreLatency, [this, Request = Order.Request_, Answer, Failure, IsLost] {
+    const ports::StoreResponse Response = Store_.execute(Request);
+    if (IsLost)
+      at(LostAnswerAfter, [Answer, Failure] { Answer(Failure); });
+    else
+      at(StoreLatency, [Answer, Response] { Answer(Response); });
+  });
+}
+
+void FakeFleet::answerStore(unsigned Index, unsigned Life, StoreCallId Call,
+                            const ports::StoreResponse &Answer) {
+  if (Processes_[Index].Life_ == Life)
+    feed(Index, StoreAnswered{Call, Answer});
+}
+
+void FakeFleet::startWatch(unsigned Index, unsigned Life,
+                           const CallStore &Order) {
+  at(StoreLatency, [this, Index, Life, Order] {
+    Watches_.push_back({Order.Request_.Key_, Index, Life, Order.Call_});
+    if (Store_.execute(Order.Request_).Found_)
+      answerWatches(Order.Request_.Key_);
+  });
+  at(Order.Request_.Wait_ + StoreLatency * 2, [this, Index, Life, Order] {
+    const auto Found =
+        std::find_if(Watches_.begin(), Watches_.end(), [&](const Watch &Value) {
+          return Value.Process_ == Index && Value.Life_ == Life &&
+                 Value.Call_ == Order.Call_;
+        });
+    if (Found == Watches_.end())
+      return;
+    Watches_.erase(Found);
+    ports::StoreResponse Response;
+    if (!reachesStore(Index))
+      Response.Code_ = model::ResultCode::StoreTimeout;
+    answerStore(Index, Life, Order.Call_, Response);
+  });
+}
+
+void FakeFleet::answerWatches(const std::string &Key) {
+  std::vector<Watch> Ready;
+  for (auto It = Watches_.begin(); It != Watches_.end();) {
+    if (It->Key_ != Key || !reachesStore(It->Process_)) {
+      ++It;
+      continue;
+    }
+    Ready.push_back(*It);
+    It = Watches_.erase(It);
+  }
+  ports::StoreRequest Request;
+  Request.Key_ = Key;
+  for (const Watch &Value : Ready)
+    at(StoreLatency, [this, Value, Response = Store_.execute(Request)] {
+      answerStore(Value.Process_, Value.Life_, Value.Call_, Response);
+    });
+}
+
+void FakeFleet::openLink(unsigned Index, const OpenLink &Order) {
+  const unsigned Target = Order.Port_ - FirstPort;
+  const unsigned Life = Processes_[Index].Life_;
+  const bool IsSilent =
+      !areConnected(Index, Target) || Processes_[Target].IsPaused_;
+  at(IsSilent ? ConnectTimeout : LinkLatency,
+     [this, Index, Life, Target, IsSilent, Order] {
+       if (Processes_[Index].Life_ != Life || !Processes_[Index].Core_)
+         return;
+       if (IsSilent || !Processes_[Target].Core_) {
+         feed(Index, LinkFailed{Order.Host_, Order.Port_});
+         return;
+       }
+       const LinkId Own = ++LastLink_;
+       const LinkId Other = ++LastLink_;
+       Links_[Own] = {Index, Life, Other};
+       Links_[Other] = {Target, Processes_[Target].Life_, Own};
+       feed(Index,
+            LinkOpened{Own, Processes_[Target].Settings_.Self_, false, true});
+       feed(Target,
+            LinkOpened{Other, Processes_[Index].Settings_.Self_, false, false});
+     });
+}
+
+void FakeFleet::closeLink(unsigned Index, LinkId Id) {
+  const auto Own = Links_.find(Id);
+  if (Own == Links_.end())
+    return;
+  const LinkId Other = Own->second.Other_;
+  Links_.erase(Own);
+  const auto End = Links_.find(Other);
+  if (End == Links_.end())
+    return;
+  const LinkEnd Value = End->second;
+  if (!areConnected(Index, Value.Process_))
+    return; // the other end does not hear of it
+  Links_.erase(End);
+  at(LinkLatency, [this, Value, Other] {
+    if (Processes_[Value.Process_].Life_ == Value.Life_)
+      feed(Value.Process_, LinkClosed{Other});
+  });
+}
+
+void FakeFleet::sendPeer(unsigned Index, const SendPeer &Order) {
+  ++Messages_;
+  const auto Own = Links_.find(Order.Link_);
+  if (Own == Links_.end())
+    return;
+  const LinkId Other = Own->second.Other_;
+  const auto End = Links_.find(Other);
+  if (End == Links_.end() || !areConnected(Index, End->second.Process_) ||
+      chance(Faults_.DropMessage_))
+    return;
+  const unsigned Copies = chance(Faults_.RepeatMessage_) ? 2 : 1;
+  for (unsigned I = 0; I < Copies; ++I) {
+    const milliseconds Extra{chance(Faults_.DelayMessage_) ? Random_(400) : 0};
+    at(LinkLatency + Extra,
+       [this, Value = End->second, Other, Message = Order.Message_] {
+         if (Processes_[Value.Process_].Life_ == Value.Life_)
+           feed(Value.Process_, PeerSaid{Other, *Message});
+       });
+  }
+}
+
+} // namespace cumingauge::fakes
--- a/tests/http/lifetest.cpp
+++ b/tests/http/lifetest.cpp
@@ -1,4 +1,5 @@
 #include "http/frontend.h"
+#include "http/gate.h"
 #include "http/scriptedserver.h"
 #include "model/resultcode.h"
 #include <algorithm>
@@ -12,18 +13,6 @@
 
 using Request = ScriptedServer::Request;
 
-/// Holds back answers until it is opened.
-class Gate {
-public:
-  void open() { Open_ = true; }
-  void pass() const {
-    eventually([this] { return Open_.load(); });
-  }
-
-private:
-  std::atomic<bool> Open_{false};
-};
-
 class ConnectionsAndServers : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ConnectionsAndServers);
   CPPUNIT_TEST(aClosedIdleConnectionIsFoundBeforeACallIsPutOnIt);
--- a/tests/http/pipeliningtest.cpp
+++ b/tests/http/pipeliningtest.cpp
@@ -1,10 +1,9 @@
 #include "http/frontend.h"
+#include "http/gate.h"
 #include "http/scriptedserver.h"
 #include <algorithm>
 #include <atomic>
-#include <condition_variable>
 #include <cppunit/extensions/HelperMacros.h>
-#include <mutex>
 
 using namespace cumingauge;
 using namespace cumingauge::test;
@@ -13,27 +12,6 @@
 
 using Request = ScriptedServer::Request;
 
-/// Opens once; a script waits there, ten seconds at the most.
-class Gate {
-public:
-  void open() {
-    const std::lock_guard<std::mutex> Lock(Mutex_);
-    Open_ = true;
-    Opened_.notify_all();
-  }
-
-  bool pass() {
-    std::unique_lock<std::mutex> Lock(Mutex_);
-    return Opened_.wait_for(Lock, std::chrono::seconds(10),
-                            [this] { return Open_; });
-  }
-
-private:
-  std::mutex Mutex_;
-  std::condition_variable Opened_;
-  bool Open_ = false;
-};
-
 bool isFor(const Request &Seen, const std::string &Target) {
   return Seen.Head_.find(Target + " ") != std::string::npos;
 }
