Tell of entries by their own revision; send full-time calls whatever the usual latency

A call is refused for its time only when it has lost half of it. An entry's own revision decides what is news.

Tests seen to fail before: isSentAfterASpellOfSlowAnswers, bringsBackWhatLapsedWhileAProcessStarted.

--- a/src/libcumingauge/control/directoryfollower.h
+++ b/src/libcumingauge/control/directoryfollower.h
@@ -39,7 +39,7 @@
   DirectoryFeed Members_;
   DirectoryFeed Proof_; ///< pings of a reader
   bool Announced_ = false;
-  std::map<std::string, ports::ListedServer> Pages_; ///< of the read under way
+  std::map<std::string, ports::ServerEntry> Pages_; ///< of the read under way
   std::uint64_t PagesRevision_ = 0;
   model::TimePoint PagesTrueAt_; ///< when the first page was asked for
   std::string NextPage_;
--- a/src/libcumingauge/control/directorylinks.cpp
+++ b/src/libcumingauge/control/directorylinks.cpp
@@ -149,7 +149,7 @@
 std::vector<ports::ServerEntry> entriesOf(const DirectoryNews &Message) {
   std::vector<ports::ServerEntry> Out;
   for (const ListedNews &News : Message.Servers_) {
-    ports::ServerEntry Entry{News.Name_, std::nullopt};
+    ports::ServerEntry Entry{News.Name_, std::nullopt, Message.Revision_};
     if (News.Server_)
       Entry.Listed_ = ports::ListedServer{*News.Server_, News.Leaving_};
     Out.push_back(std::move(Entry));
--- a/src/libcumingauge/control/serverlist.cpp
+++ b/src/libcumingauge/control/serverlist.cpp
@@ -22,7 +22,7 @@
 /// Servers write only when something changes, so the directory's revision does
 /// not tell whether it was down; entries that lapsed together do.
 bool didManyLapse(const DirectoryFollower &Follower,
-                  const std::map<std::string, ListedServer> &Read) {
+                  const std::map<std::string, ports::ServerEntry> &Read) {
   std::size_t Missing = 0;
   for (const auto &Entry : Follower.Listed_)
     Missing += Read.count(Entry.first) == 0 && !Entry.second.Leaving_;
@@ -100,12 +100,15 @@
   return true;
 }
 
+/// An entry that is as before may have been away meanwhile, and peers that read
+/// the list at that time lack it; so its own revision counts.
 bool takeEntry(CoreState &State, const ports::ServerEntry &Entry,
                Differences &Found) {
-  if (!changeListed(State, Entry, Found))
-    return false;
-  State.Directory_.ChangedAt_[Entry.Name_] = State.Directory_.KnownRevision_;
-  return true;
+  const bool Changed = changeListed(State, Entry, Found);
+  std::uint64_t &ChangedAt = State.Directory_.ChangedAt_[Entry.Name_];
+  ChangedAt = std::max(ChangedAt, Changed ? State.Directory_.KnownRevision_
+                                          : Entry.Revision_);
+  return Changed;
 }
 
 bool mayBeNewOutage(const CoreState &State) {
@@ -131,7 +134,7 @@
 }
 
 void takeList(CoreState &State,
-              const std::map<std::string, ListedServer> &Read) {
+              const std::map<std::string, ports::ServerEntry> &Read) {
   DirectoryFollower &Follower = State.Directory_;
   if (didManyLapse(Follower, Read) && mayBeNewOutage(State))
     Follower.BackAt_ = State.Now_;
@@ -143,9 +146,9 @@
   // A server that was leaving is gone for good.
   for (const std::string &Name : Missing)
     if (!isJustBack(State) || Follower.Listed_[Name].Leaving_)
-      takeEntry(State, {Name, std::nullopt}, Found);
+      takeEntry(State, {Name, std::nullopt, 0}, Found);
   for (const auto &[Name, Entry] : Read)
-    takeEntry(State, {Name, Entry}, Found);
+    takeEntry(State, Entry, Found);
   recordDifferences(State, Found);
 }
 
@@ -163,7 +166,7 @@
   }
   for (const ports::ServerEntry &Entry : Answer.Servers_)
     if (Entry.Listed_)
-      Follower.Pages_[Entry.Name_] = *Entry.Listed_;
+      Follower.Pages_[Entry.Name_] = Entry;
   Follower.NextPage_ = Answer.Next_;
   return Answer.Next_.empty();
 }
--- a/src/libcumingauge/control/serverlist.h
+++ b/src/libcumingauge/control/serverlist.h
@@ -17,7 +17,7 @@
 
 /// Takes a whole list.
 void takeList(CoreState &State,
-              const std::map<std::string, ports::ListedServer> &Read);
+              const std::map<std::string, ports::ServerEntry> &Read);
 
 /// Takes a page of a list; true when the list is complete.
 bool takePage(CoreState &State, const ports::DirectoryResponse &Answer);
--- a/src/libcumingauge/platform/directoryclient.cpp
+++ b/src/libcumingauge/platform/directoryclient.cpp
@@ -108,6 +108,7 @@
       addUnreadable(Key);
       return takeDeletion(Key);
     }
+    Revision_ = countField(Item, "revision").value_or(0);
     switch (Request_.Topic_) {
     case DirectoryTopic::Configuration:
       return takeConfiguration(Key, *Value);
@@ -132,7 +133,7 @@
 
   void takeDeletion(const std::string &Key) {
     if (Request_.Topic_ == DirectoryTopic::Servers)
-      Out_.Servers_.push_back({nameIn(Key), std::nullopt});
+      Out_.Servers_.push_back({nameIn(Key), std::nullopt, 0});
   }
 
   void takeServer(const std::string &Key, const std::string &Value) {
@@ -140,7 +141,7 @@
     auto Read = readServerEntry(Name, Value);
     if (!Read)
       addUnreadable(Key);
-    Out_.Servers_.push_back({Name, std::move(Read)});
+    Out_.Servers_.push_back({Name, std::move(Read), Revision_});
   }
 
   static std::string nameIn(const std::string &Key) {
@@ -159,6 +160,7 @@
   const DirectoryRequest &Request_;
   const model::Preset &Base_;
   DirectoryResponse &Out_;
+  std::uint64_t Revision_ = 0; ///< of the item at hand
 };
 
 DirectoryResponse failed(ResultCode Code) {
--- a/src/libcumingauge/policy/balancer.cpp
+++ b/src/libcumingauge/policy/balancer.cpp
@@ -40,6 +40,14 @@
   return false;
 }
 
+/// A call with most of its time left is sent whatever the usual latency says:
+/// after a spell of slow answers, nothing else would bring that down again.
+bool hasWaitedTooLong(const ServiceRecord &Service, const CallFacts &Call,
+                      model::TimePoint Now) {
+  return Call.Deadline_ - Now < (Call.Deadline_ - Call.Arrived_) / 2 &&
+         Now + leastTime(Service, Call) >= Call.Deadline_;
+}
+
 void endInFlight(ServiceRecord &Service, ServerRecord &Server,
                  const CallFacts &Call, model::TimePoint Sent) {
   if (Server.InFlight_ == 0)
@@ -80,7 +88,7 @@
   if (!Service || Service->Members_.empty())
     return refuse(model::ResultCode::NotRunNoServer);
   depositFor(*Service, Call, State.Preset_);
-  if (Now + leastTime(*Service, Call) >= Call.Deadline_)
+  if (hasWaitedTooLong(*Service, Call, Now))
     return refuse(model::ResultCode::NotRunDeadline);
   const bool Behind = mustWaitBehind(Service->Queue_, Call);
   if (isHopeless(State, *Service, Call, Now)) {
--- a/src/libcumingauge/ports/directory.h
+++ b/src/libcumingauge/ports/directory.h
@@ -47,6 +47,7 @@
 struct ServerEntry {
   std::string Name_;
   std::optional<ListedServer> Listed_;
+  std::uint64_t Revision_ = 0; ///< of its last change; 0: not known
 };
 
 /// The operators' configuration as one preset.
--- a/tests/control/directorylinkstest.cpp
+++ b/tests/control/directorylinkstest.cpp
@@ -28,7 +28,7 @@
   Listed.Server_.Vm_ = "vm-" + Name;
   Listed.Server_.Service_ = "catalogue";
   Listed.Leaving_ = Leaving;
-  return {Name, Listed};
+  return {Name, Listed, 0};
 }
 
 /// A zone of processes on links without delay, before one directory.
@@ -59,11 +59,36 @@
 
   /// Changes an entry; watches hear of it at once.
   void put(const ports::ServerEntry &Entry) {
-    Entries_[Entry.Name_] = Entry;
-    Log_.push_back({++Revision_, Entry});
+    ports::ServerEntry Written = Entry;
+    Written.Revision_ = ++Revision_;
+    Entries_[Entry.Name_] = Written;
+    Log_.push_back({Revision_, Written});
     answerWatches();
   }
 
+  /// An entry lapses while nobody hears of it.
+  void lapse(const std::string &Name) {
+    Entries_.erase(Name);
+    ++Revision_;
+  }
+
+  void restart(unsigned Number) {
+    kill(Number);
+    Dead_.erase(Number);
+    Views_.erase(Number);
+    CoreSettings Settings;
+    Settings.Self_ = memberOf(Number);
+    Settings.FollowsDirectory_ = true;
+    Cores_[Number] = makeCore(Settings, Number);
+    feed(Number, Started{});
+  }
+
+  bool isListed(unsigned Number, const std::string &Name) const {
+    const auto View = Views_.find(Number);
+    return View != Views_.end() &&
+           View->second->Config_->Servers_.count(Name) > 0;
+  }
+
   /// Writes a configuration; watches hear of it at once.
   void configure(std::uint64_t Version) {
     ++Revision_;
@@ -268,6 +293,7 @@
   CPPUNIT_TEST(bringsAConfigurationToEveryProcessAtOnce);
   CPPUNIT_TEST(readsOnVmsWithFastLinks);
   CPPUNIT_TEST(asksSeldomWhileTheDirectoryIsAway);
+  CPPUNIT_TEST(bringsBackWhatLapsedWhileAProcessStarted);
   CPPUNIT_TEST(startsWithFewCallsOfEachProcess);
   CPPUNIT_TEST(restsWithFewCalls);
   CPPUNIT_TEST_SUITE_END();
@@ -359,6 +385,22 @@
     CPPUNIT_ASSERT_EQUAL(ZoneSize, Fleet.knowingThatLeaves("a"));
   }
 
+  /// For the readers nothing has changed; for the process that read meanwhile
+  /// it has.
+  void bringsBackWhatLapsedWhileAProcessStarted() {
+    constexpr unsigned Late = 5;
+    Zone Fleet;
+    Fleet.lapse("a");
+    Fleet.restart(Late);
+    Fleet.wait(model::seconds(3));
+    CPPUNIT_ASSERT(Fleet.isListed(Late, "b") && !Fleet.isListed(Late, "a"));
+    Fleet.put(server("d")); // the readers are ahead of it again
+    Fleet.wait(model::seconds(3));
+    Fleet.put(server("a"));
+    Fleet.wait(model::seconds(2));
+    CPPUNIT_ASSERT(Fleet.isListed(Late, "a"));
+  }
+
   void startsWithFewCallsOfEachProcess() {
     Zone Fleet;
     // Announcement, members, configuration, servers; two watches of a reader.
--- a/tests/control/directorytest.cpp
+++ b/tests/control/directorytest.cpp
@@ -91,7 +91,7 @@
   Listed.Server_.Vm_ = "vm-" + Name;
   Listed.Server_.Service_ = "catalogue";
   Listed.Leaving_ = Leaving;
-  return {Name, Listed};
+  return {Name, Listed, 0};
 }
 
 ports::DirectoryResponse servers(const std::vector<ports::ServerEntry> &Entries,
--- a/tests/policy/hopelesstest.cpp
+++ b/tests/policy/hopelesstest.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(isSentLongerWhenItIsUrgent);
   CPPUNIT_TEST(isSentWhereTheRuleIsOff);
   CPPUNIT_TEST(isRefusedWhenTooLittleTimeIsLeft);
+  CPPUNIT_TEST(isSentAfterASpellOfSlowAnswers);
   CPPUNIT_TEST_SUITE_END();
 
   std::shared_ptr<BalancerState> Balancer_ =
@@ -108,7 +109,7 @@
   /// It has waited for something else, such as a fresh view.
   void isRefusedWhenTooLittleTimeIsLeft() {
     start(0);
-    CallFacts Call = callAt(1, at(1000), routeWith(model::Priority::Normal));
+    CallFacts Call = callAt(1, at(900), routeWith(model::Priority::Normal));
     Call.Deadline_ = at(1040); // answers usually take 100 ms
     const Decision Late = admit(*Balancer_, Call, at(1000));
     CPPUNIT_ASSERT(Late.Verdict_ == Verdict::Refuse);
@@ -117,6 +118,22 @@
     CPPUNIT_ASSERT(admit(*Balancer_, Call, at(1000)).Verdict_ ==
                    Verdict::Dispatch);
   }
+
+  /// Else no answer would ever show that servers are well again.
+  void isSentAfterASpellOfSlowAnswers() {
+    start(0);
+    for (int I = 0; I < 60; ++I) {
+      const CallFacts Call =
+          callAt(2000 + I, at(100 + I), routeWith(model::Priority::Normal));
+      const Decision Made = admit(*Balancer_, Call, at(100 + I));
+      endAttempt(*Balancer_, Call, Made.Server_, AttemptEnd::Answered,
+                 model::milliseconds(30000), at(100 + I));
+    }
+    CallFacts Call = callAt(1, at(1000), routeWith(model::Priority::Normal));
+    Call.Deadline_ = at(1800);
+    CPPUNIT_ASSERT(admit(*Balancer_, Call, at(1000)).Verdict_ ==
+                   Verdict::Dispatch);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(ACallThatCannotBeInTime);
 
