Measure the end of a crossing request from the request on

The bound stays; it counts from the request, at which the promise begins. That those waits were what took long is presumed, not traced.

--- a/tests/http/lifetest.cpp
+++ b/tests/http/lifetest.cpp
@@ -188,9 +188,9 @@
     FrontEnd Front({{"cat-1", Server.port()}}, Limits);
     RawCaller Idle(Front.port());
     Idle.call(request("GET", "/search"));
-    const auto Before = std::chrono::steady_clock::now();
     Front.traffic().drain([] {});
     CPPUNIT_ASSERT(Idle.read().Closed_); // and the caller does not close
+    const auto Before = std::chrono::steady_clock::now();
     Idle.send(request("POST", "/licence", "", "x"));
     CPPUNIT_ASSERT(eventually([&] { return Idle.isReset(); }));
     // The connection would otherwise linger for a second.
