--- a/src/libcumingauge/adapters/controlruntime.cpp
+++ b/src/libcumingauge/adapters/controlruntime.cpp
@@ -117,6 +117,7 @@
     Links_.setSelf(Self);
     control::CoreSettings CoreOptions = coreSettings(Settings_, Self);
     CoreOptions.FollowsDirectory_ = Directory_.Execute_ != nullptr;
+    CoreOptions.IsFirstStart_ = Settings_.FirstStart_;
     Core_ = control::makeCore(CoreOptions, std::random_device{}());
     Thread_ = std::thread([this] { run(); });
   }
--- a/src/libcumingauge/adapters/controlruntime.h
+++ b/src/libcumingauge/adapters/controlruntime.h
@@ -36,11 +36,14 @@
   /// Network bandwidth of this VM in Mbit/s. Processes with more bandwidth are
   /// preferred for the relaying of updates.
   double LinkMbps_ = 0;
+  /// With a platform directory: whether the whole fleet starts for the first
+  /// time, so that its member list is still empty.
+  bool FirstStart_ = false;
 };
 BOOST_DESCRIBE_STRUCT(ControlSettings, (),
                       (Process_, Zone_, Region_, Peer_, Store_, SeedPeers_,
                        Key_, FreshnessLimit_, HeartbeatPeriod_, EventRingSize_,
-                       TickPeriod_, LeavingBound_, LinkMbps_))
+                       TickPeriod_, LeavingBound_, LinkMbps_, FirstStart_))
 
 /// Checks the ranges of the settings. Returns one problem for each invalid
 /// setting, with its path below \p Path; empty when all are valid.
--- a/src/libcumingauge/control/core.h
+++ b/src/libcumingauge/control/core.h
@@ -49,6 +49,9 @@
   /// Whether the configuration is read from a directory instead of the change
   /// log.
   bool FollowsDirectory_ = false;
+  /// Whether the whole fleet starts for the first time. The member list of the
+  /// directory is then still empty.
+  bool IsFirstStart_ = false;
   /// Time within which a backend server that is marked as leaving stops getting
   /// new work.
   model::milliseconds LeavingBound_{2000};
--- a/src/libcumingauge/control/directoryfollower.cpp
+++ b/src/libcumingauge/control/directoryfollower.cpp
@@ -36,10 +36,6 @@
 constexpr double PingFraction = 0.35;
 /// PauseFraction of a reader; smaller, since its updates have to be passed on.
 constexpr double ReaderPauseFraction = 0.35;
-/// Fraction of the same time between announcing this process and reading the
-/// member list. Links to readers are then open before the pause after the first
-/// reads is over, so that the other processes never start a watch.
-constexpr double MembersReadFraction = 0.4;
 
 model::Duration fractionOfBound(const CoreState &State, double Part) {
   const auto Bound = model::Duration(State.Settings_.LeavingBound_);
@@ -134,8 +130,9 @@
 /// Returns whether a call about the topic is due. A topic on which peers send
 /// updates is not called about; it is read as a whole once the updates stop.
 bool shouldCall(const CoreState &State, const DirectoryFeed &Feed) {
-  return isDueNow(State, Feed) &&
-         (!Feed.Read_ || mustCallDirectory(State, Feed));
+  if (!isDueNow(State, Feed))
+    return false;
+  return Feed.Read_ ? mustCallDirectory(State, Feed) : !waitsForReaders(State);
 }
 
 // Configuration.
@@ -176,6 +173,18 @@
   issueCall(State, Follower.Servers_, std::move(Request));
 }
 
+/// Applies a whole list of servers that holds at a revision.
+void takeServerList(CoreState &State,
+                    const std::map<std::string, ports::ServerEntry> &Read,
+                    std::uint64_t Revision, MissingServers Missing) {
+  DirectoryFollower &Follower = State.Directory_;
+  if (!Follower.Servers_.Read_)
+    Follower.FirstRevision_ = Revision;
+  Follower.Servers_.Read_ = true;
+  advanceKnownRevision(State, Revision);
+  applyServerList(State, Read, Missing);
+}
+
 void handleServersResponse(CoreState &State,
                            const ports::DirectoryResponse &Response) {
   DirectoryFollower &Follower = State.Directory_;
@@ -195,8 +204,8 @@
     // of the first page and covers what changed meanwhile.
     Feed.Revision_ = Follower.PagesRevision_;
     Feed.ConfirmedAt_ = Follower.PagesRequestedAt_;
-    advanceKnownRevision(State, Feed.Revision_);
-    applyServerList(State, Follower.Pages_);
+    takeServerList(State, Follower.Pages_, Feed.Revision_,
+                   MissingServers::KeepAfterOutage);
     Follower.Pages_.clear();
     Changed = true;
     // While missing servers may still register again, the next call reads the
@@ -218,32 +227,64 @@
 
 // Members.
 
+/// Returns whether the next call about the members announces this process.
+bool mustAnnounce(const CoreState &State) {
+  const DirectoryFollower &Follower = State.Directory_;
+  return !Follower.Announced_ &&
+         (State.Settings_.IsFirstStart_ || Follower.Members_.Read_);
+}
+
 void followMembers(CoreState &State) {
   DirectoryFeed &Feed = State.Directory_.Members_;
   if (!isDueNow(State, Feed))
     return;
   DirectoryRequest Request;
   Request.Topic_ = DirectoryTopic::Members;
-  if (!State.Directory_.Announced_) {
+  if (mustAnnounce(State)) {
     Request.Operation_ = DirectoryOperation::Announce;
-    Request.Self_ = findMember(State.Members_, State.Members_.Self_)->Member_;
+    Request.Self_ = State.Settings_.Self_;
   }
   issueCall(State, Feed, std::move(Request));
 }
 
-void handleMembersResponse(CoreState &State,
-                           const ports::DirectoryResponse &Response) {
+/// Returns whether the list has this process at its present address, as after a
+/// restart.
+bool listsSelf(const CoreState &State,
+               const std::vector<model::Member> &Members) {
+  const model::Member &Self = State.Settings_.Self_;
+  return std::any_of(
+      Members.begin(), Members.end(), [&](const model::Member &Listed) {
+        return Listed.Process_ == Self.Process_ && Listed.Host_ == Self.Host_ &&
+               Listed.Port_ == Self.Port_ && Listed.Zone_ == Self.Zone_ &&
+               Listed.LinkMbps_ == Self.LinkMbps_;
+      });
+}
+
+void handleAnnounced(CoreState &State) {
   DirectoryFollower &Follower = State.Directory_;
-  if (!Follower.Announced_) {
-    Follower.Announced_ = true;
-    Follower.Members_.NextAt_ =
-        State.Now_ + fractionOfBound(State, MembersReadFraction);
-    return;
-  }
+  Follower.Announced_ = true;
   Follower.Members_.NextAt_ =
-      State.Now_ + jittered(State, State.Settings_.MembersPeriod_);
+      Follower.Members_.Read_
+          ? State.Now_ + jittered(State, State.Settings_.MembersPeriod_)
+          : State.Now_ + membersReadDelay(State);
+}
+
+void handleMembersRead(CoreState &State,
+                       const ports::DirectoryResponse &Response) {
+  DirectoryFollower &Follower = State.Directory_;
   Follower.ListedMembers_ = Response.Members_;
-  State.Vms_.EntryVms_ = static_cast<unsigned>(Response.Members_.size());
+  Follower.Announced_ =
+      Follower.Announced_ || listsSelf(State, Response.Members_);
+  if (!Follower.Announced_)
+    Follower.ListedMembers_.push_back(State.Settings_.Self_);
+  Follower.Members_.NextAt_ =
+      Follower.Announced_
+          ? State.Now_ + jittered(State, State.Settings_.MembersPeriod_)
+          : State.Now_;
+  Follower.Members_.Read_ = true;
+  Follower.Members_.ConfirmedAt_ = State.Now_;
+  State.Links_.NextChoice_ = State.Now_;
+  State.Vms_.EntryVms_ = static_cast<unsigned>(Follower.ListedMembers_.size());
   State.Vms_.EntryVmsAt_ = State.Now_;
   State.ViewChanged_ = true;
 }
@@ -255,7 +296,7 @@
 }
 
 bool needsPing(const CoreState &State, const DirectoryFeed &Feed) {
-  return isWatching(Feed) &&
+  return isWatching(Feed) && mustCallDirectory(State, Feed) &&
          State.Now_ - Feed.ConfirmedAt_ >= fractionOfBound(State, PingFraction);
 }
 
@@ -304,10 +345,10 @@
   dropOverdueCall(State, Follower.Servers_, WatchWait);
   dropOverdueCall(State, Follower.Members_, model::Duration::zero());
   dropOverdueCall(State, Follower.Ping_, model::Duration::zero());
+  followMembers(State);
   maintainDirectoryLinks(State);
   followConfiguration(State);
   followServers(State);
-  followMembers(State);
   pingAsReader(State);
 }
 
@@ -322,6 +363,18 @@
     rebuildState(State, *State.Log_.State_);
 }
 
+void applyCompleteList(CoreState &State,
+                       const std::vector<ports::ServerEntry> &Entries,
+                       std::uint64_t Revision) {
+  std::map<std::string, ports::ServerEntry> Read;
+  for (const ports::ServerEntry &Entry : Entries)
+    if (Entry.Listed_)
+      Read[Entry.Name_] = Entry;
+  // The peer has kept the servers that may still register again.
+  takeServerList(State, Read, Revision, MissingServers::Remove);
+  rebuildState(State, *State.Log_.State_);
+}
+
 void applyConfiguration(CoreState &State,
                         const ports::ListedConfiguration &Read) {
   const std::uint64_t Own = versionOf(State);
@@ -360,8 +413,10 @@
       handleConfigurationResponse(State, Response);
     else if (Feed == &Follower.Servers_)
       handleServersResponse(State, Response);
+    else if (Feed == &Follower.Members_ && mustAnnounce(State))
+      handleAnnounced(State);
     else if (Feed == &Follower.Members_)
-      handleMembersResponse(State, Response);
+      handleMembersRead(State, Response);
     else
       handlePingResponse(State);
     return followDirectory(State);
--- a/src/libcumingauge/control/directoryfollower.h
+++ b/src/libcumingauge/control/directoryfollower.h
@@ -30,17 +30,18 @@
   std::optional<model::TimePoint> PeerConfirmedAt_;
 };
 
-/// Follows a directory: reads the configuration and the list of servers and
-/// then watches both. It pauses after each response, so that many changes cost
-/// few calls. The configuration's version never decreases. A waiting watch does
-/// not show that the directory is still reachable, so processes on which others
-/// rely also ping the directory.
+/// Follows a directory: reads the configuration and the list of servers, or
+/// gets them from a reader, and then watches both unless readers do. It pauses
+/// after each response, so that many changes cost few calls. The
+/// configuration's version never decreases. A waiting watch does not show that
+/// the directory is still reachable, so processes on which others rely also
+/// ping the directory.
 struct DirectoryFollower {
   DirectoryFeed Configuration_;
   DirectoryFeed Servers_;
   DirectoryFeed Members_;
-  DirectoryFeed Ping_; ///< pings by a process that reads for its peers
-  bool Announced_ = false;
+  DirectoryFeed Ping_;     ///< pings by a process that reads for its peers
+  bool Announced_ = false; ///< this process is in the member list
   /// Pages received so far by the read in flight.
   std::map<std::string, ports::ServerEntry> Pages_;
   std::uint64_t PagesRevision_ = 0;
@@ -50,6 +51,9 @@
   std::map<std::string, ports::ListedServer> Listed_;
   std::vector<model::Member> ListedMembers_;
   std::uint64_t KnownRevision_ = 0; ///< of the server list; never decreases
+  /// Revision of the first whole list. Servers that were removed before it are
+  /// missing in ChangedAt_.
+  std::uint64_t FirstRevision_ = 0;
   /// Revision of the last known change of each server, removed ones included.
   std::map<std::string, std::uint64_t> ChangedAt_;
   /// When the directory's last outage ended.
@@ -68,6 +72,12 @@
                         const std::vector<ports::ServerEntry> &Entries,
                         std::uint64_t Revision);
 
+/// Applies a whole list of servers that a peer has sent; servers that it does
+/// not name are removed.
+void applyCompleteList(CoreState &State,
+                       const std::vector<ports::ServerEntry> &Entries,
+                       std::uint64_t Revision);
+
 /// Applies a configuration that a call or a peer has reported. An older version
 /// than the one in use is ignored with an alarm.
 void applyConfiguration(CoreState &State,
--- a/src/libcumingauge/control/directorylinks.cpp
+++ b/src/libcumingauge/control/directorylinks.cpp
@@ -1,7 +1,7 @@
 #include "control/directorylinks.h"
 #include "control/corestate.h"
 #include "control/linkmanager.h"
-#include "control/rendezvous.h"
+#include "control/readerchoice.h"
 #include <algorithm>
 
 namespace cumingauge::control {
@@ -9,21 +9,8 @@
 namespace {
 
 using model::Member;
-using Members = std::vector<const Member *>;
-
-/// Minimum size of a zone with readers. In a smaller zone, links cost more than
-/// the calls that they save.
-constexpr std::size_t MinZoneSize = 8;
-constexpr std::size_t MinReaders = 2;
-/// Members per reader. Each member has two links, so a reader has links to
-/// twice as many; a change of the whole list of 300 servers is some 50 KB to
-/// each: 0.7 s on a link of 10 Mbit/s for 17 of them.
-constexpr std::size_t MembersPerReader = 8;
-/// Members per reader in a zone in which the network link of the fastest member
-/// is more than FastLinkRatio times as fast as that of the slowest.
-constexpr std::size_t MembersPerFastReader = 24;
-constexpr double FastLinkRatio = 4;
-constexpr std::size_t ReadersPerMember = 2;
+using MemberRefs = std::vector<const Member *>;
+
 /// Fraction of the leaving bound after which an update is sent even without a
 /// change and without a new confirmation, so that the link does not fall
 /// silent.
@@ -32,6 +19,22 @@
 /// calls more often than that, and the rest of the bound suffices for a call by
 /// this process itself.
 constexpr double MissingFraction = 0.6;
+/// MissingFraction of a reader; smaller, so that it has called the directory
+/// before the processes that rely on it count its updates as missing.
+constexpr double ReaderMissingFraction = 0.5;
+/// Fraction of the leaving bound for which a confirmation counts as new. A
+/// reader receives confirmations from two others; it passes one on when the
+/// last one that it has sent is older than this.
+constexpr double RelayFraction = 0.25;
+/// Fraction of the leaving bound that a starting process waits for its readers
+/// before it reads the directory itself.
+constexpr double StartWaitFraction = 0.2;
+/// Fraction of the same time after which a process that still lacks the whole
+/// list subscribes to its second reader too.
+constexpr double SecondReaderFraction = 0.1;
+/// Fraction of the leaving bound between announcing this process and reading
+/// the member list when the whole fleet starts.
+constexpr double MembersReadFraction = 0.4;
 constexpr model::seconds SilentLinkTimeout{3};
 constexpr model::milliseconds ChoicePeriod{1000};
 
@@ -44,74 +47,40 @@
   return {Value.Host_, Value.Port_};
 }
 
-/// Returns the listed members of the own zone in the order in which they are
-/// chosen as readers.
-Members zoneMembersByRank(const CoreState &State) {
-  Members Out;
-  for (const Member &Listed : State.Directory_.ListedMembers_)
-    if (Listed.Zone_ == State.Settings_.Self_.Zone_)
-      Out.push_back(&Listed);
-  std::sort(Out.begin(), Out.end(), [](const Member *L, const Member *R) {
-    if (L->LinkMbps_ != R->LinkMbps_)
-      return L->LinkMbps_ > R->LinkMbps_;
-    return rendezvousWeight("directory", L->Process_) >
-           rendezvousWeight("directory", R->Process_);
-  });
-  return Out;
+/// Returns when calls of this process or of a peer last confirmed a topic.
+model::TimePoint confirmedAt(const DirectoryFeed &Feed) {
+  return std::max(Feed.ConfirmedAt_,
+                  Feed.PeerConfirmedAt_.value_or(Feed.ConfirmedAt_));
 }
 
-/// Returns how many of a zone's members, in the order of zoneMembersByRank, are
-/// readers.
-std::size_t readerCount(const Members &Zone) {
-  const bool HasFast =
-      Zone.front()->LinkMbps_ > FastLinkRatio * Zone.back()->LinkMbps_;
-  return std::max(MinReaders, Zone.size() / (HasFast ? MembersPerFastReader
-                                                     : MembersPerReader));
-}
-
-bool isSelf(const CoreState &State, const Member &Value) {
-  return Value.Process_ == State.Members_.Self_;
-}
-
-bool isReaderByRank(const CoreState &State, const Members &Zone) {
-  const std::size_t Readers =
-      Zone.empty() ? 0 : std::min(readerCount(Zone), Zone.size());
-  return std::any_of(
-      Zone.begin(), Zone.begin() + static_cast<std::ptrdiff_t>(Readers),
-      [&](const Member *Value) { return isSelf(State, *Value); });
-}
-
-/// Returns the readers to keep links to. Those that could not be reached are
-/// replaced by the next in rank, which becomes a reader when it receives a
-/// subscription.
-Members wantedReaders(const CoreState &State) {
-  const Members Zone = zoneMembersByRank(State);
-  if (Zone.size() < MinZoneSize || isReaderByRank(State, Zone))
-    return {};
-  Members Readers;
-  for (const Member *Value : Zone)
-    if (Readers.size() < readerCount(Zone) && !isSelf(State, *Value) &&
-        (findLinkTo(State.Links_, Value->Process_) ||
-         !isAddressAvoided(State, addressOf(*Value))))
-      Readers.push_back(Value);
-  std::sort(Readers.begin(), Readers.end(),
-            [&](const Member *L, const Member *R) {
-              const std::string &Self = State.Members_.Self_;
-              return rendezvousWeight(Self, L->Process_) >
-                     rendezvousWeight(Self, R->Process_);
-            });
-  Readers.resize(std::min(Readers.size(), ReadersPerMember));
-  return Readers;
-}
-
-/// Returns the time in ms since calls of this process last confirmed a topic.
+/// Returns the time in ms since a topic was last confirmed.
 std::uint32_t ageMs(const CoreState &State, const DirectoryFeed &Feed) {
   return static_cast<std::uint32_t>(
       std::chrono::duration_cast<model::milliseconds>(State.Now_ -
-                                                      Feed.ConfirmedAt_)
+                                                      confirmedAt(Feed))
           .count());
 }
 
+/// Returns the readers to keep links to.
+MemberRefs wantedReaders(const CoreState &State) {
+  return chooseReaders(State.Directory_.ListedMembers_, State.Settings_.Self_,
+                       [&](const Member &Value) {
+                         return findLinkTo(State.Links_, Value.Process_) ||
+                                !isAddressAvoided(State, addressOf(Value));
+                       });
+}
+
+ServerListChange changeOf(const DirectoryFollower &Follower,
+                          const std::string &Name) {
+  ServerListChange Out{Name, std::nullopt, false};
+  const auto Listed = Follower.Listed_.find(Name);
+  if (Listed != Follower.Listed_.end()) {
+    Out.Server_ = Listed->second.Server_;
+    Out.Leaving_ = Listed->second.Leaving_;
+  }
+  return Out;
+}
+
 DirectoryUpdate makeUpdate(const CoreState &State, const Link &To) {
   const DirectoryFollower &Follower = State.Directory_;
   const std::uint64_t Known = *To.KnownRevision_;
@@ -124,22 +93,24 @@
   if (const model::Preset *Preset = model::presetInForce(*State.Log_.State_);
       Preset && Out.Version_ > To.KnownVersion_)
     Out.Preset_ = *Preset;
-  for (const auto &[Name, Revision] : Follower.ChangedAt_) {
-    if (Revision <= Known)
-      continue;
-    const auto Listed = Follower.Listed_.find(Name);
-    ServerListChange Entry{Name, std::nullopt, false};
-    if (Listed != Follower.Listed_.end()) {
-      Entry.Server_ = Listed->second.Server_;
-      Entry.Leaving_ = Listed->second.Leaving_;
-    }
-    Out.Servers_.push_back(std::move(Entry));
+  // Removals before the first list that this process has are unknown here, so
+  // a peer that knows only an older revision gets the whole list.
+  if (Known < Follower.FirstRevision_) {
+    Out.Complete_ = true;
+    for (const auto &Entry : Follower.Listed_)
+      Out.Servers_.push_back(changeOf(Follower, Entry.first));
+    return Out;
   }
+  for (const auto &[Name, Revision] : Follower.ChangedAt_)
+    if (Revision > Known)
+      Out.Servers_.push_back(changeOf(Follower, Name));
   return Out;
 }
 
 void sendUpdate(CoreState &State, Link &To) {
-  To.NextUpdate_ = State.Now_ + fractionOfBound(State, UpdateFraction);
+  To.UpdatedAt_ = State.Now_;
+  To.ConfirmedAt_ = std::min(confirmedAt(State.Directory_.Configuration_),
+                             confirmedAt(State.Directory_.Servers_));
   send(State, To, makeUpdate(State, To));
   To.KnownRevision_ = State.Directory_.KnownRevision_;
   To.KnownVersion_ = versionOf(State);
@@ -179,12 +150,25 @@
 /// changes that the directory no longer stores.
 void recordUpdate(CoreState &State, DirectoryFeed &Feed, std::uint32_t AgeMs) {
   const model::TimePoint ConfirmedAt = State.Now_ - model::milliseconds(AgeMs);
+  Feed.Read_ = true;
   Feed.PeerConfirmedAt_ =
       std::max(Feed.PeerConfirmedAt_.value_or(ConfirmedAt), ConfirmedAt);
-  if (Feed.Call_ == 0 && !isReader(State))
+  if (Feed.Call_ == 0)
     Feed.Revision_ = 0;
 }
 
+/// Passes an update on to the subscribed peers that need it: at once when it
+/// brings a change, or when the confirmation that they have is getting old.
+void relayUpdate(CoreState &State, bool IsChanged) {
+  if (!isListRead(State))
+    return;
+  const model::Duration Pause = fractionOfBound(State, RelayFraction);
+  for (auto &[Id, To] : State.Links_.Links_)
+    if (To.KnownRevision_ &&
+        (IsChanged || State.Now_ - To.ConfirmedAt_ >= Pause))
+      sendUpdate(State, To);
+}
+
 void dropSilentLinks(CoreState &State) {
   std::vector<LinkId> Silent;
   for (const auto &[Id, Value] : State.Links_.Links_)
@@ -198,12 +182,12 @@
   }
 }
 
-void chooseReaders(CoreState &State) {
+void openReaderLinks(CoreState &State) {
   if (State.Now_ < State.Links_.NextChoice_)
     return;
   State.Links_.NextChoice_ = State.Now_ + ChoicePeriod;
   dropExpiredAttempts(State);
-  const Members Wanted = wantedReaders(State);
+  const MemberRefs Wanted = wantedReaders(State);
   for (const Member *Reader : Wanted)
     if (!findLinkTo(State.Links_, Reader->Process_))
       openLink(State, addressOf(*Reader));
@@ -227,25 +211,59 @@
 }
 
 bool mustCallDirectory(const CoreState &State, const DirectoryFeed &Feed) {
-  const bool HasNews =
-      State.Now_ - Feed.PeerConfirmedAt_.value_or(model::TimePoint()) <
-      fractionOfBound(State, MissingFraction);
-  return !HasNews || isReader(State);
+  if (!Feed.PeerConfirmedAt_)
+    return true;
+  const double Missing =
+      isReader(State) ? ReaderMissingFraction : MissingFraction;
+  return State.Now_ - *Feed.PeerConfirmedAt_ >= fractionOfBound(State, Missing);
+}
+
+model::Duration membersReadDelay(const CoreState &State) {
+  return State.Settings_.IsFirstStart_
+             ? fractionOfBound(State, MembersReadFraction)
+             : model::Duration::zero();
+}
+
+bool waitsForReaders(const CoreState &State) {
+  const DirectoryFeed &Members = State.Directory_.Members_;
+  if (!Members.Read_)
+    return State.Now_ - State.StartedAt_.value_or(State.Now_) <
+           membersReadDelay(State) + fractionOfBound(State, StartWaitFraction);
+  return State.Now_ - Members.ConfirmedAt_ <
+             fractionOfBound(State, StartWaitFraction) &&
+         !wantedReaders(State).empty();
 }
 
 void maintainDirectoryLinks(CoreState &State) {
   dropSilentLinks(State);
-  chooseReaders(State);
+  openReaderLinks(State);
+  subscribeToReaders(State);
   if (!isListRead(State))
     return;
+  const model::Duration Pause = fractionOfBound(State, UpdateFraction);
   for (auto &[Id, To] : State.Links_.Links_)
-    if (To.KnownRevision_ && State.Now_ >= To.NextUpdate_)
+    if (To.KnownRevision_ && State.Now_ - To.UpdatedAt_ >= Pause)
       sendUpdate(State, To);
 }
 
-void subscribeToReader(CoreState &State, const Link &Opened) {
-  if (Opened.Outbound_)
-    send(State, Opened, ownSubscription(State));
+void subscribeToReaders(CoreState &State) {
+  // The whole list is requested from one reader first: it is long.
+  const model::Duration Pause = fractionOfBound(State, SecondReaderFraction);
+  std::optional<model::TimePoint> LastSubscription;
+  for (const auto &[Id, Value] : State.Links_.Links_)
+    if (Value.SubscribedAt_)
+      LastSubscription =
+          std::max(LastSubscription.value_or(*Value.SubscribedAt_),
+                   *Value.SubscribedAt_);
+  for (auto &[Id, Value] : State.Links_.Links_) {
+    if (!Value.Outbound_ || Value.SubscribedAt_)
+      continue;
+    if (!isListRead(State) && LastSubscription &&
+        State.Now_ - *LastSubscription < Pause)
+      return;
+    Value.SubscribedAt_ = LastSubscription = State.Now_;
+    send(State, Value, ownSubscription(State));
+  }
 }
 
 void handleDirectorySubscription(CoreState &State, Link &From,
@@ -261,24 +279,34 @@
 void handleDirectoryUpdate(CoreState &State, Link &From,
                            const DirectoryUpdate &Message) {
   DirectoryFollower &Follower = State.Directory_;
-  if (!isListRead(State))
-    return;
-  const bool LacksChanges = Message.After_ > Follower.KnownRevision_;
+  const bool IsComplete = Message.Complete_.value_or(false);
+  const bool LacksChanges =
+      !IsComplete &&
+      (Message.After_ > Follower.KnownRevision_ || !Follower.Servers_.Read_);
   const bool LacksPreset =
       Message.Version_ > versionOf(State) && !Message.Preset_;
   if (LacksChanges || LacksPreset)
     return send(State, From, ownSubscription(State));
+  const std::uint64_t FormerRevision = Follower.KnownRevision_;
+  const std::uint64_t FormerVersion = versionOf(State);
   // A reader with an older version or revision than this process confirms
   // nothing.
   if (Message.Version_ >= versionOf(State)) {
+    recordUpdate(State, Follower.Configuration_, Message.VersionAgeMs_);
     if (Message.Preset_)
       applyConfiguration(State, {Message.Version_, *Message.Preset_});
-    recordUpdate(State, Follower.Configuration_, Message.VersionAgeMs_);
   }
   if (Message.Revision_ >= Follower.KnownRevision_) {
+    if (IsComplete)
+      applyCompleteList(State, entriesOf(Message), Message.Revision_);
+    else
+      applyServerChanges(State, entriesOf(Message), Message.Revision_);
     recordUpdate(State, Follower.Servers_, Message.AgeMs_);
-    applyServerChanges(State, entriesOf(Message), Message.Revision_);
   }
+  subscribeToReaders(State);
+  const bool IsChanged = Follower.KnownRevision_ != FormerRevision ||
+                         versionOf(State) != FormerVersion;
+  relayUpdate(State, IsChanged);
 }
 
 void sendDirectoryUpdates(CoreState &State) {
--- a/src/libcumingauge/control/directorylinks.h
+++ b/src/libcumingauge/control/directorylinks.h
@@ -4,18 +4,24 @@
 #include "control/linktable.h"
 
 /// Distributes the configuration and the list of servers over peer links, so
-/// that only a few processes of a large availability zone, the readers, call
-/// the directory. The others keep links to two readers. A process whose last
-/// update is older than a fraction of the leaving bound calls the directory
-/// itself.
+/// that only a few processes, the fleet readers, call the directory. The zone
+/// readers subscribe to them, and the other processes of a large availability
+/// zone to two of its readers. Updates carry the time since the directory was
+/// asked, however many processes they pass. A process whose last update is
+/// older than a fraction of the leaving bound calls the directory itself.
 namespace cumingauge::control {
 
 struct CoreState;
 struct DirectoryFeed;
 
-/// Returns whether this process has to call the directory about a topic.
+/// Returns whether this process has to call the directory about a topic,
+/// because no recent update about it has come from a peer.
 bool mustCallDirectory(const CoreState &State, const DirectoryFeed &Feed);
 
+/// Returns whether a process that has just started should wait for a reader's
+/// first update rather than read the directory.
+bool waitsForReaders(const CoreState &State);
+
 /// Returns whether other processes subscribe to updates of this one.
 bool isReader(const CoreState &State);
 
@@ -25,9 +31,14 @@
 /// Opens and closes links to readers, and sends the updates that are due.
 void maintainDirectoryLinks(CoreState &State);
 
-/// Subscribes to updates over a link that this process has just opened, from
-/// the revision and version known here.
-void subscribeToReader(CoreState &State, const Link &Opened);
+/// Subscribes to updates over the links that this process has opened, from the
+/// revision and version known here.
+void subscribeToReaders(CoreState &State);
+
+/// Returns the time from the start until the member list is read for the first
+/// time. When the whole fleet starts, all members first have to announce
+/// themselves.
+model::Duration membersReadDelay(const CoreState &State);
 
 /// Handles a peer's subscription: sends the changes that it lacks, and updates
 /// from now on.
--- a/src/libcumingauge/control/linkmanager.cpp
+++ b/src/libcumingauge/control/linkmanager.cpp
@@ -206,7 +206,7 @@
     return;
   }
   if (State.Settings_.FollowsDirectory_)
-    return subscribeToReader(State, Opened);
+    return subscribeToReaders(State);
   applyMember(State, Input.Peer_);
   sendHeartbeat(State, Opened, /*AnswerNow=*/true);
 }
--- a/src/libcumingauge/control/linktable.h
+++ b/src/libcumingauge/control/linktable.h
@@ -59,7 +59,12 @@
   std::optional<std::uint64_t> KnownRevision_;
   /// Version of the configuration that the peer has.
   std::uint64_t KnownVersion_ = 0;
-  model::TimePoint NextUpdate_;
+  /// When this process subscribed to the peer's directory updates.
+  std::optional<model::TimePoint> SubscribedAt_;
+  /// When the topics of the last directory update that was sent had been
+  /// confirmed; the older one of the two.
+  model::TimePoint ConfirmedAt_;
+  model::TimePoint UpdatedAt_; ///< when the last directory update was sent
   StateAssembly Assembly_;
 };
 
--- a/src/libcumingauge/control/peermessage.h
+++ b/src/libcumingauge/control/peermessage.h
@@ -127,10 +127,12 @@
   std::uint32_t VersionAgeMs_ = 0;
   /// Set when Version_ is new to the peer.
   std::optional<model::Preset> Preset_;
+  /// True when Servers_ is the whole list; After_ then has no meaning.
+  std::optional<bool> Complete_;
 };
 BOOST_DESCRIBE_STRUCT(DirectoryUpdate, (),
                       (After_, Revision_, AgeMs_, Servers_, Version_,
-                       VersionAgeMs_, Preset_))
+                       VersionAgeMs_, Preset_, Complete_))
 
 /// Sent by an operator: requests the status of this process.
 struct StatusRequest {
--- /dev/null
+++ b/src/libcumingauge/control/readerchoice.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "model/member.h"
+#include <functional>
+#include <string>
+#include <vector>
+
+/// Chooses which processes call the directory and pass on what it says. Fleet
+/// readers call it for the whole fleet, zone readers pass the updates of the
+/// fleet readers on to the other processes of their availability zone. Zones
+/// that are too small for readers are left out: their processes all call.
+namespace cumingauge::control {
+
+/// Returns whether links to the member may be opened or are open.
+using ReachablePredicate = std::function<bool(const model::Member &)>;
+
+/// Returns the readers to which a process subscribes; none when it calls the
+/// directory itself. Members that cannot be reached are replaced by the next
+/// ones in rank, which become readers when they receive a subscription.
+/// \param Members all members of the fleet, in any order.
+std::vector<const model::Member *>
+chooseReaders(const std::vector<model::Member> &Members,
+              const model::Member &Self, const ReachablePredicate &IsReachable);
+
+} // namespace cumingauge::control
--- a/src/libcumingauge/control/serverlist.cpp
+++ b/src/libcumingauge/control/serverlist.cpp
@@ -142,9 +142,11 @@
 }
 
 void applyServerList(CoreState &State,
-                     const std::map<std::string, ports::ServerEntry> &Read) {
+                     const std::map<std::string, ports::ServerEntry> &Read,
+                     MissingServers Rule) {
   DirectoryFollower &Follower = State.Directory_;
-  if (areManyMissing(Follower, Read) && canBeNewOutage(State))
+  const bool MayKeep = Rule == MissingServers::KeepAfterOutage;
+  if (MayKeep && areManyMissing(Follower, Read) && canBeNewOutage(State))
     Follower.OutageEndedAt_ = State.Now_;
   std::vector<std::string> Missing;
   for (const auto &Entry : Follower.Listed_)
@@ -153,7 +155,7 @@
   Differences Found;
   // A missing server that was leaving is removed at once.
   for (const std::string &Name : Missing)
-    if (!isOutageJustOver(State) || Follower.Listed_[Name].Leaving_)
+    if (!MayKeep || !isOutageJustOver(State) || Follower.Listed_[Name].Leaving_)
       applyServerEntry(State, {Name, std::nullopt, 0}, Found);
   for (const auto &[Name, Entry] : Read)
     applyServerEntry(State, Entry, Found);
--- a/src/libcumingauge/control/serverlist.h
+++ b/src/libcumingauge/control/serverlist.h
@@ -10,6 +10,14 @@
 /// peers.
 namespace cumingauge::control {
 
+/// What happens to known servers that a whole list does not name.
+enum class MissingServers {
+  Remove,
+  /// They keep their place for a while when so many are missing that the
+  /// directory must have been down.
+  KeepAfterOutage
+};
+
 struct CoreState;
 
 /// Applies changed entries.
@@ -20,7 +28,8 @@
 /// Applies a list that was read as a whole. After an outage, servers that are
 /// missing from it stay in the list for a while.
 void applyServerList(CoreState &State,
-                     const std::map<std::string, ports::ServerEntry> &Read);
+                     const std::map<std::string, ports::ServerEntry> &Read,
+                     MissingServers Rule);
 
 /// Adds a page of a list that is being read.
 /// \returns true when the list is complete.
--- /dev/null
+++ b/tests/control/directoryfleet.cpp
@@ -0,0 +1,300 @@
+#include "control/directoryfleet.h"
+
+namespace cumingauge::control::fakes {
+
+using ports::DirectoryOperation;
+using ports::DirectoryTopic;
+
+namespace {
+
+ports::DirectoryResponse unavailable() {
+  ports::DirectoryResponse Out;
+  Out.Code_ = model::ResultCode::StoreUnavailable;
+  return Out;
+}
+
+} // namespace
+
+ports::ServerEntry listed(const std::string &Name, bool Leaving) {
+  ports::ListedServer Listed;
+  Listed.Server_.Name_ = Name;
+  Listed.Server_.Vm_ = "vm-" + Name;
+  Listed.Server_.Service_ = "catalogue";
+  Listed.Leaving_ = Leaving;
+  return {Name, Listed, 0};
+}
+
+DirectoryFleet::DirectoryFleet(DirectoryFleetSize Size) : Size_(Size) {
+  const unsigned Count = Size_.Zones_ * Size_.ZoneSize_;
+  for (unsigned I = 0; I < Count; ++I)
+    Cores_.push_back(makeCore(settingsOf(I, /*FirstStart=*/true), I));
+  Entries_ = {{"a", listed("a")}, {"b", listed("b")}};
+  for (unsigned I = 0; I < Count; ++I)
+    feed(I, Started{});
+  wait(model::seconds(6));
+}
+
+model::Member DirectoryFleet::memberOf(unsigned Number) const {
+  const unsigned Place = Number % Size_.ZoneSize_;
+  const std::string Zone = std::to_string(Number / Size_.ZoneSize_);
+  model::Member Out;
+  Out.Process_ = "front-" + Zone + "-" + std::to_string(Place);
+  Out.Zone_ = "zone-" + Zone;
+  Out.Host_ = "10.0." + Zone + "." + std::to_string(Place);
+  Out.Port_ = 7000;
+  const bool IsFast = Place == 3 || Place == 12;
+  Out.LinkMbps_ = IsFast ? 200 : 10;
+  return Out;
+}
+
+CoreSettings DirectoryFleet::settingsOf(unsigned Number,
+                                        bool FirstStart) const {
+  CoreSettings Out;
+  Out.Self_ = memberOf(Number);
+  Out.FollowsDirectory_ = true;
+  Out.IsFirstStart_ = FirstStart;
+  return Out;
+}
+
+void DirectoryFleet::wait(model::milliseconds Time) {
+  const model::TimePoint End = Now_ + Time;
+  while (Now_ < End) {
+    Now_ += model::milliseconds(50);
+    for (unsigned I = 0; I < size(); ++I)
+      if (!Dead_.count(I))
+        feed(I, Ticked{});
+  }
+}
+
+void DirectoryFleet::put(const ports::ServerEntry &Entry) {
+  ports::ServerEntry Written = Entry;
+  Written.Revision_ = ++Revision_;
+  Entries_[Entry.Name_] = Written;
+  Log_.push_back({Revision_, Written});
+  answerWatches();
+}
+
+void DirectoryFleet::remove(const std::string &Name) {
+  Entries_.erase(Name);
+  Log_.push_back({++Revision_, {Name, std::nullopt, 0}});
+  answerWatches();
+}
+
+void DirectoryFleet::expire(const std::string &Name) {
+  Entries_.erase(Name);
+  ++Revision_;
+}
+
+void DirectoryFleet::restart(unsigned Number) {
+  kill(Number);
+  Dead_.erase(Number);
+  Views_.erase(Number);
+  Cores_[Number] = makeCore(settingsOf(Number, /*FirstStart=*/false), Number);
+  feed(Number, Started{});
+}
+
+bool DirectoryFleet::isListed(unsigned Number, const std::string &Name) const {
+  const auto View = Views_.find(Number);
+  return View != Views_.end() &&
+         View->second->Config_->Servers_.count(Name) > 0;
+}
+
+void DirectoryFleet::configure(std::uint64_t Version) {
+  ++Revision_;
+  ConfigRevision_ = Revision_;
+  ConfigVersion_ = Version;
+  answerWatches();
+}
+
+void DirectoryFleet::setAway(bool Away) {
+  Away_ = Away;
+  if (!Away)
+    return;
+  const auto Dropped = std::exchange(Watches_, {});
+  for (const Watch &Asked : Dropped)
+    answer(Asked.Process_, Asked.Call_, unavailable());
+}
+
+void DirectoryFleet::kill(unsigned Number) {
+  Dead_.insert(Number);
+  std::vector<std::pair<LinkId, unsigned>> Closed;
+  for (auto It = Links_.begin(); It != Links_.end();) {
+    const auto [From, To] = It->second;
+    if (From != Number && To != Number) {
+      ++It;
+      continue;
+    }
+    Closed.emplace_back(It->first, From == Number ? To : From);
+    It = Links_.erase(It);
+  }
+  if (!ResetsLinks_)
+    return;
+  for (const auto &[Id, Peer] : Closed)
+    if (!Dead_.count(Peer))
+      feed(Peer, LinkClosed{Id});
+}
+
+bool DirectoryFleet::isLeaving(unsigned Number, const std::string &Name) const {
+  const auto View = Views_.find(Number);
+  return View != Views_.end() && View->second->LeavingServers_.count(Name) > 0;
+}
+
+bool DirectoryFleet::isReachable(unsigned Number) const {
+  return !Dead_.count(Number) && !Cut_.count(Number);
+}
+
+unsigned DirectoryFleet::countSeeingLeaving(const std::string &Name) const {
+  unsigned Out = 0;
+  for (unsigned I = 0; I < size(); ++I)
+    Out += isReachable(I) && isLeaving(I, Name);
+  return Out;
+}
+
+unsigned DirectoryFleet::countAtVersion(std::uint64_t Version) const {
+  unsigned Out = 0;
+  for (const auto &[Number, View] : Views_)
+    Out += isReachable(Number) && View->Config_->Version_ == Version;
+  return Out;
+}
+
+std::set<unsigned> DirectoryFleet::watchers() const {
+  std::set<unsigned> Out;
+  for (const Watch &Asked : Watches_)
+    if (Asked.Topic_ == DirectoryTopic::Servers && isReachable(Asked.Process_))
+      Out.insert(Asked.Process_);
+  return Out;
+}
+
+unsigned DirectoryFleet::reachableCount() const {
+  unsigned Out = 0;
+  for (unsigned I = 0; I < size(); ++I)
+    Out += isReachable(I);
+  return Out;
+}
+
+unsigned DirectoryFleet::calls() const {
+  unsigned Out = 0;
+  for (const auto &Entry : Calls_)
+    Out += Entry.second;
+  return Out;
+}
+
+unsigned DirectoryFleet::callsOf(unsigned Number) const {
+  const auto Found = Calls_.find(Number);
+  return Found == Calls_.end() ? 0 : Found->second;
+}
+
+void DirectoryFleet::feed(unsigned Number, const CoreInput &Input) {
+  for (const CoreCommand &Command : step(*Cores_[Number], Input, Now_))
+    std::visit([&](const auto &What) { execute(Number, What); }, Command);
+}
+
+void DirectoryFleet::answer(unsigned Number, StoreCallId Call,
+                            const ports::DirectoryResponse &Response) {
+  feed(Number, DirectoryResponseReceived{Call, Response});
+}
+
+void DirectoryFleet::execute(unsigned Number, const PublishView &Command) {
+  Views_[Number] = Command.View_;
+}
+
+void DirectoryFleet::execute(unsigned Number, const OpenLink &Command) {
+  for (unsigned To = 0; To < size(); ++To) {
+    if (memberOf(To).Host_ != Command.Host_)
+      continue;
+    if (Dead_.count(To) || RefusesLinks_)
+      return feed(Number, LinkFailed{Command.Host_, Command.Port_});
+    const LinkId Id = ++LastLink_;
+    Links_[Id] = {Number, To};
+    feed(To, LinkOpened{Id, memberOf(Number), false, false});
+    feed(Number, LinkOpened{Id, memberOf(To), false, true});
+  }
+}
+
+void DirectoryFleet::execute(unsigned Number, const SendPeer &Command) {
+  const auto Found = Links_.find(Command.Link_);
+  if (Found == Links_.end())
+    return;
+  const auto [From, To] = Found->second;
+  feed(Number == From ? To : From,
+       PeerMessageReceived{Command.Link_, *Command.Message_});
+}
+
+void DirectoryFleet::execute(unsigned Number, const CloseLink &Command) {
+  const auto Found = Links_.find(Command.Link_);
+  if (Found == Links_.end())
+    return;
+  const auto [From, To] = Found->second;
+  Links_.erase(Found);
+  feed(Number == From ? To : From, LinkClosed{Command.Link_});
+  feed(Number, LinkClosed{Command.Link_});
+}
+
+void DirectoryFleet::execute(unsigned Number, const CallDirectory &Command) {
+  const ports::DirectoryRequest &Asked = Command.Request_;
+  if (Cut_.count(Number))
+    return answer(Number, Command.Call_, unavailable());
+  if (Asked.Operation_ == DirectoryOperation::Ping)
+    ++Pings_;
+  else
+    ++Calls_[Number];
+  if (Away_)
+    return answer(Number, Command.Call_, unavailable());
+  ports::DirectoryResponse Answer;
+  Answer.Revision_ = Revision_;
+  switch (Asked.Operation_) {
+  case DirectoryOperation::Watch:
+    Watches_.push_back({Number, Asked.Topic_, Command.Call_, Asked.After_,
+                        Now_ + Asked.Wait_});
+    return answerWatches();
+  case DirectoryOperation::Announce:
+    Announced_[Asked.Self_.Process_] = Asked.Self_;
+    break;
+  case DirectoryOperation::Read:
+    fill(Answer, Asked.Topic_, 0);
+    break;
+  case DirectoryOperation::Ping:
+    break;
+  }
+  answer(Number, Command.Call_, Answer);
+}
+
+/// Adds the content of a topic, or what has changed in it after a revision.
+void DirectoryFleet::fill(ports::DirectoryResponse &Answer,
+                          DirectoryTopic Topic, std::uint64_t After) const {
+  if (Topic == DirectoryTopic::Configuration && ConfigRevision_ > After) {
+    Answer.Configuration_.emplace();
+    Answer.Configuration_->Version_ = ConfigVersion_;
+    Answer.Configuration_->Preset_.Name_ =
+        "version " + std::to_string(ConfigVersion_);
+  }
+  if (Topic == DirectoryTopic::Servers && After == 0)
+    for (const auto &Entry : Entries_)
+      Answer.Servers_.push_back(Entry.second);
+  if (Topic == DirectoryTopic::Servers && After > 0)
+    for (const auto &[Revision, Entry] : Log_)
+      if (Revision > After)
+        Answer.Servers_.push_back(Entry);
+  if (Topic == DirectoryTopic::Members)
+    for (const auto &Entry : Announced_)
+      Answer.Members_.push_back(Entry.second);
+}
+
+void DirectoryFleet::answerWatches() {
+  for (std::size_t I = 0; I < Watches_.size();) {
+    const Watch Asked = Watches_[I];
+    ports::DirectoryResponse Answer;
+    Answer.Revision_ = Revision_;
+    fill(Answer, Asked.Topic_, Asked.After_);
+    const bool HasNews = Answer.Configuration_ || !Answer.Servers_.empty();
+    if (!HasNews || !isReachable(Asked.Process_)) {
+      ++I;
+      continue;
+    }
+    Watches_.erase(Watches_.begin() + static_cast<std::ptrdiff_t>(I));
+    answer(Asked.Process_, Asked.Call_, Answer);
+    I = 0;
+  }
+}
+
+} // namespace cumingauge::control::fakes
--- /dev/null
+++ b/tests/control/directoryfleet.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "control/core.h"
+#include <map>
+#include <set>
+#include <utility>
+
+namespace cumingauge::control::fakes {
+
+/// Number and size of the availability zones of a DirectoryFleet.
+struct DirectoryFleetSize {
+  unsigned Zones_ = 1;
+  unsigned ZoneSize_ = 16;
+};
+
+/// Returns the list entry of a backend server.
+ports::ServerEntry listed(const std::string &Name, bool Leaving = false);
+
+/// Processes that share one fake directory and have links without delay. The
+/// processes 3 and 12 of each zone have fast links.
+class DirectoryFleet {
+public:
+  /// Starts all processes as a fleet that has never run before.
+  explicit DirectoryFleet(DirectoryFleetSize Size = {});
+
+  unsigned size() const { return static_cast<unsigned>(Cores_.size()); }
+
+  void wait(model::milliseconds Time);
+
+  /// Changes an entry and answers the watches for it at once.
+  void put(const ports::ServerEntry &Entry);
+
+  /// Removes an entry and answers the watches for it at once.
+  void remove(const std::string &Name);
+
+  /// Removes an entry as if it had expired, without answering any watch.
+  void expire(const std::string &Name);
+
+  void restart(unsigned Number);
+  /// Ends a process. Its peers notice nothing unless resetLinks() was called.
+  void kill(unsigned Number);
+  /// From now on the peers of a killed process see their links closed.
+  void resetLinks() { ResetsLinks_ = true; }
+
+  /// Makes every attempt to open a link fail, or no longer.
+  void refuseLinks(bool Refused) { RefusesLinks_ = Refused; }
+
+  bool isListed(unsigned Number, const std::string &Name) const;
+  bool isLeaving(unsigned Number, const std::string &Name) const;
+  bool hasView(unsigned Number) const { return Views_.count(Number) > 0; }
+
+  /// Writes a configuration and answers the watches for it at once.
+  void configure(std::uint64_t Version);
+
+  /// Cuts a process off from the directory but not from its peers. Its calls in
+  /// flight are never answered, and further calls fail.
+  void cut(unsigned Number) { Cut_.insert(Number); }
+
+  /// Makes the directory unreachable or reachable. While it is unreachable,
+  /// every call fails.
+  void setAway(bool Away);
+
+  unsigned countSeeingLeaving(const std::string &Name) const;
+  unsigned countAtVersion(std::uint64_t Version) const;
+
+  /// Returns the processes with a watch of the servers that waits in the
+  /// directory.
+  std::set<unsigned> watchers() const;
+
+  unsigned reachableCount() const;
+
+  /// Number of calls that the directory charges for in full, which pings are
+  /// not.
+  unsigned calls() const;
+  unsigned callsOf(unsigned Number) const;
+  unsigned pings() const { return Pings_; }
+
+private:
+  struct Watch {
+    unsigned Process_;
+    ports::DirectoryTopic Topic_;
+    StoreCallId Call_;
+    std::uint64_t After_;
+    model::TimePoint End_;
+  };
+
+  CoreSettings settingsOf(unsigned Number, bool FirstStart) const;
+  model::Member memberOf(unsigned Number) const;
+  bool isReachable(unsigned Number) const;
+  void feed(unsigned Number, const CoreInput &Input);
+  template <class T> void execute(unsigned, const T &) {}
+  void execute(unsigned Number, const PublishView &Command);
+  void execute(unsigned Number, const OpenLink &Command);
+  void execute(unsigned Number, const SendPeer &Command);
+  void execute(unsigned Number, const CloseLink &Command);
+  void execute(unsigned Number, const CallDirectory &Command);
+  void answer(unsigned Number, StoreCallId Call,
+              const ports::DirectoryResponse &Response);
+  void fill(ports::DirectoryResponse &Answer, ports::DirectoryTopic Topic,
+            std::uint64_t After) const;
+  void answerWatches();
+
+  const DirectoryFleetSize Size_;
+  model::TimePoint Now_{model::seconds(1000)};
+  std::vector<std::shared_ptr<CoreState>> Cores_;
+  std::map<std::string, ports::ServerEntry> Entries_;
+  std::vector<std::pair<std::uint64_t, ports::ServerEntry>> Log_;
+  std::map<std::string, model::Member> Announced_;
+  std::uint64_t Revision_ = 10;
+  std::uint64_t ConfigVersion_ = 1;
+  std::uint64_t ConfigRevision_ = 10;
+  std::vector<Watch> Watches_;
+  std::map<LinkId, std::pair<unsigned, unsigned>> Links_;
+  LinkId LastLink_ = 0;
+  std::set<unsigned> Dead_;
+  std::set<unsigned> Cut_;
+  bool Away_ = false;
+  bool ResetsLinks_ = false;
+  bool RefusesLinks_ = false;
+  std::map<unsigned, std::shared_ptr<const model::ControlView>> Views_;
+  std::map<unsigned, unsigned> Calls_;
+  unsigned Pings_ = 0;
+};
+
+} // namespace cumingauge::control::fakes
--- /dev/null
+++ b/tests/control/directoryrelaytest.cpp
@@ -0,0 +1,172 @@
+#include "control/directoryfleet.h"
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace cumingauge;
+using namespace cumingauge::control::fakes;
+
+namespace {
+
+constexpr DirectoryFleetSize ThreeZones{3, 16};
+
+/// Starts a fleet and lets it settle after the watches of the start.
+void settle(DirectoryFleet &Fleet) {
+  Fleet.put(listed("c"));
+  Fleet.wait(model::seconds(3));
+}
+
+class RelayedDirectoryUpdates : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RelayedDirectoryUpdates);
+  CPPUNIT_TEST(areReadByTwoProcessesOfTheFleet);
+  CPPUNIT_TEST(bringALeavingMarkToEveryZoneAtOnce);
+  CPPUNIT_TEST(keepTheBoundWhenTheFleetReadersDie);
+  CPPUNIT_TEST(keepTheBoundWhenTheFleetReadersLoseTheDirectory);
+  CPPUNIT_TEST(keepTheBoundWhenAZoneLosesItsReaders);
+  CPPUNIT_TEST(doNotConfirmEachOtherWhileTheDirectoryIsAway);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void areReadByTwoProcessesOfTheFleet() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Fleet.watchers().size());
+    const unsigned Before = Fleet.calls();
+    for (int I = 0; I < 20; ++I) {
+      Fleet.put(listed("s" + std::to_string(I)));
+      Fleet.wait(model::milliseconds(500)); // ten seconds in all
+    }
+    // Each of the two calls once in 0.7 s at most.
+    CPPUNIT_ASSERT_LESSEQUAL(2u * 15, Fleet.calls() - Before);
+  }
+
+  void bringALeavingMarkToEveryZoneAtOnce() {
+    DirectoryFleet Fleet(ThreeZones);
+    Fleet.put(listed("a", true));
+    Fleet.configure(2);
+    Fleet.wait(model::milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(Fleet.size(), Fleet.countSeeingLeaving("a"));
+    CPPUNIT_ASSERT_EQUAL(Fleet.size(), Fleet.countAtVersion(2));
+  }
+
+  void keepTheBoundWhenTheFleetReadersDie() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    for (const unsigned Reader : Fleet.watchers())
+      Fleet.kill(Reader);
+    Fleet.put(listed("a", true));
+    Fleet.configure(2);
+    Fleet.wait(model::milliseconds(1900)); // the bound is 2 s
+    CPPUNIT_ASSERT_EQUAL(Fleet.reachableCount(), Fleet.countSeeingLeaving("a"));
+    CPPUNIT_ASSERT_EQUAL(Fleet.reachableCount(), Fleet.countAtVersion(2));
+    // Others have taken their place.
+    Fleet.wait(model::seconds(8));
+    Fleet.put(listed("b", true));
+    Fleet.wait(model::milliseconds(1900));
+    CPPUNIT_ASSERT_EQUAL(Fleet.reachableCount(), Fleet.countSeeingLeaving("b"));
+    CPPUNIT_ASSERT(Fleet.watchers().size() <= 6);
+  }
+
+  void keepTheBoundWhenTheFleetReadersLoseTheDirectory() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    const unsigned Before = Fleet.calls();
+    for (const unsigned Reader : Fleet.watchers())
+      Fleet.cut(Reader);
+    Fleet.put(listed("a", true));
+    Fleet.configure(2);
+    Fleet.wait(model::milliseconds(1900)); // the bound is 2 s
+    CPPUNIT_ASSERT_EQUAL(Fleet.reachableCount(), Fleet.countSeeingLeaving("a"));
+    CPPUNIT_ASSERT_EQUAL(Fleet.reachableCount(), Fleet.countAtVersion(2));
+    // The zone readers have called, and the others have relied on them.
+    CPPUNIT_ASSERT(Fleet.calls() - Before <= 6 * 4);
+  }
+
+  void keepTheBoundWhenAZoneLosesItsReaders() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    Fleet.kill(16 + 3);
+    Fleet.kill(16 + 12);
+    Fleet.put(listed("a", true));
+    Fleet.wait(model::milliseconds(1900)); // the bound is 2 s
+    CPPUNIT_ASSERT_EQUAL(Fleet.reachableCount(), Fleet.countSeeingLeaving("a"));
+  }
+
+  /// Two processes that subscribe to each other must not take the other's
+  /// updates for news from the directory.
+  void doNotConfirmEachOtherWhileTheDirectoryIsAway() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    Fleet.setAway(true);
+    Fleet.wait(model::seconds(10));
+    const unsigned Before = Fleet.calls();
+    Fleet.wait(model::seconds(10));
+    // Every process keeps calling, at least every 3 s about each topic.
+    CPPUNIT_ASSERT(Fleet.calls() - Before >= 2 * 3 * Fleet.size());
+    Fleet.setAway(false);
+    Fleet.put(listed("a", true));
+    // Time after which all processes must have called the directory again.
+    Fleet.wait(model::milliseconds(3000));
+    CPPUNIT_ASSERT_EQUAL(Fleet.size(), Fleet.countSeeingLeaving("a"));
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayedDirectoryUpdates);
+
+class StartFromAReader : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StartFromAReader);
+  CPPUNIT_TEST(takesOneCallAfterARestart);
+  CPPUNIT_TEST(takesTwoCallsWhenTheFleetStarts);
+  CPPUNIT_TEST(goesOnAloneWhenNoReaderAnswers);
+  CPPUNIT_TEST(forgetsAServerThatLeftBeforeTheReaderStarted);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void takesOneCallAfterARestart() {
+    DirectoryFleet Fleet;
+    settle(Fleet);
+    const unsigned Before = Fleet.callsOf(5);
+    Fleet.restart(5);
+    Fleet.wait(model::milliseconds(100));
+    CPPUNIT_ASSERT(Fleet.isListed(5, "c"));
+    Fleet.wait(model::seconds(10));
+    CPPUNIT_ASSERT_EQUAL(1u, Fleet.callsOf(5) - Before);
+  }
+
+  void takesTwoCallsWhenTheFleetStarts() {
+    DirectoryFleet Fleet(ThreeZones);
+    for (unsigned I = 0; I < Fleet.size(); ++I) {
+      const bool IsReader = I % 16 == 3 || I % 16 == 12;
+      CPPUNIT_ASSERT(Fleet.hasView(I));
+      CPPUNIT_ASSERT(IsReader || Fleet.callsOf(I) == 2);
+    }
+  }
+
+  void goesOnAloneWhenNoReaderAnswers() {
+    DirectoryFleet Fleet;
+    settle(Fleet);
+    for (unsigned I = 0; I < Fleet.size(); ++I)
+      if (I != 5)
+        Fleet.kill(I);
+    Fleet.restart(5);
+    Fleet.wait(model::milliseconds(500));
+    CPPUNIT_ASSERT(Fleet.isListed(5, "c"));
+  }
+
+  /// All readers restart after a server has left, so they never knew it, while
+  /// the other processes still list it.
+  void forgetsAServerThatLeftBeforeTheReaderStarted() {
+    DirectoryFleet Fleet;
+    settle(Fleet);
+    Fleet.resetLinks();
+    const std::set<unsigned> Readers = Fleet.watchers();
+    for (const unsigned Reader : Readers)
+      Fleet.kill(Reader);
+    Fleet.remove("a");
+    for (const unsigned Reader : Readers)
+      Fleet.restart(Reader);
+    Fleet.wait(model::milliseconds(1900)); // the bound is 2 s
+    for (unsigned I = 0; I < Fleet.size(); ++I)
+      CPPUNIT_ASSERT(!Fleet.isListed(I, "a"));
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(StartFromAReader);
+
+} // namespace
--- a/tests/control/directorytest.cpp
+++ b/tests/control/directorytest.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-/// One process that follows a directory whose responses the test gives.
+/// One process that follows a directory whose responses the test gives. It has
+/// read the member list and found no other member.
 class Process {
 public:
   Process() {
@@ -19,6 +20,7 @@
     Settings.FollowsDirectory_ = true;
     Core_ = makeCore(Settings, 1);
     feed(Started{});
+    answer(DirectoryTopic::Members, {});
   }
 
   void feed(const CoreInput &Input) {
