--- a/src/libcumingauge/control/directoryfollower.cpp
+++ b/src/libcumingauge/control/directoryfollower.cpp
@@ -4,6 +4,7 @@
 #include "control/serverlist.h"
 #include "control/storefollower.h"
 #include <algorithm>
+#include <utility>
 
 namespace cumingauge::control {
 
@@ -28,6 +29,9 @@
 /// the 3 s after an outage in which no change has to be in force yet.
 constexpr model::milliseconds MaxRetryDelayWithReaders{2400};
 constexpr model::seconds CallTimeout{5};
+/// Failed calls in a row about one topic after which the directory is pinged
+/// until it responds.
+constexpr unsigned FailuresUntilAway = 2;
 /// Fraction of the time in which a leaving mark must be in force that a process
 /// waits between calls, to collect changes. The rest is for the call.
 constexpr double PauseFraction = 0.6;
@@ -76,6 +80,19 @@
                                        MinRetryDelay * (1 << Doublings), Last));
 }
 
+/// Records the failure of a read or a watch. After some failures in a row the
+/// directory counts as away.
+void recordTopicFailure(CoreState &State, DirectoryFeed &Feed) {
+  DirectoryFollower &Follower = State.Directory_;
+  recordFailure(State, Feed);
+  const bool IsFollowedTopic =
+      &Feed == &Follower.Configuration_ || &Feed == &Follower.Servers_;
+  if (!IsFollowedTopic || Feed.Failures_ < FailuresUntilAway)
+    return;
+  Follower.IsAway_ = true;
+  Follower.Ping_.NextAt_ = Feed.NextAt_;
+}
+
 void recordSuccess(CoreState &State, DirectoryFeed &Feed) {
   recordStoreHealth(State, /*Succeeded=*/true);
   Feed.Failures_ = 0;
@@ -127,10 +144,11 @@
           State.Now_ - Feed.IssuedAt_ < WatchWait - EarlyResponseMargin);
 }
 
-/// Returns whether a call about the topic is due. A topic on which peers send
+/// Returns whether a call about the topic is due. A directory that does not
+/// respond is pinged first, which costs less. A topic on which peers send
 /// updates is not called about; it is read as a whole once the updates stop.
 bool shouldCall(const CoreState &State, const DirectoryFeed &Feed) {
-  if (!isDueNow(State, Feed))
+  if (State.Directory_.IsAway_ || !isDueNow(State, Feed))
     return false;
   return Feed.Read_ ? mustCallDirectory(State, Feed) : !waitsForReaders(State);
 }
@@ -300,11 +318,20 @@
          State.Now_ - Feed.ConfirmedAt_ >= fractionOfBound(State, PingFraction);
 }
 
-void pingAsReader(CoreState &State) {
+/// Returns whether no peer keeps this process informed about a topic.
+bool reliesOnDirectory(const CoreState &State) {
+  const DirectoryFollower &Follower = State.Directory_;
+  return mustCallDirectory(State, Follower.Servers_) ||
+         mustCallDirectory(State, Follower.Configuration_);
+}
+
+void pingDirectory(CoreState &State) {
   DirectoryFollower &Follower = State.Directory_;
-  if (!isReader(State) || !isDueNow(State, Follower.Ping_) ||
-      (!needsPing(State, Follower.Servers_) &&
-       !needsPing(State, Follower.Configuration_)))
+  const bool MustConfirm =
+      isReader(State) && (needsPing(State, Follower.Servers_) ||
+                          needsPing(State, Follower.Configuration_));
+  const bool MustProbe = Follower.IsAway_ && reliesOnDirectory(State);
+  if (!isDueNow(State, Follower.Ping_) || (!MustConfirm && !MustProbe))
     return;
   DirectoryRequest Request;
   Request.Operation_ = DirectoryOperation::Ping;
@@ -317,6 +344,8 @@
   DirectoryFollower &Follower = State.Directory_;
   const model::TimePoint At = Follower.Ping_.IssuedAt_;
   Follower.Ping_.NextAt_ = State.Now_;
+  if (std::exchange(Follower.IsAway_, false))
+    Follower.Configuration_.NextAt_ = Follower.Servers_.NextAt_ = State.Now_;
   for (DirectoryFeed *Feed : {&Follower.Configuration_, &Follower.Servers_})
     if (isWatching(*Feed) && Feed->IssuedAt_ <= At)
       Feed->ConfirmedAt_ = std::max(Feed->ConfirmedAt_, At);
@@ -327,14 +356,14 @@
   return Call != 0 && Feed.Call_ == Call;
 }
 
-/// Gives up a call whose response is overdue.
+/// Gives up a call about a topic whose response is overdue.
 void dropOverdueCall(CoreState &State, DirectoryFeed &Feed,
                      model::Duration Wait) {
   if (Feed.Call_ == 0 || State.Now_ - Feed.IssuedAt_ < Wait + CallTimeout)
     return;
   Feed.Call_ = 0;
   Feed.Revision_ = 0;
-  recordFailure(State, Feed);
+  recordTopicFailure(State, Feed);
 }
 
 } // namespace
@@ -349,7 +378,7 @@
   maintainDirectoryLinks(State);
   followConfiguration(State);
   followServers(State);
-  pingAsReader(State);
+  pingDirectory(State);
 }
 
 void applyServerChanges(CoreState &State,
@@ -405,7 +434,8 @@
       // whole topic.
       Feed->Revision_ = 0;
       Follower.NextPage_.clear();
-      return recordFailure(State, *Feed);
+      return Feed == &Follower.Ping_ ? recordFailure(State, *Feed)
+                                     : recordTopicFailure(State, *Feed);
     }
     recordSuccess(State, *Feed);
     recordUnreadable(State, Response.Unreadable_);
@@ -431,6 +461,7 @@
     Feed->Revision_ = 0;
     Feed->PeerConfirmedAt_.reset();
   }
+  Follower.IsAway_ = false;
   Follower.NextPage_.clear();
 }
 
