Ping the store also while a starting process cannot read the members

The member list now counts like the other topics: after two failures the process pings until the store is back (pingsWhileTheDirectoryIsAway).

--- a/src/libcumingauge/control/directoryfollower.cpp
+++ b/src/libcumingauge/control/directoryfollower.cpp
@@ -80,14 +80,12 @@
                                        MinRetryDelay * (1 << Doublings), Last));
 }
 
-/// Records the failure of a read or a watch. After some failures in a row the
-/// directory counts as away.
+/// Records the failure of a call about a topic. After some failures in a row
+/// the directory counts as away.
 void recordTopicFailure(CoreState &State, DirectoryFeed &Feed) {
   DirectoryFollower &Follower = State.Directory_;
   recordFailure(State, Feed);
-  const bool IsFollowedTopic =
-      &Feed == &Follower.Configuration_ || &Feed == &Follower.Servers_;
-  if (!IsFollowedTopic || Feed.Failures_ < FailuresUntilAway)
+  if (&Feed == &Follower.Ping_ || Feed.Failures_ < FailuresUntilAway)
     return;
   Follower.IsAway_ = true;
   Follower.Ping_.NextAt_ = Feed.NextAt_;
@@ -254,7 +252,7 @@
 
 void followMembers(CoreState &State) {
   DirectoryFeed &Feed = State.Directory_.Members_;
-  if (!isDueNow(State, Feed))
+  if (State.Directory_.IsAway_ || !isDueNow(State, Feed))
     return;
   DirectoryRequest Request;
   Request.Topic_ = DirectoryTopic::Members;
@@ -330,7 +328,9 @@
   const bool MustConfirm =
       isReader(State) && (needsPing(State, Follower.Servers_) ||
                           needsPing(State, Follower.Configuration_));
-  const bool MustProbe = Follower.IsAway_ && reliesOnDirectory(State);
+  const bool MustProbe =
+      Follower.IsAway_ &&
+      (reliesOnDirectory(State) || isDueNow(State, Follower.Members_));
   if (!isDueNow(State, Follower.Ping_) || (!MustConfirm && !MustProbe))
     return;
   DirectoryRequest Request;
@@ -345,7 +345,10 @@
   const model::TimePoint At = Follower.Ping_.IssuedAt_;
   Follower.Ping_.NextAt_ = State.Now_;
   if (std::exchange(Follower.IsAway_, false))
-    Follower.Configuration_.NextAt_ = Follower.Servers_.NextAt_ = State.Now_;
+    for (DirectoryFeed *Feed :
+         {&Follower.Configuration_, &Follower.Servers_, &Follower.Members_})
+      if (Feed->Failures_ > 0)
+        Feed->NextAt_ = State.Now_;
   for (DirectoryFeed *Feed : {&Follower.Configuration_, &Follower.Servers_})
     if (isWatching(*Feed) && Feed->IssuedAt_ <= At)
       Feed->ConfirmedAt_ = std::max(Feed->ConfirmedAt_, At);
@@ -434,8 +437,7 @@
       // whole topic.
       Feed->Revision_ = 0;
       Follower.NextPage_.clear();
-      return Feed == &Follower.Ping_ ? recordFailure(State, *Feed)
-                                     : recordTopicFailure(State, *Feed);
+      return recordTopicFailure(State, *Feed);
     }
     recordSuccess(State, *Feed);
     recordUnreadable(State, Response.Unreadable_);
--- a/tests/control/directoryrelaytest.cpp
+++ b/tests/control/directoryrelaytest.cpp
@@ -116,6 +116,7 @@
   CPPUNIT_TEST(takesOneCallAfterARestart);
   CPPUNIT_TEST(takesTwoCallsWhenTheFleetStarts);
   CPPUNIT_TEST(goesOnAloneWhenNoReaderAnswers);
+  CPPUNIT_TEST(pingsWhileTheDirectoryIsAway);
   CPPUNIT_TEST(forgetsAServerThatLeftBeforeTheReaderStarted);
   CPPUNIT_TEST_SUITE_END();
 
@@ -151,6 +152,21 @@
     CPPUNIT_ASSERT(Fleet.isListed(5, "c"));
   }
 
+  void pingsWhileTheDirectoryIsAway() {
+    DirectoryFleet Fleet;
+    settle(Fleet);
+    Fleet.setAway(true);
+    Fleet.wait(model::seconds(3));
+    const unsigned Before = Fleet.callsOf(5);
+    Fleet.restart(5);
+    Fleet.wait(model::seconds(10));
+    // Two calls about each topic show that the directory is away.
+    CPPUNIT_ASSERT_LESSEQUAL(3u * 2, Fleet.callsOf(5) - Before);
+    Fleet.setAway(false);
+    Fleet.wait(model::milliseconds(1500)); // a second between two pings
+    CPPUNIT_ASSERT(Fleet.isListed(5, "c"));
+  }
+
   /// All readers restart after a server has left, so they never knew it, while
   /// the other processes still list it.
   void forgetsAServerThatLeftBeforeTheReaderStarted() {
