--- a/src/libcumingauge/control/directoryfollower.h
+++ b/src/libcumingauge/control/directoryfollower.h
@@ -40,7 +40,7 @@
   DirectoryFeed Configuration_;
   DirectoryFeed Servers_;
   DirectoryFeed Members_;
-  DirectoryFeed Ping_; ///< pings by a reader, or while the directory is away
+  DirectoryFeed Ping_;  ///< pings by a reader, or while the directory is away
   bool IsAway_ = false; ///< calls have failed, and no ping has succeeded since
   bool Announced_ = false; ///< this process is in the member list
   /// Pages received so far by the read in flight.
