--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -42,6 +42,7 @@
         values = {"node": self.name, "zone": self.zone, "region": "soak", "ip-address": "127.0.0.1",
                   "internal-port-range.0": self.peer_port,
                   "limits.link-mbps": self.link_mbps,
+                  "first-start|json": "true" if self.generation == 0 else "false",
                   "platform.address": f"127.0.0.1:{self.store_proxy.port}",
                   "listen-addresses.front": f"127.0.0.1:{self.port}",
                   "listen-addresses.ready-address": f"127.0.0.1:{self.admin_port}",
