Log what a stopping process takes, closes and leaves unanswered

Cause: the log could not tell apart the three ways in which a request may be lost around a stop: a connection that pipelined calls keep open, a request that had begun before idle connections were closed, and a close that no answer had announced. Change: each call that arrives in a stop has a line with the time since the signal and whether it was pipelined; bytes that are discarded after a close have one that says whether the close was announced; so have the close of idle connections and the end of the drain, with the calls that are left. Three counters go with them. No decision changes.

--- a/src/libcumingauge/adapters/calllog.cpp
+++ b/src/libcumingauge/adapters/calllog.cpp
@@ -13,12 +13,14 @@
 /// One in this many ordinary calls is logged.
 constexpr std::uint64_t SampleInterval = 64;
 constexpr unsigned FirstServerError = 500;
+/// Logged as stoppingMs for a call that arrived before the process stopped.
+constexpr model::milliseconds NotStopping{-1};
 
-/// Returns whether a call succeeded in time, in one attempt, and without an
-/// error of the server.
+/// Returns whether a call succeeded in time, in one attempt, without an error
+/// of the server, and not while this process stops.
 bool isOrdinary(const CallRecord &Record) {
   return Record.Code_ == model::ResultCode::Ok && !Record.Late_ &&
-         Record.Attempts_.size() <= 1 &&
+         !Record.Stopping_ && Record.Attempts_.size() <= 1 &&
          std::all_of(Record.Attempts_.begin(), Record.Attempts_.end(),
                      [](const model::AttemptTrace &Attempt) {
                        return Attempt.Status_ < FirstServerError;
@@ -36,7 +38,7 @@
     return;
   if (!admitLine(Now))
     return;
-  log(LogLevel::Info, "call ended",
+  log(LogLevel::Info, Record.Abandoned_ ? "call abandoned" : "call ended",
       {{"call", Record.Call_},
        {"route", Record.Route_},
        {"service", Record.Service_},
@@ -45,6 +47,8 @@
        {"tookMs", Record.Took_.count()},
        {"allowedMs", Record.Allowed_.count()},
        {"late", Record.Late_ ? 1 : 0},
+       {"stoppingMs", Record.Stopping_.value_or(NotStopping).count()},
+       {"pipelined", Record.Pipelined_ ? 1 : 0},
        {"configVersion", Record.ConfigVersion_},
        {"leftOut", std::exchange(Suppressed_, 0)},
        LogField::json("attempts", codec::toJson(Record.Attempts_).dump())});
@@ -64,6 +68,17 @@
        {"leftOut", std::exchange(Suppressed_, 0)}});
 }
 
+void CallLog::recordDiscardedBytes(const std::string &Peer, std::size_t Bytes,
+                                   bool Announced, model::TimePoint Now) {
+  if (!admitLine(Now))
+    return;
+  log(LogLevel::Info, "bytes discarded after close",
+      {{"peer", Peer},
+       {"bytes", Bytes},
+       {"closeAnnounced", Announced ? 1 : 0},
+       {"leftOut", std::exchange(Suppressed_, 0)}});
+}
+
 bool CallLog::admitLine(model::TimePoint Now) {
   if (Now - WindowStart_ >= WindowLength) {
     WindowStart_ = Now;
--- a/src/libcumingauge/adapters/calllog.h
+++ b/src/libcumingauge/adapters/calllog.h
@@ -4,6 +4,7 @@
 #include "model/resultcode.h"
 #include "model/time.h"
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,13 +19,19 @@
   model::milliseconds Took_{0};    ///< from arrival to the end of the answer
   model::milliseconds Allowed_{0}; ///< from arrival to deadline
   bool Late_ = false;              ///< took longer than the route's objective
+  /// Time from the start of this process's stop to the arrival of the call;
+  /// absent when the call arrived before.
+  std::optional<model::milliseconds> Stopping_;
+  bool Pipelined_ = false; ///< arrived while an earlier call was unanswered
+  bool Abandoned_ = false; ///< not answered when the process ended
   std::uint64_t ConfigVersion_ = 0;
   std::vector<model::AttemptTrace> Attempts_;
 };
 
-/// Logs calls that have ended: every call that was refused, failed, retried or
-/// late, and a sample of the others. The number of lines a second is limited;
-/// the next line that is written says how many were left out. Not thread-safe.
+/// Logs calls that have ended: every call that was refused, failed, retried,
+/// late or arrived while the process stops, and a sample of the others. The
+/// number of lines a second is limited; the next line that is written says how
+/// many were left out. Not thread-safe.
 class CallLog {
 public:
   /// Logs a call that has ended, unless it is not sampled or over the limit.
@@ -34,6 +41,12 @@
   void recordRefusedRequest(const std::string &Call, const std::string &Target,
                             model::ResultCode Code, model::TimePoint Now);
 
+  /// Logs that bytes of a caller arrived after the connection was closed and
+  /// are discarded.
+  /// \param Announced whether the last answer said that the connection closes.
+  void recordDiscardedBytes(const std::string &Peer, std::size_t Bytes,
+                            bool Announced, model::TimePoint Now);
+
 private:
   /// Counts a line and returns whether it may be written in the current window.
   bool admitLine(model::TimePoint Now);
--- a/src/libcumingauge/adapters/httpcall.h
+++ b/src/libcumingauge/adapters/httpcall.h
@@ -38,6 +38,7 @@
   void onTimer(model::TimePoint Now);
 
   const policy::CallFacts &facts() const { return Facts_; }
+  bool isPipelined() const { return Request_.Pipelined_; }
   const std::string &callId() const { return Request_.Head_.CallId_; }
   std::vector<model::AttemptTrace> traces() const;
 
--- a/src/libcumingauge/adapters/httpcalleranswers.cpp
+++ b/src/libcumingauge/adapters/httpcalleranswers.cpp
@@ -255,6 +255,14 @@
   lingerClose();
 }
 
+void HttpCallerSession::recordAbandonedCalls() const {
+  if (Call_)
+    Worker_.recordAbandonedCall(*Call_);
+  for (const PipelinedCall &Waiting : PipelinedCalls_)
+    if (const auto Call = Waiting.Answer_->call())
+      Worker_.recordAbandonedCall(*Call);
+}
+
 void HttpCallerSession::close() {
   if (Phase_ == Phase::Closed)
     return;
--- a/src/libcumingauge/adapters/httpcallersession.cpp
+++ b/src/libcumingauge/adapters/httpcallersession.cpp
@@ -73,8 +73,10 @@
     return;
   if (Error)
     return close();
-  if (Phase_ == Phase::Closing)
+  if (Phase_ == Phase::Closing) {
+    Worker_.recordDiscardedBytes(Peer_, Bytes, isCloseAnnounced());
     return ClosingIdle_ ? close() : read();
+  }
   if (Phase_ == Phase::Head && !Reader_.hasPartialRequest())
     setTimeout(Worker_.limits().HeadTimeout_);
   Reader_.commit(Bytes);
@@ -227,6 +229,7 @@
 void HttpCallerSession::startPipelinedCall() {
   HttpCallRequest Incoming;
   Incoming.Arrived_ = Worker_.now();
+  Incoming.Pipelined_ = true;
   Incoming.Route_ =
       Worker_.findRoute(Reader_.head().Host_, Reader_.head().Target_).Route_;
   HttpCallRequest Request =
--- a/src/libcumingauge/adapters/httpcallersession.h
+++ b/src/libcumingauge/adapters/httpcallersession.h
@@ -40,6 +40,9 @@
   /// Closes the connection if it carries no call.
   void closeIfIdle();
 
+  /// Logs the calls that are not answered when the process ends.
+  void recordAbandonedCalls() const;
+
   // Interface for the call that is answered now.
 
   void answer(model::ResultCode Code) override;
@@ -78,6 +81,7 @@
   void startPipelinedCall();
   void answerNextCall();
   bool endsAfterAnswer() const;
+  bool isCloseAnnounced() const { return !ClosingIdle_ && !KeepAlive_; }
   void streamBody();
   void deliverPiece(BodyPiece Piece);
   void refuseRequest(model::ResultCode Code);
--- a/src/libcumingauge/adapters/httpworker.cpp
+++ b/src/libcumingauge/adapters/httpworker.cpp
@@ -1,4 +1,5 @@
 #include "adapters/httpworker.h"
+#include "adapters/log.h"
 #include <algorithm>
 #include <boost/asio/post.hpp>
 
@@ -94,6 +95,7 @@
 void HttpWorker::drain(std::function<void()> Done) {
   boost::asio::post(Io_, [this, Done = std::move(Done)] {
     DrainDone_ = Done;
+    DrainStartedAt_ = now();
     DrainAcceptEnd_ = now() + limits().DrainAcceptTime_;
     DrainIdleAt_ = now() + limits().DrainIdleTime_;
     DrainEnd_ = now() + limits().DrainTimeout_;
@@ -106,6 +108,9 @@
 void HttpWorker::closeIdleSessions() {
   const std::vector<HttpCallerSession *> Open(Sessions_.begin(),
                                               Sessions_.end());
+  if (!std::exchange(IdleCloseLogged_, true))
+    log(LogLevel::Info, "idle connections are closed",
+        {{"connections", Open.size()}, {"calls", Stats_.InFlight_}});
   for (HttpCallerSession *Session : Open)
     if (Sessions_.count(Session) > 0)
       Session->closeIfIdle();
@@ -116,6 +121,14 @@
   const bool IsBusy = !Sessions_.empty() || Now < DrainAcceptEnd_;
   if (!DrainDone_ || (IsBusy && Now < DrainEnd_))
     return;
+  log(LogLevel::Info, "drain ended",
+      {{"tookMs",
+        std::chrono::duration_cast<model::milliseconds>(Now - *DrainStartedAt_)
+            .count()},
+       {"connections", Sessions_.size()},
+       {"calls", Stats_.InFlight_}});
+  for (const HttpCallerSession *Session : Sessions_)
+    Session->recordAbandonedCalls();
   const auto Done = std::move(DrainDone_);
   DrainDone_ = nullptr;
   Done();
@@ -210,12 +223,49 @@
 
 void HttpWorker::recordCallEnd(const HttpCall &Call, ResultCode Code) {
   const policy::CallFacts &Facts = Call.facts();
+  const bool ArrivedInStop = timeSinceStop(Facts).has_value();
   {
     const std::lock_guard<std::mutex> Lock(PublishedMutex_);
     --Stats_.InFlight_;
+    Stats_.StoppingCalls_ += ArrivedInStop ? 1 : 0;
     traffic::recordCall(Stats_.Routes_[Facts.Route_.Name_], Code,
                         now() - Facts.Arrived_);
   }
+  CallLog_.recordCall(recordOf(Call, Code), now());
+  if (model::isNotRun(Code))
+    recordEvent(model::EventKind::CallRefused, Call.callId(), Code,
+                "route " + Facts.Route_.Name_);
+}
+
+std::optional<model::milliseconds>
+HttpWorker::timeSinceStop(const policy::CallFacts &Facts) const {
+  if (!DrainStartedAt_ || Facts.Arrived_ < *DrainStartedAt_)
+    return std::nullopt;
+  return std::chrono::duration_cast<model::milliseconds>(Facts.Arrived_ -
+                                                         *DrainStartedAt_);
+}
+
+void HttpWorker::recordAbandonedCall(const HttpCall &Call) {
+  {
+    const std::lock_guard<std::mutex> Lock(PublishedMutex_);
+    ++Stats_.AbandonedCalls_;
+  }
+  CallRecord Record = recordOf(Call, ResultCode::InternalError);
+  Record.Abandoned_ = true;
+  CallLog_.recordCall(Record, now());
+}
+
+void HttpWorker::recordDiscardedBytes(const std::string &Peer,
+                                      std::size_t Bytes, bool Announced) {
+  {
+    const std::lock_guard<std::mutex> Lock(PublishedMutex_);
+    ++Stats_.DiscardedReads_;
+  }
+  CallLog_.recordDiscardedBytes(Peer, Bytes, Announced, now());
+}
+
+CallRecord HttpWorker::recordOf(const HttpCall &Call, ResultCode Code) const {
+  const policy::CallFacts &Facts = Call.facts();
   CallRecord Record;
   Record.Call_ = Call.callId();
   Record.Route_ = Facts.Route_.Name_;
@@ -227,12 +277,11 @@
       Facts.Deadline_ - Facts.Arrived_);
   const model::milliseconds Objective = Facts.Route_.Objective_;
   Record.Late_ = Objective > model::milliseconds(0) && Record.Took_ > Objective;
+  Record.Stopping_ = timeSinceStop(Facts);
+  Record.Pipelined_ = Call.isPipelined();
   Record.ConfigVersion_ = View_ ? View_->Config_->Version_ : 0;
   Record.Attempts_ = Call.traces();
-  CallLog_.recordCall(Record, now());
-  if (model::isNotRun(Code))
-    recordEvent(model::EventKind::CallRefused, Call.callId(), Code,
-                "route " + Facts.Route_.Name_);
+  return Record;
 }
 
 void HttpWorker::recordAttemptStart(policy::ServerHandle Handle) {
--- a/src/libcumingauge/adapters/httpworker.h
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -75,6 +76,12 @@
   void recordRefusedRequest(const std::string &Call, const std::string &Target,
                             model::ResultCode Code);
   void removeSession(HttpCallerSession &Session);
+  /// Records that bytes of a caller arrived after its connection was closed.
+  /// \param Announced whether the last answer said that it closes.
+  void recordDiscardedBytes(const std::string &Peer, std::size_t Bytes,
+                            bool Announced);
+  /// Records a call that is not answered before the process ends.
+  void recordAbandonedCall(const HttpCall &Call);
 
   // For calls.
 
@@ -170,6 +177,10 @@
                    model::ResultCode Reason, const std::string &Detail);
   void closeIdleSessions();
   void finishDrainIfDone();
+  /// Returns the time from the start of the stop to the arrival of a call.
+  std::optional<model::milliseconds>
+  timeSinceStop(const policy::CallFacts &Facts) const;
+  CallRecord recordOf(const HttpCall &Call, model::ResultCode Code) const;
 
   const std::shared_ptr<SharedState> Common_;
   const unsigned Index_;
@@ -193,11 +204,13 @@
   policy::CallId LastCall_ = 0;
   CallLog CallLog_;
   bool ReleaseScheduled_ = false;
+  bool IdleCloseLogged_ = false;
   model::TimePoint NextMaintenance_;
   model::TimePoint NextPublish_;
   model::TimePoint EventWindowStart_;
   unsigned EventsInWindow_ = 0;
   unsigned EventsDropped_ = 0; ///< since the last reported event
+  std::optional<model::TimePoint> DrainStartedAt_;
   std::function<void()> DrainDone_;
   model::TimePoint DrainAcceptEnd_;
   model::TimePoint DrainIdleAt_;
--- a/src/libcumingauge/adapters/metricspage.cpp
+++ b/src/libcumingauge/adapters/metricspage.cpp
@@ -144,6 +144,15 @@
   Out.push_back(counter("cumingauge_probe_failures_total",
                         "Probes that brought no report",
                         ToDouble(Traffic.ProbesFailed_)));
+  Out.push_back(counter("cumingauge_stopping_calls_total",
+                        "Ended calls that arrived while the process stops",
+                        ToDouble(Traffic.StoppingCalls_)));
+  Out.push_back(counter("cumingauge_abandoned_calls_total",
+                        "Calls not answered when the process ended",
+                        ToDouble(Traffic.AbandonedCalls_)));
+  Out.push_back(counter("cumingauge_discarded_reads_total",
+                        "Reads of bytes that arrived after the close",
+                        ToDouble(Traffic.DiscardedReads_)));
 }
 
 void addControl(const ControlStats &Control, std::vector<MetricFamily> &Out) {
--- a/src/libcumingauge/traffic/trafficstats.cpp
+++ b/src/libcumingauge/traffic/trafficstats.cpp
@@ -32,6 +32,9 @@
   Sum.Hedges_ += Part.Hedges_;
   Sum.ProbesSent_ += Part.ProbesSent_;
   Sum.ProbesFailed_ += Part.ProbesFailed_;
+  Sum.StoppingCalls_ += Part.StoppingCalls_;
+  Sum.AbandonedCalls_ += Part.AbandonedCalls_;
+  Sum.DiscardedReads_ += Part.DiscardedReads_;
 }
 
 } // namespace cumingauge::traffic
