Take no further pipelined request on a connection while stopping

Callers saw: a request taken long after SIGTERM and given up. Cause: a connection ended after its current answer only when no pipelined call waited behind it, also in a stop. A caller that sends its next request before the one before last is answered was served on the same connection until the process ended, 5.4 s after the signal, and what it had sent last got no answer. Change: in a stop no pipelined call is added. Those that run are answered, the last one says that the connection closes, and what comes behind it counts as not read. The test holds two calls at a server, begins the stop, sends a third request and expects it nowhere.

--- a/src/libcumingauge/adapters/httpcallersession.cpp
+++ b/src/libcumingauge/adapters/httpcallersession.cpp
@@ -212,10 +212,12 @@
 
 /// Starts the calls of the pipelined requests that have arrived. The first one
 /// that must not run concurrently waits until all calls before it are answered,
-/// and so do those after it.
+/// and so do those after it. While the process stops no call is added, so that
+/// the connection ends after those that run.
 void HttpCallerSession::startPipelinedCalls() {
-  while (Phase_ == Phase::Call && RequestComplete_ && !DeferredStep_ &&
-         PipelinedCalls_.size() < MaxPipelinedCalls && !endsAfterAnswer()) {
+  while (!Draining_ && Phase_ == Phase::Call && RequestComplete_ &&
+         !DeferredStep_ && PipelinedCalls_.size() < MaxPipelinedCalls &&
+         !endsAfterAnswer()) {
     const ReadStep Step = Reader_.next();
     if (Step == ReadStep::NeedMore)
       return;
--- /dev/null
+++ b/tests/http/stoppingtest.cpp
@@ -0,0 +1,70 @@
+#include "http/frontend.h"
+#include "http/gate.h"
+#include "http/scriptedserver.h"
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+#include <thread>
+
+using namespace cumingauge;
+using namespace cumingauge::test;
+
+namespace {
+
+using Request = ScriptedServer::Request;
+
+bool isFor(const Request &Seen, const std::string &Target) {
+  return Seen.Head_.find(Target + " ") != std::string::npos;
+}
+
+std::size_t countOf(const ScriptedServer &Server, const std::string &Target) {
+  const auto Seen = Server.requests();
+  return static_cast<std::size_t>(
+      std::count_if(Seen.begin(), Seen.end(),
+                    [&](const Request &One) { return isFor(One, Target); }));
+}
+
+bool announcesClose(const RawCaller::Answer &Answer) {
+  return Answer.Head_.find("Connection: close") != std::string::npos;
+}
+
+/// Limits with which idle connections stay open while the process stops.
+adapters::HttpLimits patientLimits() {
+  adapters::HttpLimits Out;
+  Out.DrainAcceptTime_ = model::milliseconds(10000);
+  Out.DrainIdleTime_ = model::milliseconds(20000);
+  return Out;
+}
+
+/// What callers see of a process that stops while they use their connections.
+class StoppingWithOpenConnections : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(StoppingWithOpenConnections);
+  CPPUNIT_TEST(aCallerThatKeepsPipeliningIsNotServedForever);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  /// Guards against a request that is taken long after the stop signal because
+  /// earlier pipelined ones keep its connection open.
+  void aCallerThatKeepsPipeliningIsNotServedForever() {
+    Gate End;
+    ScriptedServer Server([&](const Request &) {
+      End.pass();
+      return ScriptedServer::answer("found");
+    });
+    FrontEnd Front({{"cat-1", Server.port()}}, patientLimits(), 1);
+    RawCaller Caller(Front.port());
+    Caller.send(request("GET", "/search/1") + request("GET", "/search/2"));
+    CPPUNIT_ASSERT(eventually([&] { return Server.requests().size() == 2; }));
+    Front.traffic().drain([] {});
+    Caller.send(request("GET", "/search/3"));
+    // Time for a process that reads on to send the request to the server.
+    std::this_thread::sleep_for(model::milliseconds(200));
+    End.open();
+    CPPUNIT_ASSERT(!announcesClose(Caller.read()));
+    CPPUNIT_ASSERT(announcesClose(Caller.read()));
+    CPPUNIT_ASSERT(Caller.read().Closed_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), countOf(Server, "/search/3"));
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(StoppingWithOpenConnections);
+
+} // namespace
