Answer a request that follows an answer without a close

Callers saw: after a stop signal, a request on a kept connection was read and never answered; the connection ended a second later with a reset. Cause: whether a connection ends was decided a second time when the answer had been written. A signal between the head of an answer and its last byte ended a connection that no answer had announced as closing, and what the caller sent then was discarded for the linger time as if it had been. Change: the connection ends after an answer only if that answer said so; otherwise the next request is answered and announces the close, or the connection is closed as idle.

--- a/src/libcumingauge/adapters/httpcalleranswers.cpp
+++ b/src/libcumingauge/adapters/httpcalleranswers.cpp
@@ -214,7 +214,9 @@
   if (Phase_ != Phase::Call || !AnswerComplete_ || !HasCallEnded_ ||
       WriteInProgress_)
     return;
-  if (KeepAlive_ && !endsAfterAnswer())
+  // Only an answer that said so ends the connection: the caller may have sent
+  // its next request already.
+  if (KeepAlive_)
     nextRequest();
   else
     lingerClose();
--- a/src/libcumingauge/adapters/httpcallersession.h
+++ b/src/libcumingauge/adapters/httpcallersession.h
@@ -34,7 +34,7 @@
   /// Answers NotRunTooManyConnections and closes the connection.
   void refuseConnection();
 
-  /// Makes the connection close after its current calls are answered.
+  /// Makes the next answer announce that the connection closes.
   void startDraining();
 
   /// Closes the connection if it carries no call.
@@ -133,6 +133,8 @@
   bool ChunkedAnswer_ = false;
   bool ChunksAllowed_ = true;
   bool RequestComplete_ = false; ///< the request was read to its last byte
+  /// The caller allows another request; after the head of the answer: the
+  /// answer did not announce that the connection closes.
   bool KeepAlive_ = false;
   bool AnswerComplete_ = false;
   bool HasCallEnded_ = false;
--- a/tests/http/stoppingtest.cpp
+++ b/tests/http/stoppingtest.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <thread>
+#include <utility>
 
 using namespace cumingauge;
 using namespace cumingauge::test;
@@ -39,6 +40,7 @@
 class StoppingWithOpenConnections : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(StoppingWithOpenConnections);
   CPPUNIT_TEST(aCallerThatKeepsPipeliningIsNotServedForever);
+  CPPUNIT_TEST(aRequestAfterAnAnswerThatDidNotAnnounceTheCloseIsAnswered);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -64,6 +66,27 @@
     CPPUNIT_ASSERT(Caller.read().Closed_);
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), countOf(Server, "/search/3"));
   }
+
+  /// Guards against a request that is read and discarded because the connection
+  /// closes without a word in the answer before.
+  void aRequestAfterAnAnswerThatDidNotAnnounceTheCloseIsAnswered() {
+    const std::string Long(67108864, 'b');
+    ScriptedServer Server([&](const Request &Seen) {
+      return ScriptedServer::answer(isFor(Seen, "/bulk") ? Long : "found");
+    });
+    FrontEnd Front({{"cat-1", Server.port()}}, patientLimits(), 1);
+    RawCaller Caller(Front.port());
+    Caller.send(request("GET", "/bulk"));
+    bool IsStopping = false;
+    const std::size_t Read = Caller.discardAnswer([&] {
+      if (!std::exchange(IsStopping, true))
+        Front.traffic().drain([] {});
+    });
+    CPPUNIT_ASSERT_EQUAL(Long.size(), Read);
+    const auto Answer = Caller.call(request("POST", "/licence", "", "x"));
+    CPPUNIT_ASSERT_EQUAL(200U, Answer.Status_);
+    CPPUNIT_ASSERT(announcesClose(Answer));
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(StoppingWithOpenConnections);
 
