Refuse requests that are read late in a stop

Callers saw: a request taken long after SIGTERM and given up. The request was taken whenever it was complete, also when the process was about to end. Change: the times of a stop are planned at the signal; from the time at which idle connections are closed a request is refused as not run, with Connection: close, and one whose body is still to come is refused at once. The caller can go elsewhere.

--- a/src/libcumingauge/adapters/httpcalleranswers.cpp
+++ b/src/libcumingauge/adapters/httpcalleranswers.cpp
@@ -65,6 +65,15 @@
 
 } // namespace
 
+/// Refuses the request that is being read when the process takes no further
+/// ones. Returns whether it did.
+bool HttpCallerSession::refuseWhileStopping() {
+  if (Worker_.takesRequests())
+    return false;
+  refuseRequest(ResultCode::NotRunStopping);
+  return true;
+}
+
 void HttpCallerSession::refuseRequest(ResultCode Code) {
   Worker_.recordRefusedRequest(Reader_.head().CallId_, Reader_.head().Target_,
                                Code);
--- a/src/libcumingauge/adapters/httpcallersession.cpp
+++ b/src/libcumingauge/adapters/httpcallersession.cpp
@@ -48,7 +48,9 @@
 
 void HttpCallerSession::startDraining() { Draining_ = true; }
 
-void HttpCallerSession::closeIfIdle() {
+void HttpCallerSession::refuseFurtherRequests() {
+  if (Phase_ == Phase::KeptBody)
+    return refuseRequest(ResultCode::NotRunStopping);
   if (Phase_ == Phase::Head && !Reader_.hasPartialRequest() &&
       !WriteInProgress_)
     closeIdle();
@@ -121,6 +123,8 @@
 }
 
 bool HttpCallerSession::handleHead() {
+  if (refuseWhileStopping())
+    return false;
   const traffic::RequestHead &Head = Reader_.head();
   Incoming_ = std::make_unique<HttpCallRequest>();
   Incoming_->Arrived_ = Worker_.now();
@@ -175,6 +179,8 @@
 }
 
 void HttpCallerSession::dispatch(bool Complete) {
+  if (refuseWhileStopping())
+    return;
   HttpCallRequest Request = completeRequest(std::move(*Incoming_), Complete);
   Phase_ = Phase::Call;
   TimeoutAt_ = model::TimePoint::max();
--- a/src/libcumingauge/adapters/httpcallersession.h
+++ b/src/libcumingauge/adapters/httpcallersession.h
@@ -37,8 +37,9 @@
   /// Makes the next answer announce that the connection closes.
   void startDraining();
 
-  /// Closes the connection if it carries no call.
-  void closeIfIdle();
+  /// Closes the connection if it carries no call. A request whose body has not
+  /// arrived is refused; one whose head has not is refused once it has.
+  void refuseFurtherRequests();
 
   /// Logs the calls that are not answered when the process ends.
   void recordAbandonedCalls() const;
@@ -84,6 +85,7 @@
   bool isCloseAnnounced() const { return !ClosingIdle_ && !KeepAlive_; }
   void streamBody();
   void deliverPiece(BodyPiece Piece);
+  bool refuseWhileStopping();
   void refuseRequest(model::ResultCode Code);
   void refuseStreamedRequest(model::ResultCode Code);
   void write();
--- a/src/libcumingauge/adapters/httpworker.cpp
+++ b/src/libcumingauge/adapters/httpworker.cpp
@@ -58,7 +58,7 @@
   const auto Session =
       std::make_shared<HttpCallerSession>(std::move(Socket), *this);
   Sessions_.insert(Session.get());
-  if (DrainDone_)
+  if (Stop_)
     Session->startDraining();
   if (Open > limits().MaxCallerConnections_)
     return Session->refuseConnection();
@@ -95,35 +95,34 @@
 void HttpWorker::drain(std::function<void()> Done) {
   boost::asio::post(Io_, [this, Done = std::move(Done)] {
     DrainDone_ = Done;
-    DrainStartedAt_ = now();
-    DrainAcceptEnd_ = now() + limits().DrainAcceptTime_;
-    DrainIdleAt_ = now() + limits().DrainIdleTime_;
-    DrainEnd_ = now() + limits().DrainTimeout_;
+    Stop_ = planStop(limits(), now());
     for (HttpCallerSession *Session : Sessions_)
       Session->startDraining();
     finishDrainIfDone();
   });
 }
 
-void HttpWorker::closeIdleSessions() {
+void HttpWorker::refuseFurtherRequests() {
   const std::vector<HttpCallerSession *> Open(Sessions_.begin(),
                                               Sessions_.end());
-  if (!std::exchange(IdleCloseLogged_, true))
-    log(LogLevel::Info, "idle connections are closed",
+  if (!std::exchange(RefusalLogged_, true))
+    log(LogLevel::Info, "no further requests are taken",
         {{"connections", Open.size()}, {"calls", Stats_.InFlight_}});
   for (HttpCallerSession *Session : Open)
     if (Sessions_.count(Session) > 0)
-      Session->closeIfIdle();
+      Session->refuseFurtherRequests();
 }
 
 void HttpWorker::finishDrainIfDone() {
   const model::TimePoint Now = now();
-  const bool IsBusy = !Sessions_.empty() || Now < DrainAcceptEnd_;
-  if (!DrainDone_ || (IsBusy && Now < DrainEnd_))
+  if (!DrainDone_)
+    return;
+  const bool IsBusy = !Sessions_.empty() || Now < Stop_->AcceptEnd_;
+  if (IsBusy && Now < Stop_->End_)
     return;
   log(LogLevel::Info, "drain ended",
       {{"tookMs",
-        std::chrono::duration_cast<model::milliseconds>(Now - *DrainStartedAt_)
+        std::chrono::duration_cast<model::milliseconds>(Now - Stop_->StartedAt_)
             .count()},
        {"connections", Sessions_.size()},
        {"calls", Stats_.InFlight_}});
@@ -239,10 +238,10 @@
 
 std::optional<model::milliseconds>
 HttpWorker::timeSinceStop(const policy::CallFacts &Facts) const {
-  if (!DrainStartedAt_ || Facts.Arrived_ < *DrainStartedAt_)
+  if (!Stop_ || Facts.Arrived_ < Stop_->StartedAt_)
     return std::nullopt;
   return std::chrono::duration_cast<model::milliseconds>(Facts.Arrived_ -
-                                                         *DrainStartedAt_);
+                                                         Stop_->StartedAt_);
 }
 
 void HttpWorker::recordAbandonedCall(const HttpCall &Call) {
@@ -365,8 +364,8 @@
     maintainPools();
   if (Now >= NextPublish_)
     publishStats();
-  if (DrainDone_ && Now >= DrainIdleAt_)
-    closeIdleSessions();
+  if (Stop_ && !takesRequests())
+    refuseFurtherRequests();
   finishDrainIfDone();
   const bool Busy = !QueuedCalls_.empty() || !FreshViewWaits_.empty();
   TickTimer_.expires_after(Busy ? BusyTickPeriod : limits().TickPeriod_);
--- a/src/libcumingauge/adapters/httpworker.h
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -6,6 +6,7 @@
 #include "adapters/httppool.h"
 #include "adapters/httpprobe.h"
 #include "adapters/httptraffic.h"
+#include "adapters/stopplan.h"
 #include "policy/balancer.h"
 #include "policy/loadquery.h"
 #include "traffic/routetable.h"
@@ -71,6 +72,8 @@
   /// Whether the control view is recent enough to place new calls.
   bool isFresh() const { return Common_->Hooks_.IsFresh_(now()); }
   model::TimePoint now() const { return std::chrono::steady_clock::now(); }
+  /// Whether requests that are read now are still taken.
+  bool takesRequests() const { return !Stop_ || now() < Stop_->LastRequestAt_; }
   Admission findRoute(const std::string &Host, const std::string &Target);
   /// \param Call identity from the request, or empty.
   void recordRefusedRequest(const std::string &Call, const std::string &Target,
@@ -175,7 +178,8 @@
   /// Reports an event, unless too many came within the current window.
   void recordEvent(model::EventKind Kind, const std::string &Subject,
                    model::ResultCode Reason, const std::string &Detail);
-  void closeIdleSessions();
+  /// Closes idle connections and refuses requests that are read only in part.
+  void refuseFurtherRequests();
   void finishDrainIfDone();
   /// Returns the time from the start of the stop to the arrival of a call.
   std::optional<model::milliseconds>
@@ -204,17 +208,14 @@
   policy::CallId LastCall_ = 0;
   CallLog CallLog_;
   bool ReleaseScheduled_ = false;
-  bool IdleCloseLogged_ = false;
+  bool RefusalLogged_ = false; ///< that no further requests are taken
   model::TimePoint NextMaintenance_;
   model::TimePoint NextPublish_;
   model::TimePoint EventWindowStart_;
   unsigned EventsInWindow_ = 0;
-  unsigned EventsDropped_ = 0; ///< since the last reported event
-  std::optional<model::TimePoint> DrainStartedAt_;
+  unsigned EventsDropped_ = 0;   ///< since the last reported event
+  std::optional<StopPlan> Stop_; ///< set when the process stops
   std::function<void()> DrainDone_;
-  model::TimePoint DrainAcceptEnd_;
-  model::TimePoint DrainIdleAt_;
-  model::TimePoint DrainEnd_;
   mutable std::mutex PublishedMutex_; ///< guards Activity_ and Stats_
   std::vector<model::ServerActivity> Activity_;
   traffic::TrafficStats Stats_;
--- a/tests/http/stoppingtest.cpp
+++ b/tests/http/stoppingtest.cpp
@@ -41,6 +41,7 @@
   CPPUNIT_TEST_SUITE(StoppingWithOpenConnections);
   CPPUNIT_TEST(aCallerThatKeepsPipeliningIsNotServedForever);
   CPPUNIT_TEST(aRequestAfterAnAnswerThatDidNotAnnounceTheCloseIsAnswered);
+  CPPUNIT_TEST(aRequestThatBeganBeforeTheLastMomentIsRefusedAsNotRun);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -87,6 +88,34 @@
     CPPUNIT_ASSERT_EQUAL(200U, Answer.Status_);
     CPPUNIT_ASSERT(announcesClose(Answer));
   }
+
+  /// Guards against a request that is taken long after the stop signal because
+  /// its first bytes came before idle connections were closed.
+  void aRequestThatBeganBeforeTheLastMomentIsRefusedAsNotRun() {
+    ScriptedServer Server(
+        [](const Request &) { return ScriptedServer::answer("found"); });
+    adapters::HttpLimits Limits;
+    Limits.DrainIdleTime_ = model::milliseconds(100);
+    FrontEnd Front({{"cat-1", Server.port()}}, Limits, 1);
+    RawCaller Idle(Front.port());
+    RawCaller InHead(Front.port());
+    RawCaller InBody(Front.port());
+    Idle.call(request("GET", "/search"));
+    const std::string Whole = request("POST", "/licence", "", "x");
+    InHead.send(Whole.substr(0, Whole.size() / 2));
+    InBody.send(Whole.substr(0, Whole.size() - 1));
+    Front.traffic().drain([] {});
+    CPPUNIT_ASSERT(Idle.read().Closed_);
+    InHead.send(Whole.substr(Whole.size() / 2));
+    for (RawCaller *Late : {&InHead, &InBody}) {
+      const auto Answer = Late->read();
+      CPPUNIT_ASSERT_EQUAL(503U, Answer.Status_);
+      CPPUNIT_ASSERT_EQUAL(std::string("105 NotRunStopping"),
+                           Answer.ResultCode_);
+      CPPUNIT_ASSERT(announcesClose(Answer));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), countOf(Server, "/licence"));
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(StoppingWithOpenConnections);
 
