Answer the calls that are left before a stopping process ends

Callers saw: connections that ended without an answer 5.4 s after SIGTERM. Cause: calls kept their own deadlines in a stop, which may lie beyond the end of the process, and at the end nothing answered those that were left; a call that only waited for a server, and so had not run, got no refusal either. Calls that are taken then are admitted, and their servers told, by the time that is left; those that do not end in it get 503 when they have not run and 504 otherwise. Measured: aCallThatOutlastsTheStopIsAnsweredBeforeTheEnd, aCallThatWaitsForAServerIsRefusedBeforeTheEnd and aCallTakenInTheStopTellsItsServerTheTimeThatIsLeft fail on the code before and pass now; 82 of 82 tests of the area pass, twice.

--- a/src/libcumingauge/adapters/httpcall.cpp
+++ b/src/libcumingauge/adapters/httpcall.cpp
@@ -70,6 +70,14 @@
     apply(traffic::AdmissionRefused{Decision.Reason_});
 }
 
+void HttpCall::limitDeadline(model::TimePoint Latest) {
+  if (Request_.Deadline_ <= Latest)
+    return;
+  Request_.Deadline_ = Latest;
+  Facts_.Deadline_ = Latest;
+  setTimer();
+}
+
 void HttpCall::onCallerLeft() { apply(traffic::CallerLeft{}); }
 
 void HttpCall::onTimer(model::TimePoint Now) {
--- a/src/libcumingauge/adapters/httpcall.h
+++ b/src/libcumingauge/adapters/httpcall.h
@@ -33,6 +33,9 @@
 
   void onCallerLeft();
 
+  /// Moves the deadline forward to this time, if it is later.
+  void limitDeadline(model::TimePoint Latest);
+
   /// Handles the deadline or the start of a hedge. To be called at the time
   /// that was set on the caller's channel.
   void onTimer(model::TimePoint Now);
--- a/src/libcumingauge/adapters/httpcallersession.cpp
+++ b/src/libcumingauge/adapters/httpcallersession.cpp
@@ -46,7 +46,15 @@
   refuseRequest(ResultCode::NotRunTooManyConnections);
 }
 
-void HttpCallerSession::startDraining() { Draining_ = true; }
+void HttpCallerSession::startDraining() {
+  Draining_ = true;
+  const model::TimePoint Latest = Worker_.answerBy();
+  if (const auto Call = Call_)
+    Call->limitDeadline(Latest);
+  for (const PipelinedCall &Waiting : PipelinedCalls_)
+    if (const auto Call = Waiting.Answer_->call())
+      Call->limitDeadline(Latest);
+}
 
 void HttpCallerSession::refuseFurtherRequests() {
   if (Phase_ == Phase::KeptBody)
@@ -164,7 +172,8 @@
 }
 
 /// Takes over the head that was read and sets the caller and the deadline,
-/// which follow from it.
+/// which follow from it. While the process stops, the deadline lies before its
+/// end.
 HttpCallRequest HttpCallerSession::completeRequest(HttpCallRequest Request,
                                                    bool Complete) {
   Request.Head_ = std::move(Reader_.head());
@@ -174,7 +183,7 @@
   auto Allowed = Request.Route_->Deadline_;
   if (Request.Head_.Deadline_)
     Allowed = std::min(Allowed, *Request.Head_.Deadline_);
-  Request.Deadline_ = Request.Arrived_ + Allowed;
+  Request.Deadline_ = std::min(Request.Arrived_ + Allowed, Worker_.answerBy());
   return Request;
 }
 
--- a/src/libcumingauge/adapters/httpcallersession.h
+++ b/src/libcumingauge/adapters/httpcallersession.h
@@ -34,7 +34,8 @@
   /// Answers NotRunTooManyConnections and closes the connection.
   void refuseConnection();
 
-  /// Makes the next answer announce that the connection closes.
+  /// Makes the next answer announce that the connection closes, and limits the
+  /// time of the calls to what is left of the process.
   void startDraining();
 
   /// Closes the connection if it carries no call. A request whose body has not
--- a/src/libcumingauge/adapters/httpworker.h
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -74,6 +74,10 @@
   model::TimePoint now() const { return std::chrono::steady_clock::now(); }
   /// Whether requests that are read now are still taken.
   bool takesRequests() const { return !Stop_ || now() < Stop_->LastRequestAt_; }
+  /// When the last call must have ended; maximum unless the process stops.
+  model::TimePoint answerBy() const {
+    return Stop_ ? Stop_->AnswerBy_ : model::TimePoint::max();
+  }
   Admission findRoute(const std::string &Host, const std::string &Target);
   /// \param Call identity from the request, or empty.
   void recordRefusedRequest(const std::string &Call, const std::string &Target,
--- a/tests/http/stoppingtest.cpp
+++ b/tests/http/stoppingtest.cpp
@@ -2,6 +2,7 @@
 #include "http/gate.h"
 #include "http/scriptedserver.h"
 #include <algorithm>
+#include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
 #include <thread>
 #include <utility>
@@ -42,6 +43,9 @@
   CPPUNIT_TEST(aCallerThatKeepsPipeliningIsNotServedForever);
   CPPUNIT_TEST(aRequestAfterAnAnswerThatDidNotAnnounceTheCloseIsAnswered);
   CPPUNIT_TEST(aRequestThatBeganBeforeTheLastMomentIsRefusedAsNotRun);
+  CPPUNIT_TEST(aCallThatOutlastsTheStopIsAnsweredBeforeTheEnd);
+  CPPUNIT_TEST(aCallThatWaitsForAServerIsRefusedBeforeTheEnd);
+  CPPUNIT_TEST(aCallTakenInTheStopTellsItsServerTheTimeThatIsLeft);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -116,6 +120,82 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), countOf(Server, "/licence"));
   }
+
+  /// Guards against connections that end without a word when the time of the
+  /// stop is over.
+  void aCallThatOutlastsTheStopIsAnsweredBeforeTheEnd() {
+    Gate Answering;
+    ScriptedServer Server([&](const Request &) {
+      Answering.pass();
+      return ScriptedServer::answer("late");
+    });
+    adapters::HttpLimits Limits;
+    Limits.DrainTimeout_ = model::milliseconds(2000);
+    FrontEnd Front({{"cat-1", Server.port()}}, Limits, 1);
+    RawCaller Single(Front.port());
+    RawCaller Pipelining(Front.port());
+    Single.send(request("POST", "/licence", "", "x"));
+    Pipelining.send(request("GET", "/search/1") + request("GET", "/search/2"));
+    CPPUNIT_ASSERT(eventually([&] { return Server.requests().size() == 3; }));
+    std::atomic<bool> Ended{false};
+    Front.traffic().drain([&] { Ended = true; });
+    const auto Answer = Single.read();
+    CPPUNIT_ASSERT_EQUAL(504U, Answer.Status_);
+    CPPUNIT_ASSERT(announcesClose(Answer));
+    CPPUNIT_ASSERT_EQUAL(504U, Pipelining.read().Status_);
+    CPPUNIT_ASSERT_EQUAL(504U, Pipelining.read().Status_);
+    CPPUNIT_ASSERT(eventually([&] { return Ended.load(); }));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0),
+                         Front.traffic().stats().AbandonedCalls_);
+    Answering.open();
+  }
+
+  void aCallThatWaitsForAServerIsRefusedBeforeTheEnd() {
+    ScriptedServer Server(
+        [](const Request &) { return ScriptedServer::answer("found"); });
+    adapters::HttpLimits Limits;
+    Limits.DrainTimeout_ = model::milliseconds(2000);
+    Limits.FreshWait_ = model::milliseconds(60000);
+    FrontEnd Front({{"cat-1", Server.port()}}, Limits, 1);
+    Front.setFresh(false);
+    RawCaller Waiting(Front.port());
+    Waiting.send(request("POST", "/licence", "", "x"));
+    CPPUNIT_ASSERT(
+        eventually([&] { return Front.traffic().stats().InFlight_ == 1; }));
+    std::atomic<bool> Ended{false};
+    Front.traffic().drain([&] { Ended = true; });
+    const auto Answer = Waiting.read();
+    CPPUNIT_ASSERT_EQUAL(503U, Answer.Status_);
+    CPPUNIT_ASSERT(announcesClose(Answer));
+    CPPUNIT_ASSERT(eventually([&] { return Ended.load(); }));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0),
+                         Front.traffic().stats().AbandonedCalls_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Server.requests().size());
+  }
+
+  void aCallTakenInTheStopTellsItsServerTheTimeThatIsLeft() {
+    ScriptedServer Server(
+        [](const Request &) { return ScriptedServer::answer("found"); });
+    adapters::HttpLimits Limits = patientLimits();
+    Limits.DrainTimeout_ = model::milliseconds(4000);
+    Limits.DrainIdleTime_ = model::milliseconds(3000);
+    FrontEnd Front({{"cat-1", Server.port()}}, Limits, 1);
+    RawCaller Caller(Front.port());
+    Caller.call(request("GET", "/search"));
+    Front.traffic().drain([] {});
+    const auto Answer =
+        Caller.call(request("GET", "/search", "X-Deadline-Ms: 5000\r\n"));
+    CPPUNIT_ASSERT_EQUAL(200U, Answer.Status_);
+    CPPUNIT_ASSERT(deadlineMsOf(Server.requests().back()) <= 4000);
+  }
+
+private:
+  static int deadlineMsOf(const Request &Seen) {
+    const std::string Name = "X-Deadline-Ms: ";
+    const std::size_t At = Seen.Head_.find(Name);
+    CPPUNIT_ASSERT(At != std::string::npos);
+    return std::stoi(Seen.Head_.substr(At + Name.size()));
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(StoppingWithOpenConnections);
 
