Record when the directory was restored from a copy

A restore looked like any other outage: the field that counts restores was not read. Every response of the directory now carries its era. When it is higher than all before, the process records StoreRestored with both eras and both revisions; a response of an older era is an alarm, at most once a minute. A ping's response carries the revision, too. cumingauge_store_era and cumingauge_store_restores_total show the same on the metrics page. No decision depends on the era.

--- a/src/libcumingauge/adapters/controlruntime.cpp
+++ b/src/libcumingauge/adapters/controlruntime.cpp
@@ -332,9 +332,12 @@
       return;
     NextStatsUpdate_ = Now + StatsPeriod;
     const model::ProcessStatus Status = control::describeCore(*Core_, now());
+    const control::DirectoryEra &Era = control::directoryEra(*Core_);
     const PeerLinkStats Links = Links_.stats();
     const std::lock_guard<std::mutex> Lock(StatsMutex_);
     Stats_.StoreCalls_ = StoreCalls_;
+    Stats_.StoreEra_ = Era.Number_;
+    Stats_.StoreRestores_ = Era.Restores_;
     Stats_.PeerMessagesSent_ = Links.MessagesSent_;
     Stats_.PeerMessagesReceived_ = Links.MessagesReceived_;
     Stats_.PeerBytesSent_ = Links.BytesSent_;
--- a/src/libcumingauge/adapters/controlruntime.h
+++ b/src/libcumingauge/adapters/controlruntime.h
@@ -58,6 +58,8 @@
 /// Counters and gauges of the control thread for the metrics page.
 struct ControlStats {
   StoreCallCounts StoreCalls_;
+  std::uint64_t StoreEra_ = 0; ///< 0: unknown
+  std::uint64_t StoreRestores_ = 0;
   std::uint64_t PeerMessagesSent_ = 0;
   std::uint64_t PeerMessagesReceived_ = 0;
   std::uint64_t PeerBytesSent_ = 0;
--- a/src/libcumingauge/adapters/metricspage.cpp
+++ b/src/libcumingauge/adapters/metricspage.cpp
@@ -164,6 +164,12 @@
                       "Time since the last exchange with a peer or the store",
                       ToDouble(Control.ViewAgeMs_) / MsPerSecond));
   Out.push_back(storeCallsFamily(Control.StoreCalls_));
+  Out.push_back(gauge("cumingauge_store_era",
+                      "Highest era of the platform's service seen",
+                      ToDouble(Control.StoreEra_)));
+  Out.push_back(counter("cumingauge_store_restores_total",
+                        "Rises of the era of the platform's service",
+                        ToDouble(Control.StoreRestores_)));
   Out.push_back(counterByDirection("cumingauge_peer_messages_total",
                                    "Messages on peer links",
                                    ToDouble(Control.PeerMessagesSent_),
--- a/src/libcumingauge/control/core.cpp
+++ b/src/libcumingauge/control/core.cpp
@@ -180,6 +180,10 @@
   return State.LastExchange_.value_or(model::TimePoint());
 }
 
+const DirectoryEra &directoryEra(const CoreState &State) {
+  return State.Directory_.Era_;
+}
+
 FreshnessFacts freshnessFacts(const CoreState &State) {
   FreshnessFacts Out;
   Out.LastStep_ = State.LastStep_.value_or(model::TimePoint());
--- a/src/libcumingauge/control/core.h
+++ b/src/libcumingauge/control/core.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/directoryera.h"
 #include "control/freshness.h"
 #include "control/peermessage.h"
 #include "model/controlview.h"
@@ -164,6 +165,9 @@
 /// confirmed that this process is up to date; the epoch before the first one.
 model::TimePoint lastExchange(const CoreState &State);
 
+/// Returns what this process has seen of the directory's eras.
+const DirectoryEra &directoryEra(const CoreState &State);
+
 /// Returns the facts that decide whether new work may be dispatched; see
 /// freshness.h.
 FreshnessFacts freshnessFacts(const CoreState &State);
--- a/src/libcumingauge/control/directoryfollower.cpp
+++ b/src/libcumingauge/control/directoryfollower.cpp
@@ -427,6 +427,7 @@
 void handleDirectoryResponse(CoreState &State, StoreCallId Call,
                              const ports::DirectoryResponse &Response) {
   DirectoryFollower &Follower = State.Directory_;
+  observeEra(State, Response);
   for (DirectoryFeed *Feed : {&Follower.Configuration_, &Follower.Servers_,
                               &Follower.Members_, &Follower.Ping_}) {
     if (!isResponseTo(*Feed, Call))
--- a/src/libcumingauge/control/directoryfollower.h
+++ b/src/libcumingauge/control/directoryfollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/core.h"
+#include "control/directoryera.h"
 #include "model/time.h"
 #include "ports/directory.h"
 #include <cstdint>
@@ -42,6 +43,7 @@
   DirectoryFeed Members_;
   DirectoryFeed Ping_;  ///< pings by a reader, or while the directory is away
   bool IsAway_ = false; ///< calls have failed, and no ping has succeeded since
+  DirectoryEra Era_;
   bool Announced_ = false; ///< this process is in the member list
   /// Pages received so far by the read in flight.
   std::map<std::string, ports::ServerEntry> Pages_;
--- a/src/libcumingauge/model/event.h
+++ b/src/libcumingauge/model/event.h
@@ -38,6 +38,7 @@
   PauseFound,
   StoreAway,
   StoreBack,
+  StoreRestored, ///< it came back from a copy
   ProcessStarted,
   ProcessReady,
   ProcessStopping,
@@ -48,8 +49,8 @@
                     ServerCold, ServerReady, ServerLeaving, ServerEjected,
                     ServerGone, ServersChanged, ServerLastCallEnded,
                     CallRetried, CallHedged, CallRefused, BudgetSpent,
-                    PauseFound, StoreAway, StoreBack, ProcessStarted,
-                    ProcessReady, ProcessStopping, Alarm)
+                    PauseFound, StoreAway, StoreBack, StoreRestored,
+                    ProcessStarted, ProcessReady, ProcessStopping, Alarm)
 
 /// One event on the timeline, as recorded by one process.
 struct Event {
--- a/src/libcumingauge/platform/directoryclient.cpp
+++ b/src/libcumingauge/platform/directoryclient.cpp
@@ -7,6 +7,7 @@
 #include "platform/serverentry.h"
 #include "platform/wirenames.h"
 #include <algorithm>
+#include <charconv>
 
 namespace cumingauge::platform {
 
@@ -206,6 +207,22 @@
   return Out;
 }
 
+DirectoryResponse readPing(const std::string &Body) {
+  const Json Document = Json::parse(Body, /*cb=*/nullptr,
+                                    /*allow_exceptions=*/false);
+  DirectoryResponse Out;
+  Out.Revision_ = countField(Document, "at").value_or(0);
+  return Out;
+}
+
+/// Returns the era in a header field; 0 when it is absent or no number.
+std::uint64_t readEra(const std::string &Field) {
+  std::uint64_t Out = 0;
+  const char *End = Field.data() + Field.size();
+  const auto [Stop, Failed] = std::from_chars(Field.data(), End, Out);
+  return Failed == std::errc() && Stop == End ? Out : 0;
+}
+
 DirectoryResponse readResponse(const DirectoryRequest &Request,
                                const model::Preset &Base,
                                const HttpClientAnswer &Answer) {
@@ -224,7 +241,7 @@
   }
   if (Request.Operation_ == DirectoryOperation::Ping &&
       Answer.Status_ == HttpNotFound)
-    return DirectoryResponse();
+    return readPing(Answer.Body_);
   if (Answer.Status_ == HttpNotFound && !IsWrite)
     return readItems(Request, Base, Answer.Body_);
   if (Answer.Status_ == HttpTooManyRequests)
@@ -242,13 +259,16 @@
   adapters::HttpClientSettings Target;
   Target.Host_ = Settings.Store_.Host_;
   Target.Port_ = Settings.Store_.Port_;
+  Target.CapturedHeader_ = wirenames::StoreEra;
   const auto Client = std::make_shared<HttpClient>(Io, Target);
   return {[Client, Base](const DirectoryRequest &Request,
                          ports::DirectoryHandler Handler) {
     Client->call(callFor(Request),
                  [Request, Base, Handler = std::move(Handler)](
                      const HttpClientAnswer &Answer) {
-                   Handler(readResponse(Request, Base, Answer));
+                   DirectoryResponse Out = readResponse(Request, Base, Answer);
+                   Out.Era_ = readEra(Answer.CapturedValue_);
+                   Handler(Out);
                  });
   }};
 }
--- a/src/libcumingauge/platform/wirenames.h
+++ b/src/libcumingauge/platform/wirenames.h
@@ -9,6 +9,7 @@
 constexpr const char *NotExecuted = "Not-Executed";
 constexpr const char *ServerLoad = "Server-Load";
 constexpr const char *ExpectedInstance = "Expected-Instance";
+constexpr const char *StoreEra = "Store-Era";
 constexpr const char *ResponseSignature = "Response-Signature";
 
 // Request targets of the metadata store.
--- a/src/libcumingauge/ports/directory.h
+++ b/src/libcumingauge/ports/directory.h
@@ -65,6 +65,9 @@
 struct DirectoryResponse {
   model::ResultCode Code_ = model::ResultCode::Ok;
   std::uint64_t Revision_ = 0; ///< the response covers all changes up to it
+  /// Rises each time that the directory is restored from a copy; changes may
+  /// then be lost and revisions be given out again. 0: unknown.
+  std::uint64_t Era_ = 0;
   /// Watch: the changes after After_ are no longer available; use Read.
   bool IsCompacted_ = false;
   std::string Next_; ///< Read: token of the next page; empty: last page
--- a/tests/control/directorytest.cpp
+++ b/tests/control/directorytest.cpp
@@ -29,6 +29,8 @@
         Calls_.push_back(*Call);
       else if (const auto *View = std::get_if<PublishView>(&Command))
         View_ = View->View_;
+      else if (const auto *Event = std::get_if<RecordEvent>(&Command))
+        Events_.push_back(*Event);
   }
 
   void wait(model::milliseconds Time) {
@@ -60,6 +62,15 @@
     feed(DirectoryResponseReceived{Call->Call_, std::move(Response)});
   }
 
+  /// Returns the events of a kind.
+  std::vector<RecordEvent> events(model::EventKind Kind) const {
+    std::vector<RecordEvent> Out;
+    for (const RecordEvent &Event : Events_)
+      if (Event.Kind_ == Kind)
+        Out.push_back(Event);
+    return Out;
+  }
+  const DirectoryEra &era() const { return directoryEra(*Core_); }
   unsigned calls() const { return static_cast<unsigned>(Calls_.size()); }
   const model::ControlView *view() const { return View_.get(); }
   bool isListed(const std::string &Name) const {
@@ -75,6 +86,7 @@
   std::vector<CallDirectory> Calls_;
   std::set<StoreCallId> Answered_;
   std::shared_ptr<const model::ControlView> View_;
+  std::vector<RecordEvent> Events_;
 };
 
 ports::DirectoryResponse configuration(std::uint64_t Version,
@@ -104,6 +116,12 @@
   return Out;
 }
 
+ports::DirectoryResponse ofEra(std::uint64_t Era,
+                               ports::DirectoryResponse Response) {
+  Response.Era_ = Era;
+  return Response;
+}
+
 ports::DirectoryResponse failure() {
   ports::DirectoryResponse Out;
   Out.Code_ = model::ResultCode::StoreUnavailable;
@@ -138,6 +156,8 @@
   CPPUNIT_TEST(readsEverythingAfterAPause);
   CPPUNIT_TEST(readsAllPages);
   CPPUNIT_TEST(leavesAnUnreadableEntryOut);
+  CPPUNIT_TEST(recordsWhenTheDirectoryWasRestored);
+  CPPUNIT_TEST(recordsAResponseOfAnOlderEraOnceAMinute);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -291,6 +311,45 @@
     CPPUNIT_ASSERT(!Running.isListed("a"));
     CPPUNIT_ASSERT(Running.isListed("b"));
   }
+
+  void recordsWhenTheDirectoryWasRestored() {
+    Process Running = makeSettledProcess();
+    Running.answer(Servers, ofEra(3, servers({server("d")}, 120)));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), Running.era().Number_);
+    CPPUNIT_ASSERT(Running.events(model::EventKind::StoreRestored).empty());
+    Running.wait(model::seconds(2));
+    Running.answer(Servers, ofEra(4, failure()));
+    Running.wait(model::seconds(2));
+    Running.answer(Servers, ofEra(5, servers({server("d")}, 95)));
+    const auto Found = Running.events(model::EventKind::StoreRestored);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Found.size());
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("era 4 after 3; revision unknown after 120"),
+        Found[0].Detail_);
+    CPPUNIT_ASSERT_EQUAL(std::string("era 5 after 4; revision 95 after 120"),
+                         Found[1].Detail_);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), Running.era().Restores_);
+  }
+
+  void recordsAResponseOfAnOlderEraOnceAMinute() {
+    Process Running = makeSettledProcess();
+    const auto TakeFromEra = [&](std::uint64_t Era) {
+      Running.answer(Config, ofEra(Era, configuration(5, 11)));
+      Running.wait(model::seconds(2));
+    };
+    for (const std::uint64_t Era : {4, 3, 3, 4, 3})
+      TakeFromEra(Era);
+    const auto Found = Running.events(model::EventKind::Alarm);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Found.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("response of era 3, older than 4"),
+                         Found[0].Detail_);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), Running.era().Number_);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), Running.era().Restores_);
+    Running.wait(model::seconds(60));
+    TakeFromEra(3);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2),
+                         Running.events(model::EventKind::Alarm).size());
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(FollowingADirectory);
 
