Let the fleet's fake directory come back from a copy

DirectoryFleet takes a copy of its content and restores it: entries, announced members, configuration and revision go back, revisions are given out again, a watch from a revision above the present one gets the response to a compacted history, and the era in all responses rises by one. Watches that wait may outlive an outage.

--- a/tests/control/directoryfleet.cpp
+++ b/tests/control/directoryfleet.cpp
@@ -28,7 +28,7 @@
   const unsigned Count = Size_.Zones_ * Size_.ZoneSize_;
   for (unsigned I = 0; I < Count; ++I)
     Cores_.push_back(makeCore(settingsOf(I, /*FirstStart=*/true), I));
-  Entries_ = {{"a", listed("a")}, {"b", listed("b")}};
+  Stored_.Entries_ = {{"a", listed("a")}, {"b", listed("b")}};
   for (unsigned I = 0; I < Count; ++I)
     feed(I, Started{});
   wait(model::seconds(6));
@@ -68,21 +68,21 @@
 
 void DirectoryFleet::put(const ports::ServerEntry &Entry) {
   ports::ServerEntry Written = Entry;
-  Written.Revision_ = ++Revision_;
-  Entries_[Entry.Name_] = Written;
-  Log_.push_back({Revision_, Written});
+  Written.Revision_ = ++Stored_.Revision_;
+  Stored_.Entries_[Entry.Name_] = Written;
+  Stored_.Log_.push_back({Stored_.Revision_, Written});
   answerWatches();
 }
 
 void DirectoryFleet::remove(const std::string &Name) {
-  Entries_.erase(Name);
-  Log_.push_back({++Revision_, {Name, std::nullopt, 0}});
+  Stored_.Entries_.erase(Name);
+  Stored_.Log_.push_back({++Stored_.Revision_, {Name, std::nullopt, 0}});
   answerWatches();
 }
 
 void DirectoryFleet::expire(const std::string &Name) {
-  Entries_.erase(Name);
-  ++Revision_;
+  Stored_.Entries_.erase(Name);
+  ++Stored_.Revision_;
 }
 
 void DirectoryFleet::restart(unsigned Number) {
@@ -100,21 +100,36 @@
 }
 
 void DirectoryFleet::configure(std::uint64_t Version) {
-  ++Revision_;
-  ConfigRevision_ = Revision_;
-  ConfigVersion_ = Version;
+  ++Stored_.Revision_;
+  Stored_.ConfigRevision_ = Stored_.Revision_;
+  Stored_.ConfigVersion_ = Version;
   answerWatches();
 }
 
-void DirectoryFleet::setAway(bool Away) {
+void DirectoryFleet::setAway(bool Away, WaitingWatches Waiting) {
   Away_ = Away;
   if (!Away)
+    return answerWatches();
+  if (Waiting == WaitingWatches::Keep)
     return;
   const auto Dropped = std::exchange(Watches_, {});
   for (const Watch &Asked : Dropped)
     answer(Asked.Process_, Asked.Call_, unavailable());
 }
 
+void DirectoryFleet::restoreFromCopy() {
+  Stored_ = Copy_;
+  ++Era_;
+}
+
+void DirectoryFleet::withdraw(unsigned Number) {
+  Stored_.Announced_.erase(memberOf(Number).Process_);
+}
+
+bool DirectoryFleet::isAnnounced(unsigned Number) const {
+  return Stored_.Announced_.count(memberOf(Number).Process_) > 0;
+}
+
 void DirectoryFleet::kill(unsigned Number) {
   Dead_.insert(Number);
   std::vector<std::pair<LinkId, unsigned>> Closed;
@@ -143,6 +158,13 @@
   return !Dead_.count(Number) && !Cut_.count(Number);
 }
 
+unsigned DirectoryFleet::countListing(const std::string &Name) const {
+  unsigned Out = 0;
+  for (unsigned I = 0; I < size(); ++I)
+    Out += isReachable(I) && isListed(I, Name);
+  return Out;
+}
+
 unsigned DirectoryFleet::countSeeingLeaving(const std::string &Name) const {
   unsigned Out = 0;
   for (unsigned I = 0; I < size(); ++I)
@@ -150,6 +172,11 @@
   return Out;
 }
 
+std::uint64_t DirectoryFleet::versionAt(unsigned Number) const {
+  const auto View = Views_.find(Number);
+  return View == Views_.end() ? 0 : View->second->Config_->Version_;
+}
+
 unsigned DirectoryFleet::countAtVersion(std::uint64_t Version) const {
   unsigned Out = 0;
   for (const auto &[Number, View] : Views_)
@@ -191,7 +218,10 @@
 
 void DirectoryFleet::answer(unsigned Number, StoreCallId Call,
                             const ports::DirectoryResponse &Response) {
-  feed(Number, DirectoryResponseReceived{Call, Response});
+  ports::DirectoryResponse Received = Response;
+  if (Received.Code_ == model::ResultCode::Ok)
+    Received.Era_ = Era_;
+  feed(Number, DirectoryResponseReceived{Call, std::move(Received)});
 }
 
 void DirectoryFleet::execute(unsigned Number, const PublishView &Command) {
@@ -241,14 +271,19 @@
   if (Away_)
     return answer(Number, Command.Call_, unavailable());
   ports::DirectoryResponse Answer;
-  Answer.Revision_ = Revision_;
+  Answer.Revision_ = Stored_.Revision_;
   switch (Asked.Operation_) {
   case DirectoryOperation::Watch:
+    if (Asked.After_ > Stored_.Revision_) {
+      Answer.Revision_ = 0;
+      Answer.IsCompacted_ = true;
+      break;
+    }
     Watches_.push_back({Number, Asked.Topic_, Command.Call_, Asked.After_,
                         Now_ + Asked.Wait_});
     return answerWatches();
   case DirectoryOperation::Announce:
-    Announced_[Asked.Self_.Process_] = Asked.Self_;
+    Stored_.Announced_[Asked.Self_.Process_] = Asked.Self_;
     break;
   case DirectoryOperation::Read:
     fill(Answer, Asked.Topic_, 0);
@@ -262,29 +297,32 @@
 /// Adds the content of a topic, or what has changed in it after a revision.
 void DirectoryFleet::fill(ports::DirectoryResponse &Answer,
                           DirectoryTopic Topic, std::uint64_t After) const {
-  if (Topic == DirectoryTopic::Configuration && ConfigRevision_ > After) {
+  if (Topic == DirectoryTopic::Configuration &&
+      Stored_.ConfigRevision_ > After) {
     Answer.Configuration_.emplace();
-    Answer.Configuration_->Version_ = ConfigVersion_;
+    Answer.Configuration_->Version_ = Stored_.ConfigVersion_;
     Answer.Configuration_->Preset_.Name_ =
-        "version " + std::to_string(ConfigVersion_);
+        "version " + std::to_string(Stored_.ConfigVersion_);
   }
   if (Topic == DirectoryTopic::Servers && After == 0)
-    for (const auto &Entry : Entries_)
+    for (const auto &Entry : Stored_.Entries_)
       Answer.Servers_.push_back(Entry.second);
   if (Topic == DirectoryTopic::Servers && After > 0)
-    for (const auto &[Revision, Entry] : Log_)
+    for (const auto &[Revision, Entry] : Stored_.Log_)
       if (Revision > After)
         Answer.Servers_.push_back(Entry);
   if (Topic == DirectoryTopic::Members)
-    for (const auto &Entry : Announced_)
+    for (const auto &Entry : Stored_.Announced_)
       Answer.Members_.push_back(Entry.second);
 }
 
 void DirectoryFleet::answerWatches() {
+  if (Away_)
+    return;
   for (std::size_t I = 0; I < Watches_.size();) {
     const Watch Asked = Watches_[I];
     ports::DirectoryResponse Answer;
-    Answer.Revision_ = Revision_;
+    Answer.Revision_ = Stored_.Revision_;
     fill(Answer, Asked.Topic_, Asked.After_);
     const bool HasNews = Answer.Configuration_ || !Answer.Servers_.empty();
     if (!HasNews || !isReachable(Asked.Process_)) {
--- a/tests/control/directoryfleet.h
+++ b/tests/control/directoryfleet.h
@@ -52,14 +52,31 @@
   /// Writes a configuration and answers the watches for it at once.
   void configure(std::uint64_t Version);
 
+  /// Returns the version that a process has in force; 0: none yet.
+  std::uint64_t versionAt(unsigned Number) const;
+
   /// Cuts a process off from the directory but not from its peers. Its calls in
   /// flight are never answered, and further calls fail.
   void cut(unsigned Number) { Cut_.insert(Number); }
 
+  enum class WaitingWatches { Cut, Keep };
+
   /// Makes the directory unreachable or reachable. While it is unreachable,
-  /// every call fails.
-  void setAway(bool Away);
+  /// every call fails, and by default also the watches that wait in it.
+  void setAway(bool Away, WaitingWatches Waiting = WaitingWatches::Cut);
+
+  /// Takes a copy of the directory's content.
+  void copyDirectory() { Copy_ = Stored_; }
+
+  /// Restores the directory from the copy. What was written since is lost, its
+  /// revisions are given out again, and a new era begins.
+  void restoreFromCopy();
 
+  /// Removes a process from the member list without telling it.
+  void withdraw(unsigned Number);
+  bool isAnnounced(unsigned Number) const;
+
+  unsigned countListing(const std::string &Name) const;
   unsigned countSeeingLeaving(const std::string &Name) const;
   unsigned countAtVersion(std::uint64_t Version) const;
 
@@ -76,6 +93,16 @@
   unsigned pings() const { return Pings_; }
 
 private:
+  /// What the directory stores.
+  struct Content {
+    std::map<std::string, ports::ServerEntry> Entries_;
+    std::vector<std::pair<std::uint64_t, ports::ServerEntry>> Log_;
+    std::map<std::string, model::Member> Announced_;
+    std::uint64_t Revision_ = 10;
+    std::uint64_t ConfigVersion_ = 1;
+    std::uint64_t ConfigRevision_ = 10;
+  };
+
   struct Watch {
     unsigned Process_;
     ports::DirectoryTopic Topic_;
@@ -103,12 +130,9 @@
   const DirectoryFleetSize Size_;
   model::TimePoint Now_{model::seconds(1000)};
   std::vector<std::shared_ptr<CoreState>> Cores_;
-  std::map<std::string, ports::ServerEntry> Entries_;
-  std::vector<std::pair<std::uint64_t, ports::ServerEntry>> Log_;
-  std::map<std::string, model::Member> Announced_;
-  std::uint64_t Revision_ = 10;
-  std::uint64_t ConfigVersion_ = 1;
-  std::uint64_t ConfigRevision_ = 10;
+  Content Stored_;
+  Content Copy_;
+  std::uint64_t Era_ = 1;
   std::vector<Watch> Watches_;
   std::map<LinkId, std::pair<unsigned, unsigned>> Links_;
   LinkId LastLink_ = 0;
