--- /dev/null
+++ b/tests/control/directoryrestoretest.cpp
@@ -0,0 +1,293 @@
+#include "control/directoryfleet.h"
+#include <cppunit/extensions/HelperMacros.h>
+#include <functional>
+
+using namespace cumingauge;
+using namespace cumingauge::control::fakes;
+
+namespace {
+
+constexpr DirectoryFleetSize ThreeZones{3, 16};
+/// Time in which a change is in force everywhere: the leaving bound of 2 s less
+/// two ticks.
+constexpr model::milliseconds Bound{1900};
+/// Time in which servers whose entries were lost register again.
+constexpr model::milliseconds ReregistrationTime{2000};
+/// Time after which every process has called the directory again.
+constexpr model::milliseconds SettlingTime{5000};
+constexpr model::milliseconds SampleStep{100};
+
+/// Starts a fleet that knows some more servers.
+void settle(DirectoryFleet &Fleet) {
+  for (const char *Name : {"c", "d", "e", "f"})
+    Fleet.put(listed(Name));
+  Fleet.wait(model::seconds(5));
+}
+
+/// Makes the directory lose what \p Write writes: it is away for a moment and
+/// comes back from a copy of the time before.
+void lose(DirectoryFleet &Fleet, const std::function<void()> &Write,
+          model::milliseconds Outage = model::seconds(2)) {
+  Fleet.copyDirectory();
+  Write();
+  Fleet.wait(model::seconds(3));
+  Fleet.setAway(true);
+  Fleet.wait(Outage);
+  Fleet.restoreFromCopy();
+  Fleet.setAway(false);
+}
+
+/// Writes as many revisions as \p Count without any lasting change.
+void writeMuch(DirectoryFleet &Fleet, unsigned Count) {
+  for (unsigned I = 0; I < Count; ++I)
+    Fleet.put(listed("f"));
+}
+
+/// Checks a condition at every step of a time.
+void expectAlways(DirectoryFleet &Fleet, model::milliseconds Time,
+                  const std::function<void()> &Check) {
+  for (model::milliseconds Passed{0}; Passed < Time; Passed += SampleStep) {
+    Check();
+    Fleet.wait(SampleStep);
+  }
+  Check();
+}
+
+class RestoredDirectory : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RestoredDirectory);
+  CPPUNIT_TEST(aLeavingMarkWrittenAfterARestoreReachesAllProcesses);
+  CPPUNIT_TEST(aServerThatRegistersAfterARestoreReachesAllProcesses);
+  CPPUNIT_TEST(aChangeWrittenWhileTheStorePassesTheOldRevisionIsNotMissed);
+  CPPUNIT_TEST(aRestoreDoesNotRaiseTheNumberOfCalls);
+  CPPUNIT_TEST(aReaderRestartedAfterTheRestoreIsBelieved);
+  CPPUNIT_TEST(aChangeBelowTheOldRevisionIsNotMissedAfterAShortOutage);
+  CPPUNIT_TEST(aChangeIsNotMissedByAWatchThatOutlivedTheRestore);
+  CPPUNIT_TEST(aServerKnownAsLeavingStaysLeavingWhenTheOldCopySaysReady);
+  CPPUNIT_TEST(aServerKnownAsGoneIsNotUsedAgainWhenTheOldCopyListsIt);
+  CPPUNIT_TEST(aServerThatRegistersAgainAfterItWasGoneIsUsedAgain);
+  CPPUNIT_TEST(aNewStartOfALeavingServerIsUsedAfterTheRestore);
+  CPPUNIT_TEST(aServerRegisteredInTheLostSecondsKeepsItsPlace);
+  CPPUNIT_TEST(aServerThatDoesNotRegisterAgainLosesItsPlace);
+  CPPUNIT_TEST(aProcessAnnouncesItselfAgainWhenItsEntryIsLost);
+  CPPUNIT_TEST(aVersionThatVanishedStaysInForce);
+  CPPUNIT_TEST(aVersionWrittenAfterARestoreReachesAllProcesses);
+  CPPUNIT_TEST(aProcessStartedAfterTheRestoreHasTheVersionOfItsPeers);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void aLeavingMarkWrittenAfterARestoreReachesAllProcesses() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    lose(Fleet, [&] { writeMuch(Fleet, 20); });
+    Fleet.wait(SettlingTime);
+    Fleet.put(listed("a", true));
+    Fleet.wait(Bound);
+    CPPUNIT_ASSERT_EQUAL(Fleet.size(), Fleet.countSeeingLeaving("a"));
+  }
+
+  void aServerThatRegistersAfterARestoreReachesAllProcesses() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    lose(Fleet, [&] { Fleet.put(listed("g")); });
+    Fleet.wait(SettlingTime);
+    Fleet.put(listed("h"));
+    Fleet.put(listed("g"));
+    Fleet.wait(Bound);
+    CPPUNIT_ASSERT_EQUAL(Fleet.size(), Fleet.countListing("g"));
+    CPPUNIT_ASSERT_EQUAL(Fleet.size(), Fleet.countListing("h"));
+  }
+
+  /// A reader pauses after the first change; the others are written meanwhile.
+  void aChangeWrittenWhileTheStorePassesTheOldRevisionIsNotMissed() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    lose(Fleet, [&] { writeMuch(Fleet, 3); });
+    Fleet.wait(SettlingTime);
+    Fleet.put(listed("b"));
+    Fleet.wait(SampleStep);
+    Fleet.put(listed("a", true));
+    writeMuch(Fleet, 3);
+    Fleet.wait(Bound);
+    for (const unsigned Reader : Fleet.watchers())
+      CPPUNIT_ASSERT(Fleet.isLeaving(Reader, "a"));
+    CPPUNIT_ASSERT_EQUAL(Fleet.size(), Fleet.countSeeingLeaving("a"));
+  }
+
+  void aRestoreDoesNotRaiseTheNumberOfCalls() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    lose(Fleet, [&] { writeMuch(Fleet, 100); });
+    Fleet.wait(SettlingTime);
+    const unsigned Before = Fleet.calls();
+    for (int I = 0; I < 20; ++I) {
+      Fleet.put(listed("s" + std::to_string(I)));
+      Fleet.wait(model::milliseconds(500)); // ten seconds in all
+    }
+    // Each of the two fleet readers calls once in 0.7 s at most.
+    CPPUNIT_ASSERT_LESSEQUAL(2u * 15, Fleet.calls() - Before);
+  }
+
+  void aReaderRestartedAfterTheRestoreIsBelieved() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    lose(Fleet, [&] { writeMuch(Fleet, 100); });
+    Fleet.wait(SettlingTime);
+    for (const unsigned Reader : Fleet.watchers())
+      Fleet.restart(Reader);
+    Fleet.wait(model::seconds(15));
+    Fleet.put(listed("a", true));
+    Fleet.wait(Bound);
+    CPPUNIT_ASSERT_EQUAL(Fleet.size(), Fleet.countSeeingLeaving("a"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Fleet.watchers().size());
+  }
+
+  /// The outage falls into the readers' pause after a change, so no call about
+  /// the servers fails.
+  void aChangeBelowTheOldRevisionIsNotMissedAfterAShortOutage() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    Fleet.copyDirectory();
+    writeMuch(Fleet, 3);
+    Fleet.wait(model::milliseconds(100));
+    Fleet.setAway(true);
+    Fleet.wait(model::milliseconds(200));
+    Fleet.restoreFromCopy();
+    Fleet.setAway(false);
+    Fleet.put(listed("a", true));
+    writeMuch(Fleet, 3);
+    Fleet.wait(Bound);
+    CPPUNIT_ASSERT_EQUAL(Fleet.size(), Fleet.countSeeingLeaving("a"));
+  }
+
+  void aChangeIsNotMissedByAWatchThatOutlivedTheRestore() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    Fleet.copyDirectory();
+    writeMuch(Fleet, 3);
+    Fleet.wait(model::seconds(3));
+    Fleet.setAway(true, DirectoryFleet::WaitingWatches::Keep);
+    Fleet.wait(model::milliseconds(200));
+    Fleet.restoreFromCopy();
+    Fleet.setAway(false);
+    Fleet.put(listed("a", true));
+    Fleet.wait(Bound);
+    CPPUNIT_ASSERT_EQUAL(Fleet.size(), Fleet.countSeeingLeaving("a"));
+  }
+
+  void aServerKnownAsLeavingStaysLeavingWhenTheOldCopySaysReady() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    lose(Fleet, [&] { Fleet.put(listed("a", true)); });
+    expectAlways(Fleet, SettlingTime, [&] {
+      CPPUNIT_ASSERT_EQUAL(Fleet.countListing("a"),
+                           Fleet.countSeeingLeaving("a"));
+    });
+  }
+
+  void aServerKnownAsGoneIsNotUsedAgainWhenTheOldCopyListsIt() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    lose(Fleet, [&] {
+      Fleet.put(listed("a", true));
+      Fleet.wait(Bound);
+      Fleet.remove("a");
+    });
+    expectAlways(Fleet, SettlingTime, [&] {
+      CPPUNIT_ASSERT_EQUAL(Fleet.countListing("a"),
+                           Fleet.countSeeingLeaving("a"));
+    });
+  }
+
+  void aServerThatRegistersAgainAfterItWasGoneIsUsedAgain() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    lose(Fleet, [&] { Fleet.remove("a"); });
+    Fleet.wait(SettlingTime);
+    Fleet.put(listed("a"));
+    Fleet.wait(Bound);
+    CPPUNIT_ASSERT_EQUAL(Fleet.size(), Fleet.countListing("a"));
+    CPPUNIT_ASSERT_EQUAL(0U, Fleet.countSeeingLeaving("a"));
+  }
+
+  void aNewStartOfALeavingServerIsUsedAfterTheRestore() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    lose(Fleet, [&] { Fleet.put(listed("a", true)); });
+    Fleet.wait(SettlingTime);
+    ports::ServerEntry Started = listed("a");
+    Started.Listed_->Server_.Vm_ = "another start";
+    Fleet.put(Started);
+    Fleet.wait(Bound);
+    CPPUNIT_ASSERT_EQUAL(Fleet.size(), Fleet.countListing("a"));
+    CPPUNIT_ASSERT_EQUAL(0U, Fleet.countSeeingLeaving("a"));
+  }
+
+  void aServerRegisteredInTheLostSecondsKeepsItsPlace() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    lose(Fleet, [&] { Fleet.put(listed("g")); });
+    const auto IsListedEverywhere = [&] {
+      CPPUNIT_ASSERT_EQUAL(Fleet.size(), Fleet.countListing("g"));
+    };
+    expectAlways(Fleet, ReregistrationTime, IsListedEverywhere);
+    Fleet.put(listed("g"));
+    expectAlways(Fleet, SettlingTime, IsListedEverywhere);
+  }
+
+  void aServerThatDoesNotRegisterAgainLosesItsPlace() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    lose(Fleet, [&] { Fleet.put(listed("g")); });
+    Fleet.wait(model::seconds(10));
+    CPPUNIT_ASSERT_EQUAL(0u, Fleet.countListing("g"));
+  }
+
+  void aProcessAnnouncesItselfAgainWhenItsEntryIsLost() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    Fleet.withdraw(5);
+    lose(Fleet, [&] { writeMuch(Fleet, 3); });
+    // The longest time between two reads of the member list, and a call.
+    Fleet.wait(model::seconds(150) + model::seconds(5));
+    CPPUNIT_ASSERT(Fleet.isAnnounced(5));
+  }
+
+  void aVersionThatVanishedStaysInForce() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    lose(Fleet, [&] { Fleet.configure(2); });
+    expectAlways(Fleet, SettlingTime, [&] {
+      CPPUNIT_ASSERT_EQUAL(Fleet.size(), Fleet.countAtVersion(2));
+    });
+  }
+
+  void aVersionWrittenAfterARestoreReachesAllProcesses() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    lose(Fleet, [&] {
+      Fleet.configure(2);
+      writeMuch(Fleet, 20);
+    });
+    Fleet.wait(SettlingTime);
+    Fleet.configure(3);
+    Fleet.wait(Bound);
+    CPPUNIT_ASSERT_EQUAL(Fleet.size(), Fleet.countAtVersion(3));
+  }
+
+  void aProcessStartedAfterTheRestoreHasTheVersionOfItsPeers() {
+    for (const unsigned Number : {3U, 5U}) { // a reader and another process
+      DirectoryFleet Fleet(ThreeZones);
+      settle(Fleet);
+      lose(Fleet, [&] { Fleet.configure(2); });
+      Fleet.wait(SettlingTime);
+      Fleet.restart(Number);
+      expectAlways(Fleet, SettlingTime, [&] {
+        CPPUNIT_ASSERT(!Fleet.hasView(Number) || Fleet.versionAt(Number) == 2);
+      });
+      CPPUNIT_ASSERT(Fleet.hasView(Number));
+    }
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(RestoredDirectory);
+
+} // namespace
--- a/tests/control/directorytest.cpp
+++ b/tests/control/directorytest.cpp
@@ -157,6 +157,7 @@
   CPPUNIT_TEST(readsAllPages);
   CPPUNIT_TEST(leavesAnUnreadableEntryOut);
   CPPUNIT_TEST(recordsWhenTheDirectoryWasRestored);
+  CPPUNIT_TEST(readsAgainWhenTheDirectoryWasRestoredBetweenTwoPages);
   CPPUNIT_TEST(recordsAResponseOfAnOlderEraOnceAMinute);
   CPPUNIT_TEST_SUITE_END();
 
@@ -331,6 +332,22 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), Running.era().Restores_);
   }
 
+  void readsAgainWhenTheDirectoryWasRestoredBetweenTwoPages() {
+    Process Starting;
+    Starting.answer(Config, ofEra(3, configuration(5, 10)));
+    auto First = servers({server("a"), server("b")}, 120);
+    First.Next_ = "servers/b";
+    Starting.answer(Servers, ofEra(3, First));
+    Starting.answer(Servers, ofEra(4, servers({server("c")}, 95)));
+    Starting.wait(model::seconds(2));
+    const auto &Request = Starting.call(Servers)->Request_;
+    CPPUNIT_ASSERT(Request.Operation_ == DirectoryOperation::Read);
+    CPPUNIT_ASSERT_EQUAL(std::string(), Request.Page_);
+    // "b" has gone with what was lost.
+    Starting.answer(Servers, ofEra(4, servers({server("a"), server("c")}, 96)));
+    CPPUNIT_ASSERT(!Starting.isListed("b"));
+  }
+
   void recordsAResponseOfAnOlderEraOnceAMinute() {
     Process Running = makeSettledProcess();
     const auto TakeFromEra = [&](std::uint64_t Era) {
