--- a/src/libcumingauge/adapters/httpcallersession.cpp
+++ b/src/libcumingauge/adapters/httpcallersession.cpp
@@ -46,9 +46,19 @@
   refuseRequest(ResultCode::NotRunTooManyConnections);
 }
 
-void HttpCallerSession::startDraining() { Draining_ = true; }
+void HttpCallerSession::startDraining() {
+  Draining_ = true;
+  const model::TimePoint Latest = Worker_.answerBy();
+  if (const auto Call = Call_)
+    Call->limitDeadline(Latest);
+  for (const PipelinedCall &Waiting : PipelinedCalls_)
+    if (const auto Call = Waiting.Answer_->call())
+      Call->limitDeadline(Latest);
+}
 
-void HttpCallerSession::closeIfIdle() {
+void HttpCallerSession::refuseFurtherRequests() {
+  if (Phase_ == Phase::KeptBody)
+    return refuseRequest(ResultCode::NotRunStopping);
   if (Phase_ == Phase::Head && !Reader_.hasPartialRequest() &&
       !WriteInProgress_)
     closeIdle();
@@ -121,6 +131,8 @@
 }
 
 bool HttpCallerSession::handleHead() {
+  if (refuseWhileStopping())
+    return false;
   const traffic::RequestHead &Head = Reader_.head();
   Incoming_ = std::make_unique<HttpCallRequest>();
   Incoming_->Arrived_ = Worker_.now();
@@ -160,7 +172,8 @@
 }
 
 /// Takes over the head that was read and sets the caller and the deadline,
-/// which follow from it.
+/// which follow from it. While the process stops, the deadline lies before its
+/// end.
 HttpCallRequest HttpCallerSession::completeRequest(HttpCallRequest Request,
                                                    bool Complete) {
   Request.Head_ = std::move(Reader_.head());
@@ -170,11 +183,13 @@
   auto Allowed = Request.Route_->Deadline_;
   if (Request.Head_.Deadline_)
     Allowed = std::min(Allowed, *Request.Head_.Deadline_);
-  Request.Deadline_ = Request.Arrived_ + Allowed;
+  Request.Deadline_ = std::min(Request.Arrived_ + Allowed, Worker_.answerBy());
   return Request;
 }
 
 void HttpCallerSession::dispatch(bool Complete) {
+  if (refuseWhileStopping())
+    return;
   HttpCallRequest Request = completeRequest(std::move(*Incoming_), Complete);
   Phase_ = Phase::Call;
   TimeoutAt_ = model::TimePoint::max();
@@ -212,10 +227,12 @@
 
 /// Starts the calls of the pipelined requests that have arrived. The first one
 /// that must not run concurrently waits until all calls before it are answered,
-/// and so do those after it.
+/// and so do those after it. While the process stops no call is added, so that
+/// the connection ends after those that run.
 void HttpCallerSession::startPipelinedCalls() {
-  while (Phase_ == Phase::Call && RequestComplete_ && !DeferredStep_ &&
-         PipelinedCalls_.size() < MaxPipelinedCalls && !endsAfterAnswer()) {
+  while (!Draining_ && Phase_ == Phase::Call && RequestComplete_ &&
+         !DeferredStep_ && PipelinedCalls_.size() < MaxPipelinedCalls &&
+         !endsAfterAnswer()) {
     const ReadStep Step = Reader_.next();
     if (Step == ReadStep::NeedMore)
       return;
--- a/src/libcumingauge/adapters/httpcallersession.h
+++ b/src/libcumingauge/adapters/httpcallersession.h
@@ -34,11 +34,13 @@
   /// Answers NotRunTooManyConnections and closes the connection.
   void refuseConnection();
 
-  /// Makes the connection close after its current calls are answered.
+  /// Makes the next answer announce that the connection closes, and limits the
+  /// time of the calls to what is left of the process.
   void startDraining();
 
-  /// Closes the connection if it carries no call.
-  void closeIfIdle();
+  /// Closes the connection if it carries no call. A request whose body has not
+  /// arrived is refused; one whose head has not is refused once it has.
+  void refuseFurtherRequests();
 
   /// Logs the calls that are not answered when the process ends.
   void recordAbandonedCalls() const;
@@ -84,6 +86,7 @@
   bool isCloseAnnounced() const { return !ClosingIdle_ && !KeepAlive_; }
   void streamBody();
   void deliverPiece(BodyPiece Piece);
+  bool refuseWhileStopping();
   void refuseRequest(model::ResultCode Code);
   void refuseStreamedRequest(model::ResultCode Code);
   void write();
@@ -133,6 +136,8 @@
   bool ChunkedAnswer_ = false;
   bool ChunksAllowed_ = true;
   bool RequestComplete_ = false; ///< the request was read to its last byte
+  /// The caller allows another request; after the head of the answer: the
+  /// answer did not announce that the connection closes.
   bool KeepAlive_ = false;
   bool AnswerComplete_ = false;
   bool HasCallEnded_ = false;
