Order the directory's revisions by its era

Callers would see: after the store came back from a copy, a server that leaves goes on getting calls from most processes. Cause: positions in the list of servers were compared by the store's revision alone, which falls when the store comes back from a copy. Readers recorded new changes at the old, higher revision, which their subscribers had already; updates of a reader with a lower revision were neither applied nor did they confirm; and a reader went back to a watch from the old revision. Change: a position is an era and a revision, ordered by era first, in the process, on its links and in both messages. A peer that knows an older era gets the whole list.

--- a/src/libcumingauge/control/directoryera.cpp
+++ b/src/libcumingauge/control/directoryera.cpp
@@ -18,7 +18,7 @@
       Response.Revision_ == 0 ? "unknown" : std::to_string(Response.Revision_);
   return "era " + std::to_string(Response.Era_) + " after " +
          std::to_string(Follower.Era_.Number_) + "; revision " + Revision +
-         " after " + std::to_string(Follower.KnownRevision_);
+         " after " + std::to_string(Follower.KnownRevision_.Number_);
 }
 
 void recordOlderEra(CoreState &State, std::uint64_t Number) {
@@ -34,6 +34,10 @@
 
 } // namespace
 
+DirectoryRevision revisionNow(const CoreState &State, std::uint64_t Number) {
+  return {State.Directory_.Era_.Number_, Number};
+}
+
 void observeEra(CoreState &State, const ports::DirectoryResponse &Response) {
   DirectoryEra &Era = State.Directory_.Era_;
   if (Response.Era_ == 0 || Response.Era_ == Era.Number_)
--- a/src/libcumingauge/control/directoryera.h
+++ b/src/libcumingauge/control/directoryera.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/directoryrevision.h"
 #include "model/time.h"
 #include "ports/directory.h"
 #include <cstdint>
@@ -17,6 +18,9 @@
   std::optional<model::TimePoint> OlderAt_;
 };
 
+/// Returns a position in the present era.
+DirectoryRevision revisionNow(const CoreState &State, std::uint64_t Number);
+
 /// Records a restore of the directory when a response has a newer era than all
 /// before, and an alarm when it has an older one.
 void observeEra(CoreState &State, const ports::DirectoryResponse &Response);
--- a/src/libcumingauge/control/directoryfollower.cpp
+++ b/src/libcumingauge/control/directoryfollower.cpp
@@ -192,9 +192,9 @@
 /// Applies a whole list of servers that holds at a revision.
 void takeServerList(CoreState &State,
                     const std::map<std::string, ports::ServerEntry> &Read,
-                    std::uint64_t Revision, MissingServers Missing) {
+                    DirectoryRevision Revision, MissingServers Missing) {
   DirectoryFollower &Follower = State.Directory_;
-  if (!Follower.Servers_.Read_)
+  if (!Follower.Servers_.Read_ || Revision.Era_ > Follower.FirstRevision_.Era_)
     Follower.FirstRevision_ = Revision;
   Follower.Servers_.Read_ = true;
   advanceKnownRevision(State, Revision);
@@ -220,7 +220,7 @@
     // of the first page and covers what changed meanwhile.
     Feed.Revision_ = Follower.PagesRevision_;
     Feed.ConfirmedAt_ = Follower.PagesRequestedAt_;
-    takeServerList(State, Follower.Pages_, Feed.Revision_,
+    takeServerList(State, Follower.Pages_, revisionNow(State, Feed.Revision_),
                    MissingServers::KeepAfterOutage);
     Follower.Pages_.clear();
     Changed = true;
@@ -231,7 +231,8 @@
   } else {
     Feed.Revision_ = std::max(Feed.Revision_, Response.Revision_);
     Feed.ConfirmedAt_ = State.Now_;
-    applyServerChanges(State, Response.Servers_, Feed.Revision_);
+    applyServerChanges(State, Response.Servers_,
+                       revisionNow(State, Feed.Revision_));
   }
   if (HasChanges || WasRead)
     Feed.NextAt_ = State.Now_ + callPause(State);
@@ -386,18 +387,18 @@
 
 void applyServerChanges(CoreState &State,
                         const std::vector<ports::ServerEntry> &Entries,
-                        std::uint64_t Revision) {
+                        DirectoryRevision Revision) {
   DirectoryFollower &Follower = State.Directory_;
-  Follower.KnownRevision_ = std::max(Follower.KnownRevision_, Revision);
+  advanceKnownRevision(State, Revision);
   if (Follower.Servers_.Revision_ > 0)
-    Follower.Servers_.Revision_ = Follower.KnownRevision_;
+    Follower.Servers_.Revision_ = Follower.KnownRevision_.Number_;
   if (applyServerEntries(State, Entries))
     rebuildState(State, *State.Log_.State_);
 }
 
 void applyCompleteList(CoreState &State,
                        const std::vector<ports::ServerEntry> &Entries,
-                       std::uint64_t Revision) {
+                       DirectoryRevision Revision) {
   std::map<std::string, ports::ServerEntry> Read;
   for (const ports::ServerEntry &Entry : Entries)
     if (Entry.Listed_)
--- a/src/libcumingauge/control/directoryfollower.h
+++ b/src/libcumingauge/control/directoryfollower.h
@@ -2,6 +2,7 @@
 
 #include "control/core.h"
 #include "control/directoryera.h"
+#include "control/directoryrevision.h"
 #include "model/time.h"
 #include "ports/directory.h"
 #include <cstdint>
@@ -53,12 +54,12 @@
   /// Backend servers by name.
   std::map<std::string, ports::ListedServer> Listed_;
   std::vector<model::Member> ListedMembers_;
-  std::uint64_t KnownRevision_ = 0; ///< of the server list; never decreases
-  /// Revision of the first whole list. Servers that were removed before it are
-  /// missing in ChangedAt_.
-  std::uint64_t FirstRevision_ = 0;
+  DirectoryRevision KnownRevision_; ///< of the server list; never decreases
+  /// Revision of the first whole list of the era. Servers that were removed
+  /// before it are missing in ChangedAt_.
+  DirectoryRevision FirstRevision_;
   /// Revision of the last known change of each server, removed ones included.
-  std::map<std::string, std::uint64_t> ChangedAt_;
+  std::map<std::string, DirectoryRevision> ChangedAt_;
   /// When the directory's last outage ended.
   std::optional<model::TimePoint> OutageEndedAt_;
 };
@@ -73,13 +74,13 @@
 /// Applies changes of servers that a call or a peer has reported.
 void applyServerChanges(CoreState &State,
                         const std::vector<ports::ServerEntry> &Entries,
-                        std::uint64_t Revision);
+                        DirectoryRevision Revision);
 
 /// Applies a whole list of servers that a peer has sent; servers that it does
 /// not name are removed.
 void applyCompleteList(CoreState &State,
                        const std::vector<ports::ServerEntry> &Entries,
-                       std::uint64_t Revision);
+                       DirectoryRevision Revision);
 
 /// Applies a configuration that a call or a peer has reported. An older version
 /// than the one in use is ignored with an alarm.
--- a/src/libcumingauge/control/directorylinks.cpp
+++ b/src/libcumingauge/control/directorylinks.cpp
@@ -83,19 +83,22 @@
 
 DirectoryUpdate makeUpdate(const CoreState &State, const Link &To) {
   const DirectoryFollower &Follower = State.Directory_;
-  const std::uint64_t Known = *To.KnownRevision_;
+  const DirectoryRevision Known = *To.KnownRevision_;
   DirectoryUpdate Out;
-  Out.After_ = Known;
-  Out.Revision_ = Follower.KnownRevision_;
+  Out.After_ = Known.Number_;
+  Out.Era_ = Follower.KnownRevision_.Era_;
+  Out.Revision_ = Follower.KnownRevision_.Number_;
   Out.AgeMs_ = ageMs(State, Follower.Servers_);
   Out.Version_ = versionOf(State);
   Out.VersionAgeMs_ = ageMs(State, Follower.Configuration_);
   if (const model::Preset *Preset = model::presetInForce(*State.Log_.State_);
       Preset && Out.Version_ > To.KnownVersion_)
     Out.Preset_ = *Preset;
-  // Removals before the first list that this process has are unknown here, so
-  // a peer that knows only an older revision gets the whole list.
-  if (Known < Follower.FirstRevision_) {
+  // Removals before the first list that this process has are unknown here, and
+  // what the directory lost with an older era has no revision. So a peer that
+  // knows only an older revision or era gets the whole list.
+  if (Known < Follower.FirstRevision_ ||
+      Known.Era_ < Follower.KnownRevision_.Era_) {
     Out.Complete_ = true;
     for (const auto &Entry : Follower.Listed_)
       Out.Servers_.push_back(changeOf(Follower, Entry.first));
@@ -122,7 +125,8 @@
 }
 
 DirectorySubscription ownSubscription(const CoreState &State) {
-  return {State.Directory_.KnownRevision_, versionOf(State)};
+  const DirectoryRevision Known = State.Directory_.KnownRevision_;
+  return {Known.Number_, versionOf(State), Known.Era_};
 }
 
 std::vector<ports::ServerEntry> entriesOf(const DirectoryUpdate &Message) {
@@ -270,7 +274,8 @@
                                  const DirectorySubscription &Message) {
   if (!isReader(State))
     callNowAsReader(State);
-  From.KnownRevision_ = Message.Revision_;
+  From.KnownRevision_ =
+      DirectoryRevision{Message.Era_.value_or(0), Message.Revision_};
   From.KnownVersion_ = Message.Version_;
   if (isListRead(State))
     sendUpdate(State, From);
@@ -280,14 +285,16 @@
                            const DirectoryUpdate &Message) {
   DirectoryFollower &Follower = State.Directory_;
   const bool IsComplete = Message.Complete_.value_or(false);
-  const bool LacksChanges =
-      !IsComplete &&
-      (Message.After_ > Follower.KnownRevision_ || !Follower.Servers_.Read_);
+  const std::uint64_t Era = Message.Era_.value_or(0);
+  const DirectoryRevision After{Era, Message.After_};
+  const DirectoryRevision Revision{Era, Message.Revision_};
+  const bool LacksChanges = !IsComplete && (After > Follower.KnownRevision_ ||
+                                            !Follower.Servers_.Read_);
   const bool LacksPreset =
       Message.Version_ > versionOf(State) && !Message.Preset_;
   if (LacksChanges || LacksPreset)
     return send(State, From, ownSubscription(State));
-  const std::uint64_t FormerRevision = Follower.KnownRevision_;
+  const DirectoryRevision FormerRevision = Follower.KnownRevision_;
   const std::uint64_t FormerVersion = versionOf(State);
   // A reader with an older version or revision than this process confirms
   // nothing.
@@ -296,11 +303,11 @@
     if (Message.Preset_)
       applyConfiguration(State, {Message.Version_, *Message.Preset_});
   }
-  if (Message.Revision_ >= Follower.KnownRevision_) {
+  if (Revision >= Follower.KnownRevision_) {
     if (IsComplete)
-      applyCompleteList(State, entriesOf(Message), Message.Revision_);
+      applyCompleteList(State, entriesOf(Message), Revision);
     else
-      applyServerChanges(State, entriesOf(Message), Message.Revision_);
+      applyServerChanges(State, entriesOf(Message), Revision);
     recordUpdate(State, Follower.Servers_, Message.AgeMs_);
   }
   subscribeToReaders(State);
--- a/src/libcumingauge/control/linktable.h
+++ b/src/libcumingauge/control/linktable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/core.h"
+#include "control/directoryrevision.h"
 #include "model/time.h"
 #include <cstdint>
 #include <deque>
@@ -56,7 +57,7 @@
   std::optional<model::TimePoint> UnwantedSince_;
   /// Revision of the server list that the peer has; set when it has
   /// subscribed to updates.
-  std::optional<std::uint64_t> KnownRevision_;
+  std::optional<DirectoryRevision> KnownRevision_;
   /// Version of the configuration that the peer has.
   std::uint64_t KnownVersion_ = 0;
   /// When this process subscribed to the peer's directory updates.
--- a/src/libcumingauge/control/peermessage.h
+++ b/src/libcumingauge/control/peermessage.h
@@ -111,8 +111,9 @@
   static constexpr const char *Kind = "directoryInterest";
   std::uint64_t Revision_ = 0;
   std::uint64_t Version_ = 0;
+  std::optional<std::uint64_t> Era_; ///< of Revision_; absent: unknown
 };
-BOOST_DESCRIBE_STRUCT(DirectorySubscription, (), (Revision_, Version_))
+BOOST_DESCRIBE_STRUCT(DirectorySubscription, (), (Revision_, Version_, Era_))
 
 /// Changes in the directory. Also sent without changes, to show up to which
 /// revision and how recently the sender has confirmed its data.
@@ -129,10 +130,12 @@
   std::optional<model::Preset> Preset_;
   /// True when Servers_ is the whole list; After_ then has no meaning.
   std::optional<bool> Complete_;
+  /// Era of the directory in which After_ and Revision_ count; absent: unknown.
+  std::optional<std::uint64_t> Era_;
 };
 BOOST_DESCRIBE_STRUCT(DirectoryUpdate, (),
                       (After_, Revision_, AgeMs_, Servers_, Version_,
-                       VersionAgeMs_, Preset_, Complete_))
+                       VersionAgeMs_, Preset_, Complete_, Era_))
 
 /// Sent by an operator: requests the status of this process.
 struct StatusRequest {
--- a/src/libcumingauge/control/serverlist.cpp
+++ b/src/libcumingauge/control/serverlist.cpp
@@ -113,9 +113,11 @@
 bool applyServerEntry(CoreState &State, const ports::ServerEntry &Entry,
                       Differences &Found) {
   const bool Changed = updateListed(State, Entry, Found);
-  std::uint64_t &ChangedAt = State.Directory_.ChangedAt_[Entry.Name_];
-  ChangedAt = std::max(ChangedAt, Changed ? State.Directory_.KnownRevision_
-                                          : Entry.Revision_);
+  const DirectoryRevision Known = State.Directory_.KnownRevision_;
+  DirectoryRevision &ChangedAt = State.Directory_.ChangedAt_[Entry.Name_];
+  ChangedAt = std::max(
+      ChangedAt,
+      Changed ? Known : DirectoryRevision{Known.Era_, Entry.Revision_});
   return Changed;
 }
 
@@ -162,7 +164,7 @@
   recordDifferences(State, Found);
 }
 
-void advanceKnownRevision(CoreState &State, std::uint64_t Revision) {
+void advanceKnownRevision(CoreState &State, DirectoryRevision Revision) {
   DirectoryFollower &Follower = State.Directory_;
   Follower.KnownRevision_ = std::max(Follower.KnownRevision_, Revision);
 }
--- a/src/libcumingauge/control/serverlist.h
+++ b/src/libcumingauge/control/serverlist.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/directoryrevision.h"
 #include "ports/directory.h"
 #include <cstdint>
 #include <map>
@@ -36,7 +37,7 @@
 bool addServerPage(CoreState &State, const ports::DirectoryResponse &Response);
 
 /// Records that all changes up to a revision are known.
-void advanceKnownRevision(CoreState &State, std::uint64_t Revision);
+void advanceKnownRevision(CoreState &State, DirectoryRevision Revision);
 
 /// Returns whether an outage of the directory has just ended, so that missing
 /// servers may still register again.
