Read the directory as a whole once its era has risen

Callers would see: a server that leaves right after a short restore goes on getting calls. Cause: what was read before the restore was continued after it. A watch from a revision that the store has given out again gets no 410 and misses what lies below; a watch that the store had not cut went on, and pings confirmed it; the pages of one list were joined over the restore; and a reader that had not noticed the restore confirmed the old list to processes that had. Change: the first response or peer update of a newer era ends every watch and every list in parts, and both topics are read as a whole. Responses of an older era count as failed, updates of one confirm nothing.

--- a/src/libcumingauge/control/directoryera.cpp
+++ b/src/libcumingauge/control/directoryera.cpp
@@ -12,15 +12,49 @@
 constexpr model::seconds OlderEraAlarmInterval{60};
 
 std::string describeRestore(const CoreState &State,
-                            const ports::DirectoryResponse &Response) {
+                            DirectoryRevision Position) {
   const DirectoryFollower &Follower = State.Directory_;
   const std::string Revision =
-      Response.Revision_ == 0 ? "unknown" : std::to_string(Response.Revision_);
-  return "era " + std::to_string(Response.Era_) + " after " +
+      Position.Number_ == 0 ? "unknown" : std::to_string(Position.Number_);
+  return "era " + std::to_string(Position.Era_) + " after " +
          std::to_string(Follower.Era_.Number_) + "; revision " + Revision +
          " after " + std::to_string(Follower.KnownRevision_.Number_);
 }
 
+/// Returns whether the next call about a topic, or the one in flight, continues
+/// from something that was read before: a revision or a page.
+bool continuesRead(const DirectoryFollower &Follower,
+                   const DirectoryFeed &Feed) {
+  return Feed.Revision_ > 0 ||
+         (&Feed == &Follower.Servers_ && !Follower.NextPage_.empty());
+}
+
+/// Makes the next call about each topic read it as a whole.
+void restartReads(CoreState &State) {
+  DirectoryFollower &Follower = State.Directory_;
+  for (DirectoryFeed *Feed : {&Follower.Configuration_, &Follower.Servers_}) {
+    if (!continuesRead(Follower, *Feed))
+      continue;
+    Feed->Call_ = 0; // the response to a call in flight is ignored
+    Feed->Revision_ = 0;
+    if (Feed->Failures_ == 0)
+      Feed->NextAt_ = State.Now_;
+  }
+  Follower.NextPage_.clear();
+}
+
+/// Makes an era the present one.
+void enterEra(CoreState &State, DirectoryRevision Position) {
+  DirectoryEra &Era = State.Directory_.Era_;
+  if (Era.Number_ > 0) {
+    ++Era.Restores_;
+    record(State, EventKind::StoreRestored, "store", versionOf(State),
+           ResultCode::Ok, describeRestore(State, Position));
+    restartReads(State);
+  }
+  Era.Number_ = Position.Era_;
+}
+
 void recordOlderEra(CoreState &State, std::uint64_t Number) {
   DirectoryEra &Era = State.Directory_.Era_;
   if (!isDue(Era.OlderAt_, OlderEraAlarmInterval, State.Now_))
@@ -38,18 +72,24 @@
   return {State.Directory_.Era_.Number_, Number};
 }
 
-void observeEra(CoreState &State, const ports::DirectoryResponse &Response) {
-  DirectoryEra &Era = State.Directory_.Era_;
-  if (Response.Era_ == 0 || Response.Era_ == Era.Number_)
-    return;
-  if (Response.Era_ < Era.Number_)
-    return recordOlderEra(State, Response.Era_);
-  if (Era.Number_ > 0) {
-    ++Era.Restores_;
-    record(State, EventKind::StoreRestored, "store", versionOf(State),
-           ResultCode::Ok, describeRestore(State, Response));
+bool observeEra(CoreState &State, const ports::DirectoryResponse &Response) {
+  const DirectoryEra &Era = State.Directory_.Era_;
+  if (Response.Era_ == 0)
+    return true;
+  if (Response.Era_ < Era.Number_) {
+    recordOlderEra(State, Response.Era_);
+    return false;
   }
-  Era.Number_ = Response.Era_;
+  if (Response.Era_ > Era.Number_)
+    enterEra(State, {Response.Era_, Response.Revision_});
+  return true;
+}
+
+bool observePeerEra(CoreState &State, DirectoryRevision Position) {
+  const DirectoryEra &Era = State.Directory_.Era_;
+  if (Position.Era_ > Era.Number_)
+    enterEra(State, Position);
+  return Position.Era_ == Era.Number_;
 }
 
 } // namespace cumingauge::control
--- a/src/libcumingauge/control/directoryera.h
+++ b/src/libcumingauge/control/directoryera.h
@@ -21,8 +21,15 @@
 /// Returns a position in the present era.
 DirectoryRevision revisionNow(const CoreState &State, std::uint64_t Number);
 
-/// Records a restore of the directory when a response has a newer era than all
-/// before, and an alarm when it has an older one.
-void observeEra(CoreState &State, const ports::DirectoryResponse &Response);
+/// Handles the era of a response. When it is newer than all before, the
+/// directory was restored: that is recorded, and every topic is read as a whole
+/// again, since revisions of the older era have another meaning now. An older
+/// era is an alarm.
+/// \returns false when the response is of an older era than the present one.
+bool observeEra(CoreState &State, const ports::DirectoryResponse &Response);
+
+/// Handles the position of a peer's update as observeEra does that of a
+/// response, but without an alarm: a peer may notice a restore later.
+bool observePeerEra(CoreState &State, DirectoryRevision Position);
 
 } // namespace cumingauge::control
--- a/src/libcumingauge/control/directoryfollower.cpp
+++ b/src/libcumingauge/control/directoryfollower.cpp
@@ -428,13 +428,13 @@
 void handleDirectoryResponse(CoreState &State, StoreCallId Call,
                              const ports::DirectoryResponse &Response) {
   DirectoryFollower &Follower = State.Directory_;
-  observeEra(State, Response);
+  const bool IsOfPresentEra = observeEra(State, Response);
   for (DirectoryFeed *Feed : {&Follower.Configuration_, &Follower.Servers_,
                               &Follower.Members_, &Follower.Ping_}) {
     if (!isResponseTo(*Feed, Call))
       continue;
     Feed->Call_ = 0;
-    if (Response.Code_ != ResultCode::Ok) {
+    if (Response.Code_ != ResultCode::Ok || !IsOfPresentEra) {
       // A watch that failed may have missed changes, so the next call reads the
       // whole topic.
       Feed->Revision_ = 0;
--- a/src/libcumingauge/control/directorylinks.cpp
+++ b/src/libcumingauge/control/directorylinks.cpp
@@ -296,14 +296,16 @@
     return send(State, From, ownSubscription(State));
   const DirectoryRevision FormerRevision = Follower.KnownRevision_;
   const std::uint64_t FormerVersion = versionOf(State);
-  // A reader with an older version or revision than this process confirms
+  const bool IsOfPresentEra = observePeerEra(State, Revision);
+  // A reader with an older version, revision or era than this process confirms
   // nothing.
   if (Message.Version_ >= versionOf(State)) {
-    recordUpdate(State, Follower.Configuration_, Message.VersionAgeMs_);
+    if (IsOfPresentEra)
+      recordUpdate(State, Follower.Configuration_, Message.VersionAgeMs_);
     if (Message.Preset_)
       applyConfiguration(State, {Message.Version_, *Message.Preset_});
   }
-  if (Revision >= Follower.KnownRevision_) {
+  if (IsOfPresentEra && Revision >= Follower.KnownRevision_) {
     if (IsComplete)
       applyCompleteList(State, entriesOf(Message), Revision);
     else
