Announce the process again after the directory was restored

Callers would see: a fleet that forgets its members two minutes after a restore, so that readers change and retry budgets are shared wrongly. Cause: a process announced itself once and took its entry in the member list to last; an entry that was written in the lost seconds was never written again. Change: when the era rises each process announces itself again, spread over three seconds.

--- a/src/libcumingauge/control/directoryera.cpp
+++ b/src/libcumingauge/control/directoryera.cpp
@@ -10,6 +10,9 @@
 using model::ResultCode;
 
 constexpr model::seconds OlderEraAlarmInterval{60};
+/// Time over which the processes of the fleet announce themselves again after a
+/// restore, so that they do not all write at once.
+constexpr model::milliseconds AnnouncementSpread{3000};
 
 std::string describeRestore(const CoreState &State,
                             DirectoryRevision Position) {
@@ -43,6 +46,16 @@
   Follower.NextPage_.clear();
 }
 
+/// Makes this process announce itself again, as its entry in the member list
+/// may be lost.
+void announceAgain(CoreState &State) {
+  DirectoryFollower &Follower = State.Directory_;
+  const auto Spread = static_cast<std::uint32_t>(AnnouncementSpread.count());
+  Follower.Announced_ = false;
+  Follower.Members_.NextAt_ =
+      State.Now_ + model::milliseconds(State.Random_(Spread));
+}
+
 /// Makes an era the present one.
 void enterEra(CoreState &State, DirectoryRevision Position) {
   DirectoryEra &Era = State.Directory_.Era_;
@@ -51,6 +64,7 @@
     record(State, EventKind::StoreRestored, "store", versionOf(State),
            ResultCode::Ok, describeRestore(State, Position));
     restartReads(State);
+    announceAgain(State);
   }
   Era.Number_ = Position.Era_;
 }
