Keep servers that registered in the lost seconds after a restore

Callers would see: servers that are alive and get no calls for some seconds after a restore. Cause: servers that are missing from a list keep their place for a while only when half of all are missing, as after an outage in which entries expire. A restore loses just those that registered in the lost seconds. Change: a restore counts as an outage that has just ended, so missing servers have time to register again. Those that do not are removed without a new revision, so a reader numbers its changes and sends its peers the ones that they lack by number as well as by revision.

--- a/src/libcumingauge/control/directoryera.cpp
+++ b/src/libcumingauge/control/directoryera.cpp
@@ -65,6 +65,9 @@
            ResultCode::Ok, describeRestore(State, Position));
     restartReads(State);
     announceAgain(State);
+    // Servers that registered in the lost seconds keep their place until they
+    // have had time to register again.
+    State.Directory_.OutageEndedAt_ = State.Now_;
   }
   Era.Number_ = Position.Era_;
 }
--- a/src/libcumingauge/control/directoryfollower.h
+++ b/src/libcumingauge/control/directoryfollower.h
@@ -32,6 +32,14 @@
   std::optional<model::TimePoint> PeerConfirmedAt_;
 };
 
+/// The last known change of a server in the list.
+struct ServerChange {
+  DirectoryRevision Revision_;
+  /// Number of the change in this process. A server that is kept for a while
+  /// after it went missing is removed without a new revision.
+  std::uint64_t Number_ = 0;
+};
+
 /// Follows a directory: reads the configuration and the list of servers, or
 /// gets them from a reader, and then watches both unless readers do. It pauses
 /// after each response, so that many changes cost few calls. The
@@ -56,10 +64,11 @@
   std::vector<model::Member> ListedMembers_;
   DirectoryRevision KnownRevision_; ///< of the server list; never decreases
   /// Revision of the first whole list of the era. Servers that were removed
-  /// before it are missing in ChangedAt_.
+  /// before it are missing in Changes_.
   DirectoryRevision FirstRevision_;
-  /// Revision of the last known change of each server, removed ones included.
-  std::map<std::string, DirectoryRevision> ChangedAt_;
+  /// Last known change of each server, removed ones included.
+  std::map<std::string, ServerChange> Changes_;
+  std::uint64_t LastChange_ = 0; ///< number of the latest of Changes_
   /// When the directory's last outage ended.
   std::optional<model::TimePoint> OutageEndedAt_;
 };
--- a/src/libcumingauge/control/directorylinks.cpp
+++ b/src/libcumingauge/control/directorylinks.cpp
@@ -104,8 +104,8 @@
       Out.Servers_.push_back(changeOf(Follower, Entry.first));
     return Out;
   }
-  for (const auto &[Name, Revision] : Follower.ChangedAt_)
-    if (Revision > Known)
+  for (const auto &[Name, Change] : Follower.Changes_)
+    if (Change.Revision_ > Known || Change.Number_ > To.SentChange_)
       Out.Servers_.push_back(changeOf(Follower, Name));
   return Out;
 }
@@ -117,6 +117,7 @@
   send(State, To, makeUpdate(State, To));
   To.KnownRevision_ = State.Directory_.KnownRevision_;
   To.KnownVersion_ = versionOf(State);
+  To.SentChange_ = State.Directory_.LastChange_;
 }
 
 bool isListRead(const CoreState &State) {
@@ -277,6 +278,7 @@
   From.KnownRevision_ =
       DirectoryRevision{Message.Era_.value_or(0), Message.Revision_};
   From.KnownVersion_ = Message.Version_;
+  From.SentChange_ = State.Directory_.LastChange_;
   if (isListRead(State))
     sendUpdate(State, From);
 }
--- a/src/libcumingauge/control/linktable.h
+++ b/src/libcumingauge/control/linktable.h
@@ -58,6 +58,8 @@
   /// Revision of the server list that the peer has; set when it has
   /// subscribed to updates.
   std::optional<DirectoryRevision> KnownRevision_;
+  /// Number of the last change of a server that the peer has from this process.
+  std::uint64_t SentChange_ = 0;
   /// Version of the configuration that the peer has.
   std::uint64_t KnownVersion_ = 0;
   /// When this process subscribed to the peer's directory updates.
--- a/src/libcumingauge/control/serverlist.cpp
+++ b/src/libcumingauge/control/serverlist.cpp
@@ -114,10 +114,12 @@
                       Differences &Found) {
   const bool Changed = updateListed(State, Entry, Found);
   const DirectoryRevision Known = State.Directory_.KnownRevision_;
-  DirectoryRevision &ChangedAt = State.Directory_.ChangedAt_[Entry.Name_];
-  ChangedAt = std::max(
-      ChangedAt,
-      Changed ? Known : DirectoryRevision{Known.Era_, Entry.Revision_});
+  ServerChange &Last = State.Directory_.Changes_[Entry.Name_];
+  const DirectoryRevision At =
+      Changed ? Known : DirectoryRevision{Known.Era_, Entry.Revision_};
+  Last.Revision_ = std::max(Last.Revision_, At);
+  if (Changed)
+    Last.Number_ = ++State.Directory_.LastChange_;
   return Changed;
 }
 
