Give no work to servers that left before the directory was restored

Callers would see: calls sent to servers that are leaving or gone, some seconds after it was confirmed. Cause: a process took the state of a server from the list alone. A copy that is some seconds old says ready for a server that has said since that it leaves, and lists one that is gone. After a restore one that was leaving stays so, and one that was removed gets no work until it has written its entry again or its entry in the copy has had time to expire.

--- a/src/libcumingauge/control/directoryera.cpp
+++ b/src/libcumingauge/control/directoryera.cpp
@@ -63,6 +63,8 @@
     ++Era.Restores_;
     record(State, EventKind::StoreRestored, "store", versionOf(State),
            ResultCode::Ok, describeRestore(State, Position));
+    Era.RestoredAt_ = State.Now_;
+    State.Directory_.Departures_.HoldsRemoved_ = true;
     restartReads(State);
     announceAgain(State);
     // Servers that registered in the lost seconds keep their place until they
--- a/src/libcumingauge/control/directoryera.h
+++ b/src/libcumingauge/control/directoryera.h
@@ -14,6 +14,7 @@
 struct DirectoryEra {
   std::uint64_t Number_ = 0;   ///< highest one seen; 0: unknown
   std::uint64_t Restores_ = 0; ///< rises of Number_ since the process start
+  std::optional<model::TimePoint> RestoredAt_; ///< when Number_ last rose
   /// Time of the last alarm about a response of an older era.
   std::optional<model::TimePoint> OlderAt_;
 };
--- a/src/libcumingauge/control/directoryfollower.cpp
+++ b/src/libcumingauge/control/directoryfollower.cpp
@@ -108,7 +108,7 @@
   Next.LeavingVms_.clear();
   for (const auto &[Name, Listed] : State.Directory_.Listed_) {
     Next.Servers_[Name] = Listed.Server_;
-    if (Listed.Leaving_)
+    if (Listed.Leaving_ || isDeparted(State, Listed))
       Next.LeavingVms_[Name] = Listed.Server_.Vm_;
   }
   State.Log_.State_ =
@@ -378,6 +378,8 @@
   dropOverdueCall(State, Follower.Servers_, WatchWait);
   dropOverdueCall(State, Follower.Members_, model::Duration::zero());
   dropOverdueCall(State, Follower.Ping_, model::Duration::zero());
+  if (expireDepartures(State))
+    rebuildState(State, *State.Log_.State_);
   followMembers(State);
   maintainDirectoryLinks(State);
   followConfiguration(State);
--- a/src/libcumingauge/control/directoryfollower.h
+++ b/src/libcumingauge/control/directoryfollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/core.h"
+#include "control/departures.h"
 #include "control/directoryera.h"
 #include "control/directoryrevision.h"
 #include "model/time.h"
@@ -59,8 +60,9 @@
   std::uint64_t PagesRevision_ = 0;
   model::TimePoint PagesRequestedAt_; ///< when the first page was requested
   std::string NextPage_;
-  /// Backend servers by name.
+  /// Backend servers by name, as the directory lists them.
   std::map<std::string, ports::ListedServer> Listed_;
+  DepartureTable Departures_;
   std::vector<model::Member> ListedMembers_;
   DirectoryRevision KnownRevision_; ///< of the server list; never decreases
   /// Revision of the first whole list of the era. Servers that were removed
--- a/src/libcumingauge/control/serverlist.cpp
+++ b/src/libcumingauge/control/serverlist.cpp
@@ -96,9 +96,11 @@
     if (Known == Listed.end())
       return false;
     addDifference(Found, &Known->second, nullptr);
+    recordRemoval(State, Known->second);
     Listed.erase(Known);
     return true;
   }
+  recordListing(State, *Entry.Listed_);
   if (Known != Listed.end() && isSameListing(Known->second, *Entry.Listed_))
     return false;
   addDifference(Found, Known == Listed.end() ? nullptr : &Known->second,
@@ -139,8 +141,11 @@
                         const std::vector<ports::ServerEntry> &Entries) {
   Differences Found;
   bool Changed = false;
-  for (const ports::ServerEntry &Entry : Entries)
+  for (const ports::ServerEntry &Entry : Entries) {
+    if (Entry.Listed_)
+      recordRenewal(State, *Entry.Listed_);
     Changed = applyServerEntry(State, Entry, Found) || Changed;
+  }
   recordDifferences(State, Found);
   return Changed;
 }
--- a/tests/control/directoryrestoretest.cpp
+++ b/tests/control/directoryrestoretest.cpp
@@ -66,6 +66,7 @@
   CPPUNIT_TEST(aServerKnownAsGoneIsNotUsedAgainWhenTheOldCopyListsIt);
   CPPUNIT_TEST(aServerThatRegistersAgainAfterItWasGoneIsUsedAgain);
   CPPUNIT_TEST(aNewStartOfALeavingServerIsUsedAfterTheRestore);
+  CPPUNIT_TEST(aServerThatWasMissingForAMomentBeforeIsNotHeldBack);
   CPPUNIT_TEST(aServerRegisteredInTheLostSecondsKeepsItsPlace);
   CPPUNIT_TEST(aServerThatDoesNotRegisterAgainLosesItsPlace);
   CPPUNIT_TEST(aProcessAnnouncesItselfAgainWhenItsEntryIsLost);
@@ -222,6 +223,21 @@
     CPPUNIT_ASSERT_EQUAL(0U, Fleet.countSeeingLeaving("a"));
   }
 
+  /// It was removed and registered again before the copy was taken.
+  void aServerThatWasMissingForAMomentBeforeIsNotHeldBack() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    Fleet.remove("a");
+    Fleet.wait(Bound);
+    Fleet.put(listed("a"));
+    Fleet.wait(Bound);
+    lose(Fleet, [&] { writeMuch(Fleet, 3); });
+    expectAlways(Fleet, SettlingTime, [&] {
+      CPPUNIT_ASSERT_EQUAL(Fleet.size(), Fleet.countListing("a"));
+      CPPUNIT_ASSERT_EQUAL(0U, Fleet.countSeeingLeaving("a"));
+    });
+  }
+
   void aServerRegisteredInTheLostSecondsKeepsItsPlace() {
     DirectoryFleet Fleet(ThreeZones);
     settle(Fleet);
