Take the first state from peers when a process without readers starts

Callers would see: a process that starts after a restore handles calls by a configuration that is older than the one in force. Cause: a process that has no reader, such as a fleet reader itself or any one in a small availability zone, read the directory alone at its start, and the copy has the older version until the operator writes again. Change: when the fleet has run before, such a process asks two members for its first state, as others ask their readers; it reads the directory if none answers within the usual wait. The links are closed once the state is there.

--- a/src/libcumingauge/control/directoryfollower.h
+++ b/src/libcumingauge/control/directoryfollower.h
@@ -55,6 +55,8 @@
   bool IsAway_ = false; ///< calls have failed, and no ping has succeeded since
   DirectoryEra Era_;
   bool Announced_ = false; ///< this process is in the member list
+  /// Links may be open to peers that are asked only when this process starts.
+  bool HasStartLinks_ = false;
   /// Pages received so far by the read in flight.
   std::map<std::string, ports::ServerEntry> Pages_;
   std::uint64_t PagesRevision_ = 0;
--- a/src/libcumingauge/control/directorylinks.cpp
+++ b/src/libcumingauge/control/directorylinks.cpp
@@ -61,13 +61,23 @@
           .count());
 }
 
+bool isListRead(const CoreState &State) {
+  return State.Directory_.Servers_.Read_ &&
+         State.Directory_.Configuration_.Read_;
+}
+
 /// Returns the readers to keep links to.
 MemberRefs wantedReaders(const CoreState &State) {
-  return chooseReaders(State.Directory_.ListedMembers_, State.Settings_.Self_,
-                       [&](const Member &Value) {
-                         return findLinkTo(State.Links_, Value.Process_) ||
-                                !isAddressAvoided(State, addressOf(Value));
-                       });
+  const auto IsReachable = [&](const Member &Value) {
+    return findLinkTo(State.Links_, Value.Process_) ||
+           !isAddressAvoided(State, addressOf(Value));
+  };
+  const std::vector<Member> &Members = State.Directory_.ListedMembers_;
+  const Member &Self = State.Settings_.Self_;
+  MemberRefs Readers = chooseReaders(Members, Self, IsReachable);
+  if (!Readers.empty() || isListRead(State) || State.Settings_.IsFirstStart_)
+    return Readers;
+  return chooseStartPeers(Members, Self, IsReachable);
 }
 
 ServerListChange changeOf(const DirectoryFollower &Follower,
@@ -120,11 +130,6 @@
   To.SentChange_ = State.Directory_.LastChange_;
 }
 
-bool isListRead(const CoreState &State) {
-  return State.Directory_.Servers_.Read_ &&
-         State.Directory_.Configuration_.Read_;
-}
-
 DirectorySubscription ownSubscription(const CoreState &State) {
   const DirectoryRevision Known = State.Directory_.KnownRevision_;
   return {Known.Number_, versionOf(State), Known.Era_};
@@ -187,12 +192,30 @@
   }
 }
 
+/// Closes the links to peers that have given this process its first state and
+/// are no readers of it.
+void closeStartLinks(CoreState &State) {
+  if (!isListRead(State) ||
+      !std::exchange(State.Directory_.HasStartLinks_, false))
+    return;
+  const MemberRefs Wanted = wantedReaders(State);
+  std::vector<LinkId> Unwanted;
+  for (const auto &[Id, Value] : State.Links_.Links_)
+    if (Value.Outbound_ && !Value.Operator_ &&
+        !contains(Wanted, Value.Peer_.Process_))
+      Unwanted.push_back(Id);
+  for (const LinkId Id : Unwanted)
+    closeLink(State, Id, model::ResultCode::Ok);
+}
+
 void openReaderLinks(CoreState &State) {
+  closeStartLinks(State);
   if (State.Now_ < State.Links_.NextChoice_)
     return;
   State.Links_.NextChoice_ = State.Now_ + ChoicePeriod;
   dropExpiredAttempts(State);
   const MemberRefs Wanted = wantedReaders(State);
+  State.Directory_.HasStartLinks_ = !isListRead(State);
   for (const Member *Reader : Wanted)
     if (!findLinkTo(State.Links_, Reader->Process_))
       openLink(State, addressOf(*Reader));
--- a/src/libcumingauge/control/readerchoice.cpp
+++ b/src/libcumingauge/control/readerchoice.cpp
@@ -24,6 +24,8 @@
 constexpr double FastLinkRatio = 4;
 /// Readers that one process subscribes to, so that one may fail.
 constexpr std::size_t ReadersPerMember = 2;
+/// Members that a starting process without readers asks.
+constexpr std::size_t StartPeers = 2;
 
 /// Orders members by link speed, and members of equal speed by a hash that is
 /// the same in every process.
@@ -54,12 +56,6 @@
                                                      : MembersPerReader));
 }
 
-bool contains(const MemberRefs &Members, const std::string &Process) {
-  return std::any_of(Members.begin(), Members.end(), [&](const Member *Value) {
-    return Value->Process_ == Process;
-  });
-}
-
 /// Returns the first members of a zone, up to its number of readers.
 MemberRefs readersOf(const MemberRefs &Zone) {
   const auto Count =
@@ -116,6 +112,12 @@
 
 } // namespace
 
+bool contains(const MemberRefs &Members, const std::string &Process) {
+  return std::any_of(Members.begin(), Members.end(), [&](const Member *Value) {
+    return Value->Process_ == Process;
+  });
+}
+
 std::vector<const Member *>
 chooseReaders(const std::vector<Member> &Members, const Member &Self,
               const ReachablePredicate &IsReachable) {
@@ -131,4 +133,16 @@
   return Fleet;
 }
 
+std::vector<const Member *>
+chooseStartPeers(const std::vector<Member> &Members, const Member &Self,
+                 const ReachablePredicate &IsReachable) {
+  MemberRefs Out;
+  for (const Member &Value : Members)
+    if (Value.Process_ != Self.Process_ && IsReachable(Value))
+      Out.push_back(&Value);
+  std::sort(Out.begin(), Out.end(), ranksBefore);
+  Out.resize(std::min(Out.size(), StartPeers));
+  return Out;
+}
+
 } // namespace cumingauge::control
--- a/src/libcumingauge/control/readerchoice.h
+++ b/src/libcumingauge/control/readerchoice.h
@@ -22,4 +22,16 @@
 chooseReaders(const std::vector<model::Member> &Members,
               const model::Member &Self, const ReachablePredicate &IsReachable);
 
+/// Returns whether a process is among the members.
+bool contains(const std::vector<const model::Member *> &Members,
+              const std::string &Process);
+
+/// Returns the members from which a process that has no reader takes its first
+/// state when it starts, if the fleet has run before. The directory alone may
+/// have been restored from a copy that is older than what the fleet knows.
+std::vector<const model::Member *>
+chooseStartPeers(const std::vector<model::Member> &Members,
+                 const model::Member &Self,
+                 const ReachablePredicate &IsReachable);
+
 } // namespace cumingauge::control
