--- a/src/libcumingauge/control/directoryfollower.h
+++ b/src/libcumingauge/control/directoryfollower.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include "control/core.h"
+#include "control/departures.h"
+#include "control/directoryera.h"
+#include "control/directoryrevision.h"
 #include "model/time.h"
 #include "ports/directory.h"
 #include <cstdint>
@@ -30,6 +33,14 @@
   std::optional<model::TimePoint> PeerConfirmedAt_;
 };
 
+/// The last known change of a server in the list.
+struct ServerChange {
+  DirectoryRevision Revision_;
+  /// Number of the change in this process. A server that is kept for a while
+  /// after it went missing is removed without a new revision.
+  std::uint64_t Number_ = 0;
+};
+
 /// Follows a directory: reads the configuration and the list of servers, or
 /// gets them from a reader, and then watches both unless readers do. It pauses
 /// after each response, so that many changes cost few calls. The
@@ -42,21 +53,26 @@
   DirectoryFeed Members_;
   DirectoryFeed Ping_;  ///< pings by a reader, or while the directory is away
   bool IsAway_ = false; ///< calls have failed, and no ping has succeeded since
+  DirectoryEra Era_;
   bool Announced_ = false; ///< this process is in the member list
+  /// Links may be open to peers that are asked only when this process starts.
+  bool HasStartLinks_ = false;
   /// Pages received so far by the read in flight.
   std::map<std::string, ports::ServerEntry> Pages_;
   std::uint64_t PagesRevision_ = 0;
   model::TimePoint PagesRequestedAt_; ///< when the first page was requested
   std::string NextPage_;
-  /// Backend servers by name.
+  /// Backend servers by name, as the directory lists them.
   std::map<std::string, ports::ListedServer> Listed_;
+  DepartureTable Departures_;
   std::vector<model::Member> ListedMembers_;
-  std::uint64_t KnownRevision_ = 0; ///< of the server list; never decreases
-  /// Revision of the first whole list. Servers that were removed before it are
-  /// missing in ChangedAt_.
-  std::uint64_t FirstRevision_ = 0;
-  /// Revision of the last known change of each server, removed ones included.
-  std::map<std::string, std::uint64_t> ChangedAt_;
+  DirectoryRevision KnownRevision_; ///< of the server list; never decreases
+  /// Revision of the first whole list of the era. Servers that were removed
+  /// before it are missing in Changes_.
+  DirectoryRevision FirstRevision_;
+  /// Last known change of each server, removed ones included.
+  std::map<std::string, ServerChange> Changes_;
+  std::uint64_t LastChange_ = 0; ///< number of the latest of Changes_
   /// When the directory's last outage ended.
   std::optional<model::TimePoint> OutageEndedAt_;
 };
@@ -71,13 +87,13 @@
 /// Applies changes of servers that a call or a peer has reported.
 void applyServerChanges(CoreState &State,
                         const std::vector<ports::ServerEntry> &Entries,
-                        std::uint64_t Revision);
+                        DirectoryRevision Revision);
 
 /// Applies a whole list of servers that a peer has sent; servers that it does
 /// not name are removed.
 void applyCompleteList(CoreState &State,
                        const std::vector<ports::ServerEntry> &Entries,
-                       std::uint64_t Revision);
+                       DirectoryRevision Revision);
 
 /// Applies a configuration that a call or a peer has reported. An older version
 /// than the one in use is ignored with an alarm.
--- a/src/libcumingauge/control/directorylinks.cpp
+++ b/src/libcumingauge/control/directorylinks.cpp
@@ -61,13 +61,23 @@
           .count());
 }
 
+bool isListRead(const CoreState &State) {
+  return State.Directory_.Servers_.Read_ &&
+         State.Directory_.Configuration_.Read_;
+}
+
 /// Returns the readers to keep links to.
 MemberRefs wantedReaders(const CoreState &State) {
-  return chooseReaders(State.Directory_.ListedMembers_, State.Settings_.Self_,
-                       [&](const Member &Value) {
-                         return findLinkTo(State.Links_, Value.Process_) ||
-                                !isAddressAvoided(State, addressOf(Value));
-                       });
+  const auto IsReachable = [&](const Member &Value) {
+    return findLinkTo(State.Links_, Value.Process_) ||
+           !isAddressAvoided(State, addressOf(Value));
+  };
+  const std::vector<Member> &Members = State.Directory_.ListedMembers_;
+  const Member &Self = State.Settings_.Self_;
+  MemberRefs Readers = chooseReaders(Members, Self, IsReachable);
+  if (!Readers.empty() || isListRead(State) || State.Settings_.IsFirstStart_)
+    return Readers;
+  return chooseStartPeers(Members, Self, IsReachable);
 }
 
 ServerListChange changeOf(const DirectoryFollower &Follower,
@@ -83,26 +93,29 @@
 
 DirectoryUpdate makeUpdate(const CoreState &State, const Link &To) {
   const DirectoryFollower &Follower = State.Directory_;
-  const std::uint64_t Known = *To.KnownRevision_;
+  const DirectoryRevision Known = *To.KnownRevision_;
   DirectoryUpdate Out;
-  Out.After_ = Known;
-  Out.Revision_ = Follower.KnownRevision_;
+  Out.After_ = Known.Number_;
+  Out.Era_ = Follower.KnownRevision_.Era_;
+  Out.Revision_ = Follower.KnownRevision_.Number_;
   Out.AgeMs_ = ageMs(State, Follower.Servers_);
   Out.Version_ = versionOf(State);
   Out.VersionAgeMs_ = ageMs(State, Follower.Configuration_);
   if (const model::Preset *Preset = model::presetInForce(*State.Log_.State_);
       Preset && Out.Version_ > To.KnownVersion_)
     Out.Preset_ = *Preset;
-  // Removals before the first list that this process has are unknown here, so
-  // a peer that knows only an older revision gets the whole list.
-  if (Known < Follower.FirstRevision_) {
+  // Removals before the first list that this process has are unknown here, and
+  // what the directory lost with an older era has no revision. So a peer that
+  // knows only an older revision or era gets the whole list.
+  if (Known < Follower.FirstRevision_ ||
+      Known.Era_ < Follower.KnownRevision_.Era_) {
     Out.Complete_ = true;
     for (const auto &Entry : Follower.Listed_)
       Out.Servers_.push_back(changeOf(Follower, Entry.first));
     return Out;
   }
-  for (const auto &[Name, Revision] : Follower.ChangedAt_)
-    if (Revision > Known)
+  for (const auto &[Name, Change] : Follower.Changes_)
+    if (Change.Revision_ > Known || Change.Number_ > To.SentChange_)
       Out.Servers_.push_back(changeOf(Follower, Name));
   return Out;
 }
@@ -114,15 +127,12 @@
   send(State, To, makeUpdate(State, To));
   To.KnownRevision_ = State.Directory_.KnownRevision_;
   To.KnownVersion_ = versionOf(State);
-}
-
-bool isListRead(const CoreState &State) {
-  return State.Directory_.Servers_.Read_ &&
-         State.Directory_.Configuration_.Read_;
+  To.SentChange_ = State.Directory_.LastChange_;
 }
 
 DirectorySubscription ownSubscription(const CoreState &State) {
-  return {State.Directory_.KnownRevision_, versionOf(State)};
+  const DirectoryRevision Known = State.Directory_.KnownRevision_;
+  return {Known.Number_, versionOf(State), Known.Era_};
 }
 
 std::vector<ports::ServerEntry> entriesOf(const DirectoryUpdate &Message) {
@@ -182,12 +192,30 @@
   }
 }
 
+/// Closes the links to peers that have given this process its first state and
+/// are no readers of it.
+void closeStartLinks(CoreState &State) {
+  if (!isListRead(State) ||
+      !std::exchange(State.Directory_.HasStartLinks_, false))
+    return;
+  const MemberRefs Wanted = wantedReaders(State);
+  std::vector<LinkId> Unwanted;
+  for (const auto &[Id, Value] : State.Links_.Links_)
+    if (Value.Outbound_ && !Value.Operator_ &&
+        !contains(Wanted, Value.Peer_.Process_))
+      Unwanted.push_back(Id);
+  for (const LinkId Id : Unwanted)
+    closeLink(State, Id, model::ResultCode::Ok);
+}
+
 void openReaderLinks(CoreState &State) {
+  closeStartLinks(State);
   if (State.Now_ < State.Links_.NextChoice_)
     return;
   State.Links_.NextChoice_ = State.Now_ + ChoicePeriod;
   dropExpiredAttempts(State);
   const MemberRefs Wanted = wantedReaders(State);
+  State.Directory_.HasStartLinks_ = !isListRead(State);
   for (const Member *Reader : Wanted)
     if (!findLinkTo(State.Links_, Reader->Process_))
       openLink(State, addressOf(*Reader));
@@ -270,8 +298,10 @@
                                  const DirectorySubscription &Message) {
   if (!isReader(State))
     callNowAsReader(State);
-  From.KnownRevision_ = Message.Revision_;
+  From.KnownRevision_ =
+      DirectoryRevision{Message.Era_.value_or(0), Message.Revision_};
   From.KnownVersion_ = Message.Version_;
+  From.SentChange_ = State.Directory_.LastChange_;
   if (isListRead(State))
     sendUpdate(State, From);
 }
@@ -280,27 +310,31 @@
                            const DirectoryUpdate &Message) {
   DirectoryFollower &Follower = State.Directory_;
   const bool IsComplete = Message.Complete_.value_or(false);
-  const bool LacksChanges =
-      !IsComplete &&
-      (Message.After_ > Follower.KnownRevision_ || !Follower.Servers_.Read_);
+  const std::uint64_t Era = Message.Era_.value_or(0);
+  const DirectoryRevision After{Era, Message.After_};
+  const DirectoryRevision Revision{Era, Message.Revision_};
+  const bool LacksChanges = !IsComplete && (After > Follower.KnownRevision_ ||
+                                            !Follower.Servers_.Read_);
   const bool LacksPreset =
       Message.Version_ > versionOf(State) && !Message.Preset_;
   if (LacksChanges || LacksPreset)
     return send(State, From, ownSubscription(State));
-  const std::uint64_t FormerRevision = Follower.KnownRevision_;
+  const DirectoryRevision FormerRevision = Follower.KnownRevision_;
   const std::uint64_t FormerVersion = versionOf(State);
-  // A reader with an older version or revision than this process confirms
+  const bool IsOfPresentEra = observePeerEra(State, Revision);
+  // A reader with an older version, revision or era than this process confirms
   // nothing.
   if (Message.Version_ >= versionOf(State)) {
-    recordUpdate(State, Follower.Configuration_, Message.VersionAgeMs_);
+    if (IsOfPresentEra)
+      recordUpdate(State, Follower.Configuration_, Message.VersionAgeMs_);
     if (Message.Preset_)
       applyConfiguration(State, {Message.Version_, *Message.Preset_});
   }
-  if (Message.Revision_ >= Follower.KnownRevision_) {
+  if (IsOfPresentEra && Revision >= Follower.KnownRevision_) {
     if (IsComplete)
-      applyCompleteList(State, entriesOf(Message), Message.Revision_);
+      applyCompleteList(State, entriesOf(Message), Revision);
     else
-      applyServerChanges(State, entriesOf(Message), Message.Revision_);
+      applyServerChanges(State, entriesOf(Message), Revision);
     recordUpdate(State, Follower.Servers_, Message.AgeMs_);
   }
   subscribeToReaders(State);
--- a/src/libcumingauge/control/serverlist.cpp
+++ b/src/libcumingauge/control/serverlist.cpp
@@ -96,9 +96,11 @@
     if (Known == Listed.end())
       return false;
     addDifference(Found, &Known->second, nullptr);
+    recordRemoval(State, Known->second);
     Listed.erase(Known);
     return true;
   }
+  recordListing(State, *Entry.Listed_);
   if (Known != Listed.end() && isSameListing(Known->second, *Entry.Listed_))
     return false;
   addDifference(Found, Known == Listed.end() ? nullptr : &Known->second,
@@ -113,9 +115,13 @@
 bool applyServerEntry(CoreState &State, const ports::ServerEntry &Entry,
                       Differences &Found) {
   const bool Changed = updateListed(State, Entry, Found);
-  std::uint64_t &ChangedAt = State.Directory_.ChangedAt_[Entry.Name_];
-  ChangedAt = std::max(ChangedAt, Changed ? State.Directory_.KnownRevision_
-                                          : Entry.Revision_);
+  const DirectoryRevision Known = State.Directory_.KnownRevision_;
+  ServerChange &Last = State.Directory_.Changes_[Entry.Name_];
+  const DirectoryRevision At =
+      Changed ? Known : DirectoryRevision{Known.Era_, Entry.Revision_};
+  Last.Revision_ = std::max(Last.Revision_, At);
+  if (Changed)
+    Last.Number_ = ++State.Directory_.LastChange_;
   return Changed;
 }
 
@@ -135,8 +141,11 @@
                         const std::vector<ports::ServerEntry> &Entries) {
   Differences Found;
   bool Changed = false;
-  for (const ports::ServerEntry &Entry : Entries)
+  for (const ports::ServerEntry &Entry : Entries) {
+    if (Entry.Listed_)
+      recordRenewal(State, *Entry.Listed_);
     Changed = applyServerEntry(State, Entry, Found) || Changed;
+  }
   recordDifferences(State, Found);
   return Changed;
 }
@@ -162,7 +171,7 @@
   recordDifferences(State, Found);
 }
 
-void advanceKnownRevision(CoreState &State, std::uint64_t Revision) {
+void advanceKnownRevision(CoreState &State, DirectoryRevision Revision) {
   DirectoryFollower &Follower = State.Directory_;
   Follower.KnownRevision_ = std::max(Follower.KnownRevision_, Revision);
 }
