Keep body pieces that arrive while another piece is written

Callers that pipeline requests got a long answer with 65536 bytes missing. The next answer on the connection was then read as part of its body, and the caller waited until the connection was closed as idle.

When it becomes a buffered answer's turn, its first piece is written while the rest still arrives from the backend server. The session kept only one piece, so the next one replaced the piece in progress, and was dropped when that had been written. The bytes in progress also lost their owner, and a chunk's tail was changed while it was written.

The session now holds the write in progress apart from the next write. By reading, this also covers an answer that starts while "100 Continue" is still being written; no run showed that case.

PipelinedRequests::areBufferedInPartWhenTheirAnswersAreLong now tells how the answer differs. The new test makes both answers arrive at once.

--- a/src/libcumingauge/adapters/callerchannel.h
+++ b/src/libcumingauge/adapters/callerchannel.h
@@ -28,7 +28,8 @@
   /// of its body.
   virtual void forwardHead(const traffic::AnswerHead &Head) = 0;
 
-  /// Sends a piece of the answer's body.
+  /// Sends a piece of the answer's body. One further piece may follow before
+  /// \p Done is called.
   /// \param Bytes valid until \p Done is called, unless they are copied.
   /// \param Last whether the piece ends the body.
   /// \returns true when the piece was copied and \p Done will not be called;
--- a/src/libcumingauge/adapters/httpcalleranswers.cpp
+++ b/src/libcumingauge/adapters/httpcalleranswers.cpp
@@ -173,10 +173,14 @@
   WriteInProgress_ = true;
   WriteBuffer_.swap(Outgoing_);
   Outgoing_.clear();
+  WriteTail_.swap(Tail_);
+  Tail_.clear();
+  WriteDone_ = std::exchange(PieceDone_, nullptr);
   setTimeout(Worker_.limits().WriteTimeout_);
   const std::array<boost::asio::const_buffer, 3> Buffers = {
-      boost::asio::buffer(WriteBuffer_), boost::asio::buffer(Piece_),
-      boost::asio::buffer(Tail_)};
+      boost::asio::buffer(WriteBuffer_),
+      boost::asio::buffer(std::exchange(Piece_, {})),
+      boost::asio::buffer(WriteTail_)};
   boost::asio::async_write(
       Socket_, Buffers,
       [Self = shared_from_this()](error_code Error, std::size_t) {
@@ -186,18 +190,15 @@
 
 void HttpCallerSession::onWritten(error_code Error) {
   WriteInProgress_ = false;
-  Piece_ = {};
   if (Phase_ == Phase::Closed)
     return;
   if (Error)
     return close();
   if (Phase_ == Phase::Call)
     TimeoutAt_ = model::TimePoint::max();
-  const auto Done = std::move(PieceDone_);
-  PieceDone_ = nullptr;
-  if (Done)
+  if (const auto Done = std::exchange(WriteDone_, nullptr))
     Done();
-  if (!WriteInProgress_ && !Outgoing_.empty())
+  if (!WriteInProgress_ && hasOutput())
     return write();
   finishAnswer();
 }
@@ -272,6 +273,7 @@
   Socket_.close(Ignored);
   PieceHandler_ = nullptr;
   PieceDone_ = nullptr;
+  WriteDone_ = nullptr;
   const auto Call = std::move(Call_);
   Call_ = nullptr;
   if (Call)
--- a/src/libcumingauge/adapters/httpcallersession.h
+++ b/src/libcumingauge/adapters/httpcallersession.h
@@ -87,6 +87,7 @@
   void refuseRequest(model::ResultCode Code);
   void refuseStreamedRequest(model::ResultCode Code);
   void write();
+  bool hasOutput() const { return !Outgoing_.empty() || PieceDone_; }
   void onWritten(boost::system::error_code Error);
   void finishAnswer();
   void nextRequest();
@@ -119,11 +120,15 @@
   std::uint64_t MaxBodyBytes_ = 0;
   /// Handler of the call that waits for the next piece of the body.
   PieceHandler PieceHandler_;
-  std::string Outgoing_;            ///< bytes for the next write
-  std::string WriteBuffer_;         ///< bytes of the write in progress
-  std::string_view Piece_;          ///< body bytes that follow WriteBuffer_
+  // The next write. The next piece may arrive while a write is in progress.
+  std::string Outgoing_;            ///< bytes that precede Piece_
+  std::string_view Piece_;          ///< body bytes
   std::string Tail_;                ///< bytes that follow Piece_
   std::function<void()> PieceDone_; ///< called when Piece_ has been written
+  // The write in progress.
+  std::string WriteBuffer_;         ///< bytes that precede the piece
+  std::string WriteTail_;           ///< bytes that follow the piece
+  std::function<void()> WriteDone_; ///< called when the piece has been written
   bool ReadInProgress_ = false;
   bool WriteInProgress_ = false;
   bool Advancing_ = false;
--- a/tests/http/frontend.cpp
+++ b/tests/http/frontend.cpp
@@ -51,7 +51,11 @@
   Settings.Zone_ = "milano-a";
   Settings.Dialect_ = Dialect;
   adapters::HttpTraffic::Hooks Hooks;
-  Hooks.IsFresh_ = [this](model::TimePoint) { return Fresh_.load(); };
+  Hooks.IsFresh_ = [this](model::TimePoint) {
+    if (Gate *Until = HeldUntil_.exchange(nullptr))
+      Until->pass();
+    return Fresh_.load();
+  };
   Hooks.ReportObservation_ = [](const control::ServerObservation &) {};
   Hooks.Events_ = [this](model::EventKind Kind, const std::string &,
                          std::uint64_t, model::ResultCode,
--- a/tests/http/frontend.h
+++ b/tests/http/frontend.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/httptraffic.h"
+#include "http/gate.h"
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -40,6 +41,12 @@
   /// Sets whether the view counts as fresh.
   void setFresh(bool Fresh) { Fresh_ = Fresh; }
 
+  /// Blocks the traffic thread that next admits a call until the gate opens.
+  void holdThread(Gate &Until) { HeldUntil_ = &Until; }
+
+  /// Returns whether holdThread() has taken effect.
+  bool isThreadHeld() const { return !HeldUntil_; }
+
   /// Returns the kinds of the events so far, oldest first.
   std::vector<model::EventKind> events() const;
 
@@ -51,6 +58,7 @@
   std::set<std::string> Leaving_;
   std::uint64_t Version_ = 0;
   std::atomic<bool> Fresh_{true};
+  std::atomic<Gate *> HeldUntil_{nullptr};
   mutable std::mutex Mutex_; ///< guards the events
   std::vector<model::EventKind> Events_;
   std::shared_ptr<adapters::HttpTraffic> Traffic_;
--- a/tests/http/pipeliningtest.cpp
+++ b/tests/http/pipeliningtest.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
+#include <sstream>
 
 using namespace cumingauge;
 using namespace cumingauge::test;
@@ -27,6 +28,22 @@
   return request("GET", "/search/" + What);
 }
 
+/// Returns how an answer differs from the expected body.
+std::string describe(const RawCaller::Answer &Got,
+                     const std::string &Expected) {
+  const auto Differs = std::mismatch(Got.Body_.begin(), Got.Body_.end(),
+                                     Expected.begin(), Expected.end());
+  const std::size_t Same =
+      static_cast<std::size_t>(Differs.first - Got.Body_.begin());
+  std::ostringstream Out;
+  Out << "status " << Got.Status_ << ", result code " << Got.ResultCode_
+      << (Got.Whole_ ? ", whole" : ", not whole")
+      << (Got.Closed_ ? ", closed" : "") << ", " << Got.Body_.size() << " of "
+      << Expected.size() << " bytes, the first " << Same
+      << " as expected, followed by \"" << Got.Body_.substr(Same, 300) << "\"";
+  return Out.str();
+}
+
 class PipelinedRequests : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PipelinedRequests);
   CPPUNIT_TEST(runConcurrently);
@@ -34,6 +51,7 @@
   CPPUNIT_TEST(waitForEarlierCallsWhenNotIdempotent);
   CPPUNIT_TEST(areRefusedInOrder);
   CPPUNIT_TEST(areBufferedInPartWhenTheirAnswersAreLong);
+  CPPUNIT_TEST(loseNoPieceOfAnAnswerThatArrivesWhileItsFirstPieceIsWritten);
   CPPUNIT_TEST(areCancelledWhenTheCallerDisconnects);
   CPPUNIT_TEST(areAllAnsweredBeforeADrainingConnectionCloses);
   CPPUNIT_TEST_SUITE_END();
@@ -126,8 +144,44 @@
         eventually([&] { return countOf(Server, "/search/3") == 1; }));
     First.open();
     CPPUNIT_ASSERT_EQUAL(std::string("short"), Caller.read().Body_);
-    CPPUNIT_ASSERT(Long == Caller.read().Body_);
+    const auto Second = Caller.read();
+    CPPUNIT_ASSERT_MESSAGE(describe(Second, Long), Long == Second.Body_);
+    CPPUNIT_ASSERT_EQUAL(std::string("short"), Caller.read().Body_);
+  }
+
+  void loseNoPieceOfAnAnswerThatArrivesWhileItsFirstPieceIsWritten() {
+    const std::string Long(131072, 'b');
+    Gate First;
+    Gate Second;
+    Gate Arrived;
+    ScriptedServer Server([&](const Request &Seen) {
+      const bool IsFirst = isFor(Seen, "/search/1");
+      (IsFirst ? First : Second).pass();
+      return ScriptedServer::answer(IsFirst ? "short" : Long);
+    });
+    adapters::HttpLimits Limits;
+    Limits.IdleTimeout_ = model::milliseconds(2000); // ends a short answer
+    FrontEnd Front({{"cat-1", Server.port()}}, Limits, 1);
+    RawCaller Caller(Front.port());
+    Caller.send(search("1") + search("2"));
+    CPPUNIT_ASSERT(eventually([&] { return Server.requests().size() == 2; }));
+
+    // The thread finds both answers at once: the second one goes on arriving
+    // when the first one has been written.
+    Front.holdThread(Arrived);
+    RawCaller Other(Front.port());
+    Other.send(search("3"));
+    CPPUNIT_ASSERT(eventually([&] { return Front.isThreadHeld(); }));
+    First.open();
+    CPPUNIT_ASSERT(eventually([&] { return Server.answers() == 1; }));
+    Second.open();
+    CPPUNIT_ASSERT(eventually([&] { return Server.answers() == 2; }));
+    Arrived.open();
+
     CPPUNIT_ASSERT_EQUAL(std::string("short"), Caller.read().Body_);
+    const auto Answer = Caller.read();
+    CPPUNIT_ASSERT_MESSAGE(describe(Answer, Long), Long == Answer.Body_);
+    CPPUNIT_ASSERT_EQUAL(200U, Caller.call(search("4")).Status_);
   }
 
   void areCancelledWhenTheCallerDisconnects() {
--- a/tests/http/scriptedserver.cpp
+++ b/tests/http/scriptedserver.cpp
@@ -82,6 +82,7 @@
       return;
     }
     boost::asio::write(Connection, boost::asio::buffer(Answer), Error);
+    ++Answers_;
     for (std::size_t I = 0; I < TrailingCount_ && !Error; ++I)
       TrailingBytes_ += boost::asio::write(
           Connection, boost::asio::buffer(TrailingPiece_), Error);
--- a/tests/http/scriptedserver.h
+++ b/tests/http/scriptedserver.h
@@ -33,6 +33,9 @@
   unsigned connections() const { return Connections_; }
   std::vector<Request> requests() const;
 
+  /// Returns how many answers have been written so far.
+  unsigned answers() const { return Answers_; }
+
   /// Closes each connection after its next answer from now on.
   void closeAfterAnswer() { CloseAfterAnswer_ = true; }
 
@@ -69,6 +72,7 @@
   std::size_t TrailingCount_ = 0;
   std::atomic<std::size_t> TrailingBytes_{0};
   std::atomic<unsigned> Connections_{0};
+  std::atomic<unsigned> Answers_{0};
   std::atomic<bool> Stopping_{false};
   std::atomic<bool> CloseAfterAnswer_{false};
   std::atomic<unsigned> EndedByPeer_{0};
