Keep a buffered answer's body until it is written

A caller that reads slowly got a broken answer when it had been kept until it was whole (http.keptAnswerBytes) and had more than 16384 bytes.

The body belonged to the call, which ends as soon as the answer is passed on, while the write waits for the caller. The rest was then taken from freed memory.

The handler of the write now owns the body. The other pieces are owned by the connection to the backend server or by the pipelined answer, whose handlers hold them already.

--- a/src/libcumingauge/adapters/httpcall.cpp
+++ b/src/libcumingauge/adapters/httpcall.cpp
@@ -259,8 +259,17 @@
   const auto Connection = attempt(Number).Connection_;
   if (Forwarding_ != Number || !Connection)
     return;
-  Caller_->forwardBody(attempt(Number).KeptAnswer_, /*Last=*/false,
-                       [Connection] { Connection->resume(); });
+  const auto Body = takeKeptAnswer(Number);
+  Caller_->forwardBody(*Body, /*Last=*/false,
+                       [Connection, Body] { Connection->resume(); });
+}
+
+/// Takes over the buffered body, which must outlive the call while it is being
+/// written.
+std::shared_ptr<const std::string>
+HttpCall::takeKeptAnswer(AttemptNumber Number) {
+  return std::make_shared<const std::string>(
+      std::exchange(attempt(Number).KeptAnswer_, {}));
 }
 
 /// Whether the call is tried again after a buffered answer with status 500 or
@@ -283,7 +292,8 @@
   if (Forwarding_ != Number)
     return;
   AnswerForwarded_ = true;
-  Caller_->forwardBody(attempt(Number).KeptAnswer_, /*Last=*/true, [] {});
+  const auto Body = takeKeptAnswer(Number);
+  Caller_->forwardBody(*Body, /*Last=*/true, [Body] {});
 }
 
 void HttpCall::onEnd(AttemptNumber Number) {
--- a/src/libcumingauge/adapters/httpcall.h
+++ b/src/libcumingauge/adapters/httpcall.h
@@ -82,6 +82,8 @@
   void onEnd(traffic::AttemptNumber Number);
   bool canKeepAnswer(const traffic::AnswerHead &Head) const;
   void streamKeptAnswer(traffic::AttemptNumber Number);
+  std::shared_ptr<const std::string>
+  takeKeptAnswer(traffic::AttemptNumber Number);
   bool shouldRetryServerError(const traffic::AnswerHead &Head);
   void finishKeptAnswer(traffic::AttemptNumber Number);
   void onFailure(traffic::AttemptNumber Number, traffic::AttemptState State);
--- a/tests/http/keptanswerstest.cpp
+++ b/tests/http/keptanswerstest.cpp
@@ -47,6 +47,7 @@
   CPPUNIT_TEST(isPassedOnWhenNoRetryIsAllowed);
   CPPUNIT_TEST(isStreamedWhenItExceedsTheLimit);
   CPPUNIT_TEST(isNotRetriedForANonIdempotentCall);
+  CPPUNIT_TEST(isWholeWhenTheCallerReadsItAfterTheCallHasEnded);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -121,6 +122,26 @@
     CPPUNIT_ASSERT_EQUAL(502U, Answer.Status_);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), Server.requests().size());
   }
+
+  void isWholeWhenTheCallerReadsItAfterTheCallHasEnded() {
+    std::string Long;
+    Long.resize(16777216, 'b'); // more than the socket buffers hold
+    ScriptedServer Server([&](const Request &Seen) {
+      return signedAnswer(attemptIdOf(Seen), Long);
+    });
+    adapters::HttpLimits Limits;
+    Limits.KeptAnswerBytes_ = static_cast<unsigned>(Long.size());
+    FrontEnd Front({{"cat-1", Server.port()}}, Limits, 1,
+                   platform::platformDialect());
+    RawCaller Caller(Front.port());
+    Caller.send(search("a"));
+    CPPUNIT_ASSERT(eventually([&] {
+      return Server.answers() == 1 && Front.traffic().stats().InFlight_ == 0;
+    }));
+    const auto Answer = Caller.read();
+    CPPUNIT_ASSERT(Answer.Whole_);
+    CPPUNIT_ASSERT(Long == Answer.Body_);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(KeptAnswer);
 
