Let a closing connection deliver the rest of its answer

A caller that reads slowly lost the end of a whole answer on a connection that closes, as all do while the process stops: after one second the connection was reset, and the kernel dropped what the caller had not yet taken.

The connection is now closed without a reset, and the kernel delivers the rest. A connection whose caller accepts no bytes during the write timeout is still reset, since its answer is not whole.

--- a/src/libcumingauge/adapters/httpcallersession.cpp
+++ b/src/libcumingauge/adapters/httpcallersession.cpp
@@ -348,7 +348,10 @@
 }
 
 void HttpCallerSession::onTimeout() {
-  if (WriteInProgress_ || Phase_ == Phase::Closing)
+  // Without a reset, the kernel goes on sending what it holds of the answers.
+  if (Phase_ == Phase::Closing)
+    return close();
+  if (WriteInProgress_)
     return abortAnswer();
   if (Phase_ == Phase::Head && !Reader_.hasPartialRequest())
     return closeIdle();
--- a/tests/http/forwardingtest.cpp
+++ b/tests/http/forwardingtest.cpp
@@ -11,6 +11,7 @@
   CPPUNIT_TEST_SUITE(ForwardingACall);
   CPPUNIT_TEST(forwardsTheWholeAnswerWithItsResultCode);
   CPPUNIT_TEST(reusesTheConnectionsOfBothSides);
+  CPPUNIT_TEST(losesNothingThatTheCallerReadsAfterTheClose);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -40,6 +41,24 @@
     }
     CPPUNIT_ASSERT_EQUAL(1U, Server.connections());
   }
+
+  void losesNothingThatTheCallerReadsAfterTheClose() {
+    const std::string Long(1048576, 'b');
+    ScriptedServer Server([&](const ScriptedServer::Request &) {
+      return ScriptedServer::answer(Long);
+    });
+    FrontEnd Front({{"cat-1", Server.port()}});
+    const auto CountConnections = [&] {
+      return Front.traffic().stats().CallerConnections_;
+    };
+    RawCaller Caller(Front.port());
+    CPPUNIT_ASSERT(eventually([&] { return CountConnections() == 1; }));
+    Caller.send(request("GET", "/search", "Connection: close\r\n"));
+    CPPUNIT_ASSERT(eventually([&] { return CountConnections() == 0; }));
+    const auto Answer = Caller.read();
+    CPPUNIT_ASSERT(Answer.Whole_);
+    CPPUNIT_ASSERT(Long == Answer.Body_);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(ForwardingACall);
 
