Keep earlier answers when a pipelined one breaks off

A caller that pipelines requests and reads slowly lost the end of a whole answer when the server broke off the answer after it: the connection was reset at once, and the kernel dropped what the caller had not yet taken. The earlier request had been answered with success.

Without its last chunk, or short of Content-Length, an answer shows by itself that it is not whole. So the session now sends what it has, ends its side of the connection and drops the calls that cannot be answered any more. To HTTP/1.0 callers, and when a caller accepts no bytes, it is reset as before.

--- a/src/libcumingauge/adapters/httpcalleranswers.cpp
+++ b/src/libcumingauge/adapters/httpcalleranswers.cpp
@@ -160,11 +160,16 @@
 }
 
 void HttpCallerSession::abortAnswer() {
-  if (Phase_ == Phase::Closed)
+  if (Phase_ != Phase::Call)
     return;
-  error_code Ignored;
-  Socket_.set_option(boost::asio::socket_base::linger(true, 0), Ignored);
-  close();
+  // Without chunks, the answer may end with the connection and would look
+  // whole.
+  if (!ChunksAllowed_)
+    return reset();
+  if (hasOutput())
+    write(); // the head shows that there was an answer
+  lingerClose();
+  dropCalls();
 }
 
 void HttpCallerSession::write() {
@@ -190,13 +195,14 @@
 
 void HttpCallerSession::onWritten(error_code Error) {
   WriteInProgress_ = false;
-  if (Phase_ == Phase::Closed)
+  const auto Done = std::exchange(WriteDone_, nullptr);
+  if (Phase_ == Phase::Closed || Phase_ == Phase::Closing)
     return;
   if (Error)
     return close();
   if (Phase_ == Phase::Call)
     TimeoutAt_ = model::TimePoint::max();
-  if (const auto Done = std::exchange(WriteDone_, nullptr))
+  if (Done)
     Done();
   if (!WriteInProgress_ && hasOutput())
     return write();
@@ -271,16 +277,27 @@
   Timer_.cancel();
   error_code Ignored;
   Socket_.close(Ignored);
+  WriteDone_ = nullptr;
+  dropCalls();
+  Worker_.removeSession(*this);
+}
+
+void HttpCallerSession::reset() {
+  error_code Ignored;
+  Socket_.set_option(boost::asio::socket_base::linger(true, 0), Ignored);
+  close();
+}
+
+/// Ends the calls whose answers cannot be sent any more.
+void HttpCallerSession::dropCalls() {
   PieceHandler_ = nullptr;
   PieceDone_ = nullptr;
-  WriteDone_ = nullptr;
   const auto Call = std::move(Call_);
   Call_ = nullptr;
   if (Call)
     Call->onCallerLeft();
   for (const PipelinedCall &Dropped : std::exchange(PipelinedCalls_, {}))
     Dropped.Answer_->cancel();
-  Worker_.removeSession(*this);
 }
 
 } // namespace cumingauge::adapters
--- a/src/libcumingauge/adapters/httpcallersession.cpp
+++ b/src/libcumingauge/adapters/httpcallersession.cpp
@@ -352,7 +352,7 @@
   if (Phase_ == Phase::Closing)
     return close();
   if (WriteInProgress_)
-    return abortAnswer();
+    return reset();
   if (Phase_ == Phase::Head && !Reader_.hasPartialRequest())
     return closeIdle();
   if (Phase_ == Phase::Head || Phase_ == Phase::KeptBody)
--- a/src/libcumingauge/adapters/httpcallersession.h
+++ b/src/libcumingauge/adapters/httpcallersession.h
@@ -50,7 +50,8 @@
   bool forwardBody(std::string_view Bytes, bool Last,
                    std::function<void()> Done) override;
 
-  /// Resets the connection, so that the caller sees an incomplete transfer.
+  /// Closes the connection, so that the caller sees an incomplete transfer. The
+  /// answers before this one are still delivered.
   void abortAnswer() override;
   void readMoreBody(PieceHandler Handler) override;
   void onCallEnded() override;
@@ -93,7 +94,9 @@
   void nextRequest();
   void lingerClose();
   void closeIdle();
+  void reset();
   void close();
+  void dropCalls();
   void setTimeout(model::milliseconds Timeout);
   void armTimer();
   void onTimerExpired();
--- a/tests/http/pipeliningtest.cpp
+++ b/tests/http/pipeliningtest.cpp
@@ -24,6 +24,10 @@
                     [&](const Request &One) { return isFor(One, Target); }));
 }
 
+std::uint64_t countConnections(FrontEnd &Front) {
+  return Front.traffic().stats().CallerConnections_;
+}
+
 std::string search(const std::string &What) {
   return request("GET", "/search/" + What);
 }
@@ -52,6 +56,7 @@
   CPPUNIT_TEST(areRefusedInOrder);
   CPPUNIT_TEST(areBufferedInPartWhenTheirAnswersAreLong);
   CPPUNIT_TEST(loseNoPieceOfAnAnswerThatArrivesWhileItsFirstPieceIsWritten);
+  CPPUNIT_TEST(keepAnAnswerWhenTheNextOneBreaksOff);
   CPPUNIT_TEST(areCancelledWhenTheCallerDisconnects);
   CPPUNIT_TEST(areAllAnsweredBeforeADrainingConnectionCloses);
   CPPUNIT_TEST_SUITE_END();
@@ -184,6 +189,23 @@
     CPPUNIT_ASSERT_EQUAL(200U, Caller.call(search("4")).Status_);
   }
 
+  void keepAnAnswerWhenTheNextOneBreaksOff() {
+    const std::string Long(1048576, 'b');
+    ScriptedServer Server([&](const Request &Seen) {
+      const std::string Answer = ScriptedServer::answer(Long);
+      return isFor(Seen, "/search/1") ? Answer : Answer.substr(0, 100);
+    });
+    Server.closeAfterAnswer();
+    FrontEnd Front({{"cat-1", Server.port()}}, {}, 1);
+    RawCaller Caller(Front.port());
+    CPPUNIT_ASSERT(eventually([&] { return countConnections(Front) == 1; }));
+    Caller.send(search("1") + search("2"));
+    CPPUNIT_ASSERT(eventually([&] { return countConnections(Front) == 0; }));
+    const auto First = Caller.read();
+    CPPUNIT_ASSERT_MESSAGE(describe(First, Long), Long == First.Body_);
+    CPPUNIT_ASSERT(!Caller.read().Whole_);
+  }
+
   void areCancelledWhenTheCallerDisconnects() {
     Gate End;
     ScriptedServer Server([&](const Request &) {
