--- a/src/libcumingauge/adapters/httpcalleranswers.cpp
+++ b/src/libcumingauge/adapters/httpcalleranswers.cpp
@@ -169,11 +169,16 @@
 }
 
 void HttpCallerSession::abortAnswer() {
-  if (Phase_ == Phase::Closed)
+  if (Phase_ != Phase::Call)
     return;
-  error_code Ignored;
-  Socket_.set_option(boost::asio::socket_base::linger(true, 0), Ignored);
-  close();
+  // Without chunks, the answer may end with the connection and would look
+  // whole.
+  if (!ChunksAllowed_)
+    return reset();
+  if (hasOutput())
+    write(); // the head shows that there was an answer
+  lingerClose();
+  dropCalls();
 }
 
 void HttpCallerSession::write() {
@@ -182,10 +187,14 @@
   WriteInProgress_ = true;
   WriteBuffer_.swap(Outgoing_);
   Outgoing_.clear();
+  WriteTail_.swap(Tail_);
+  Tail_.clear();
+  WriteDone_ = std::exchange(PieceDone_, nullptr);
   setTimeout(Worker_.limits().WriteTimeout_);
   const std::array<boost::asio::const_buffer, 3> Buffers = {
-      boost::asio::buffer(WriteBuffer_), boost::asio::buffer(Piece_),
-      boost::asio::buffer(Tail_)};
+      boost::asio::buffer(WriteBuffer_),
+      boost::asio::buffer(std::exchange(Piece_, {})),
+      boost::asio::buffer(WriteTail_)};
   boost::asio::async_write(
       Socket_, Buffers,
       [Self = shared_from_this()](error_code Error, std::size_t) {
@@ -195,18 +204,16 @@
 
 void HttpCallerSession::onWritten(error_code Error) {
   WriteInProgress_ = false;
-  Piece_ = {};
-  if (Phase_ == Phase::Closed)
+  const auto Done = std::exchange(WriteDone_, nullptr);
+  if (Phase_ == Phase::Closed || Phase_ == Phase::Closing)
     return;
   if (Error)
     return close();
   if (Phase_ == Phase::Call)
     TimeoutAt_ = model::TimePoint::max();
-  const auto Done = std::move(PieceDone_);
-  PieceDone_ = nullptr;
   if (Done)
     Done();
-  if (!WriteInProgress_ && !Outgoing_.empty())
+  if (!WriteInProgress_ && hasOutput())
     return write();
   finishAnswer();
 }
@@ -281,6 +288,19 @@
   Timer_.cancel();
   error_code Ignored;
   Socket_.close(Ignored);
+  WriteDone_ = nullptr;
+  dropCalls();
+  Worker_.removeSession(*this);
+}
+
+void HttpCallerSession::reset() {
+  error_code Ignored;
+  Socket_.set_option(boost::asio::socket_base::linger(true, 0), Ignored);
+  close();
+}
+
+/// Ends the calls whose answers cannot be sent any more.
+void HttpCallerSession::dropCalls() {
   PieceHandler_ = nullptr;
   PieceDone_ = nullptr;
   const auto Call = std::move(Call_);
@@ -289,7 +309,6 @@
     Call->onCallerLeft();
   for (const PipelinedCall &Dropped : std::exchange(PipelinedCalls_, {}))
     Dropped.Answer_->cancel();
-  Worker_.removeSession(*this);
 }
 
 } // namespace cumingauge::adapters
--- a/src/libcumingauge/adapters/httpcallersession.cpp
+++ b/src/libcumingauge/adapters/httpcallersession.cpp
@@ -365,8 +365,11 @@
 }
 
 void HttpCallerSession::onTimeout() {
-  if (WriteInProgress_ || Phase_ == Phase::Closing)
-    return abortAnswer();
+  // Without a reset, the kernel goes on sending what it holds of the answers.
+  if (Phase_ == Phase::Closing)
+    return close();
+  if (WriteInProgress_)
+    return reset();
   if (Phase_ == Phase::Head && !Reader_.hasPartialRequest())
     return closeIdle();
   if (Phase_ == Phase::Head || Phase_ == Phase::KeptBody)
