Handle signals before the process listens

Callers saw: connections that ended without an answer when SIGTERM or SIGHUP came right after a start. Cause: the handlers of both signals were installed only after the process listened, had started its threads and had written its file of ports. Until then the default action of either signal ended the process at once, with the requests that it had accepted; SIGHUP, which only asks for the settings to be read again, did so too. Change: the handlers are installed before the process listens. A signal that comes earlier than the event loop waits for it.

--- a/src/cumingauged/main.cpp
+++ b/src/cumingauged/main.cpp
@@ -84,6 +84,15 @@
                      adapters::LogTarget::StandardOutput);
   boost::asio::io_context Io(1);
   const auto Process = std::make_shared<EntryProcess>(Io, Settings);
+  // Before the process listens: by default, a signal ends it with the requests
+  // that it has accepted.
+  boost::asio::signal_set Hangups(Io, SIGHUP);
+  reloadOnSignal(Hangups, *Process, Args);
+  boost::asio::signal_set Signals(Io, SIGTERM, SIGINT);
+  Signals.async_wait([&](const boost::system::error_code &, int) {
+    adapters::log(adapters::LogLevel::Info, "stopping");
+    Process->drain([&] { Io.stop(); });
+  });
   EntryProcess::Ports Bound;
   try {
     Bound = Process->start();
@@ -101,13 +110,6 @@
     Process->stop();
     return adapters::exitStatus(model::ResultCode::InternalError);
   }
-  boost::asio::signal_set Hangups(Io, SIGHUP);
-  reloadOnSignal(Hangups, *Process, Args);
-  boost::asio::signal_set Signals(Io, SIGTERM, SIGINT);
-  Signals.async_wait([&](const boost::system::error_code &, int) {
-    adapters::log(adapters::LogLevel::Info, "stopping");
-    Process->drain([&] { Io.stop(); });
-  });
   Io.run();
   Process->stop();
   adapters::log(adapters::LogLevel::Info, "stopped");
