Let slow readers receive the whole last answer

Callers saw: an answer that announced the close, as every answer of a stopping process does, and broke off with a reset one second after the process had written its last byte. Cause: the connection is closed by a reset when the caller has not closed it within the linger timeout, and a reset discards what the kernel has not yet delivered. A caller that takes longer than that second for the rest of the answer loses it. Change: after the timeout the connection is closed without a reset, and the kernel delivers the rest, also when the process has ended.

--- a/src/libcumingauge/adapters/httpcallersession.cpp
+++ b/src/libcumingauge/adapters/httpcallersession.cpp
@@ -365,7 +365,10 @@
 }
 
 void HttpCallerSession::onTimeout() {
-  if (WriteInProgress_ || Phase_ == Phase::Closing)
+  // Not aborted: the caller may still be receiving the last answer.
+  if (Phase_ == Phase::Closing)
+    return close();
+  if (WriteInProgress_)
     return abortAnswer();
   if (Phase_ == Phase::Head && !Reader_.hasPartialRequest())
     return closeIdle();
--- a/tests/http/stoppingtest.cpp
+++ b/tests/http/stoppingtest.cpp
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(aCallThatOutlastsTheStopIsAnsweredBeforeTheEnd);
   CPPUNIT_TEST(aCallThatWaitsForAServerIsRefusedBeforeTheEnd);
   CPPUNIT_TEST(aCallTakenInTheStopTellsItsServerTheTimeThatIsLeft);
+  CPPUNIT_TEST(aCallerThatReadsSlowlyReceivesTheWholeLastAnswer);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -189,6 +190,23 @@
     CPPUNIT_ASSERT(deadlineMsOf(Server.requests().back()) <= 4000);
   }
 
+  /// Guards against an answer that is cut by a reset one second after its last
+  /// byte was written, while the caller still reads it.
+  void aCallerThatReadsSlowlyReceivesTheWholeLastAnswer() {
+    const std::string Body(1048576, 'b');
+    ScriptedServer Server(
+        [&](const Request &) { return ScriptedServer::answer(Body); });
+    FrontEnd Front({{"cat-1", Server.port()}}, patientLimits(), 1);
+    RawCaller Caller(Front.port());
+    Front.traffic().drain([] {});
+    Caller.send(request("GET", "/bulk"));
+    std::this_thread::sleep_for(model::milliseconds(1500));
+    const auto Answer = Caller.read();
+    CPPUNIT_ASSERT(announcesClose(Answer));
+    CPPUNIT_ASSERT_EQUAL(Body.size(), Answer.Body_.size());
+    CPPUNIT_ASSERT(Answer.Whole_);
+  }
+
 private:
   /// Returns a body that fits into no socket buffer.
   static std::string longBody() {
