Do not cut answers that are passed on at the time of the last answers

Callers saw: an answer that broke off with a reset a twentieth of the drain timeout before the process ended, though it was still being delivered. Cause: in a stop the deadline of every call was moved to that time, so that calls without an answer still get one; a call whose answer has begun cannot be answered otherwise, so that it was only cut earlier. Change: once an answer is passed on, the call has its own deadline again.

--- a/src/libcumingauge/adapters/httpcall.cpp
+++ b/src/libcumingauge/adapters/httpcall.cpp
@@ -2,6 +2,7 @@
 #include "adapters/httptext.h"
 #include "adapters/httpworker.h"
 #include <algorithm>
+#include <utility>
 
 namespace cumingauge::adapters {
 
@@ -71,7 +72,7 @@
 }
 
 void HttpCall::limitDeadline(model::TimePoint Latest) {
-  if (Request_.Deadline_ <= Latest)
+  if (Forwarding_ != 0 || Request_.Deadline_ <= Latest)
     return;
   Request_.Deadline_ = Latest;
   Facts_.Deadline_ = Latest;
@@ -342,6 +343,9 @@
 
 void HttpCall::perform(const traffic::ForwardAnswer &Action) {
   Forwarding_ = Action.Attempt_;
+  if (std::exchange(Request_.Deadline_, Request_.AnswerDeadline_) !=
+      Request_.AnswerDeadline_)
+    setTimer();
   Caller_->forwardHead(attempt(Action.Attempt_).Connection_->head());
 }
 
--- a/src/libcumingauge/adapters/httpcall.h
+++ b/src/libcumingauge/adapters/httpcall.h
@@ -33,7 +33,8 @@
 
   void onCallerLeft();
 
-  /// Moves the deadline forward to this time, if it is later.
+  /// Moves the deadline forward to this time, if it is later, unless an answer
+  /// is passed on already.
   void limitDeadline(model::TimePoint Latest);
 
   /// Handles the deadline or the start of a hedge. To be called at the time
--- a/src/libcumingauge/adapters/httpcallersession.cpp
+++ b/src/libcumingauge/adapters/httpcallersession.cpp
@@ -173,7 +173,7 @@
 
 /// Takes over the head that was read and sets the caller and the deadline,
 /// which follow from it. While the process stops, the deadline lies before its
-/// end.
+/// end, except for an answer that is passed on already.
 HttpCallRequest HttpCallerSession::completeRequest(HttpCallRequest Request,
                                                    bool Complete) {
   Request.Head_ = std::move(Reader_.head());
@@ -183,7 +183,8 @@
   auto Allowed = Request.Route_->Deadline_;
   if (Request.Head_.Deadline_)
     Allowed = std::min(Allowed, *Request.Head_.Deadline_);
-  Request.Deadline_ = std::min(Request.Arrived_ + Allowed, Worker_.answerBy());
+  Request.AnswerDeadline_ = Request.Arrived_ + Allowed;
+  Request.Deadline_ = std::min(Request.AnswerDeadline_, Worker_.answerBy());
   return Request;
 }
 
--- a/src/libcumingauge/adapters/httpcallrequest.h
+++ b/src/libcumingauge/adapters/httpcallrequest.h
@@ -18,6 +18,8 @@
   bool Pipelined_ = false;   ///< arrived while an earlier call was unanswered
   model::TimePoint Arrived_;
   model::TimePoint Deadline_;
+  /// Deadline of an answer that has begun to arrive.
+  model::TimePoint AnswerDeadline_;
 };
 
 } // namespace cumingauge::adapters
--- a/tests/http/stoppingtest.cpp
+++ b/tests/http/stoppingtest.cpp
@@ -47,6 +47,7 @@
   CPPUNIT_TEST(aCallThatWaitsForAServerIsRefusedBeforeTheEnd);
   CPPUNIT_TEST(aCallTakenInTheStopTellsItsServerTheTimeThatIsLeft);
   CPPUNIT_TEST(aCallerThatReadsSlowlyReceivesTheWholeLastAnswer);
+  CPPUNIT_TEST(anAnswerThatIsBeingDeliveredIsNotCutBeforeTheEnd);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -207,6 +208,27 @@
     CPPUNIT_ASSERT(Answer.Whole_);
   }
 
+  /// Guards against an answer that is cut at the time at which calls without an
+  /// answer are given up, although its caller still receives it.
+  void anAnswerThatIsBeingDeliveredIsNotCutBeforeTheEnd() {
+    const std::string Long = longBody();
+    ScriptedServer Server(
+        [&](const Request &) { return ScriptedServer::answer(Long); });
+    adapters::HttpLimits Limits = patientLimits();
+    Limits.DrainTimeout_ = model::milliseconds(10000);
+    FrontEnd Front({{"cat-1", Server.port()}}, Limits, 1);
+    RawCaller Caller(Front.port());
+    Caller.send(request("GET", "/bulk"));
+    bool IsStopping = false;
+    const std::size_t Read = Caller.discardAnswer([&] {
+      if (std::exchange(IsStopping, true))
+        return;
+      Front.traffic().drain([] {});
+      std::this_thread::sleep_for(model::milliseconds(9600));
+    });
+    CPPUNIT_ASSERT_EQUAL(Long.size(), Read);
+  }
+
 private:
   /// Returns a body that fits into no socket buffer.
   static std::string longBody() {
