--- a/src/libcumingauge/adapters/httpworker.cpp
+++ b/src/libcumingauge/adapters/httpworker.cpp
@@ -50,6 +50,9 @@
 // Callers' sessions.
 
 void HttpWorker::addCallerConnection(boost::asio::ip::tcp::socket Socket) {
+  // Nothing waits for the calls of a thread that has ended its drain.
+  if (Stop_ && !DrainDone_)
+    return;
   const unsigned Open = ++Common_->CallerConnections_;
   if (Open > limits().MaxCallerConnections_ + MaxConnectionsBeingRefused) {
     --Common_->CallerConnections_;
--- a/tests/http/stoppingtest.cpp
+++ b/tests/http/stoppingtest.cpp
@@ -48,6 +48,7 @@
   CPPUNIT_TEST(aCallTakenInTheStopTellsItsServerTheTimeThatIsLeft);
   CPPUNIT_TEST(aCallerThatReadsSlowlyReceivesTheWholeLastAnswer);
   CPPUNIT_TEST(anAnswerThatIsBeingDeliveredIsNotCutBeforeTheEnd);
+  CPPUNIT_TEST(aConnectionAcceptedAfterItsThreadHasEndedTheDrainIsNotServed);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -229,6 +230,41 @@
     CPPUNIT_ASSERT_EQUAL(Long.size(), Read);
   }
 
+  /// Guards against a request that is taken on a thread that counts as drained,
+  /// and is lost when the last of the other threads has ended its calls.
+  void aConnectionAcceptedAfterItsThreadHasEndedTheDrainIsNotServed() {
+    Gate First;
+    Gate Second;
+    ScriptedServer Server([&](const Request &Seen) {
+      (isFor(Seen, "/search/1") ? First : Second).pass();
+      return ScriptedServer::answer("found");
+    });
+    FrontEnd Front({{"cat-1", Server.port()}}, patientLimits(), 2);
+    adapters::HttpLimits Reloaded = patientLimits();
+    Reloaded.DrainAcceptTime_ = model::milliseconds(0);
+    Front.traffic().setLimits(Reloaded);
+    RawCaller Earlier(Front.port());
+    Earlier.send(request("GET", "/search/1"));
+    CPPUNIT_ASSERT(eventually([&] { return Server.requests().size() == 1; }));
+    std::atomic<bool> Ended{false};
+    Front.traffic().drain([&] { Ended = true; });
+    // Time for the thread without calls to end its drain.
+    std::this_thread::sleep_for(model::milliseconds(200));
+    RawCaller Later(Front.port());
+    Later.send(request("GET", "/search/2"));
+    std::this_thread::sleep_for(model::milliseconds(200));
+    First.open();
+    const auto Answer = Earlier.read();
+    Earlier.disconnect();
+    const bool HasEnded = eventually([&] { return Ended.load(); });
+    const std::size_t Lost = countOf(Server, "/search/2");
+    Second.open();
+    CPPUNIT_ASSERT_EQUAL(200U, Answer.Status_);
+    CPPUNIT_ASSERT(HasEnded);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Lost);
+    CPPUNIT_ASSERT(Later.read().Closed_);
+  }
+
 private:
   /// Returns a body that fits into no socket buffer.
   static std::string longBody() {
