Accept connections for a second in the test of early signals

The test now sets a drain accept time, so that the connection is accepted; what it checks stays as it is.

--- a/tests/http/signalstest.cpp
+++ b/tests/http/signalstest.cpp
@@ -130,7 +130,8 @@
                   "peer": {"host": "127.0.0.1", "port": 0},
                   "store": {"host": "127.0.0.1", "port": 1}},
       "admin": {"host": "127.0.0.1", "port": 0},
-      "http": {"drainIdleTimeMs": 5000, "drainTimeoutMs": 6000}})");
+      "http": {"drainAcceptTimeMs": 1000, "drainIdleTimeMs": 5000,
+               "drainTimeoutMs": 6000}})");
     Out["listen"] = {{"host", "127.0.0.1"}, {"port", Port}};
     return Out;
   }
