--- a/tests/http/stoppingtest.cpp
+++ b/tests/http/stoppingtest.cpp
@@ -46,6 +46,9 @@
   CPPUNIT_TEST(aCallThatOutlastsTheStopIsAnsweredBeforeTheEnd);
   CPPUNIT_TEST(aCallThatWaitsForAServerIsRefusedBeforeTheEnd);
   CPPUNIT_TEST(aCallTakenInTheStopTellsItsServerTheTimeThatIsLeft);
+  CPPUNIT_TEST(aCallerThatReadsSlowlyReceivesTheWholeLastAnswer);
+  CPPUNIT_TEST(anAnswerThatIsBeingDeliveredIsNotCutBeforeTheEnd);
+  CPPUNIT_TEST(aConnectionAcceptedAfterItsThreadHasEndedTheDrainIsNotServed);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -189,6 +192,79 @@
     CPPUNIT_ASSERT(deadlineMsOf(Server.requests().back()) <= 4000);
   }
 
+  /// Guards against an answer that is cut by a reset one second after its last
+  /// byte was written, while the caller still reads it.
+  void aCallerThatReadsSlowlyReceivesTheWholeLastAnswer() {
+    const std::string Body(1048576, 'b');
+    ScriptedServer Server(
+        [&](const Request &) { return ScriptedServer::answer(Body); });
+    FrontEnd Front({{"cat-1", Server.port()}}, patientLimits(), 1);
+    RawCaller Caller(Front.port());
+    Front.traffic().drain([] {});
+    Caller.send(request("GET", "/bulk"));
+    std::this_thread::sleep_for(model::milliseconds(1500));
+    const auto Answer = Caller.read();
+    CPPUNIT_ASSERT(announcesClose(Answer));
+    CPPUNIT_ASSERT_EQUAL(Body.size(), Answer.Body_.size());
+    CPPUNIT_ASSERT(Answer.Whole_);
+  }
+
+  /// Guards against an answer that is cut at the time at which calls without an
+  /// answer are given up, although its caller still receives it.
+  void anAnswerThatIsBeingDeliveredIsNotCutBeforeTheEnd() {
+    const std::string Long = longBody();
+    ScriptedServer Server(
+        [&](const Request &) { return ScriptedServer::answer(Long); });
+    adapters::HttpLimits Limits = patientLimits();
+    Limits.DrainTimeout_ = model::milliseconds(10000);
+    FrontEnd Front({{"cat-1", Server.port()}}, Limits, 1);
+    RawCaller Caller(Front.port());
+    Caller.send(request("GET", "/bulk"));
+    bool IsStopping = false;
+    const std::size_t Read = Caller.discardAnswer([&] {
+      if (std::exchange(IsStopping, true))
+        return;
+      Front.traffic().drain([] {});
+      std::this_thread::sleep_for(model::milliseconds(9600));
+    });
+    CPPUNIT_ASSERT_EQUAL(Long.size(), Read);
+  }
+
+  /// Guards against a request that is taken on a thread that counts as drained,
+  /// and is lost when the last of the other threads has ended its calls.
+  void aConnectionAcceptedAfterItsThreadHasEndedTheDrainIsNotServed() {
+    Gate First;
+    Gate Second;
+    ScriptedServer Server([&](const Request &Seen) {
+      (isFor(Seen, "/search/1") ? First : Second).pass();
+      return ScriptedServer::answer("found");
+    });
+    FrontEnd Front({{"cat-1", Server.port()}}, patientLimits(), 2);
+    adapters::HttpLimits Reloaded = patientLimits();
+    Reloaded.DrainAcceptTime_ = model::milliseconds(0);
+    Front.traffic().setLimits(Reloaded);
+    RawCaller Earlier(Front.port());
+    Earlier.send(request("GET", "/search/1"));
+    CPPUNIT_ASSERT(eventually([&] { return Server.requests().size() == 1; }));
+    std::atomic<bool> Ended{false};
+    Front.traffic().drain([&] { Ended = true; });
+    // Time for the thread without calls to end its drain.
+    std::this_thread::sleep_for(model::milliseconds(200));
+    RawCaller Later(Front.port());
+    Later.send(request("GET", "/search/2"));
+    std::this_thread::sleep_for(model::milliseconds(200));
+    First.open();
+    const auto Answer = Earlier.read();
+    Earlier.disconnect();
+    const bool HasEnded = eventually([&] { return Ended.load(); });
+    const std::size_t Lost = countOf(Server, "/search/2");
+    Second.open();
+    CPPUNIT_ASSERT_EQUAL(200U, Answer.Status_);
+    CPPUNIT_ASSERT(HasEnded);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Lost);
+    CPPUNIT_ASSERT(Later.read().Closed_);
+  }
+
 private:
   /// Returns a body that fits into no socket buffer.
   static std::string longBody() {
