Record discarded bytes once a connection

Cause: each read after the close of a connection had a line and a count, so the rest of one refused upload could use up the lines of a second and hide calls. No decision changes.

--- a/src/libcumingauge/adapters/httpcallersession.cpp
+++ b/src/libcumingauge/adapters/httpcallersession.cpp
@@ -4,6 +4,7 @@
 #include "adapters/httpcall.h"
 #include "adapters/httpworker.h"
 #include <algorithm>
+#include <utility>
 
 namespace cumingauge::adapters {
 
@@ -84,7 +85,8 @@
   if (Error)
     return close();
   if (Phase_ == Phase::Closing) {
-    Worker_.recordDiscardedBytes(Peer_, Bytes, isCloseAnnounced());
+    if (!std::exchange(DiscardLogged_, true))
+      Worker_.recordDiscardedBytes(Peer_, Bytes, isCloseAnnounced());
     return ClosingIdle_ ? close() : read();
   }
   if (Phase_ == Phase::Head && !Reader_.hasPartialRequest())
--- a/src/libcumingauge/adapters/httpcallersession.h
+++ b/src/libcumingauge/adapters/httpcallersession.h
@@ -150,7 +150,8 @@
   bool AnswerComplete_ = false;
   bool HasCallEnded_ = false;
   bool Draining_ = false;
-  bool ClosingIdle_ = false; ///< closing while it carried no call
+  bool ClosingIdle_ = false;   ///< closing while it carried no call
+  bool DiscardLogged_ = false; ///< bytes after the close were recorded
 };
 
 } // namespace cumingauge::adapters
--- a/src/libcumingauge/adapters/httpworker.cpp
+++ b/src/libcumingauge/adapters/httpworker.cpp
@@ -261,7 +261,7 @@
                                       std::size_t Bytes, bool Announced) {
   {
     const std::lock_guard<std::mutex> Lock(PublishedMutex_);
-    ++Stats_.DiscardedReads_;
+    ++Stats_.DiscardingConnections_;
   }
   CallLog_.recordDiscardedBytes(Peer, Bytes, Announced, now());
 }
--- a/src/libcumingauge/adapters/httpworker.h
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -83,7 +83,8 @@
   void recordRefusedRequest(const std::string &Call, const std::string &Target,
                             model::ResultCode Code);
   void removeSession(HttpCallerSession &Session);
-  /// Records that bytes of a caller arrived after its connection was closed.
+  /// Records the first bytes of a caller that arrived after its connection was
+  /// closed.
   /// \param Announced whether the last answer said that it closes.
   void recordDiscardedBytes(const std::string &Peer, std::size_t Bytes,
                             bool Announced);
--- a/src/libcumingauge/adapters/metricspage.cpp
+++ b/src/libcumingauge/adapters/metricspage.cpp
@@ -150,9 +150,9 @@
   Out.push_back(counter("cumingauge_abandoned_calls_total",
                         "Calls not answered when the process ended",
                         ToDouble(Traffic.AbandonedCalls_)));
-  Out.push_back(counter("cumingauge_discarded_reads_total",
-                        "Reads of bytes that arrived after the close",
-                        ToDouble(Traffic.DiscardedReads_)));
+  Out.push_back(counter("cumingauge_discarding_connections_total",
+                        "Closed connections on which more bytes arrived",
+                        ToDouble(Traffic.DiscardingConnections_)));
 }
 
 void addControl(const ControlStats &Control, std::vector<MetricFamily> &Out) {
--- a/src/libcumingauge/adapters/stopplan.h
+++ b/src/libcumingauge/adapters/stopplan.h
@@ -8,8 +8,8 @@
 
 using boost::describe::operators::operator==;
 
-/// Times of a stop of the process, in the order in which they pass. A request
-/// that is read before LastRequestAt_ gets an answer by AnswerBy_.
+/// Times of a stop of the process. A request that is read before LastRequestAt_
+/// gets an answer by AnswerBy_, unless one is being passed on then.
 struct StopPlan {
   model::TimePoint StartedAt_;
   model::TimePoint AcceptEnd_; ///< no new connections from then on
--- a/src/libcumingauge/traffic/trafficstats.cpp
+++ b/src/libcumingauge/traffic/trafficstats.cpp
@@ -34,7 +34,7 @@
   Sum.ProbesFailed_ += Part.ProbesFailed_;
   Sum.StoppingCalls_ += Part.StoppingCalls_;
   Sum.AbandonedCalls_ += Part.AbandonedCalls_;
-  Sum.DiscardedReads_ += Part.DiscardedReads_;
+  Sum.DiscardingConnections_ += Part.DiscardingConnections_;
 }
 
 } // namespace cumingauge::traffic
--- a/src/libcumingauge/traffic/trafficstats.h
+++ b/src/libcumingauge/traffic/trafficstats.h
@@ -47,8 +47,8 @@
   std::uint64_t StoppingCalls_ = 0; ///< ended calls that arrived in a stop
   /// Calls that were not answered when the process ended.
   std::uint64_t AbandonedCalls_ = 0;
-  /// Reads of bytes that arrived after their connection was closed.
-  std::uint64_t DiscardedReads_ = 0;
+  /// Connections on which bytes arrived after they were closed.
+  std::uint64_t DiscardingConnections_ = 0;
 };
 
 /// Counts one call that has ended.
