Let the store stand-in come back from an older copy

Cause: the store may be away for a moment and come back from a copy some seconds old; the stand-in could not do that, so nothing of ours could play it over real sockets. Change: POST /control/copy takes a copy, POST /control/restore returns to it. Indexes go back and are given out again, leases that were created since are gone, the time to live of the others starts anew, ids of leases are not given out twice, and waiting watches are cut. Its protocol has no field that tells of the restore, and it gets none.

--- a/src/libcumingauge/emulator/storemodel.cpp
+++ b/src/libcumingauge/emulator/storemodel.cpp
@@ -119,4 +119,13 @@
     destroyLease(Store, Id);
 }
 
+void restoreCopy(StoreModel &Store, const StoreModel &Copy,
+                 model::TimePoint Now) {
+  const std::uint64_t NextLease = std::max(Store.NextLease_, Copy.NextLease_);
+  Store = Copy;
+  Store.NextLease_ = NextLease;
+  for (auto &Entry : Store.Leases_)
+    Entry.second.Expires_ = Now + Entry.second.TimeToLive_;
+}
+
 } // namespace cumingauge::emulator
--- a/src/libcumingauge/emulator/storemodel.h
+++ b/src/libcumingauge/emulator/storemodel.h
@@ -87,4 +87,11 @@
 /// Ends every lease whose time to live has passed.
 void expireLeases(StoreModel &Store, model::TimePoint Now);
 
+/// Returns the store to an earlier copy: indexes go back and are given out
+/// again, and leases that were created since are gone. The time to live of the
+/// others starts anew, as it does after a restart of the service. Ids of leases
+/// are not given out again.
+void restoreCopy(StoreModel &Store, const StoreModel &Copy,
+                 model::TimePoint Now);
+
 } // namespace cumingauge::emulator
--- a/src/libcumingauge/emulator/storeservice.cpp
+++ b/src/libcumingauge/emulator/storeservice.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <list>
+#include <optional>
 
 namespace cumingauge::emulator {
 
@@ -49,6 +50,10 @@
       return Exchange->Answer_(textAnswer(400, "invalid request target"));
     if (Parsed->Path_ == "/control" && Request.Method_ == "POST")
       return control(Exchange);
+    if (Parsed->Path_ == "/control/copy" && Request.Method_ == "POST")
+      return takeCopy(Exchange);
+    if (Parsed->Path_ == "/control/restore" && Request.Method_ == "POST")
+      return restore(Exchange);
     if (Parsed->Path_ == "/control/counters")
       return Exchange->Answer_(jsonAnswer(200, codec::toJson(counters())));
     if (Faults_.Down_) {
@@ -228,6 +233,21 @@
     Exchange->Answer_(jsonAnswer(200, codec::toJson(Faults_)));
   }
 
+  void takeCopy(const ExchangePtr &Exchange) {
+    expireLeases(Model_, now());
+    Copy_ = Model_;
+    Exchange->Answer_(jsonAnswer(200, codec::toJson(counters())));
+  }
+
+  /// Returns to the last copy and drops the watches that wait.
+  void restore(const ExchangePtr &Exchange) {
+    if (!Copy_)
+      return Exchange->Answer_(textAnswer(409, "no copy was taken"));
+    restoreCopy(Model_, *Copy_, now());
+    dropWaiters();
+    Exchange->Answer_(jsonAnswer(200, codec::toJson(counters())));
+  }
+
   void dropWaiters() {
     for (Waiter &Watch : Waiters_) {
       Watch.Exchange_->OnDisconnect_ = nullptr;
@@ -250,6 +270,7 @@
   StoreFaults Faults_;
   std::vector<ListedVm> ServedVms_;
   StoreModel Model_;
+  std::optional<StoreModel> Copy_; ///< to which the store may be restored
   RateLimiter Writes_;
   RateLimiter Reads_;
   StoreCounters Counters_;
--- a/tests/emulator/loopbacktest.cpp
+++ b/tests/emulator/loopbacktest.cpp
@@ -54,6 +54,8 @@
   CPPUNIT_TEST(appliesAWriteWhoseAnswerIsDropped);
   CPPUNIT_TEST(appliesADroppedWriteAfterADelay);
   CPPUNIT_TEST(ignoresRequestsWhileDown);
+  CPPUNIT_TEST(cutsItsWatchesWhenItComesBackFromACopy);
+  CPPUNIT_TEST(refusesToComeBackWithoutACopy);
   CPPUNIT_TEST(refusesOversizedValuesAndLimitsTheWriteRate);
   CPPUNIT_TEST(countsEveryCall);
   CPPUNIT_TEST_SUITE_END();
@@ -113,6 +115,31 @@
     CPPUNIT_ASSERT_EQUAL(404u, statusOf(call(Port_, "GET", "/v1/kv/k")));
   }
 
+  void cutsItsWatchesWhenItComesBackFromACopy() {
+    call(Port_, "PUT", "/v1/kv/k", "old");
+    CPPUNIT_ASSERT_EQUAL(200u, statusOf(call(Port_, "POST", "/control/copy")));
+    const int Index = counters()["index"].get<int>();
+    call(Port_, "PUT", "/v1/kv/k", "new");
+    auto Watch = std::async(std::launch::async, [this] {
+      return call(Port_, "GET", "/v1/kv/none?index=1&wait=60s");
+    });
+    while (counters()["waiting"] != 1)
+      std::this_thread::yield();
+    CPPUNIT_ASSERT_EQUAL(200u,
+                         statusOf(call(Port_, "POST", "/control/restore")));
+    CPPUNIT_ASSERT(!Watch.get());
+    CPPUNIT_ASSERT_EQUAL(Index, counters()["index"].get<int>());
+    const codec::Json List =
+        codec::Json::parse(bodyOf(call(Port_, "GET", "/v1/kv/k")));
+    CPPUNIT_ASSERT_EQUAL(std::string("b2xk"), // "old"
+                         List[0]["Value"].get<std::string>());
+  }
+
+  void refusesToComeBackWithoutACopy() {
+    CPPUNIT_ASSERT_EQUAL(409u,
+                         statusOf(call(Port_, "POST", "/control/restore")));
+  }
+
   void refusesOversizedValuesAndLimitsTheWriteRate() {
     CPPUNIT_ASSERT_EQUAL(
         200u, statusOf(call(Port_, "PUT", "/v1/kv/k", std::string(1000, 'x'))));
--- a/tests/emulator/storemodeltest.cpp
+++ b/tests/emulator/storemodeltest.cpp
@@ -160,4 +160,96 @@
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(AStoreForLeaseHolders);
 
+class AStoreThatComesBackFromACopy : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AStoreThatComesBackFromACopy);
+  CPPUNIT_TEST(hasLostWhatWasWrittenSince);
+  CPPUNIT_TEST(hasTheKeysThatWereRemovedSince);
+  CPPUNIT_TEST(givesOutTheSameIndexesAgain);
+  CPPUNIT_TEST(keepsAWatchWaitingThatHasSeenALostIndex);
+  CPPUNIT_TEST(hasEndedTheLeasesThatWereCreatedSince);
+  CPPUNIT_TEST(startsTheTimeOfItsLeasesAnew);
+  CPPUNIT_TEST(givesNoLeaseIdTwice);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override {
+    Store_ = StoreModel();
+    writeKey(Store_, createIfAbsent("head", "old"));
+    writeKey(Store_, createIfAbsent("removed", "old"));
+  }
+
+  void hasLostWhatWasWrittenSince() {
+    const StoreModel Copy = Store_;
+    writeKey(Store_, {"head", "new", {}, "", ""});
+    writeKey(Store_, createIfAbsent("added", "new"));
+    restoreCopy(Store_, Copy, Start_);
+    CPPUNIT_ASSERT_EQUAL(std::string("old"), findKey(Store_, "head")->Value_);
+    CPPUNIT_ASSERT(findKey(Store_, "added") == nullptr);
+  }
+
+  void hasTheKeysThatWereRemovedSince() {
+    const StoreModel Copy = Store_;
+    const std::uint64_t Seen = watchIndex(Store_, "removed", false);
+    removeKey(Store_, "removed", std::nullopt);
+    restoreCopy(Store_, Copy, Start_);
+    CPPUNIT_ASSERT_EQUAL(Seen, findKey(Store_, "removed")->ModifyIndex_);
+    CPPUNIT_ASSERT_EQUAL(Seen, watchIndex(Store_, "removed", false));
+  }
+
+  void givesOutTheSameIndexesAgain() {
+    const StoreModel Copy = Store_;
+    writeKey(Store_, {"head", "lost", {}, "", ""});
+    const std::uint64_t Lost = findKey(Store_, "head")->ModifyIndex_;
+    restoreCopy(Store_, Copy, Start_);
+    CPPUNIT_ASSERT(!writeKey(Store_, {"head", "next", Lost, "", ""}));
+    writeKey(Store_, createIfAbsent("other", "next"));
+    CPPUNIT_ASSERT_EQUAL(Lost, findKey(Store_, "other")->ModifyIndex_);
+  }
+
+  void keepsAWatchWaitingThatHasSeenALostIndex() {
+    const StoreModel Copy = Store_;
+    writeKey(Store_, {"head", "lost", {}, "", ""});
+    const std::uint64_t Seen = watchIndex(Store_, "head", false);
+    restoreCopy(Store_, Copy, Start_);
+    writeKey(Store_, {"head", "next", {}, "", ""});
+    CPPUNIT_ASSERT(!isWatchDue(Store_, "head", false, Seen));
+    writeKey(Store_, {"head", "after", {}, "", ""});
+    CPPUNIT_ASSERT(isWatchDue(Store_, "head", false, Seen));
+  }
+
+  void hasEndedTheLeasesThatWereCreatedSince() {
+    const StoreModel Copy = Store_;
+    const std::string Lost = createLease(Store_, milliseconds(100), Start_);
+    writeKey(Store_, {"head", "locked", {}, Lost, ""});
+    restoreCopy(Store_, Copy, Start_);
+    CPPUNIT_ASSERT(!renewLease(Store_, Lost, Start_));
+    CPPUNIT_ASSERT(!writeKey(Store_, {"head", "locked", {}, Lost, ""}));
+    CPPUNIT_ASSERT_EQUAL(std::string(), findKey(Store_, "head")->Session_);
+  }
+
+  void startsTheTimeOfItsLeasesAnew() {
+    const std::string Kept = createLease(Store_, milliseconds(100), Start_);
+    writeKey(Store_, {"head", "locked", {}, Kept, ""});
+    const StoreModel Copy = Store_;
+    const TimePoint Restored = Start_ + milliseconds(500);
+    restoreCopy(Store_, Copy, Restored);
+    expireLeases(Store_, Restored + milliseconds(99));
+    CPPUNIT_ASSERT_EQUAL(Kept, findKey(Store_, "head")->Session_);
+    expireLeases(Store_, Restored + milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(std::string(), findKey(Store_, "head")->Session_);
+  }
+
+  void givesNoLeaseIdTwice() {
+    const StoreModel Copy = Store_;
+    const std::string Lost = createLease(Store_, milliseconds(100), Start_);
+    restoreCopy(Store_, Copy, Start_);
+    CPPUNIT_ASSERT(Lost != createLease(Store_, milliseconds(100), Start_));
+  }
+
+private:
+  const TimePoint Start_{std::chrono::seconds(1000)};
+  StoreModel Store_;
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(AStoreThatComesBackFromACopy);
+
 } // namespace
