Let the store of the soak come back from an older copy

Cause: the store may be away for a moment and come back from a copy some seconds old, and the soak could not play that. The operator and the servers write again 0.3 to 1.5 s later, entries of servers that had left expire 4.5 s later, and at times a configuration and a release or a scale-in follow. Such servers take calls for up to 8 s more, so that calls to them are seen. Judged always: a version that was in force stays so, and a server that a process knew as leaving 2 s before the outage gets no calls from it.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -4,7 +4,7 @@
 from collections import deque
 
 import wire
-from judge import NOT_RUN
+from judge import CONFIG_SECONDS, NOT_RUN
 from servers import body_of, signature
 
 MISSES_ALLOWED = 1  # the second failed check in a row takes a process out of the choice
@@ -209,6 +209,11 @@
         await self.store.put("op/config", self.document())
         self.accepted_at = self.judge.clock()
 
+    async def rewrite(self):
+        """Writes the newest configuration once more."""
+        await self.store.put("op/config", self.document())
+        self.accepted_at = self.judge.clock()
+
     async def check_version(self, number):
         """Probes the route of the newest or of the last seen version on one process.
 
@@ -230,9 +235,13 @@
             return
         is_known = answer.status != 404 and answer.status != 503
         if target == version and answer.status == 404 and version == self.version \
-                and at > accepted + 2.0 and self.judge.is_undisturbed(entry.name, accepted):
+                and self.judge.is_bound(entry.name, accepted, at, CONFIG_SECONDS):
             self.judge.report_violation("CONFIG", f"{entry.name} has no version {version} "
-                                                  f"{at - accepted:.3f} s after it was accepted")
+                                                  f"{at - accepted:.3f} s after it was accepted"
+                                                  f"{self.judge.after_restore(accepted)}")
+        if target == version == old == self.version and answer.status == 404:
+            self.judge.report_violation("CONFIG", f"{entry.name} lost version {version}, which "
+                                                  "it had in force")
         if is_known:
             if target < self.seen.get((entry.name, generation), 0):
                 self.judge.report_violation("CONFIG", f"{entry.name} went back to version {target}")
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -12,7 +12,7 @@
 from callers import ROUTES, Balancer, Caller, Operator, PipeliningCaller, exchange
 from judge import GRACE_SECONDS, STALL_SECONDS, Judge
 from proxy import Proxy
-from schedule import draw_schedule, kinds_of_seed
+from schedule import FIRST_RESTORED_SEED, draw_schedule, kinds_of_seed
 from servers import Server, signature
 from store import Store
 
@@ -23,6 +23,7 @@
 PIPELINING_INTERVAL = 5  # each fifth caller pipelines
 CHANGING_INTERVAL = 3  # of the others, each third one changes its connection at times
 CHANGE_SHARE = 0.1
+MAX_LINGER_SECONDS = 8.0
 READY_SECONDS = 20
 RECOVERY_SECONDS = 6
 RECOVERY_SHARE = 0.95
@@ -78,9 +79,10 @@
         # Faults draw from a generator of their own, so that the schedule of a seed does not
         # depend on the number of draws made for traffic.
         self.fault_random = random.Random(f"faults {seed}")
+        self.linger_random = random.Random(f"linger {seed}")
         self.clock = time.monotonic
         self.judge = Judge(self.clock)
-        self.store = Store(self.clock)
+        self.store = Store(self.clock, open(out / "store.log", "w"))
         self.store.random = self.random
         self.entries, self.servers, self.proxies = [], [], {}
         self.tasks = []
@@ -106,6 +108,7 @@
             for zone in ("zone-a", "zone-b"):
                 for _ in range(SERVERS_PER_ZONE):
                     await self.add_server(service, zone)
+        self.store.forget_copies()
         for entry in self.entries:
             entry.start()
 
@@ -133,6 +136,12 @@
         """Writes the entry of a server to the store."""
         await self.store.put(f"servers/{server.name}", server.entry(self.proxies[server.name].port))
 
+    def linger_seconds(self):
+        """Returns for how long a server that has left still takes calls."""
+        if self.seed < FIRST_RESTORED_SEED:
+            return 1.0
+        return self.linger_random.uniform(1.0, MAX_LINGER_SECONDS)
+
     # Run.
 
     async def run(self):
@@ -145,7 +154,8 @@
         self.spawn(self.check_configurations())
         begin = self.clock()
         schedule = draw_schedule(self.fault_random, self.options.seconds,
-                                 kinds_of_seed(self.seed))
+                                 kinds_of_seed(self.seed, self.options.kinds),
+                                 self.options.interval)
         running = []
         for fault in schedule:
             await asyncio.sleep(max(0, begin + fault.at - self.clock()))
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -3,7 +3,8 @@
 A process counts as undisturbed when no fault was injected into it, its connection to
 the store or the store itself for STABLE_SECONDS. Rules with a time bound apply only to
 undisturbed processes. A stall of this program disturbs all processes. A stop of a process
-and disturbances of the store do not excuse a request that is lost around that stop."""
+and disturbances of the store do not excuse a request that is lost around that stop. Rules
+for what was accepted after the store came back from a copy hold STABLE_SECONDS later."""
 
 from dataclasses import dataclass, field
 
@@ -20,7 +21,7 @@
 LATE_REQUEST_SECONDS = 3.0  # after the signal, work on later requests may not be cut
 STOP_END_SECONDS = 1.0  # after the grace period
 STALL_SECONDS = 0.15
-MAX_VIOLATIONS = 20  # kept per seed
+MAX_VIOLATIONS = 20  # kept per seed and rule
 NOT_RUN = (408, 421, 429, 503)
 
 
@@ -48,7 +49,10 @@
         self.broken_off = set()  # calls whose server ended the connection
         self.server_status = {}  # call: status that the server sent
         self.reported_not_run = set()  # calls whose answer says that they did not run
-        self.leaving_since = {}  # server name: when its leaving was accepted
+        self.leaving_since = {}  # server name: when its leaving was first accepted
+        self.leaving_again_since = {}  # server name: when it was accepted after a restore
+        self.known_leaving = {}  # server name: processes that knew it before a restore
+        self.restored_at = -1e9  # end of the last outage that ended with an older copy of the store
         self.disturbed_at = {}  # process: time of its last disturbance
         self.all_disturbed_at = -1e9  # last disturbance of all processes
         self.harmed_at = {}  # process, or None for all: last disturbance that excuses a loss
@@ -62,7 +66,7 @@
         self.local_failures = []  # (call, process) of failures created by the process
 
     def report_violation(self, rule, text):
-        if len(self.violations) < MAX_VIOLATIONS:
+        if sum(v["rule"] == rule for v in self.violations) < MAX_VIOLATIONS:
             self.violations.append({"rule": rule, "at": round(self.clock(), 3), "text": text})
 
     def record_disturbance(self, process=None, excuses_loss=True):
@@ -75,9 +79,41 @@
 
     def is_undisturbed(self, process, since):
         """Returns whether there was no disturbance from STABLE_SECONDS before since until now."""
+        return self._is_calm_but_for_restore(process, since) \
+            and self.restored_at < since - STABLE_SECONDS
+
+    def _is_calm_but_for_restore(self, process, since):
         last = max(self.disturbed_at.get(process, -1e9), self.all_disturbed_at)
         return last < since - STABLE_SECONDS
 
+    def is_bound(self, process, accepted_at, sent_at, seconds):
+        """Returns whether a request had to be handled by what was accepted seconds before."""
+        if sent_at <= accepted_at + seconds:
+            return False
+        if accepted_at > self.restored_at:
+            return sent_at > self.restored_at + STABLE_SECONDS \
+                and self._is_calm_but_for_restore(process, accepted_at)
+        return self.is_undisturbed(process, accepted_at)
+
+    def record_restore_begin(self, processes):
+        """Records an outage from which the store will come back with an older copy."""
+        now = self.clock()
+        for server, since in self.leaving_since.items():
+            if now > since + LEAVING_SECONDS:
+                self.known_leaving.setdefault(server, set()).update(
+                    p for p in processes if self.is_undisturbed(p, since))
+        self.restored_at = now
+
+    def record_restore_end(self):
+        self.restored_at = self.clock()
+
+    def record_leaving(self, server):
+        """Records that the store has accepted that a server leaves."""
+        self.leaving_since.setdefault(server, self.clock())
+
+    def record_leaving_again(self, server):
+        self.leaving_again_since[server] = self.clock()
+
     def record_server_disturbance(self, servers):
         """Records a fault on the links of servers, where any process may have a call."""
         for name in servers:
@@ -91,6 +127,8 @@
 
     def record_restart(self, process, is_planned):
         self.record_disturbance(process, excuses_loss=not is_planned)
+        for processes in self.known_leaving.values():
+            processes.discard(process)
         if stop := self.stops.pop(process, None):
             stop.ended_at = self.clock()
             self.ended_stops.append((process, stop))
@@ -113,14 +151,29 @@
         if not is_safe and call in self.reported_not_run:
             self.report_violation(
                 "REFUSED", f"{call} runs at {server.name} after it was reported as not run")
-        leaving_since = self.leaving_since.get(server.name)
-        if leaving_since is not None and at > leaving_since + LEAVING_SECONDS \
-                and self.is_undisturbed(process, leaving_since):
-            self.report_violation("DRAIN", f"{call} from {process} reached {server.name} "
-                                           f"{now - leaving_since:.3f} s after it left")
+        self._check_leaving(call, server.name)
         if "deadline-milliseconds" not in request.fields:
             self.report_violation("BUDGET", f"{call} has no deadline")
 
+    def _check_leaving(self, call, server):
+        now, (at, process, _) = self.clock(), self.sent[call]
+        for accepted in (self.leaving_since.get(server), self.leaving_again_since.get(server)):
+            if accepted is not None and self.is_bound(process, accepted, at, LEAVING_SECONDS):
+                return self.report_violation("DRAIN", f"{call} from {process} reached {server} "
+                                                      f"{now - accepted:.3f} s after it left"
+                                                      f"{self.after_restore(accepted)}")
+        if process in self.known_leaving.get(server, ()) \
+                and at > self.leaving_since[server] + LEAVING_SECONDS:
+            self.report_violation("DRAIN", f"{call} from {process} reached {server}, which it knew "
+                                           "as leaving before the store went back")
+        return None
+
+    def after_restore(self, accepted_at):
+        """Returns a note on how long after the last restore something was accepted."""
+        if not 0 < accepted_at - self.restored_at < 1e6:
+            return ""
+        return f", accepted {accepted_at - self.restored_at:.3f} s after the store came back"
+
     def record_work_end(self, call):
         self.working[call] -= 1
         self.work_ended_at[call] = self.clock()
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -10,6 +10,7 @@
 DRAIN_SECONDS = 2.5  # time for which a leaving server still serves calls
 ADDRESS_REUSE_SECONDS = 2.0  # until an address may be given to another server
 ENTRY_EXPIRY_SECONDS = 4.5  # an entry is removed after three missed heartbeats
+MIN_SERVERS = 5  # of a service, below which none is retired without a replacement
 
 
 @dataclass
@@ -21,13 +22,13 @@
     inject: Callable
 
 
-def draw_schedule(random, seconds, kinds):
-    """Returns random faults, one every 0.8 s on average, which may overlap."""
+def draw_schedule(random, seconds, kinds, interval):
+    """Returns random faults with a mean interval, which may overlap."""
     out, at = [], 0.5
     while at < seconds - 1.0:
         name, make = random.choice(kinds)
         out.append(Fault(at, name, make(random, min(random.uniform(0.5, 4.0), seconds - at))))
-        at += random.expovariate(1 / 0.8)
+        at += random.expovariate(1 / interval)
     return out
 
 
@@ -152,6 +153,60 @@
     return inject
 
 
+def store_restored(random, _):
+    """The store is away for a moment and comes back from a copy. The operator and the servers
+    write their entries again; entries of servers that have left reappear until they expire."""
+    outage, age = random.uniform(0.3, 2.5), random.uniform(2.0, 9.0)
+    rewritten_after, followed_after = random.uniform(0.3, 1.5), random.uniform(0.0, 5.0)
+    follow = random.choice((None, retire_some, release(random, None)))
+
+    async def inject(fleet):
+        fleet.judge.record_restore_begin([e.name for e in fleet.entries])
+        fleet.store.down = True
+        await asyncio.sleep(outage)
+        fleet.store.restore(age)
+        fleet.store.down = False
+        fleet.judge.record_restore_end()
+        expiry = asyncio.create_task(expire_restored(fleet))
+        await asyncio.sleep(rewritten_after)
+        await fleet.operator.rewrite()
+        await write_entries_again(fleet)
+        if follow is not None:
+            await asyncio.sleep(followed_after)
+            await fleet.operator.configure()
+            await follow(fleet)
+        await expiry
+    return inject
+
+
+async def write_entries_again(fleet):
+    for server in fleet.servers:
+        if not server.gone and not server.left:
+            await fleet.register(server)
+            if server.state != "ready":
+                fleet.judge.record_leaving_again(server.name)
+
+
+async def expire_restored(fleet):
+    """Removes the entries of servers that do not renew them after a restore."""
+    await asyncio.sleep(ENTRY_EXPIRY_SECONDS)
+    for server in fleet.servers:
+        if (server.gone or server.left) and f"servers/{server.name}" in fleet.store.items:
+            await fleet.store.delete(f"servers/{server.name}")
+            if server.left:
+                fleet.judge.record_leaving_again(server.name)
+
+
+async def retire_some(fleet):
+    """Retires a server of each service without a replacement."""
+    for service in ("catalogo", "diritti"):
+        ready = [s for s in fleet.servers
+                 if s.service == service and not s.gone and s.state == "ready"]
+        if len(ready) > MIN_SERVERS:
+            await retire_server(fleet, ready[0])
+            fleet.proxies[ready[0].name].close()
+
+
 # Links.
 
 def link_fault(random, seconds):
@@ -217,10 +272,11 @@
     """Marks a server as draining, removes its entry and ends it."""
     server.state = "draining"
     await fleet.register(server)
-    fleet.judge.leaving_since[server.name] = fleet.clock()
+    fleet.judge.record_leaving(server.name)
     await asyncio.sleep(DRAIN_SECONDS)
+    server.left = True
     await fleet.store.delete(f"servers/{server.name}")
-    await asyncio.sleep(1.0)
+    await asyncio.sleep(fleet.linger_seconds())
     server.crash()
 
 
@@ -259,13 +315,14 @@
     return inject
 
 
-def kinds_of_seed(seed):
-    """Returns the kinds from which a seed draws. Kinds that were added later appear in seeds
-    above LAST_FIRST_SEED only, so that the schedules of the others stay the same."""
-    return FIRST_KINDS if seed <= LAST_FIRST_SEED else FIRST_KINDS + LATER_KINDS
+def kinds_of_seed(seed, names=None):
+    """Returns the kinds from which a seed draws. Kinds that were added later appear from a
+    certain seed on only, so that the schedules of the seeds before stay the same."""
+    kinds = FIRST_KINDS + [kind for first_seed, kind in LATER_KINDS if seed >= first_seed]
+    return [kind for kind in kinds if names is None or kind[0] in names]
 
 
-LAST_FIRST_SEED = 100
+FIRST_RESTORED_SEED = 201
 FIRST_KINDS = [("kill", kill), ("stop", stop), ("pause", pause), ("reload", reload),
                ("store down", store_flag("down", True, False)),
                ("store slow", store_flag("slow", 0.25, 0.0)),
@@ -280,4 +337,6 @@
                ("servers answer twice", server_flag("doubles", 0.1)),
                ("crash", crash_server), ("release", release), ("reuse", reuse),
                ("configure", configure), ("configure", configure)]
-LATER_KINDS = [("stop series", stop_series)] * 3
+# First seed that draws a kind, and the kind.
+LATER_KINDS = [(101, ("stop series", stop_series))] * 3 + \
+              [(FIRST_RESTORED_SEED, ("store restored", store_restored))] * 3
--- a/bench/soak/servers.py
+++ b/bench/soak/servers.py
@@ -32,6 +32,7 @@
         self.fails = self.loses = self.garbles = 0.0
         self.doubles = 0.0
         self.gone = False
+        self.left = False  # its entry was removed
         self.slot_freed = asyncio.Event()
         self.port = 0
         self._server = None
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -1,7 +1,8 @@
 #!/usr/bin/env python3
 """Randomized fault-injection soak test of real entry processes on this machine.
 
-usage: soak.py [--seeds A-B] [--entries N] [--seconds S] [--program FILE] [--out DIR]
+usage: soak.py [--seeds A-B] [--entries N] [--seconds S] [--kinds NAMES]
+               [--interval S] [--program FILE] [--out DIR]
 
 Runs one schedule of injected faults per seed and prints one line of JSON for each.
 Exits with 1 when a rule of the judge was violated; the logs of such a seed are kept."""
@@ -43,6 +44,10 @@
     parser.add_argument("--entries", type=int, default=18, help="entry processes, in two zones")
     parser.add_argument("--seconds", type=float, default=20,
                         help="time in which faults are injected")
+    parser.add_argument("--kinds", type=lambda names: names.split(","),
+                        help="kinds of faults to draw from, separated by commas; default: all")
+    parser.add_argument("--interval", type=float, default=0.8,
+                        help="mean time between faults, in seconds")
     parser.add_argument("--program", default=str(ROOT / "build/src/cumingauged"))
     parser.add_argument("--out", default=str(ROOT / "out/soak"))
     options = parser.parse_args()
--- a/bench/soak/wire.py
+++ b/bench/soak/wire.py
@@ -62,8 +62,8 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
-def compose_json(status, document):
-    return compose(f"HTTP/1.1 {status} X", {"Content-Type": "application/json"},
+def compose_json(status, document, fields):
+    return compose(f"HTTP/1.1 {status} X", dict(fields, **{"Content-Type": "application/json"}),
                    json.dumps(document).encode())
 
 
