Write heartbeats and probe all processes after a restore in the soak

Cause: the revisions that a restore takes back were overtaken at once by the entries that are written again, as the soak's servers wrote no heartbeats; on the platform the store needs about as long as its copy is old. One probe in 0.1 s seldom hit a process while a rule held. A route that a process served must not be unknown to it while its version is the newest.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -187,6 +187,7 @@
         self.store, self.entries, self.judge, self.random = store, entries, judge, random
         self.version = 1
         self.accepted_at = -1e9
+        self.check_count = 0
         self.seen = {}  # (process, generation): newest version seen there
 
     def document(self):
@@ -215,17 +216,27 @@
         self.accepted_at = self.judge.clock()
 
     async def check_version(self, number):
-        """Probes the route of the newest or of the last seen version on one process.
-
-        An undisturbed process must have the newest version 2 s after it was accepted, and
-        no process may return to an older one."""
+        """Probes the route of the newest or of the last seen version on one process."""
         entry = self.random.choice(self.entries)
+        old = self.seen.get((entry.name, entry.generation), 0)
+        target = self.version if self.random.random() < 0.7 or not old else old
+        await self._probe(f"o{number}", entry, target)
+
+    async def check_newest_everywhere(self):
+        """Probes the route of the newest version on each process."""
+        self.check_count += 1
+        await asyncio.gather(*(self._probe(f"o{self.check_count}-{entry.name}", entry, self.version)
+                               for entry in self.entries))
+
+    async def _probe(self, call, entry, target):
+        """Probes the route of a version.
+
+        A process in touch must have the newest version 2 s after it was accepted, and no
+        process may return to an older one."""
         generation, version, accepted = entry.generation, self.version, self.accepted_at
-        call, at = f"o{number}", self.judge.clock()
+        old, at = self.seen.get((entry.name, generation), 0), self.judge.clock()
         self.judge.record_sent(call, entry.name, True, 0.8)
         fields = {"Attempt-Id": call, "Deadline-Milliseconds": 800}
-        old = self.seen.get((entry.name, generation), 0)
-        target = version if self.random.random() < 0.7 or not old else old
         try:
             answer = await asyncio.wait_for(
                 exchange(entry.port, "GET", f"/v{target}/x", fields), 1.5)
@@ -243,7 +254,7 @@
             self.judge.report_violation("CONFIG", f"{entry.name} lost version {version}, which "
                                                   "it had in force")
         if is_known:
-            if target < self.seen.get((entry.name, generation), 0):
+            if target < old:
                 self.judge.report_violation("CONFIG", f"{entry.name} went back to version {target}")
             self.seen[entry.name, generation] = max(
                 target, self.seen.get((entry.name, generation), 0))
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -24,6 +24,7 @@
 CHANGING_INTERVAL = 3  # of the others, each third one changes its connection at times
 CHANGE_SHARE = 0.1
 MAX_LINGER_SECONDS = 8.0
+HEARTBEAT_SECONDS = 1.5
 READY_SECONDS = 20
 RECOVERY_SECONDS = 6
 RECOVERY_SHARE = 0.95
@@ -152,6 +153,8 @@
         await self.wait_ready()
         self.spawn_callers()
         self.spawn(self.check_configurations())
+        if self.seed >= FIRST_RESTORED_SEED:
+            self.spawn(self.write_heartbeats())
         begin = self.clock()
         schedule = draw_schedule(self.fault_random, self.options.seconds,
                                  kinds_of_seed(self.seed, self.options.kinds),
@@ -226,6 +229,16 @@
                 self.judge.record_restart(entry.name, is_planned=entry.stopping)
                 entry.start()
 
+    async def write_heartbeats(self):
+        """Writes the entry of each server once per interval, while the store can be reached."""
+        while True:
+            live = [s for s in self.servers if not s.gone and not s.left]
+            for server in live:
+                await asyncio.sleep(HEARTBEAT_SECONDS / len(live))
+                if not server.gone and not server.left and not self.store.down:
+                    server.sequence += 1
+                    await self.register(server)
+
     async def check_configurations(self):
         number = 0
         while True:
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Callable
 
-from judge import GRACE_SECONDS
+from judge import GRACE_SECONDS, STABLE_SECONDS
 
 DRAIN_SECONDS = 2.5  # time for which a leaving server still serves calls
 ADDRESS_REUSE_SECONDS = 2.0  # until an address may be given to another server
@@ -175,6 +175,8 @@
             await asyncio.sleep(followed_after)
             await fleet.operator.configure()
             await follow(fleet)
+        await asyncio.sleep(STABLE_SECONDS)
+        await fleet.operator.check_newest_everywhere()
         await expiry
     return inject
 
--- a/bench/soak/servers.py
+++ b/bench/soak/servers.py
@@ -28,6 +28,7 @@
         self.slots, self.running, self.waiting = 6, 0, 0
         self.pace = 1.0
         self.state = "ready"
+        self.sequence = 1  # of the last heartbeat
         self.service_seconds = 0.03
         self.fails = self.loses = self.garbles = 0.0
         self.doubles = 0.0
@@ -60,7 +61,7 @@
         return {"address": f"127.0.0.1:{proxy_port}",
                 "information": {"service": self.service, "version": "v1",
                                 "zone": self.zone, "slots": self.slots},
-                "status": {"state": self.state, "sequence": 1, "cold-remaining-ms": 0}}
+                "status": {"state": self.state, "sequence": self.sequence, "cold-remaining-ms": 0}}
 
     def load_report(self):
         return f"{self.running},{self.waiting},{self.slots},{int(self.pace * 100)}"
