--- a/tests/control/directoryfleet.cpp
+++ b/tests/control/directoryfleet.cpp
@@ -99,6 +99,20 @@
          View->second->Config_->Servers_.count(Name) > 0;
 }
 
+std::string DirectoryFleet::vmAt(unsigned Number,
+                                 const std::string &Name) const {
+  return isListed(Number, Name)
+             ? Views_.at(Number)->Config_->Servers_.at(Name).Vm_
+             : std::string();
+}
+
+void DirectoryFleet::pause(unsigned Number, bool Paused) {
+  if (Paused)
+    Paused_.insert(Number);
+  else
+    Paused_.erase(Number);
+}
+
 void DirectoryFleet::configure(std::uint64_t Version) {
   ++Stored_.Revision_;
   Stored_.ConfigRevision_ = Stored_.Revision_;
@@ -212,6 +226,8 @@
 }
 
 void DirectoryFleet::feed(unsigned Number, const CoreInput &Input) {
+  if (Paused_.count(Number))
+    return;
   for (const CoreCommand &Command : step(*Cores_[Number], Input, Now_))
     std::visit([&](const auto &What) { execute(Number, What); }, Command);
 }
@@ -286,6 +302,11 @@
     Stored_.Announced_[Asked.Self_.Process_] = Asked.Self_;
     break;
   case DirectoryOperation::Read:
+    if (Asked.Topic_ == DirectoryTopic::Members &&
+        std::exchange(RestoresDuringRead_, false)) {
+      restoreFromCopy();
+      Answer.Revision_ = Stored_.Revision_;
+    }
     fill(Answer, Asked.Topic_, 0);
     break;
   case DirectoryOperation::Ping:
--- a/tests/control/directoryfleet.h
+++ b/tests/control/directoryfleet.h
@@ -47,6 +47,8 @@
 
   bool isListed(unsigned Number, const std::string &Name) const;
   bool isLeaving(unsigned Number, const std::string &Name) const;
+  /// Returns the start of a server that a process knows; empty: none.
+  std::string vmAt(unsigned Number, const std::string &Name) const;
   bool hasView(unsigned Number) const { return Views_.count(Number) > 0; }
 
   /// Writes a configuration and answers the watches for it at once.
@@ -72,6 +74,14 @@
   /// revisions are given out again, and a new era begins.
   void restoreFromCopy();
 
+  /// Restores the directory from the copy right before it answers the next
+  /// read of the member list.
+  void restoreDuringNextMembersRead() { RestoresDuringRead_ = true; }
+
+  /// Stops a process without closing its links, or lets it go on. What its
+  /// peers send meanwhile is lost.
+  void pause(unsigned Number, bool Paused);
+
   /// Removes a process from the member list without telling it.
   void withdraw(unsigned Number);
   bool isAnnounced(unsigned Number) const;
@@ -85,6 +95,7 @@
   std::set<unsigned> watchers() const;
 
   unsigned reachableCount() const;
+  std::size_t linkCount() const { return Links_.size(); }
 
   /// Number of calls that the directory charges for in full, which pings are
   /// not.
@@ -138,6 +149,8 @@
   LinkId LastLink_ = 0;
   std::set<unsigned> Dead_;
   std::set<unsigned> Cut_;
+  std::set<unsigned> Paused_;
+  bool RestoresDuringRead_ = false;
   bool Away_ = false;
   bool ResetsLinks_ = false;
   bool RefusesLinks_ = false;
--- a/tests/control/directoryrestoretest.cpp
+++ b/tests/control/directoryrestoretest.cpp
@@ -73,6 +73,12 @@
   CPPUNIT_TEST(aVersionThatVanishedStaysInForce);
   CPPUNIT_TEST(aVersionWrittenAfterARestoreReachesAllProcesses);
   CPPUNIT_TEST(aProcessStartedAfterTheRestoreHasTheVersionOfItsPeers);
+  CPPUNIT_TEST(aLeavingServerStaysLeavingOverTwoRestores);
+  CPPUNIT_TEST(aSecondRestoreIsFollowed);
+  CPPUNIT_TEST(aProcessPausedOverTheRestoreKnowsTheLeavingServer);
+  CPPUNIT_TEST(aProcessCutOffOverTheRestoreFollowsItsPeers);
+  CPPUNIT_TEST(aRestartedFleetOfSmallZonesStartsInTime);
+  CPPUNIT_TEST(noStartLinkRemainsInSmallZones);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -303,6 +309,90 @@
       CPPUNIT_ASSERT(Fleet.hasView(Number));
     }
   }
+
+  void aLeavingServerStaysLeavingOverTwoRestores() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    lose(Fleet, [&] { Fleet.put(listed("a", true)); });
+    Fleet.wait(model::seconds(1));
+    lose(Fleet, [&] { writeMuch(Fleet, 3); });
+    expectAlways(Fleet, SettlingTime, [&] {
+      CPPUNIT_ASSERT_EQUAL(Fleet.countListing("a"),
+                           Fleet.countSeeingLeaving("a"));
+    });
+  }
+
+  void aSecondRestoreIsFollowed() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    lose(Fleet, [&] { writeMuch(Fleet, 20); });
+    Fleet.wait(SampleStep);
+    Fleet.restoreFromCopy();
+    Fleet.put(listed("a", true));
+    Fleet.wait(Bound);
+    CPPUNIT_ASSERT_EQUAL(Fleet.size(), Fleet.countSeeingLeaving("a"));
+  }
+
+  void aProcessPausedOverTheRestoreKnowsTheLeavingServer() {
+    for (const unsigned Number : {3U, 5U}) {
+      DirectoryFleet Fleet(ThreeZones);
+      settle(Fleet);
+      Fleet.copyDirectory();
+      writeMuch(Fleet, 20);
+      Fleet.wait(model::seconds(3));
+      Fleet.pause(Number, true);
+      Fleet.restoreFromCopy();
+      Fleet.wait(model::seconds(4));
+      Fleet.put(listed("a", true));
+      Fleet.wait(Bound);
+      Fleet.pause(Number, false);
+      Fleet.wait(Bound);
+      CPPUNIT_ASSERT_EQUAL(Fleet.size(), Fleet.countSeeingLeaving("a"));
+    }
+  }
+
+  void aProcessCutOffOverTheRestoreFollowsItsPeers() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    Fleet.cut(5);
+    lose(Fleet, [&] { writeMuch(Fleet, 20); });
+    Fleet.wait(SettlingTime);
+    Fleet.put(listed("a", true));
+    Fleet.wait(Bound);
+    CPPUNIT_ASSERT(Fleet.isLeaving(5, "a"));
+    CPPUNIT_ASSERT_EQUAL(Fleet.reachableCount(), Fleet.countSeeingLeaving("a"));
+  }
+
+  void aRestartedFleetOfSmallZonesStartsInTime() {
+    DirectoryFleet Fleet({3, 4});
+    settle(Fleet);
+    Fleet.resetLinks();
+    for (unsigned I = 0; I < Fleet.size(); ++I)
+      Fleet.kill(I);
+    for (unsigned I = 0; I < Fleet.size(); ++I)
+      Fleet.restart(I);
+    Fleet.wait(model::milliseconds(600));
+    for (unsigned I = 0; I < Fleet.size(); ++I)
+      CPPUNIT_ASSERT(Fleet.hasView(I));
+    Fleet.wait(model::seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Fleet.linkCount());
+  }
+
+  void noStartLinkRemainsInSmallZones() {
+    for (const bool Resets : {true, false}) {
+      DirectoryFleet Fleet({3, 4});
+      settle(Fleet);
+      if (Resets)
+        Fleet.resetLinks();
+      for (unsigned I = 0; I < Fleet.size(); ++I) {
+        Fleet.restart(I);
+        Fleet.wait(model::milliseconds(300));
+        CPPUNIT_ASSERT(Fleet.hasView(I));
+      }
+      Fleet.wait(model::seconds(1));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(0), Fleet.linkCount());
+    }
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(RestoredDirectory);
 
