Announce the process when its read of the members notices a restore

Others would miss the process for good: it is no reader for them, and the fleet's size is too small. Cause: the response that shows the new era makes the process announce itself again; when that response is to a read of the member list, it was then taken for the response to the announcement. Change: a call about the members that is in flight is dropped at a restore, like those about the other topics.

--- a/src/libcumingauge/control/directoryera.cpp
+++ b/src/libcumingauge/control/directoryera.cpp
@@ -52,6 +52,7 @@
   DirectoryFollower &Follower = State.Directory_;
   const auto Spread = static_cast<std::uint32_t>(AnnouncementSpread.count());
   Follower.Announced_ = false;
+  Follower.Members_.Call_ = 0; // its response would count as an announcement
   Follower.Members_.NextAt_ =
       State.Now_ + model::milliseconds(State.Random_(Spread));
 }
--- a/tests/control/directoryrestoretest.cpp
+++ b/tests/control/directoryrestoretest.cpp
@@ -73,6 +73,7 @@
   CPPUNIT_TEST(aVersionThatVanishedStaysInForce);
   CPPUNIT_TEST(aVersionWrittenAfterARestoreReachesAllProcesses);
   CPPUNIT_TEST(aProcessStartedAfterTheRestoreHasTheVersionOfItsPeers);
+  CPPUNIT_TEST(aProcessAnnouncesItselfAgainWhenItsReadNoticesTheRestore);
   CPPUNIT_TEST(aLeavingServerStaysLeavingOverTwoRestores);
   CPPUNIT_TEST(aSecondRestoreIsFollowed);
   CPPUNIT_TEST(aProcessPausedOverTheRestoreKnowsTheLeavingServer);
@@ -310,6 +311,18 @@
     }
   }
 
+  /// The response that announces the new era belongs to a read of the members.
+  void aProcessAnnouncesItselfAgainWhenItsReadNoticesTheRestore() {
+    DirectoryFleet Fleet({1, 1});
+    settle(Fleet);
+    Fleet.withdraw(0);
+    Fleet.copyDirectory();
+    Fleet.restoreDuringNextMembersRead();
+    // The longest time between two reads of the member list, and a call.
+    Fleet.wait(model::seconds(150) + model::seconds(5));
+    CPPUNIT_ASSERT(Fleet.isAnnounced(0));
+  }
+
   void aLeavingServerStaysLeavingOverTwoRestores() {
     DirectoryFleet Fleet(ThreeZones);
     settle(Fleet);
