Use a server that registers again after a restore at once

After a restore, servers that were removed before it get no work for 6 s, since the copy may still list them. One that writes its entry again is to be used sooner. Cause: its departure was forgotten, but as the entry itself was unchanged, the configuration was not rebuilt. Change: a server that is no longer held back counts as a change.

Measured: aServerThatRegistersAgainIsUsedBeforeTheCopyExpires failed without the change (all 48 processes held the server back 1.9 s after it had registered) and passes with it.

--- a/src/libcumingauge/control/departures.cpp
+++ b/src/libcumingauge/control/departures.cpp
@@ -46,10 +46,13 @@
   Last.At_ = State.Now_;
 }
 
-void recordRenewal(CoreState &State, const ports::ListedServer &Listed) {
+bool recordRenewal(CoreState &State, const ports::ListedServer &Listed) {
   const auto Found = departuresOf(State).find(identityOf(Listed));
-  if (Found != departuresOf(State).end() && !Found->second.IsLeaving_)
-    departuresOf(State).erase(Found);
+  if (Found == departuresOf(State).end() || Found->second.IsLeaving_)
+    return false;
+  const bool WasHeldBack = isDeparted(State, Listed);
+  departuresOf(State).erase(Found);
+  return WasHeldBack;
 }
 
 bool isDeparted(const CoreState &State, const ports::ListedServer &Listed) {
--- a/src/libcumingauge/control/departures.h
+++ b/src/libcumingauge/control/departures.h
@@ -35,7 +35,8 @@
 
 /// Records that a server has written its entry after the last restore, so that
 /// it is not held back as removed.
-void recordRenewal(CoreState &State, const ports::ListedServer &Listed);
+/// \returns true when it was held back.
+bool recordRenewal(CoreState &State, const ports::ListedServer &Listed);
 
 /// Returns whether a listed server must get no new work because it departed
 /// before the last restore.
--- a/src/libcumingauge/control/serverlist.cpp
+++ b/src/libcumingauge/control/serverlist.cpp
@@ -143,7 +143,7 @@
   bool Changed = false;
   for (const ports::ServerEntry &Entry : Entries) {
     if (Entry.Listed_)
-      recordRenewal(State, *Entry.Listed_);
+      Changed = recordRenewal(State, *Entry.Listed_) || Changed;
     Changed = applyServerEntry(State, Entry, Found) || Changed;
   }
   recordDifferences(State, Found);
--- a/tests/control/directoryrestoretest.cpp
+++ b/tests/control/directoryrestoretest.cpp
@@ -74,6 +74,7 @@
   CPPUNIT_TEST(aVersionWrittenAfterARestoreReachesAllProcesses);
   CPPUNIT_TEST(aProcessStartedAfterTheRestoreHasTheVersionOfItsPeers);
   CPPUNIT_TEST(aProcessAnnouncesItselfAgainWhenItsReadNoticesTheRestore);
+  CPPUNIT_TEST(aServerThatRegistersAgainIsUsedBeforeTheCopyExpires);
   CPPUNIT_TEST(aLeavingServerStaysLeavingOverTwoRestores);
   CPPUNIT_TEST(aSecondRestoreIsFollowed);
   CPPUNIT_TEST(aProcessPausedOverTheRestoreKnowsTheLeavingServer);
@@ -323,6 +324,10 @@
     CPPUNIT_ASSERT(Fleet.isAnnounced(0));
   }
 
+  void aServerThatRegistersAgainIsUsedBeforeTheCopyExpires() {
+    loseRemovalUntilRenewal(model::milliseconds(3900));
+  }
+
   void aLeavingServerStaysLeavingOverTwoRestores() {
     DirectoryFleet Fleet(ThreeZones);
     settle(Fleet);
@@ -406,6 +411,20 @@
       CPPUNIT_ASSERT_EQUAL(std::size_t(0), Fleet.linkCount());
     }
   }
+
+private:
+  /// The directory loses the removal of a server, which registers again some
+  /// time after the restore.
+  static void loseRemovalUntilRenewal(model::milliseconds Time) {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    lose(Fleet, [&] { Fleet.remove("a"); });
+    Fleet.wait(Time);
+    Fleet.put(listed("a"));
+    Fleet.wait(Bound);
+    CPPUNIT_ASSERT_EQUAL(Fleet.size(), Fleet.countListing("a"));
+    CPPUNIT_ASSERT_EQUAL(0U, Fleet.countSeeingLeaving("a"));
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(RestoredDirectory);
 
