Pass departures before a restore on to peers

A process that started after a restore sent calls to servers that were leaving: it had not seen the mark, the copy lists the server as ready, and its peers, which hold the server back, passed on the copy's entry. A peer's change also counted as a new registration of a server that the reader itself held back. Cause: departures were known only to the process that had seen them. Change: an entry in an update says whether the server departed before the restore, and the receiver holds it back as well.

Measured: aProcessStartedAfterTheRestoreGivesNoWorkToLeavingServers failed before.

--- a/src/libcumingauge/control/departures.cpp
+++ b/src/libcumingauge/control/departures.cpp
@@ -46,6 +46,14 @@
   Last.At_ = State.Now_;
 }
 
+void recordEarlierDeparture(CoreState &State, const ServerIdentity &Server,
+                            bool WasLeaving) {
+  const std::uint64_t Era = State.Directory_.Era_.Number_;
+  if (Era > 0)
+    departuresOf(State).try_emplace(Server,
+                                    Departure{Era - 1, WasLeaving, State.Now_});
+}
+
 bool recordRenewal(CoreState &State, const ports::ListedServer &Listed) {
   const auto Found = departuresOf(State).find(identityOf(Listed));
   if (Found == departuresOf(State).end() || Found->second.IsLeaving_)
@@ -64,6 +72,14 @@
   return Found->second.IsLeaving_ || Table.HoldsRemoved_;
 }
 
+std::optional<bool> wasLeaving(const CoreState &State,
+                               const ports::ListedServer &Listed) {
+  if (!isDeparted(State, Listed))
+    return std::nullopt;
+  return State.Directory_.Departures_.Departures_.at(identityOf(Listed))
+      .IsLeaving_;
+}
+
 bool expireDepartures(CoreState &State) {
   DirectoryFollower &Follower = State.Directory_;
   auto &Departures = departuresOf(State);
--- a/src/libcumingauge/control/departures.h
+++ b/src/libcumingauge/control/departures.h
@@ -5,6 +5,7 @@
 #include "ports/directory.h"
 #include <cstdint>
 #include <map>
+#include <optional>
 
 namespace cumingauge::control {
 
@@ -33,6 +34,10 @@
 /// Records that a server was removed from the list.
 void recordRemoval(CoreState &State, const ports::ListedServer &Removed);
 
+/// Records a departure before the last restore that a peer has reported.
+void recordEarlierDeparture(CoreState &State, const ServerIdentity &Server,
+                            bool WasLeaving);
+
 /// Records that a server has written its entry after the last restore, so that
 /// it is not held back as removed.
 /// \returns true when it was held back.
@@ -42,6 +47,10 @@
 /// before the last restore.
 bool isDeparted(const CoreState &State, const ports::ListedServer &Listed);
 
+/// Returns whether a server that isDeparted() was leaving; nothing for others.
+std::optional<bool> wasLeaving(const CoreState &State,
+                               const ports::ListedServer &Listed);
+
 /// Ends the time for which removed servers are held back, and forgets old
 /// departures.
 /// \returns true when servers are no longer held back.
--- a/src/libcumingauge/control/directorylinks.cpp
+++ b/src/libcumingauge/control/directorylinks.cpp
@@ -80,13 +80,14 @@
   return chooseStartPeers(Members, Self, IsReachable);
 }
 
-ServerListChange changeOf(const DirectoryFollower &Follower,
-                          const std::string &Name) {
-  ServerListChange Out{Name, std::nullopt, false};
+ServerListChange changeOf(const CoreState &State, const std::string &Name) {
+  const DirectoryFollower &Follower = State.Directory_;
+  ServerListChange Out{Name, std::nullopt, false, std::nullopt};
   const auto Listed = Follower.Listed_.find(Name);
   if (Listed != Follower.Listed_.end()) {
     Out.Server_ = Listed->second.Server_;
     Out.Leaving_ = Listed->second.Leaving_;
+    Out.WasLeaving_ = wasLeaving(State, Listed->second);
   }
   return Out;
 }
@@ -111,12 +112,12 @@
       Known.Era_ < Follower.KnownRevision_.Era_) {
     Out.Complete_ = true;
     for (const auto &Entry : Follower.Listed_)
-      Out.Servers_.push_back(changeOf(Follower, Entry.first));
+      Out.Servers_.push_back(changeOf(State, Entry.first));
     return Out;
   }
   for (const auto &[Name, Change] : Follower.Changes_)
     if (Change.Revision_ > Known || Change.Number_ > To.SentChange_)
-      Out.Servers_.push_back(changeOf(Follower, Name));
+      Out.Servers_.push_back(changeOf(State, Name));
   return Out;
 }
 
@@ -141,11 +142,21 @@
     ports::ServerEntry Entry{Update.Name_, std::nullopt, Message.Revision_};
     if (Update.Server_)
       Entry.Listed_ = ports::ListedServer{*Update.Server_, Update.Leaving_};
+    Entry.Departed_ = Update.WasLeaving_.has_value();
     Out.push_back(std::move(Entry));
   }
   return Out;
 }
 
+void recordReportedDepartures(CoreState &State,
+                              const DirectoryUpdate &Message) {
+  for (const ServerListChange &Update : Message.Servers_)
+    if (Update.Server_ && Update.WasLeaving_)
+      recordEarlierDeparture(State,
+                             {Update.Server_->Name_, Update.Server_->Vm_},
+                             *Update.WasLeaving_);
+}
+
 /// Makes the next calls due at once. Other processes rely on this one from now
 /// on, before the pause between its own calls ends.
 void callNowAsReader(CoreState &State) {
@@ -331,6 +342,7 @@
       applyConfiguration(State, {Message.Version_, *Message.Preset_});
   }
   if (IsOfPresentEra && Revision >= Follower.KnownRevision_) {
+    recordReportedDepartures(State, Message);
     if (IsComplete)
       applyCompleteList(State, entriesOf(Message), Revision);
     else
--- a/src/libcumingauge/control/peermessage.h
+++ b/src/libcumingauge/control/peermessage.h
@@ -102,8 +102,12 @@
   /// Absent: the server was removed.
   std::optional<model::BackendServer> Server_;
   bool Leaving_ = false;
+  /// Set when the server departed before the directory was restored from a
+  /// copy, which lists it as ready: whether it was leaving; else just removed.
+  std::optional<bool> WasLeaving_;
 };
-BOOST_DESCRIBE_STRUCT(ServerListChange, (), (Name_, Server_, Leaving_))
+BOOST_DESCRIBE_STRUCT(ServerListChange, (),
+                      (Name_, Server_, Leaving_, WasLeaving_))
 
 /// Subscribes to the directory: requests the configuration after a version, the
 /// changes of the server list after a revision, and updates from then on.
--- a/src/libcumingauge/control/serverlist.cpp
+++ b/src/libcumingauge/control/serverlist.cpp
@@ -142,7 +142,7 @@
   Differences Found;
   bool Changed = false;
   for (const ports::ServerEntry &Entry : Entries) {
-    if (Entry.Listed_)
+    if (Entry.Listed_ && !Entry.Departed_)
       Changed = recordRenewal(State, *Entry.Listed_) || Changed;
     Changed = applyServerEntry(State, Entry, Found) || Changed;
   }
--- a/src/libcumingauge/ports/directory.h
+++ b/src/libcumingauge/ports/directory.h
@@ -52,6 +52,8 @@
   std::string Name_;
   std::optional<ListedServer> Listed_;
   std::uint64_t Revision_ = 0; ///< revision of its last change; 0: unknown
+  /// The entry is from a copy of the directory; the server has departed since.
+  bool Departed_ = false;
 };
 
 /// The operators' configuration as one preset.
--- a/tests/control/directoryrestoretest.cpp
+++ b/tests/control/directoryrestoretest.cpp
@@ -74,6 +74,7 @@
   CPPUNIT_TEST(aVersionWrittenAfterARestoreReachesAllProcesses);
   CPPUNIT_TEST(aProcessStartedAfterTheRestoreHasTheVersionOfItsPeers);
   CPPUNIT_TEST(aProcessAnnouncesItselfAgainWhenItsReadNoticesTheRestore);
+  CPPUNIT_TEST(aProcessStartedAfterTheRestoreGivesNoWorkToLeavingServers);
   CPPUNIT_TEST(aServerThatRegistersAgainIsUsedBeforeTheCopyExpires);
   CPPUNIT_TEST(aLeavingServerStaysLeavingOverTwoRestores);
   CPPUNIT_TEST(aSecondRestoreIsFollowed);
@@ -324,6 +325,20 @@
     CPPUNIT_ASSERT(Fleet.isAnnounced(0));
   }
 
+  void aProcessStartedAfterTheRestoreGivesNoWorkToLeavingServers() {
+    for (const unsigned Number : {3U, 5U}) {
+      DirectoryFleet Fleet(ThreeZones);
+      settle(Fleet);
+      lose(Fleet, [&] { Fleet.put(listed("a", true)); });
+      Fleet.wait(model::seconds(1));
+      Fleet.restart(Number);
+      expectAlways(Fleet, SettlingTime, [&] {
+        CPPUNIT_ASSERT(!Fleet.isListed(Number, "a") ||
+                       Fleet.isLeaving(Number, "a"));
+      });
+    }
+  }
+
   void aServerThatRegistersAgainIsUsedBeforeTheCopyExpires() {
     loseRemovalUntilRenewal(model::milliseconds(3900));
   }
