Recognize a new registration in a list that is read after a restore

A server that was removed before a restore and registers again in the first 3 s after it got no work from the fleet readers until 6 s after the restore. Cause: the readers read the whole list in that time, and only the events of a watch counted as a registration. Change: so does an entry whose revision is above that of the era's first list.

Measured: aServerThatRegistersAgainAtOnceIsNotHeldBack failed without the change (2 of 48 processes) and passes with it.

--- a/src/libcumingauge/control/serverlist.cpp
+++ b/src/libcumingauge/control/serverlist.cpp
@@ -125,6 +125,14 @@
   return Changed;
 }
 
+/// Returns whether an entry of a list that was read from the directory was
+/// written after the first read of the era, and so is not from a copy.
+bool isWrittenInEra(const DirectoryFollower &Follower,
+                    const ports::ServerEntry &Entry) {
+  const DirectoryRevision First = Follower.FirstRevision_;
+  return First.Era_ == Follower.Era_.Number_ && Entry.Revision_ > First.Number_;
+}
+
 bool canBeNewOutage(const CoreState &State) {
   const auto &Back = State.Directory_.OutageEndedAt_;
   return !Back || State.Now_ - *Back >= OutageWindow;
@@ -166,8 +174,12 @@
   for (const std::string &Name : Missing)
     if (!MayKeep || !isOutageJustOver(State) || Follower.Listed_[Name].Leaving_)
       applyServerEntry(State, {Name, std::nullopt, 0}, Found);
-  for (const auto &[Name, Entry] : Read)
+  for (const auto &[Name, Entry] : Read) {
+    // The entries in a peer's list have no revisions of their own.
+    if (MayKeep && isWrittenInEra(Follower, Entry))
+      recordRenewal(State, *Entry.Listed_);
     applyServerEntry(State, Entry, Found);
+  }
   recordDifferences(State, Found);
 }
 
--- a/tests/control/directoryrestoretest.cpp
+++ b/tests/control/directoryrestoretest.cpp
@@ -76,6 +76,7 @@
   CPPUNIT_TEST(aProcessAnnouncesItselfAgainWhenItsReadNoticesTheRestore);
   CPPUNIT_TEST(aProcessStartedAfterTheRestoreGivesNoWorkToLeavingServers);
   CPPUNIT_TEST(aServerThatRegistersAgainIsUsedBeforeTheCopyExpires);
+  CPPUNIT_TEST(aServerThatRegistersAgainAtOnceIsNotHeldBack);
   CPPUNIT_TEST(aLeavingServerStaysLeavingOverTwoRestores);
   CPPUNIT_TEST(aSecondRestoreIsFollowed);
   CPPUNIT_TEST(aProcessPausedOverTheRestoreKnowsTheLeavingServer);
@@ -343,6 +344,12 @@
     loseRemovalUntilRenewal(model::milliseconds(3900));
   }
 
+  /// The readers read the whole list for a while after a restore, so the
+  /// registration is no event.
+  void aServerThatRegistersAgainAtOnceIsNotHeldBack() {
+    loseRemovalUntilRenewal(model::seconds(1));
+  }
+
   void aLeavingServerStaysLeavingOverTwoRestores() {
     DirectoryFleet Fleet(ThreeZones);
     settle(Fleet);
