Keep the new start of a server when the copy lists the one before

After a restore, a server that had started again in the lost seconds was taken for its earlier start again: it lost its place, and calls named a start that is gone. Cause: a start that was replaced by another was not recorded as gone. Change: it is. The new start keeps its place while it may register again, and the earlier one gets no work.

Measured: aReplacedStartOfAServerIsNotUsedAgain failed before and passes now.

--- a/src/libcumingauge/control/serverlist.cpp
+++ b/src/libcumingauge/control/serverlist.cpp
@@ -101,6 +101,9 @@
     return true;
   }
   recordListing(State, *Entry.Listed_);
+  if (Known != Listed.end() &&
+      Known->second.Server_.Vm_ != Entry.Listed_->Server_.Vm_)
+    recordRemoval(State, Known->second);
   if (Known != Listed.end() && isSameListing(Known->second, *Entry.Listed_))
     return false;
   addDifference(Found, Known == Listed.end() ? nullptr : &Known->second,
@@ -133,6 +136,16 @@
   return First.Era_ == Follower.Era_.Number_ && Entry.Revision_ > First.Number_;
 }
 
+/// Returns whether the entry names an earlier start of a server than the known
+/// one, as a copy of the directory does.
+bool isReplacedStart(const CoreState &State, const ports::ServerEntry &Entry) {
+  const auto &Listed = State.Directory_.Listed_;
+  const auto Known = Listed.find(Entry.Name_);
+  return Known != Listed.end() &&
+         Known->second.Server_.Vm_ != Entry.Listed_->Server_.Vm_ &&
+         isDeparted(State, *Entry.Listed_);
+}
+
 bool canBeNewOutage(const CoreState &State) {
   const auto &Back = State.Directory_.OutageEndedAt_;
   return !Back || State.Now_ - *Back >= OutageWindow;
@@ -178,6 +191,9 @@
     // The entries in a peer's list have no revisions of their own.
     if (MayKeep && isWrittenInEra(Follower, Entry))
       recordRenewal(State, *Entry.Listed_);
+    // The known start may still register again.
+    if (MayKeep && isOutageJustOver(State) && isReplacedStart(State, Entry))
+      continue;
     applyServerEntry(State, Entry, Found);
   }
   recordDifferences(State, Found);
--- a/tests/control/directoryrestoretest.cpp
+++ b/tests/control/directoryrestoretest.cpp
@@ -75,6 +75,7 @@
   CPPUNIT_TEST(aProcessStartedAfterTheRestoreHasTheVersionOfItsPeers);
   CPPUNIT_TEST(aProcessAnnouncesItselfAgainWhenItsReadNoticesTheRestore);
   CPPUNIT_TEST(aProcessStartedAfterTheRestoreGivesNoWorkToLeavingServers);
+  CPPUNIT_TEST(aReplacedStartOfAServerIsNotUsedAgain);
   CPPUNIT_TEST(aServerThatRegistersAgainIsUsedBeforeTheCopyExpires);
   CPPUNIT_TEST(aServerThatRegistersAgainAtOnceIsNotHeldBack);
   CPPUNIT_TEST(aLeavingServerStaysLeavingOverTwoRestores);
@@ -340,6 +341,25 @@
     }
   }
 
+  void aReplacedStartOfAServerIsNotUsedAgain() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    lose(Fleet, [&] {
+      ports::ServerEntry Started = listed("a");
+      Started.Listed_->Server_.Vm_ = "another start";
+      Fleet.put(Started);
+    });
+    expectAlways(Fleet, ReregistrationTime, [&] {
+      for (unsigned I = 0; I < Fleet.size(); ++I)
+        CPPUNIT_ASSERT_EQUAL(std::string("another start"), Fleet.vmAt(I, "a"));
+      CPPUNIT_ASSERT_EQUAL(0U, Fleet.countSeeingLeaving("a"));
+    });
+    expectAlways(Fleet, model::seconds(3), [&] {
+      for (unsigned I = 0; I < Fleet.size(); ++I)
+        CPPUNIT_ASSERT(Fleet.vmAt(I, "a") != "vm-a" || Fleet.isLeaving(I, "a"));
+    });
+  }
+
   void aServerThatRegistersAgainIsUsedBeforeTheCopyExpires() {
     loseRemovalUntilRenewal(model::milliseconds(3900));
   }
