Add a failing test of the product's store that lost accepted changes

Operators would see: a change that is reported as accepted is not in force. The product's own store gives out versions again when it comes back from a copy; entry processes that know higher versions wait for the store to reach them. Nothing is fixed here.

--- a/tests/control/gossiptest.cpp
+++ b/tests/control/gossiptest.cpp
@@ -106,6 +106,8 @@
   CPPUNIT_TEST(reportsAClaimWithoutEntriesOnce);
   CPPUNIT_TEST(reportsAStoreBehindTheFleetAndKeepsItsState);
   CPPUNIT_TEST(letsTheStoreDecideOnContents);
+  CPPUNIT_TEST(takesAChangeAcceptedAfterTheStoreWasRestored);
+  CPPUNIT_TEST(takesAChangeAcceptedAfterTheStoreLostTwo);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -166,6 +168,30 @@
     }
     CPPUNIT_ASSERT(alarms(Fleet, model::ResultCode::StoreAnswerInvalid) > 0);
   }
+
+  void takesAChangeAcceptedAfterTheStoreWasRestored() { loseChanges(1); }
+
+  void takesAChangeAcceptedAfterTheStoreLostTwo() { loseChanges(2); }
+
+private:
+  /// The store comes back from a copy that lacks the latest changes.
+  static void loseChanges(unsigned Count) {
+    FakeFleet Fleet(3, 8);
+    prepare(Fleet);
+    const FakeStore Copy = Fleet.Store_;
+    for (unsigned I = 0; I < Count; ++I) {
+      Fleet.write(model::PutPreset{samples::preset("lost")}, "ops");
+      Fleet.run(seconds(3));
+    }
+    Fleet.Store_ = Copy;
+    Fleet.run(seconds(3));
+    Fleet.write(model::PutPreset{samples::preset("peak")}, "ops");
+    Fleet.run(seconds(90));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), Fleet.Store_.lastVersion());
+    for (const FakeProcess &Process : Fleet.Processes_)
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                           Process.View_->Config_->Presets_.count("peak"));
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(AFaultyPeerOrStore);
 
