--- a/src/libcumingauge/control/serverlist.cpp
+++ b/src/libcumingauge/control/serverlist.cpp
@@ -101,6 +101,9 @@
     return true;
   }
   recordListing(State, *Entry.Listed_);
+  if (Known != Listed.end() &&
+      Known->second.Server_.Vm_ != Entry.Listed_->Server_.Vm_)
+    recordRemoval(State, Known->second);
   if (Known != Listed.end() && isSameListing(Known->second, *Entry.Listed_))
     return false;
   addDifference(Found, Known == Listed.end() ? nullptr : &Known->second,
@@ -125,6 +128,24 @@
   return Changed;
 }
 
+/// Returns whether an entry of a list that was read from the directory was
+/// written after the first read of the era, and so is not from a copy.
+bool isWrittenInEra(const DirectoryFollower &Follower,
+                    const ports::ServerEntry &Entry) {
+  const DirectoryRevision First = Follower.FirstRevision_;
+  return First.Era_ == Follower.Era_.Number_ && Entry.Revision_ > First.Number_;
+}
+
+/// Returns whether the entry names an earlier start of a server than the known
+/// one, as a copy of the directory does.
+bool isReplacedStart(const CoreState &State, const ports::ServerEntry &Entry) {
+  const auto &Listed = State.Directory_.Listed_;
+  const auto Known = Listed.find(Entry.Name_);
+  return Known != Listed.end() &&
+         Known->second.Server_.Vm_ != Entry.Listed_->Server_.Vm_ &&
+         isDeparted(State, *Entry.Listed_);
+}
+
 bool canBeNewOutage(const CoreState &State) {
   const auto &Back = State.Directory_.OutageEndedAt_;
   return !Back || State.Now_ - *Back >= OutageWindow;
@@ -142,8 +163,8 @@
   Differences Found;
   bool Changed = false;
   for (const ports::ServerEntry &Entry : Entries) {
-    if (Entry.Listed_)
-      recordRenewal(State, *Entry.Listed_);
+    if (Entry.Listed_ && !Entry.Departed_)
+      Changed = recordRenewal(State, *Entry.Listed_) || Changed;
     Changed = applyServerEntry(State, Entry, Found) || Changed;
   }
   recordDifferences(State, Found);
@@ -166,8 +187,15 @@
   for (const std::string &Name : Missing)
     if (!MayKeep || !isOutageJustOver(State) || Follower.Listed_[Name].Leaving_)
       applyServerEntry(State, {Name, std::nullopt, 0}, Found);
-  for (const auto &[Name, Entry] : Read)
+  for (const auto &[Name, Entry] : Read) {
+    // The entries in a peer's list have no revisions of their own.
+    if (MayKeep && isWrittenInEra(Follower, Entry))
+      recordRenewal(State, *Entry.Listed_);
+    // The known start may still register again.
+    if (MayKeep && isOutageJustOver(State) && isReplacedStart(State, Entry))
+      continue;
     applyServerEntry(State, Entry, Found);
+  }
   recordDifferences(State, Found);
 }
 
--- a/tests/control/directoryrestoretest.cpp
+++ b/tests/control/directoryrestoretest.cpp
@@ -73,6 +73,17 @@
   CPPUNIT_TEST(aVersionThatVanishedStaysInForce);
   CPPUNIT_TEST(aVersionWrittenAfterARestoreReachesAllProcesses);
   CPPUNIT_TEST(aProcessStartedAfterTheRestoreHasTheVersionOfItsPeers);
+  CPPUNIT_TEST(aProcessAnnouncesItselfAgainWhenItsReadNoticesTheRestore);
+  CPPUNIT_TEST(aProcessStartedAfterTheRestoreGivesNoWorkToLeavingServers);
+  CPPUNIT_TEST(aReplacedStartOfAServerIsNotUsedAgain);
+  CPPUNIT_TEST(aServerThatRegistersAgainIsUsedBeforeTheCopyExpires);
+  CPPUNIT_TEST(aServerThatRegistersAgainAtOnceIsNotHeldBack);
+  CPPUNIT_TEST(aLeavingServerStaysLeavingOverTwoRestores);
+  CPPUNIT_TEST(aSecondRestoreIsFollowed);
+  CPPUNIT_TEST(aProcessPausedOverTheRestoreKnowsTheLeavingServer);
+  CPPUNIT_TEST(aProcessCutOffOverTheRestoreFollowsItsPeers);
+  CPPUNIT_TEST(aRestartedFleetOfSmallZonesStartsInTime);
+  CPPUNIT_TEST(noStartLinkRemainsInSmallZones);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -303,6 +314,159 @@
       CPPUNIT_ASSERT(Fleet.hasView(Number));
     }
   }
+
+  /// The response that announces the new era belongs to a read of the members.
+  void aProcessAnnouncesItselfAgainWhenItsReadNoticesTheRestore() {
+    DirectoryFleet Fleet({1, 1});
+    settle(Fleet);
+    Fleet.withdraw(0);
+    Fleet.copyDirectory();
+    Fleet.restoreDuringNextMembersRead();
+    // The longest time between two reads of the member list, and a call.
+    Fleet.wait(model::seconds(150) + model::seconds(5));
+    CPPUNIT_ASSERT(Fleet.isAnnounced(0));
+  }
+
+  void aProcessStartedAfterTheRestoreGivesNoWorkToLeavingServers() {
+    for (const unsigned Number : {3U, 5U}) {
+      DirectoryFleet Fleet(ThreeZones);
+      settle(Fleet);
+      lose(Fleet, [&] { Fleet.put(listed("a", true)); });
+      Fleet.wait(model::seconds(1));
+      Fleet.restart(Number);
+      expectAlways(Fleet, SettlingTime, [&] {
+        CPPUNIT_ASSERT(!Fleet.isListed(Number, "a") ||
+                       Fleet.isLeaving(Number, "a"));
+      });
+    }
+  }
+
+  void aReplacedStartOfAServerIsNotUsedAgain() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    lose(Fleet, [&] {
+      ports::ServerEntry Started = listed("a");
+      Started.Listed_->Server_.Vm_ = "another start";
+      Fleet.put(Started);
+    });
+    expectAlways(Fleet, ReregistrationTime, [&] {
+      for (unsigned I = 0; I < Fleet.size(); ++I)
+        CPPUNIT_ASSERT_EQUAL(std::string("another start"), Fleet.vmAt(I, "a"));
+      CPPUNIT_ASSERT_EQUAL(0U, Fleet.countSeeingLeaving("a"));
+    });
+    expectAlways(Fleet, model::seconds(3), [&] {
+      for (unsigned I = 0; I < Fleet.size(); ++I)
+        CPPUNIT_ASSERT(Fleet.vmAt(I, "a") != "vm-a" || Fleet.isLeaving(I, "a"));
+    });
+  }
+
+  void aServerThatRegistersAgainIsUsedBeforeTheCopyExpires() {
+    loseRemovalUntilRenewal(model::milliseconds(3900));
+  }
+
+  /// The readers read the whole list for a while after a restore, so the
+  /// registration is no event.
+  void aServerThatRegistersAgainAtOnceIsNotHeldBack() {
+    loseRemovalUntilRenewal(model::seconds(1));
+  }
+
+  void aLeavingServerStaysLeavingOverTwoRestores() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    lose(Fleet, [&] { Fleet.put(listed("a", true)); });
+    Fleet.wait(model::seconds(1));
+    lose(Fleet, [&] { writeMuch(Fleet, 3); });
+    expectAlways(Fleet, SettlingTime, [&] {
+      CPPUNIT_ASSERT_EQUAL(Fleet.countListing("a"),
+                           Fleet.countSeeingLeaving("a"));
+    });
+  }
+
+  void aSecondRestoreIsFollowed() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    lose(Fleet, [&] { writeMuch(Fleet, 20); });
+    Fleet.wait(SampleStep);
+    Fleet.restoreFromCopy();
+    Fleet.put(listed("a", true));
+    Fleet.wait(Bound);
+    CPPUNIT_ASSERT_EQUAL(Fleet.size(), Fleet.countSeeingLeaving("a"));
+  }
+
+  void aProcessPausedOverTheRestoreKnowsTheLeavingServer() {
+    for (const unsigned Number : {3U, 5U}) {
+      DirectoryFleet Fleet(ThreeZones);
+      settle(Fleet);
+      Fleet.copyDirectory();
+      writeMuch(Fleet, 20);
+      Fleet.wait(model::seconds(3));
+      Fleet.pause(Number, true);
+      Fleet.restoreFromCopy();
+      Fleet.wait(model::seconds(4));
+      Fleet.put(listed("a", true));
+      Fleet.wait(Bound);
+      Fleet.pause(Number, false);
+      Fleet.wait(Bound);
+      CPPUNIT_ASSERT_EQUAL(Fleet.size(), Fleet.countSeeingLeaving("a"));
+    }
+  }
+
+  void aProcessCutOffOverTheRestoreFollowsItsPeers() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    Fleet.cut(5);
+    lose(Fleet, [&] { writeMuch(Fleet, 20); });
+    Fleet.wait(SettlingTime);
+    Fleet.put(listed("a", true));
+    Fleet.wait(Bound);
+    CPPUNIT_ASSERT(Fleet.isLeaving(5, "a"));
+    CPPUNIT_ASSERT_EQUAL(Fleet.reachableCount(), Fleet.countSeeingLeaving("a"));
+  }
+
+  void aRestartedFleetOfSmallZonesStartsInTime() {
+    DirectoryFleet Fleet({3, 4});
+    settle(Fleet);
+    Fleet.resetLinks();
+    for (unsigned I = 0; I < Fleet.size(); ++I)
+      Fleet.kill(I);
+    for (unsigned I = 0; I < Fleet.size(); ++I)
+      Fleet.restart(I);
+    Fleet.wait(model::milliseconds(600));
+    for (unsigned I = 0; I < Fleet.size(); ++I)
+      CPPUNIT_ASSERT(Fleet.hasView(I));
+    Fleet.wait(model::seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), Fleet.linkCount());
+  }
+
+  void noStartLinkRemainsInSmallZones() {
+    for (const bool Resets : {true, false}) {
+      DirectoryFleet Fleet({3, 4});
+      settle(Fleet);
+      if (Resets)
+        Fleet.resetLinks();
+      for (unsigned I = 0; I < Fleet.size(); ++I) {
+        Fleet.restart(I);
+        Fleet.wait(model::milliseconds(300));
+        CPPUNIT_ASSERT(Fleet.hasView(I));
+      }
+      Fleet.wait(model::seconds(1));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(0), Fleet.linkCount());
+    }
+  }
+
+private:
+  /// The directory loses the removal of a server, which registers again some
+  /// time after the restore.
+  static void loseRemovalUntilRenewal(model::milliseconds Time) {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    lose(Fleet, [&] { Fleet.remove("a"); });
+    Fleet.wait(Time);
+    Fleet.put(listed("a"));
+    Fleet.wait(Bound);
+    CPPUNIT_ASSERT_EQUAL(Fleet.size(), Fleet.countListing("a"));
+    CPPUNIT_ASSERT_EQUAL(0U, Fleet.countSeeingLeaving("a"));
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(RestoredDirectory);
 
