Pass a directory update on only when it confirms more than the last

Cause: a process passes an update on when the confirmation that its peer has is getting old, also when it has no newer one itself. While the directory is away every confirmation is old, and processes that take their first state from each other subscribe in a circle: each update led to the next without a pause. Change: an update is passed on for its confirmation only if that is newer than what the peer has by the usual pause.

--- a/src/libcumingauge/control/directorylinks.cpp
+++ b/src/libcumingauge/control/directorylinks.cpp
@@ -53,6 +53,12 @@
                   Feed.PeerConfirmedAt_.value_or(Feed.ConfirmedAt_));
 }
 
+/// Returns when the topic that was confirmed less recently was confirmed.
+model::TimePoint bothConfirmedAt(const CoreState &State) {
+  return std::min(confirmedAt(State.Directory_.Configuration_),
+                  confirmedAt(State.Directory_.Servers_));
+}
+
 /// Returns the time in ms since a topic was last confirmed.
 std::uint32_t ageMs(const CoreState &State, const DirectoryFeed &Feed) {
   return static_cast<std::uint32_t>(
@@ -123,8 +129,7 @@
 
 void sendUpdate(CoreState &State, Link &To) {
   To.UpdatedAt_ = State.Now_;
-  To.ConfirmedAt_ = std::min(confirmedAt(State.Directory_.Configuration_),
-                             confirmedAt(State.Directory_.Servers_));
+  To.ConfirmedAt_ = bothConfirmedAt(State);
   send(State, To, makeUpdate(State, To));
   To.KnownRevision_ = State.Directory_.KnownRevision_;
   To.KnownVersion_ = versionOf(State);
@@ -184,9 +189,12 @@
   if (!isListRead(State))
     return;
   const model::Duration Pause = fractionOfBound(State, RelayFraction);
+  const model::TimePoint Confirmed = bothConfirmedAt(State);
+  // Without a newer confirmation nothing is sent, so that old updates do not
+  // circulate between processes that subscribe to each other.
   for (auto &[Id, To] : State.Links_.Links_)
     if (To.KnownRevision_ &&
-        (IsChanged || State.Now_ - To.ConfirmedAt_ >= Pause))
+        (IsChanged || Confirmed - To.ConfirmedAt_ >= Pause))
       sendUpdate(State, To);
 }
 
--- a/tests/control/directoryrelaytest.cpp
+++ b/tests/control/directoryrelaytest.cpp
@@ -1,7 +1,9 @@
 #include "control/directoryfleet.h"
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace cumingauge;
+using namespace cumingauge::control;
 using namespace cumingauge::control::fakes;
 
 namespace {
@@ -14,6 +16,23 @@
   Fleet.wait(model::seconds(3));
 }
 
+model::Member memberNamed(const std::string &Process) {
+  model::Member Out;
+  Out.Process_ = Process;
+  Out.Host_ = "10.0.0." + std::to_string(Process.size());
+  Out.Zone_ = "zone-0";
+  return Out;
+}
+
+/// Returns the number of messages that a step sends on a link.
+std::size_t sentOn(LinkId Link, const std::vector<CoreCommand> &Commands) {
+  return static_cast<std::size_t>(
+      std::count_if(Commands.begin(), Commands.end(), [&](const auto &One) {
+        const auto *Sent = std::get_if<SendPeer>(&One);
+        return Sent && Sent->Link_ == Link;
+      }));
+}
+
 class RelayedDirectoryUpdates : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RelayedDirectoryUpdates);
   CPPUNIT_TEST(areReadByTwoProcessesOfTheFleet);
@@ -22,6 +41,7 @@
   CPPUNIT_TEST(keepTheBoundWhenTheFleetReadersLoseTheDirectory);
   CPPUNIT_TEST(keepTheBoundWhenAZoneLosesItsReaders);
   CPPUNIT_TEST(doNotConfirmEachOtherWhileTheDirectoryIsAway);
+  CPPUNIT_TEST(areNotPassedInCirclesWhenTheyAreOld);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -108,6 +128,40 @@
     Fleet.wait(model::milliseconds(3000));
     CPPUNIT_ASSERT_EQUAL(Fleet.size(), Fleet.countSeeingLeaving("a"));
   }
+
+  /// Guards against a storm of messages between processes that subscribe to
+  /// each other while the directory is away: each update led to another one.
+  void areNotPassedInCirclesWhenTheyAreOld() {
+    constexpr LinkId ToReader = 1;
+    constexpr LinkId FromSubscriber = 2;
+    CoreSettings Settings;
+    Settings.Self_ = memberNamed("relay");
+    Settings.FollowsDirectory_ = true;
+    const auto Core = makeCore(Settings, /*Seed=*/1);
+    const model::TimePoint Now{model::seconds(1000)};
+    step(*Core, Started{}, Now);
+    step(*Core, LinkOpened{ToReader, memberNamed("reader"), false, true}, Now);
+    step(*Core,
+         LinkOpened{FromSubscriber, memberNamed("another"), false, false}, Now);
+    step(*Core, PeerMessageReceived{FromSubscriber, DirectorySubscription{}},
+         Now);
+    DirectoryUpdate Old;
+    Old.Revision_ = 10;
+    Old.Version_ = 1;
+    Old.Preset_.emplace();
+    Old.Complete_ = true;
+    Old.AgeMs_ = Old.VersionAgeMs_ = 5000;
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t(1),
+        sentOn(FromSubscriber,
+               step(*Core, PeerMessageReceived{ToReader, Old}, Now)));
+    // The same again, as from a process to which the subscriber passed it on.
+    Old.AgeMs_ = Old.VersionAgeMs_ = 4999;
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t(0),
+        sentOn(FromSubscriber,
+               step(*Core, PeerMessageReceived{ToReader, Old}, Now)));
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayedDirectoryUpdates);
 
