Give up watches that a silent directory may never answer

Cause: a watch that is sent while the store is silent is never answered, and is overdue only after 35 s. Processes on which others rely ping beside a watch, the others did not, and a ping that failed changed nothing. Change: each process whose watch waits pings unless peers keep it informed, and a ping that succeeds after failures ends the watches, so that both topics are read. The stand-in of a single process took pings for calls about the configuration; it keeps them apart now and answers them where a test takes a minute. The checks stay.

--- a/src/libcumingauge/control/directoryfollower.cpp
+++ b/src/libcumingauge/control/directoryfollower.cpp
@@ -35,8 +35,9 @@
 /// Fraction of the time in which a leaving mark must be in force that a process
 /// waits between calls, to collect changes. The rest is for the call.
 constexpr double PauseFraction = 0.6;
-/// Fraction of the same time after which a reader pings the directory. Its
-/// updates then reach the other processes well before they count as missing.
+/// Fraction of the same time after which a process whose watch waits pings the
+/// directory. The updates of a reader then reach the other processes well
+/// before they count as missing.
 constexpr double PingFraction = 0.35;
 /// PauseFraction of a reader; smaller, since its updates have to be passed on.
 constexpr double ReaderPauseFraction = 0.35;
@@ -326,9 +327,8 @@
 
 void pingDirectory(CoreState &State) {
   DirectoryFollower &Follower = State.Directory_;
-  const bool MustConfirm =
-      isReader(State) && (needsPing(State, Follower.Servers_) ||
-                          needsPing(State, Follower.Configuration_));
+  const bool MustConfirm = needsPing(State, Follower.Servers_) ||
+                           needsPing(State, Follower.Configuration_);
   const bool MustProbe =
       Follower.IsAway_ &&
       (reliesOnDirectory(State) || isDueNow(State, Follower.Members_));
@@ -339,9 +339,24 @@
   issueCall(State, Follower.Ping_, std::move(Request));
 }
 
+/// Gives up the watches that wait for a response, and reads their topics.
+void restartWatches(CoreState &State) {
+  DirectoryFollower &Follower = State.Directory_;
+  for (DirectoryFeed *Feed : {&Follower.Configuration_, &Follower.Servers_}) {
+    if (!isWatching(*Feed))
+      continue;
+    Feed->Call_ = 0;
+    Feed->Revision_ = 0;
+    Feed->NextAt_ = State.Now_;
+  }
+}
+
 /// Handles the response to a ping. A watch that was waiting when the ping was
-/// sent has missed nothing up to that moment.
-void handlePingResponse(CoreState &State) {
+/// sent has missed nothing up to that moment, unless pings had failed before: a
+/// directory that fell silent may never answer the watch.
+void handlePingResponse(CoreState &State, bool HadFailed) {
+  if (HadFailed)
+    restartWatches(State);
   DirectoryFollower &Follower = State.Directory_;
   const model::TimePoint At = Follower.Ping_.IssuedAt_;
   Follower.Ping_.NextAt_ = State.Now_;
@@ -443,6 +458,7 @@
       Follower.NextPage_.clear();
       return recordTopicFailure(State, *Feed);
     }
+    const bool HadFailed = Feed->Failures_ > 0;
     recordSuccess(State, *Feed);
     recordUnreadable(State, Response.Unreadable_);
     if (Feed == &Follower.Configuration_)
@@ -454,7 +470,7 @@
     else if (Feed == &Follower.Members_)
       handleMembersRead(State, Response);
     else
-      handlePingResponse(State);
+      handlePingResponse(State, HadFailed);
     return followDirectory(State);
   }
 }
--- a/src/libcumingauge/control/directoryfollower.h
+++ b/src/libcumingauge/control/directoryfollower.h
@@ -45,8 +45,8 @@
 /// gets them from a reader, and then watches both unless readers do. It pauses
 /// after each response, so that many changes cost few calls. The
 /// configuration's version never decreases. A waiting watch does not show that
-/// the directory is still reachable, so processes on which others rely also
-/// ping the directory.
+/// the directory is still reachable, so a process whose watch waits also pings
+/// the directory, unless peers keep it informed.
 struct DirectoryFollower {
   DirectoryFeed Configuration_;
   DirectoryFeed Servers_;
--- a/tests/control/directorytest.cpp
+++ b/tests/control/directorytest.cpp
@@ -47,16 +47,32 @@
     feed(Ticked{});
   }
 
-  /// Returns the call about a topic that is in flight, or null.
+  /// Returns the call about a topic that is in flight, or null. A ping is about
+  /// none.
   const CallDirectory *call(DirectoryTopic Topic) const {
-    for (auto It = Calls_.rbegin(); It != Calls_.rend(); ++It)
-      if (It->Request_.Topic_ == Topic && !Answered_.count(It->Call_))
-        return &*It;
-    return nullptr;
+    return findCall([&](const ports::DirectoryRequest &Request) {
+      return Request.Operation_ != DirectoryOperation::Ping &&
+             Request.Topic_ == Topic;
+    });
+  }
+
+  /// Returns the ping that is in flight, or null.
+  const CallDirectory *ping() const {
+    return findCall([](const ports::DirectoryRequest &Request) {
+      return Request.Operation_ == DirectoryOperation::Ping;
+    });
   }
 
   void answer(DirectoryTopic Topic, ports::DirectoryResponse Response) {
-    const CallDirectory *Call = call(Topic);
+    answer(call(Topic), std::move(Response));
+  }
+
+  void answerPings() {
+    while (const CallDirectory *Ping = ping())
+      answer(Ping, {});
+  }
+
+  void answer(const CallDirectory *Call, ports::DirectoryResponse Response) {
     CPPUNIT_ASSERT_MESSAGE("no call to answer", Call != nullptr);
     Answered_.insert(Call->Call_);
     feed(DirectoryResponseReceived{Call->Call_, std::move(Response)});
@@ -81,6 +97,14 @@
   }
 
 private:
+  template <class Predicate>
+  const CallDirectory *findCall(const Predicate &Matches) const {
+    for (auto It = Calls_.rbegin(); It != Calls_.rend(); ++It)
+      if (Matches(It->Request_) && !Answered_.count(It->Call_))
+        return &*It;
+    return nullptr;
+  }
+
   model::TimePoint Now_{model::seconds(1000)};
   std::shared_ptr<CoreState> Core_;
   std::vector<CallDirectory> Calls_;
@@ -148,6 +172,7 @@
   CPPUNIT_TEST(asksSeldomWhileMuchChanges);
   CPPUNIT_TEST(readsAgainAfterAWatchThatWasCut);
   CPPUNIT_TEST(readsAgainAfterAWatchThatEndedEarly);
+  CPPUNIT_TEST(givesUpAWatchThatASilentDirectoryMayNeverAnswer);
   CPPUNIT_TEST(readsAgainWhenTheHistoryIsGone);
   CPPUNIT_TEST(neverGoesBackToAnOlderVersion);
   CPPUNIT_TEST(keepsServersThatExpiredTogetherForAWhile);
@@ -223,6 +248,22 @@
                    DirectoryOperation::Read);
   }
 
+  /// Guards against a watch that was sent while the directory was silent: a
+  /// later configuration was not noticed for half a minute.
+  void givesUpAWatchThatASilentDirectoryMayNeverAnswer() {
+    Process Running = makeSettledProcess();
+    CPPUNIT_ASSERT(Running.call(Config)->Request_.Operation_ ==
+                   DirectoryOperation::Watch);
+    Running.answer(Running.ping(), failure());
+    Running.wait(model::seconds(1));
+    Running.answer(Running.ping(), {});
+    Running.wait(model::milliseconds(200));
+    CPPUNIT_ASSERT(Running.call(Config)->Request_.Operation_ ==
+                   DirectoryOperation::Read);
+    CPPUNIT_ASSERT(Running.call(Servers)->Request_.Operation_ ==
+                   DirectoryOperation::Read);
+  }
+
   void readsAgainWhenTheHistoryIsGone() {
     Process Running = makeSettledProcess();
     ports::DirectoryResponse Gone;
@@ -351,6 +392,8 @@
   void recordsAResponseOfAnOlderEraOnceAMinute() {
     Process Running = makeSettledProcess();
     const auto TakeFromEra = [&](std::uint64_t Era) {
+      Running.answerPings();
+      Running.wait(model::milliseconds(50));
       Running.answer(Config, ofEra(Era, configuration(5, 11)));
       Running.wait(model::seconds(2));
     };
@@ -362,7 +405,10 @@
                          Found[0].Detail_);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), Running.era().Number_);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), Running.era().Restores_);
-    Running.wait(model::seconds(60));
+    for (int I = 0; I < 30; ++I) { // a minute in all
+      Running.wait(model::seconds(2));
+      Running.answerPings();
+    }
     TakeFromEra(3);
     CPPUNIT_ASSERT_EQUAL(std::size_t(2),
                          Running.events(model::EventKind::Alarm).size());
