Raise the limit on open files of the review's stand-ins

Cause: the stand-ins of case 2 share one process and have some 1,700 sockets open, more than the usual soft limit. Change: they raise their own soft limit, within the hard one.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -7,6 +7,7 @@
 import pathlib
 import random
 import re
+import resource
 import shutil
 import signal
 import subprocess
@@ -26,6 +27,7 @@
 HOST = "ficu95.example"
 READY_SECONDS = 20
 GRACE_SECONDS = 6
+FILES = 16384  # open files and sockets of the stand-ins
 
 
 class Record:
@@ -164,6 +166,10 @@
 def run_case(main):
     """Runs a case: main(record, trouble) returns the number of breaches, or None when nothing
     could be tested. Exits with 1, 0 or 2."""
+    # The stand-ins of a case share one process, whose soft limit may be low.
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = FILES if hard == resource.RLIM_INFINITY else min(FILES, hard)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, wanted), hard))
     record = Record(os.environ["CASE"])
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
