Trust a view only as far as responses of the directory have shown

Cause: a ping, a read of another key that may be outdated, moved the time as of which both topics counted as confirmed. A read without a response was given up after the 35 s of a watch only.

Change: each topic has the revision up to which it is known and the time as of which that is all; the time moves only by a response that covers the topic, to the moment at which its call was issued. A topic that was not confirmed for half of the leaving bound (0.35 of it by a reader) is polled beside its watch, and the poll repeated at once on another connection when no response comes. Reads are given up after 0.4 of the bound. Since polls cost a whole call, zones too small for readers share two. directoryfollower.cpp is split by topic.

Tests: Evidence (10 tests; the property over fleets in virtual time found the read that was given up after 35 s).

--- /dev/null
+++ b/src/libcumingauge/control/configurationfeed.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "model/configstate.h"
+#include "ports/directory.h"
+
+/// Follows the operators' configuration in the directory.
+namespace cumingauge::control {
+
+struct CoreState;
+
+/// Issues the next call about the configuration when it is due.
+void followConfiguration(CoreState &State);
+
+/// Handles the response to a read or a watch of the configuration.
+void handleConfigurationResponse(CoreState &State,
+                                 const ports::DirectoryResponse &Response);
+
+/// Applies a configuration that a call or a peer has reported. An older version
+/// than the one in use is ignored with an alarm.
+void applyConfiguration(CoreState &State,
+                        const ports::ListedConfiguration &Read);
+
+/// Replaces the configuration in use by \p Next with the servers that the
+/// directory lists.
+void rebuildState(CoreState &State, model::ConfigState Next);
+
+} // namespace cumingauge::control
--- a/src/libcumingauge/control/core.cpp
+++ b/src/libcumingauge/control/core.cpp
@@ -177,6 +177,8 @@
 }
 
 model::TimePoint lastExchange(const CoreState &State) {
+  if (State.Settings_.FollowsDirectory_)
+    return directoryConfirmedAt(State);
   return State.LastExchange_.value_or(model::TimePoint());
 }
 
--- a/src/libcumingauge/control/directoryera.cpp
+++ b/src/libcumingauge/control/directoryera.cpp
@@ -40,6 +40,7 @@
     if (!continuesRead(Follower, *Feed))
       continue;
     Feed->Call_ = 0; // the response to a call in flight is ignored
+    Feed->Poll_ = DirectoryPoll();
     Feed->Revision_ = 0;
     if (Feed == &Follower.Servers_)
       Follower.ListRead_.reset();
--- a/src/libcumingauge/control/directoryfollower.h
+++ b/src/libcumingauge/control/directoryfollower.h
@@ -3,6 +3,7 @@
 #include "control/core.h"
 #include "control/departures.h"
 #include "control/directoryera.h"
+#include "control/directoryfeed.h"
 #include "control/directoryrevision.h"
 #include "control/serverlistread.h"
 #include "model/time.h"
@@ -17,23 +18,6 @@
 
 struct CoreState;
 
-/// State of the calls about one topic of the directory. At most one is in
-/// flight.
-struct DirectoryFeed {
-  StoreCallId Call_ = 0; ///< 0: no call in flight
-  model::TimePoint IssuedAt_;
-  model::TimePoint NextAt_;
-  unsigned Failures_ = 0; ///< consecutive failures
-  /// Revision up to which all changes are known; 0: the whole topic must be
-  /// read.
-  std::uint64_t Revision_ = 0;
-  bool Read_ = false; ///< the topic was read at least once
-  /// Time at which calls of this process last confirmed the topic.
-  model::TimePoint ConfirmedAt_;
-  /// Time at which a peer's calls last confirmed the topic.
-  std::optional<model::TimePoint> PeerConfirmedAt_;
-};
-
 /// The last known change of a server in the list.
 struct ServerChange {
   DirectoryRevision Revision_;
@@ -46,13 +30,13 @@
 /// gets them from a reader, and then watches both unless readers do. It pauses
 /// after each response, so that many changes cost few calls. The
 /// configuration's version never decreases. A waiting watch does not show that
-/// the directory is still reachable, so a process whose watch waits also pings
-/// the directory, unless peers keep it informed.
+/// nothing has changed, so a process whose watch waits also polls the
+/// directory, unless peers keep it informed.
 struct DirectoryFollower {
   DirectoryFeed Configuration_;
   DirectoryFeed Servers_;
   DirectoryFeed Members_;
-  DirectoryFeed Ping_;  ///< pings by a reader, or while the directory is away
+  DirectoryFeed Ping_;  ///< pings while the directory is away
   bool IsAway_ = false; ///< calls have failed, and no ping has succeeded since
   DirectoryEra Era_;
   bool Announced_ = false; ///< this process is in the member list
@@ -84,22 +68,6 @@
 void handleDirectoryResponse(CoreState &State, StoreCallId Call,
                              const ports::DirectoryResponse &Response);
 
-/// Applies changes of servers that a call or a peer has reported.
-void applyServerChanges(CoreState &State,
-                        const std::vector<ports::ServerEntry> &Entries,
-                        DirectoryRevision Revision);
-
-/// Applies a whole list of servers that a peer has sent; servers that it does
-/// not name are removed.
-void applyCompleteList(CoreState &State,
-                       const std::vector<ports::ServerEntry> &Entries,
-                       DirectoryRevision Revision);
-
-/// Applies a configuration that a call or a peer has reported. An older version
-/// than the one in use is ignored with an alarm.
-void applyConfiguration(CoreState &State,
-                        const ports::ListedConfiguration &Read);
-
 /// Reads the configuration and the servers again at once, after a pause of the
 /// process.
 void rereadDirectory(CoreState &State);
--- a/src/libcumingauge/control/directorylinks.cpp
+++ b/src/libcumingauge/control/directorylinks.cpp
@@ -1,7 +1,10 @@
 #include "control/directorylinks.h"
+#include "control/configurationfeed.h"
 #include "control/corestate.h"
+#include "control/directorycalls.h"
 #include "control/linkmanager.h"
 #include "control/readerchoice.h"
+#include "control/serverfeed.h"
 #include <algorithm>
 
 namespace cumingauge::control {
@@ -38,11 +41,6 @@
 constexpr model::seconds SilentLinkTimeout{3};
 constexpr model::milliseconds ChoicePeriod{1000};
 
-model::Duration fractionOfBound(const CoreState &State, double Part) {
-  const auto Bound = model::Duration(State.Settings_.LeavingBound_);
-  return std::chrono::duration_cast<model::Duration>(Bound * Part);
-}
-
 PeerAddress addressOf(const Member &Value) {
   return {Value.Host_, Value.Port_};
 }
@@ -53,12 +51,6 @@
                   Feed.PeerConfirmedAt_.value_or(Feed.ConfirmedAt_));
 }
 
-/// Returns when the topic that was confirmed less recently was confirmed.
-model::TimePoint bothConfirmedAt(const CoreState &State) {
-  return std::min(confirmedAt(State.Directory_.Configuration_),
-                  confirmedAt(State.Directory_.Servers_));
-}
-
 /// Returns the time in ms since a topic was last confirmed.
 std::uint32_t ageMs(const CoreState &State, const DirectoryFeed &Feed) {
   return static_cast<std::uint32_t>(
@@ -129,7 +121,7 @@
 
 void sendUpdate(CoreState &State, Link &To) {
   To.UpdatedAt_ = State.Now_;
-  To.ConfirmedAt_ = bothConfirmedAt(State);
+  To.ConfirmedAt_ = directoryConfirmedAt(State);
   send(State, To, makeUpdate(State, To));
   To.KnownRevision_ = State.Directory_.KnownRevision_;
   To.KnownVersion_ = versionOf(State);
@@ -188,8 +180,8 @@
 void relayUpdate(CoreState &State, bool IsChanged) {
   if (!isListRead(State))
     return;
-  const model::Duration Pause = fractionOfBound(State, RelayFraction);
-  const model::TimePoint Confirmed = bothConfirmedAt(State);
+  const model::Duration Pause = fractionOfLeavingBound(State, RelayFraction);
+  const model::TimePoint Confirmed = directoryConfirmedAt(State);
   // Without a newer confirmation nothing is sent, so that old updates do not
   // circulate between processes that subscribe to each other.
   for (auto &[Id, To] : State.Links_.Links_)
@@ -243,6 +235,11 @@
 
 } // namespace
 
+model::TimePoint directoryConfirmedAt(const CoreState &State) {
+  return std::min(confirmedAt(State.Directory_.Configuration_),
+                  confirmedAt(State.Directory_.Servers_));
+}
+
 bool isReader(const CoreState &State) {
   return std::any_of(State.Links_.Links_.begin(), State.Links_.Links_.end(),
                      [](const auto &Entry) {
@@ -262,12 +259,13 @@
     return true;
   const double Missing =
       isReader(State) ? ReaderMissingFraction : MissingFraction;
-  return State.Now_ - *Feed.PeerConfirmedAt_ >= fractionOfBound(State, Missing);
+  return State.Now_ - *Feed.PeerConfirmedAt_ >=
+         fractionOfLeavingBound(State, Missing);
 }
 
 model::Duration membersReadDelay(const CoreState &State) {
   return State.Settings_.IsFirstStart_
-             ? fractionOfBound(State, MembersReadFraction)
+             ? fractionOfLeavingBound(State, MembersReadFraction)
              : model::Duration::zero();
 }
 
@@ -275,9 +273,10 @@
   const DirectoryFeed &Members = State.Directory_.Members_;
   if (!Members.Read_)
     return State.Now_ - State.StartedAt_.value_or(State.Now_) <
-           membersReadDelay(State) + fractionOfBound(State, StartWaitFraction);
+           membersReadDelay(State) +
+               fractionOfLeavingBound(State, StartWaitFraction);
   return State.Now_ - Members.ConfirmedAt_ <
-             fractionOfBound(State, StartWaitFraction) &&
+             fractionOfLeavingBound(State, StartWaitFraction) &&
          !wantedReaders(State).empty();
 }
 
@@ -287,7 +286,7 @@
   subscribeToReaders(State);
   if (!isListRead(State))
     return;
-  const model::Duration Pause = fractionOfBound(State, UpdateFraction);
+  const model::Duration Pause = fractionOfLeavingBound(State, UpdateFraction);
   for (auto &[Id, To] : State.Links_.Links_)
     if (To.KnownRevision_ && State.Now_ - To.UpdatedAt_ >= Pause)
       sendUpdate(State, To);
@@ -295,7 +294,8 @@
 
 void subscribeToReaders(CoreState &State) {
   // The whole list is requested from one reader first: it is long.
-  const model::Duration Pause = fractionOfBound(State, SecondReaderFraction);
+  const model::Duration Pause =
+      fractionOfLeavingBound(State, SecondReaderFraction);
   std::optional<model::TimePoint> LastSubscription;
   for (const auto &[Id, Value] : State.Links_.Links_)
     if (Value.SubscribedAt_)
--- a/src/libcumingauge/control/directorylinks.h
+++ b/src/libcumingauge/control/directorylinks.h
@@ -14,6 +14,10 @@
 struct CoreState;
 struct DirectoryFeed;
 
+/// Returns the time as of which the configuration and the list of servers are
+/// known to be complete, by calls of this process or of a peer.
+model::TimePoint directoryConfirmedAt(const CoreState &State);
+
 /// Returns whether this process has to call the directory about a topic,
 /// because no recent update about it has come from a peer.
 bool mustCallDirectory(const CoreState &State, const DirectoryFeed &Feed);
--- a/src/libcumingauge/control/readerchoice.cpp
+++ b/src/libcumingauge/control/readerchoice.cpp
@@ -10,9 +10,12 @@
 using model::Member;
 using MemberRefs = std::vector<const Member *>;
 
-/// Minimum size of a zone with readers. In a smaller zone, links cost more than
+/// Minimum size of a group with readers. In a smaller one, links cost more than
 /// the calls that they save.
-constexpr std::size_t MinZoneSize = 8;
+constexpr std::size_t MinGroupSize = 8;
+/// Group of the members of all zones that are too small to be groups of their
+/// own. No zone has this name.
+const std::string SmallZones;
 constexpr std::size_t MinReaders = 2;
 /// Members per reader. Each member has two links, so a reader has links to
 /// twice as many; a change of the whole list of 300 servers is some 50 KB to
@@ -36,31 +39,68 @@
          rendezvousWeight("directory", Right->Process_);
 }
 
-/// Returns the members of each zone that is large enough for readers, by rank.
-std::map<std::string, MemberRefs>
-zonesByRank(const std::vector<Member> &Members) {
-  std::map<std::string, MemberRefs> Out;
+/// Members by the group in which they have readers: their availability zone, or
+/// SmallZones. Each group is in rank order.
+using Groups = std::map<std::string, MemberRefs>;
+
+/// Ranks the members of a group. The first ones of each zone come first, so
+/// that the readers of a group of small zones are in different ones.
+void sortByRank(MemberRefs &Group) {
+  std::sort(Group.begin(), Group.end(), ranksBefore);
+  std::map<std::string, std::size_t> ZoneSizes;
+  std::map<const Member *, std::size_t> PlaceInZone;
+  for (const Member *Value : Group)
+    PlaceInZone[Value] = ZoneSizes[Value->Zone_]++;
+  std::stable_sort(Group.begin(), Group.end(),
+                   [&](const Member *Left, const Member *Right) {
+                     return PlaceInZone[Left] < PlaceInZone[Right];
+                   });
+}
+
+/// Returns the groups that are large enough for readers.
+Groups groupsByRank(const std::vector<Member> &Members) {
+  Groups Out;
   for (const Member &Value : Members)
     Out[Value.Zone_].push_back(&Value);
+  MemberRefs Rest;
   for (auto It = Out.begin(); It != Out.end();) {
-    std::sort(It->second.begin(), It->second.end(), ranksBefore);
-    It = It->second.size() < MinZoneSize ? Out.erase(It) : std::next(It);
+    if (It->second.size() >= MinGroupSize) {
+      ++It;
+      continue;
+    }
+    Rest.insert(Rest.end(), It->second.begin(), It->second.end());
+    It = Out.erase(It);
   }
+  if (Rest.size() >= MinGroupSize)
+    Out[SmallZones] = std::move(Rest);
+  for (auto &Entry : Out)
+    sortByRank(Entry.second);
   return Out;
 }
 
-std::size_t readerCount(const MemberRefs &Zone) {
+/// Returns the group of a member; null when it has none with readers.
+const MemberRefs *groupOf(const Groups &All, const Member &Value) {
+  const auto OwnZone = All.find(Value.Zone_);
+  const auto Found = OwnZone == All.end() ? All.find(SmallZones) : OwnZone;
+  return Found == All.end() ? nullptr : &Found->second;
+}
+
+std::size_t readerCount(const MemberRefs &Group) {
+  const auto [Slowest, Fastest] = std::minmax_element(
+      Group.begin(), Group.end(), [](const Member *Left, const Member *Right) {
+        return Left->LinkMbps_ < Right->LinkMbps_;
+      });
   const bool HasFast =
-      Zone.front()->LinkMbps_ > FastLinkRatio * Zone.back()->LinkMbps_;
-  return std::max(MinReaders, Zone.size() / (HasFast ? MembersPerFastReader
-                                                     : MembersPerReader));
+      (*Fastest)->LinkMbps_ > FastLinkRatio * (*Slowest)->LinkMbps_;
+  return std::max(MinReaders, Group.size() / (HasFast ? MembersPerFastReader
+                                                      : MembersPerReader));
 }
 
-/// Returns the first members of a zone, up to its number of readers.
-MemberRefs readersOf(const MemberRefs &Zone) {
+/// Returns the first members of a group, up to its number of readers.
+MemberRefs readersOf(const MemberRefs &Group) {
   const auto Count =
-      static_cast<std::ptrdiff_t>(std::min(readerCount(Zone), Zone.size()));
-  return {Zone.begin(), Zone.begin() + Count};
+      static_cast<std::ptrdiff_t>(std::min(readerCount(Group), Group.size()));
+  return {Group.begin(), Group.begin() + Count};
 }
 
 /// Returns the first of the members that is not in the given zone, or else the
@@ -74,13 +114,12 @@
   return Members.empty() ? nullptr : Members.front();
 }
 
-/// Returns the two zone readers that call the directory for the fleet: the
+/// Returns the two readers of groups that call the directory for the fleet: the
 /// first in rank, and the first of another zone. \p Self counts as reachable.
-MemberRefs fleetReaders(const std::map<std::string, MemberRefs> &Zones,
-                        const Member &Self,
+MemberRefs fleetReaders(const Groups &All, const Member &Self,
                         const ReachablePredicate &IsReachable) {
   MemberRefs Candidates;
-  for (const auto &Entry : Zones)
+  for (const auto &Entry : All)
     for (const Member *Value : readersOf(Entry.second))
       if (Value->Process_ == Self.Process_ || IsReachable(*Value))
         Candidates.push_back(Value);
@@ -93,13 +132,13 @@
   return Second ? MemberRefs{First, Second} : MemberRefs{First};
 }
 
-/// Returns the readers of its zone that a process subscribes to. Which ones
+/// Returns the readers of its group that a process subscribes to. Which ones
 /// depends on the process, so that the subscriptions spread evenly.
-MemberRefs zoneReadersFor(const Member &Self, const MemberRefs &Zone,
-                          const ReachablePredicate &IsReachable) {
+MemberRefs groupReadersFor(const Member &Self, const MemberRefs &Group,
+                           const ReachablePredicate &IsReachable) {
   MemberRefs Out;
-  for (const Member *Value : Zone)
-    if (Out.size() < readerCount(Zone) && Value->Process_ != Self.Process_ &&
+  for (const Member *Value : Group)
+    if (Out.size() < readerCount(Group) && Value->Process_ != Self.Process_ &&
         IsReachable(*Value))
       Out.push_back(Value);
   std::sort(Out.begin(), Out.end(), [&](const Member *L, const Member *R) {
@@ -121,13 +160,13 @@
 std::vector<const Member *>
 chooseReaders(const std::vector<Member> &Members, const Member &Self,
               const ReachablePredicate &IsReachable) {
-  const auto Zones = zonesByRank(Members);
-  const auto Own = Zones.find(Self.Zone_);
-  if (Own == Zones.end())
+  const Groups All = groupsByRank(Members);
+  const MemberRefs *Own = groupOf(All, Self);
+  if (!Own)
     return {};
-  if (!contains(readersOf(Own->second), Self.Process_))
-    return zoneReadersFor(Self, Own->second, IsReachable);
-  const MemberRefs Fleet = fleetReaders(Zones, Self, IsReachable);
+  if (!contains(readersOf(*Own), Self.Process_))
+    return groupReadersFor(Self, *Own, IsReachable);
+  const MemberRefs Fleet = fleetReaders(All, Self, IsReachable);
   if (contains(Fleet, Self.Process_))
     return {};
   return Fleet;
--- a/src/libcumingauge/control/readerchoice.h
+++ b/src/libcumingauge/control/readerchoice.h
@@ -6,9 +6,10 @@
 #include <vector>
 
 /// Chooses which processes call the directory and pass on what it says. Fleet
-/// readers call it for the whole fleet, zone readers pass the updates of the
-/// fleet readers on to the other processes of their availability zone. Zones
-/// that are too small for readers are left out: their processes all call.
+/// readers call it for the whole fleet, the readers of a group pass the updates
+/// of the fleet readers on to its other processes. A group is an availability
+/// zone, or all zones together that are too small. The processes of a fleet
+/// that is too small for a group all call.
 namespace cumingauge::control {
 
 /// Returns whether links to the member may be opened or are open.
--- a/src/libcumingauge/platform/directoryclient.cpp
+++ b/src/libcumingauge/platform/directoryclient.cpp
@@ -23,6 +23,8 @@
 using ports::DirectoryResponse;
 using ports::DirectoryTopic;
 
+/// Shortest wait of a watch, which polls.
+constexpr model::milliseconds PollWait{1};
 constexpr unsigned HttpOk = 200;
 constexpr unsigned HttpNotFound = 404;
 constexpr unsigned HttpGone = 410;
@@ -63,6 +65,16 @@
       .dump();
 }
 
+std::string watchTarget(const DirectoryRequest &Request,
+                        model::milliseconds Wait) {
+  return std::string(wirenames::Watch) +
+         (Request.Topic_ == DirectoryTopic::Configuration
+              ? wirenames::ConfigurationKey
+              : prefixOf(Request.Topic_)) +
+         "&after=" + std::to_string(Request.After_) +
+         "&wait-ms=" + std::to_string(Wait.count());
+}
+
 HttpClientCall callFor(const DirectoryRequest &Request) {
   HttpClientCall Out;
   Out.Method_ = "GET";
@@ -78,15 +90,13 @@
       Out.Target_ += "&after=" + encodeKey(Request.Page_);
     break;
   case DirectoryOperation::Watch:
-    Out.Target_ = std::string(wirenames::Watch) +
-                  (Request.Topic_ == DirectoryTopic::Configuration
-                       ? wirenames::ConfigurationKey
-                       : prefixOf(Request.Topic_)) +
-                  "&after=" + std::to_string(Request.After_) +
-                  "&wait-ms=" + std::to_string(Request.Wait_.count());
+    Out.Target_ = watchTarget(Request, Request.Wait_);
     Out.Wait_ = Request.Wait_;
     Out.Repeatable_ = false;
     break;
+  case DirectoryOperation::Poll:
+    Out.Target_ = watchTarget(Request, PollWait);
+    break;
   case DirectoryOperation::Announce:
     Out.Method_ = "POST";
     Out.Target_ = wirenames::Transaction;
--- a/src/libcumingauge/ports/directory.h
+++ b/src/libcumingauge/ports/directory.h
@@ -23,17 +23,20 @@
 enum class DirectoryOperation {
   Read,     ///< reads all entries of the topic, page by page
   Watch,    ///< long poll for changes after revision After_, for up to Wait_
+  Poll,     ///< returns the changes after revision After_ at once, if any
   Announce, ///< registers Self_ among the members
-  Ping      ///< cheap check whether the directory can be reached
+  /// Cheap check whether the directory can be reached. Its response may be
+  /// outdated and confirms nothing.
+  Ping
 };
-BOOST_DESCRIBE_ENUM(DirectoryOperation, Read, Watch, Announce, Ping)
+BOOST_DESCRIBE_ENUM(DirectoryOperation, Read, Watch, Poll, Announce, Ping)
 
 /// A request to a directory.
 struct DirectoryRequest {
   DirectoryOperation Operation_ = DirectoryOperation::Read;
   DirectoryTopic Topic_ = DirectoryTopic::Configuration;
   std::string Page_;        ///< Read: Next_ of the previous page; empty: first
-  std::uint64_t After_ = 0; ///< Watch: the last revision already seen
+  std::uint64_t After_ = 0; ///< Watch, Poll: the last revision already seen
   model::milliseconds Wait_{0};
   model::Member Self_;
 };
--- a/tests/control/directoryfleet.h
+++ b/tests/control/directoryfleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/core.h"
+#include <deque>
 #include <map>
 #include <set>
 #include <utility>
@@ -76,6 +77,19 @@
     Delays_[Number] = Delay;
   }
 
+  /// Loses the next responses to a process. Their calls take effect and are
+  /// never answered.
+  void loseResponses(unsigned Number, unsigned Count) { Lost_[Number] = Count; }
+
+  /// Drops the history: calls for the changes after an earlier revision are
+  /// told so; watches that wait, at the next change.
+  void compact();
+
+  model::TimePoint now() const { return Now_; }
+
+  /// Returns the time as of which a process takes its view to be complete.
+  model::TimePoint confirmedAt(unsigned Number) const;
+
   /// Takes a copy of the directory's content.
   void copyDirectory() { Copy_ = Stored_; }
 
@@ -106,9 +120,10 @@
   unsigned reachableCount() const;
   std::size_t linkCount() const { return Links_.size(); }
 
-  /// Number of calls that the directory charges for in full, which pings are
-  /// not.
+  /// Number of calls that the directory charges for in full, without polls.
+  /// Pings are charged a tenth.
   unsigned calls() const;
+  unsigned polls() const { return Polls_; }
   unsigned callsOf(unsigned Number) const;
   unsigned pings() const { return Pings_; }
 
@@ -121,6 +136,7 @@
     std::uint64_t Revision_ = 10;
     std::uint64_t ConfigVersion_ = 1;
     std::uint64_t ConfigRevision_ = 10;
+    std::uint64_t CompactedTo_ = 0; ///< changes up to it are not in Log_
   };
 
   struct Watch {
@@ -141,6 +157,8 @@
   CoreSettings settingsOf(unsigned Number, bool FirstStart) const;
   model::Member memberOf(unsigned Number) const;
   bool isReachable(unsigned Number) const;
+  bool isCompacted(std::uint64_t After) const;
+  /// Feeds an input, after those that it was caused by have been processed.
   void feed(unsigned Number, const CoreInput &Input);
   template <class T> void execute(unsigned, const T &) {}
   void execute(unsigned Number, const PublishView &Command);
@@ -164,6 +182,8 @@
   Content Stored_;
   Content Copy_;
   std::uint64_t Era_ = 1;
+  std::deque<std::pair<unsigned, CoreInput>> Inputs_; ///< still to be fed
+  bool IsFeeding_ = false;
   std::vector<Watch> Watches_;
   std::vector<DelayedResponse> Delayed_;
   std::map<unsigned, model::milliseconds> Delays_;
@@ -179,7 +199,9 @@
   bool RefusesLinks_ = false;
   std::map<unsigned, std::shared_ptr<const model::ControlView>> Views_;
   std::map<unsigned, unsigned> Calls_;
+  std::map<unsigned, unsigned> Lost_;
   unsigned Pings_ = 0;
+  unsigned Polls_ = 0;
 };
 
 } // namespace cumingauge::control::fakes
