--- a/src/cumingaugectl/fleetsummary.cpp
+++ b/src/cumingaugectl/fleetsummary.cpp
@@ -36,6 +36,8 @@
     Out.NewestVersion_ = std::max(Out.NewestVersion_, Status.Version_);
     Out.Presets_.insert(Status.Preset_);
     Out.VmsWithoutStore_ += Status.StoreAway_ ? 1 : 0;
+    for (const std::string &Zone : Status.EvacuatedZones_)
+      ++Out.EvacuatedZones_[Zone];
     addServers(Status, Servers);
   }
   for (const ProcessReply &Reply : Replies)
--- a/src/cumingaugectl/fleetsummary.h
+++ b/src/cumingaugectl/fleetsummary.h
@@ -2,6 +2,7 @@
 
 #include "fleetclient.h"
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -30,10 +31,13 @@
   std::set<std::string> Presets_; ///< in force on any VM that answered
   unsigned VmsWithoutStore_ = 0;
   std::vector<LeavingSummary> Leaving_;
+  /// Evacuated availability zones, with the number of VMs that send no new work
+  /// to their servers.
+  std::map<std::string, unsigned> EvacuatedZones_;
 };
 BOOST_DESCRIBE_STRUCT(FleetSummary, (),
                       (ExpectedVms_, AnsweredVms_, NewestVersion_, VmsAtNewest_,
-                       Presets_, VmsWithoutStore_, Leaving_))
+                       Presets_, VmsWithoutStore_, Leaving_, EvacuatedZones_))
 
 /// Summarizes the replies of the fleet. A server is safe to switch off when
 /// every expected VM has answered, sends it no new work and has no call in
--- a/src/cumingaugectl/main.cpp
+++ b/src/cumingaugectl/main.cpp
@@ -6,6 +6,7 @@
 #include "statuscommand.h"
 #include "text.h"
 #include "timelinecommand.h"
+#include "zonecommands.h"
 #include <iostream>
 
 namespace {
@@ -29,6 +30,9 @@
   cumingaugectl [options] [--set=ITEM]... server leave NAME
   cumingaugectl [options] [--set=ITEM]... server return NAME
   cumingaugectl [options] [--set=ITEM]... server remove NAME
+  cumingaugectl [options] [--set=ITEM]... zone list
+  cumingaugectl [options] [--set=ITEM]... zone evacuate NAME
+  cumingaugectl [options] [--set=ITEM]... zone return NAME
   cumingaugectl [options] [--set=ITEM]... init FILE
   cumingaugectl [options] [--set=ITEM]... status
   cumingaugectl [options] [--set=ITEM]... change show ID
@@ -40,9 +44,10 @@
   --settings=FILE   JSON settings: store, peers, key, author.
   --set=ITEM        Overrides a setting, written path=value. May be repeated.
   --json            Print JSON.
-  --wait            After choose: until in force on every VM. After leave: also
-                    until no VM has a call in flight at the server.
-  --confirm         Insist on taking the last server of a service away.
+  --wait            After choose and evacuate: until in force on every VM. After
+                    leave: also until no VM has a call in flight at the server.
+  --confirm         Insist on taking the last server of a service away, or the
+                    only zone with servers of a service.
   --seen=VERSION    Refuse with a conflict when the same preset or server was
                     changed after this version.
   --change-id=ID    Repeat a change whose outcome was unknown; it is accepted
@@ -119,6 +124,16 @@
   return ctl::removeServer(Ctx, Name, Options);
 }
 
+CommandResult runZone(const Context &Ctx, const Arguments &Args) {
+  BOOST_LEAF_AUTO(Options, submitOptions(Args));
+  const std::string Name = argumentText(Args, "NAME");
+  if (isFlagSet(Args, "list"))
+    return ctl::listZones(Ctx);
+  if (isFlagSet(Args, "evacuate"))
+    return ctl::evacuateZone(Ctx, Name, Options, isFlagSet(Args, "--wait"));
+  return ctl::returnZone(Ctx, Name, Options);
+}
+
 CommandResult runTimeline(const Context &Ctx, const Arguments &Args) {
   ctl::TimelineFilter Filter;
   Filter.Vm_ = argumentText(Args, "--vm");
@@ -138,6 +153,8 @@
     return runPreset(Ctx, Args);
   if (isFlagSet(Args, "server"))
     return runServer(Ctx, Args);
+  if (isFlagSet(Args, "zone"))
+    return runZone(Ctx, Args);
   if (isFlagSet(Args, "status"))
     return ctl::showStatus(Ctx);
   if (isFlagSet(Args, "change"))
--- a/src/cumingaugectl/statuscommand.cpp
+++ b/src/cumingaugectl/statuscommand.cpp
@@ -73,6 +73,18 @@
   print(Out, Leaving);
 }
 
+void printEvacuated(std::ostream &Out, const FleetSummary &Summary) {
+  if (Summary.EvacuatedZones_.empty())
+    return;
+  Table Zones{{"EVACUATED ZONE", "NO NEW WORK FROM"}, {}};
+  for (const auto &[Zone, Vms] : Summary.EvacuatedZones_)
+    Zones.Rows_.push_back({Zone, std::to_string(Vms) + " of " +
+                                     std::to_string(Summary.ExpectedVms_) +
+                                     " VMs"});
+  Out << "\n";
+  print(Out, Zones);
+}
+
 } // namespace
 
 CommandResult showStatus(const Context &Ctx) {
@@ -92,6 +104,7 @@
       Vms.Rows_.push_back(rowOf(Reply));
     print(Ctx.Out_, Vms);
     printLeaving(Ctx.Out_, Summary);
+    printEvacuated(Ctx.Out_, Summary);
   }
   if (Summary.AnsweredVms_ > 0)
     return ResultCode::Ok;
--- a/src/cumingauged/daemonsettings.cpp
+++ b/src/cumingauged/daemonsettings.cpp
@@ -35,6 +35,8 @@
   Settings.Http_.DrainTimeout_ = Bounds.Grace_ - ShutdownReserve;
   Settings.Policy_.Retry_.Ratio_ = RetryBudgetShare * Bounds.RetryRatio_;
   Settings.Policy_.Retry_.Burst_ = RetryBudgetShare * Bounds.RetryBurst_;
+  Settings.Policy_.Regions_ = Settings.Platform_->Regions_;
+  Settings.Policy_.Cold_ = {Bounds.ColdOvershoot_, Bounds.ColdSlack_};
   return Settings;
 }
 
--- a/src/cumingauged/main.cpp
+++ b/src/cumingauged/main.cpp
@@ -20,7 +20,9 @@
 
 Options:
   --settings FILE   JSON settings file.
-  --set PATH=VALUE  Overrides one setting, such as listen.port=8080.
+  --set PATH=VALUE  Overrides one setting, such as listen.port=8080. The
+                    environment variable CUMINGAUGE_SET may hold more of them,
+                    separated by spaces.
   --check           Only checks the settings.
   --port-file FILE  Writes the bound ports to this file, as JSON.
   -h --help         Shows this text.
@@ -49,7 +51,8 @@
       [&]() -> boost::leaf::result<void> {
         BOOST_LEAF_AUTO(NewSettings, adapters::readSettings<DaemonSettings>(
                                          File ? File.asString() : "",
-                                         Args.at("--set").asStringList()));
+                                         adapters::withEnvironmentOverrides(
+                                             Args.at("--set").asStringList())));
         Process.reload(NewSettings);
         return {};
       },
--- a/src/libcumingauge/adapters/controlruntime.cpp
+++ b/src/libcumingauge/adapters/controlruntime.cpp
@@ -338,6 +338,7 @@
     Stats_.StoreCalls_ = StoreCalls_;
     Stats_.StoreEra_ = Era.Number_;
     Stats_.StoreRestores_ = Era.Restores_;
+    Stats_.EvacuatedZones_ = Status.EvacuatedZones_.size();
     Stats_.PeerMessagesSent_ = Links.MessagesSent_;
     Stats_.PeerMessagesReceived_ = Links.MessagesReceived_;
     Stats_.PeerBytesSent_ = Links.BytesSent_;
--- a/src/libcumingauge/adapters/controlruntime.h
+++ b/src/libcumingauge/adapters/controlruntime.h
@@ -59,6 +59,7 @@
 struct ControlStats {
   StoreCallCounts StoreCalls_;
   std::uint64_t StoreEra_ = 0; ///< 0: unknown
+  std::uint64_t EvacuatedZones_ = 0;
   std::uint64_t StoreRestores_ = 0;
   std::uint64_t PeerMessagesSent_ = 0;
   std::uint64_t PeerMessagesReceived_ = 0;
--- a/src/libcumingauge/adapters/httpanswerreader.cpp
+++ b/src/libcumingauge/adapters/httpanswerreader.cpp
@@ -93,8 +93,9 @@
       appendField(Head.Fields_, Field.name_string(), Field.value());
   if (Names.ReadNotice_)
     Head.Notice_ =
-        Names.ReadNotice_(Head.Status_, valuesOf(Parsed, Names.Leaving_),
-                          valuesOf(Parsed, Names.Pause_));
+        Names.ReadNotice_(Head.Status_, {valuesOf(Parsed, Names.Leaving_),
+                                         valuesOf(Parsed, Names.Pause_),
+                                         valuesOf(Parsed, Names.Cold_)});
   // param_list expects a leading ';', which the value of the field lacks.
   const std::string KeepAlive = ";" + textOf(Parsed[http::field::keep_alive]);
   Head.IdleTimeout_ = idleTimeoutOf(KeepAlive);
--- a/src/libcumingauge/adapters/httpworkerservers.cpp
+++ b/src/libcumingauge/adapters/httpworkerservers.cpp
@@ -1,6 +1,7 @@
 // The part of HttpWorker that deals with backend servers: control view,
 // connection pools, probes and load reports.
 #include "adapters/httpworker.h"
+#include "policy/coldservers.h"
 #include "policy/notices.h"
 #include <boost/asio/post.hpp>
 
@@ -83,6 +84,7 @@
   const auto Found = Servers.find(Known.Name_);
   return Found != Servers.end() && Found->second.Vm_ == Known.Vm_ &&
          View_->LeavingServers_.count(Known.Name_) == 0 &&
+         !model::isEvacuated(*View_->Config_, Known) &&
          !policy::hasAnnouncedLeaving(*Balancer_, Handle);
 }
 
@@ -283,6 +285,11 @@
                       ", for " + std::to_string(Notice.Pause_.count()) +
                           " ms, own answer, " + Cause);
     break;
+  case policy::NoticeEffect::Cold:
+    recordNoticeEvent(model::EventKind::ServerCold, Known,
+                      ", for " + std::to_string(Notice.ColdFor_.count()) +
+                          " ms, own answer, " + Cause);
+    break;
   }
   scheduleRelease();
   return true;
@@ -292,6 +299,8 @@
   for (const policy::ServerHandle Handle : policy::endPauses(*Balancer_, now()))
     recordNoticeEvent(model::EventKind::ServerResumed,
                       policy::serverOf(*Balancer_, Handle), "");
+  if (!policy::endColdPhases(*Balancer_, now()).empty())
+    scheduleRelease();
 }
 
 bool HttpWorker::isOpen(policy::ServerHandle Server) const {
@@ -353,6 +362,9 @@
   const policy::NoticeCounts Notices = policy::countNotices(*Balancer_, now());
   Stats_.AnnouncedLeaving_ = Notices.Leaving_;
   Stats_.PausedServers_ = Notices.Paused_;
+  const policy::ColdCounts Cold = policy::countCold(*Balancer_, now());
+  Stats_.ColdServers_ = Cold.Limited_;
+  Stats_.ColdServersClosed_ = Cold.Closed_;
 }
 
 std::vector<model::ServerActivity> HttpWorker::activity() const {
--- a/src/libcumingauge/adapters/metricspage.cpp
+++ b/src/libcumingauge/adapters/metricspage.cpp
@@ -156,6 +156,12 @@
   Out.push_back(gauge("cumingauge_servers_paused",
                       "Servers without new calls that asked for a pause",
                       ToDouble(Traffic.PausedServers_)));
+  Out.push_back(gauge("cumingauge_cold_servers",
+                      "Cold servers with a limit on their calls",
+                      ToDouble(Traffic.ColdServers_)));
+  Out.push_back(gauge("cumingauge_cold_servers_closed",
+                      "Cold servers that this process must not call",
+                      ToDouble(Traffic.ColdServersClosed_)));
   Out.push_back(counter("cumingauge_unreadable_notices_total",
                         "Answers with an invalid leaving or pause field",
                         ToDouble(Traffic.UnreadableNotices_)));
@@ -172,6 +178,9 @@
   Out.push_back(gauge("cumingauge_view_age_seconds",
                       "Time since the last exchange with a peer or the store",
                       ToDouble(Control.ViewAgeMs_) / MsPerSecond));
+  Out.push_back(gauge("cumingauge_evacuated_zones",
+                      "Zones whose servers get no new work",
+                      ToDouble(Control.EvacuatedZones_)));
   Out.push_back(storeCallsFamily(Control.StoreCalls_));
   Out.push_back(gauge("cumingauge_store_era",
                       "Highest era of the platform's service seen",
--- a/src/libcumingauge/adapters/programmain.h
+++ b/src/libcumingauge/adapters/programmain.h
@@ -24,8 +24,8 @@
 void printProblems(const SettingsError &Error);
 
 /// Runs the main function of a daemon with settings of type T, read from
-/// `--settings FILE` and `--set PATH=VALUE`. With `--check` it only checks the
-/// settings. Returns the exit status of the process.
+/// `--settings FILE`, the environment and `--set PATH=VALUE`. With `--check` it
+/// only checks the settings. Returns the exit status of the process.
 template <class T>
 int runWithSettings(const Arguments &Args,
                     const std::function<int(const T &)> &Main) {
@@ -34,7 +34,8 @@
       [&]() -> boost::leaf::result<int> {
         BOOST_LEAF_AUTO(Settings,
                         readSettings<T>(File ? File.asString() : "",
-                                        Args.at("--set").asStringList()));
+                                        withEnvironmentOverrides(
+                                            Args.at("--set").asStringList())));
         if (Args.at("--check").asBool())
           return 0;
         return Main(Settings);
--- a/src/libcumingauge/adapters/settings.cpp
+++ b/src/libcumingauge/adapters/settings.cpp
@@ -1,4 +1,5 @@
 #include "adapters/settings.h"
+#include <cstdlib>
 #include <fstream>
 #include <functional>
 #include <set>
@@ -60,8 +61,22 @@
   model::Problems Found_;
 };
 
+constexpr const char *OverridesVariable = "CUMINGAUGE_SET";
+
 } // namespace
 
+std::vector<std::string>
+withEnvironmentOverrides(const std::vector<std::string> &Overrides) {
+  std::vector<std::string> Out;
+  const char *Text = std::getenv(OverridesVariable);
+  std::istringstream Words(Text ? Text : "");
+  for (std::string Word; Words >> Word;)
+    if (Word.back() != '=')
+      Out.push_back(Word);
+  Out.insert(Out.end(), Overrides.begin(), Overrides.end());
+  return Out;
+}
+
 boost::leaf::result<codec::Json>
 readSettingsDocument(const std::string &File,
                      const std::vector<std::string> &Overrides) {
--- a/src/libcumingauge/adapters/settings.h
+++ b/src/libcumingauge/adapters/settings.h
@@ -23,6 +23,12 @@
 readSettingsDocument(const std::string &File,
                      const std::vector<std::string> &Overrides);
 
+/// Returns the overrides in the environment variable CUMINGAUGE_SET, which are
+/// separated by spaces, followed by the given ones. Those without a value are
+/// left out, so that a template may name a value that is not always there.
+std::vector<std::string>
+withEnvironmentOverrides(const std::vector<std::string> &Overrides);
+
 /// Reads settings of type T and checks their ranges with
 /// `Problems checkSettings(const T &)`, found by argument-dependent lookup.
 /// Fails with a SettingsError.
--- a/src/libcumingauge/control/actioncheck.cpp
+++ b/src/libcumingauge/control/actioncheck.cpp
@@ -107,6 +107,38 @@
                                          "' that is not leaving"});
   }
 
+  void operator()(const model::EvacuateZone &Action) const {
+    const bool IsKnown = std::any_of(
+        State_.Servers_.begin(), State_.Servers_.end(),
+        [&](const auto &Entry) { return Entry.second.Zone_ == Action.Zone_; });
+    require(IsKnown, "/zone",
+            "no backend server is in zone '" + Action.Zone_ + "'", Found_);
+    for (const std::string &Service : servicesOnlyIn(Action.Zone_))
+      ToConfirm_.push_back(
+          {"/zone", "service '" + Service + "' has no server in another zone"});
+  }
+
+  void operator()(const model::ReturnZone &Action) const {
+    require(State_.EvacuatedZones_.count(Action.Zone_) > 0, "/zone",
+            "the zone is not evacuated", Found_);
+  }
+
+  /// Returns the services that have servers in use in this zone only.
+  std::set<std::string> servicesOnlyIn(const std::string &Zone) const {
+    std::set<std::string> Out;
+    std::set<std::string> Elsewhere;
+    for (const auto &Entry : State_.Servers_) {
+      const model::BackendServer &Server = Entry.second;
+      if (Server.Zone_ == Zone)
+        Out.insert(Server.Service_);
+      else if (!isEvacuated(State_, Server) && !isMarkedLeaving(State_, Server))
+        Elsewhere.insert(Server.Service_);
+    }
+    for (const std::string &Service : Elsewhere)
+      Out.erase(Service);
+    return Out;
+  }
+
   void operator()(const model::ReturnServer &Action) const {
     const model::BackendServer *Server =
         findOnVm(Action.Name_, Action.Vm_, State_, Found_);
--- a/src/libcumingauge/control/configurationfeed.h
+++ b/src/libcumingauge/control/configurationfeed.h
@@ -3,7 +3,8 @@
 #include "model/configstate.h"
 #include "ports/directory.h"
 
-/// Follows the operators' configuration in the directory.
+/// Follows the operators' configuration and the zones that they evacuate in the
+/// directory.
 namespace cumingauge::control {
 
 struct CoreState;
@@ -15,6 +16,13 @@
 void handleConfigurationResponse(CoreState &State,
                                  const ports::DirectoryResponse &Response);
 
+/// Returns whether a response to a watch or a poll holds changes by operators.
+bool hasOperatorChanges(const ports::DirectoryResponse &Response);
+
+/// Applies the changes by operators in the response to a watch or a poll.
+void applyOperatorChanges(CoreState &State,
+                          const ports::DirectoryResponse &Response);
+
 /// Applies a configuration that a call or a peer has reported. An older version
 /// than the one in use is ignored with an alarm.
 void applyConfiguration(CoreState &State,
--- a/src/libcumingauge/control/core.cpp
+++ b/src/libcumingauge/control/core.cpp
@@ -209,6 +209,7 @@
   Out.Region_ = Self.Region_;
   Out.Version_ = versionOf(State);
   Out.Preset_ = State.Log_.State_->PresetInForce_;
+  Out.EvacuatedZones_ = State.Log_.State_->EvacuatedZones_;
   Out.ViewAgeMs_ = static_cast<std::uint64_t>(
       std::chrono::duration_cast<model::milliseconds>(Now - lastExchange(State))
           .count());
--- a/src/libcumingauge/control/directorycalls.cpp
+++ b/src/libcumingauge/control/directorycalls.cpp
@@ -141,6 +141,8 @@
   ++Feed.Unanswered_;
   if (&Feed == &State.Directory_.Servers_)
     State.Directory_.ListRead_.reset();
+  if (&Feed == &State.Directory_.Configuration_)
+    State.Directory_.ConfigurationRead_.reset();
   recordTopicFailure(State, Feed);
 }
 
--- a/src/libcumingauge/control/directoryera.cpp
+++ b/src/libcumingauge/control/directoryera.cpp
@@ -29,6 +29,7 @@
 bool continuesRead(const DirectoryFollower &Follower,
                    const DirectoryFeed &Feed) {
   return Feed.Revision_ > 0 ||
+         (&Feed == &Follower.Configuration_ && Follower.ConfigurationRead_) ||
          (&Feed == &Follower.Servers_ && Follower.ListRead_ &&
           !Follower.ListRead_->NextPage_.empty());
 }
@@ -44,6 +45,8 @@
     Feed->Revision_ = 0;
     if (Feed == &Follower.Servers_)
       Follower.ListRead_.reset();
+    else
+      Follower.ConfigurationRead_.reset();
     if (Feed->Failures_ == 0)
       Feed->NextAt_ = State.Now_;
   }
--- a/src/libcumingauge/control/directoryfollower.cpp
+++ b/src/libcumingauge/control/directoryfollower.cpp
@@ -29,9 +29,12 @@
 /// Records the failure of the call of a topic. A watch that failed may have
 /// missed changes, so the next call reads the whole topic.
 void handleFailure(CoreState &State, DirectoryFeed &Feed) {
+  DirectoryFollower &Follower = State.Directory_;
   Feed.Revision_ = 0;
-  if (&Feed == &State.Directory_.Servers_)
-    State.Directory_.ListRead_.reset();
+  if (&Feed == &Follower.Servers_)
+    Follower.ListRead_.reset();
+  if (&Feed == &Follower.Configuration_)
+    Follower.ConfigurationRead_.reset();
   recordTopicFailure(State, Feed);
 }
 
@@ -57,7 +60,8 @@
   for (DirectoryFeed *Feed : {&Follower.Configuration_, &Follower.Servers_,
                               &Follower.Members_, &Follower.Ping_})
     dropOverdueCall(State, *Feed);
-  if (expireDepartures(State))
+  const bool DeparturesExpired = expireDepartures(State);
+  if (finishZoneReturns(State) || DeparturesExpired)
     rebuildState(State, *State.Log_.State_);
   followMembers(State);
   maintainDirectoryLinks(State);
@@ -100,6 +104,7 @@
   }
   Follower.IsAway_ = false;
   Follower.ListRead_.reset();
+  Follower.ConfigurationRead_.reset();
 }
 
 } // namespace cumingauge::control
--- a/src/libcumingauge/control/directoryfollower.h
+++ b/src/libcumingauge/control/directoryfollower.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "control/configurationread.h"
 #include "control/core.h"
 #include "control/departures.h"
 #include "control/directoryera.h"
 #include "control/directoryfeed.h"
 #include "control/directoryrevision.h"
+#include "control/evacuations.h"
 #include "control/serverlistread.h"
 #include "model/time.h"
 #include "ports/directory.h"
@@ -49,6 +51,9 @@
   /// Backend servers by name, as the directory lists them.
   std::map<std::string, ports::ListedServer> Listed_;
   DepartureTable Departures_;
+  EvacuationTable Evacuations_;
+  /// The read of the configuration that is under way, after its first page.
+  std::optional<ConfigurationRead> ConfigurationRead_;
   std::vector<model::Member> ListedMembers_;
   DirectoryRevision KnownRevision_; ///< of the server list; never decreases
   /// Revision of the first whole list of the era. Servers that were removed
--- a/src/libcumingauge/control/directorylinks.cpp
+++ b/src/libcumingauge/control/directorylinks.cpp
@@ -100,6 +100,8 @@
   Out.AgeMs_ = ageMs(State, Follower.Servers_);
   Out.Version_ = versionOf(State);
   Out.VersionAgeMs_ = ageMs(State, Follower.Configuration_);
+  Out.EvacuatedZones_ = Follower.Evacuations_.Requested_;
+  Out.ZonesRevision_ = Follower.Evacuations_.Revision_.Number_;
   if (const model::Preset *Preset = model::presetInForce(*State.Log_.State_);
       Preset && Out.Version_ > To.KnownVersion_)
     Out.Preset_ = *Preset;
@@ -140,6 +142,7 @@
     if (Update.Server_)
       Entry.Listed_ = ports::ListedServer{*Update.Server_, Update.Leaving_};
     Entry.Departed_ = Update.WasLeaving_.has_value();
+    Entry.IsFromPeer_ = true;
     Out.push_back(std::move(Entry));
   }
   return Out;
@@ -235,6 +238,10 @@
 
 } // namespace
 
+model::TimePoint serversConfirmedAt(const CoreState &State) {
+  return confirmedAt(State.Directory_.Servers_);
+}
+
 model::TimePoint directoryConfirmedAt(const CoreState &State) {
   return std::min(confirmedAt(State.Directory_.Configuration_),
                   confirmedAt(State.Directory_.Servers_));
@@ -343,8 +350,16 @@
   const bool IsOfPresentEra = observePeerEra(State, Revision);
   // A reader with an older version, revision or era than this process confirms
   // nothing.
+  const DirectoryRevision ZonesRevision{Era, Message.ZonesRevision_};
+  const bool HasNewestZones =
+      IsOfPresentEra && ZonesRevision >= Follower.Evacuations_.Revision_;
+  const bool ZonesChanged =
+      HasNewestZones &&
+      applyZoneRequests(State, Message.EvacuatedZones_, ZonesRevision);
+  if (ZonesChanged)
+    rebuildState(State, *State.Log_.State_);
   if (Message.Version_ >= versionOf(State)) {
-    if (IsOfPresentEra)
+    if (HasNewestZones)
       recordUpdate(State, Follower.Configuration_, Message.VersionAgeMs_);
     if (Message.Preset_)
       applyConfiguration(State, {Message.Version_, *Message.Preset_});
@@ -359,7 +374,7 @@
   }
   subscribeToReaders(State);
   const bool IsChanged = Follower.KnownRevision_ != FormerRevision ||
-                         versionOf(State) != FormerVersion;
+                         versionOf(State) != FormerVersion || ZonesChanged;
   relayUpdate(State, IsChanged);
 }
 
--- a/src/libcumingauge/control/directorylinks.h
+++ b/src/libcumingauge/control/directorylinks.h
@@ -18,6 +18,9 @@
 /// known to be complete, by calls of this process or of a peer.
 model::TimePoint directoryConfirmedAt(const CoreState &State);
 
+/// Returns the same for the list of servers alone.
+model::TimePoint serversConfirmedAt(const CoreState &State);
+
 /// Returns whether this process has to call the directory about a topic,
 /// because no recent update about it has come from a peer.
 bool mustCallDirectory(const CoreState &State, const DirectoryFeed &Feed);
--- a/src/libcumingauge/control/directorypolls.cpp
+++ b/src/libcumingauge/control/directorypolls.cpp
@@ -3,6 +3,7 @@
 #include "control/corestate.h"
 #include "control/directorycalls.h"
 #include "control/directorylinks.h"
+#include "control/evacuations.h"
 #include "control/serverfeed.h"
 #include <algorithm>
 #include <utility>
@@ -140,12 +141,11 @@
 void applyPolledChanges(CoreState &State, DirectoryFeed &Feed,
                         const DirectoryResponse &Response) {
   const bool HasChanges =
-      Response.Configuration_.has_value() || !Response.Servers_.empty();
+      hasOperatorChanges(Response) || !Response.Servers_.empty();
   if (!HasChanges || Response.Revision_ <= Feed.Revision_)
     return;
   replaceWatch(State, Feed);
-  if (Response.Configuration_)
-    applyConfiguration(State, *Response.Configuration_);
+  applyOperatorChanges(State, Response);
   if (!Response.Servers_.empty())
     applyServerChanges(State, Response.Servers_,
                        revisionNow(State, Response.Revision_));
@@ -163,6 +163,8 @@
   if (Response.IsCompacted_ || Response.Revision_ < Poll.After_)
     return readAgain(State, Feed);
   applyPolledChanges(State, Feed, Response);
+  if (&Feed == &State.Directory_.Configuration_)
+    applyZoneChanges(State, {}, revisionNow(State, Response.Revision_));
   Feed.Revision_ = std::max(Feed.Revision_, Response.Revision_);
   recordEvidence(State, Response.Revision_, Poll.IssuedAt_);
   sendDirectoryUpdates(State);
--- a/src/libcumingauge/control/fold.cpp
+++ b/src/libcumingauge/control/fold.cpp
@@ -40,6 +40,14 @@
     State_.LeavingVms_.erase(Action.Name_);
   }
 
+  void operator()(const model::EvacuateZone &Action) const {
+    State_.EvacuatedZones_.insert(Action.Zone_);
+  }
+
+  void operator()(const model::ReturnZone &Action) const {
+    State_.EvacuatedZones_.erase(Action.Zone_);
+  }
+
   /// A server that has moved to another VM is no longer marked as leaving.
   void put(const model::BackendServer &Server) const {
     State_.Servers_[Server.Name_] = Server;
--- a/src/libcumingauge/control/peermessage.h
+++ b/src/libcumingauge/control/peermessage.h
@@ -8,6 +8,7 @@
 #include "model/processstatus.h"
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -136,10 +137,14 @@
   std::optional<bool> Complete_;
   /// Era of the directory in which After_ and Revision_ count; absent: unknown.
   std::optional<std::uint64_t> Era_;
+  /// Zones that operators have evacuated, as of ZonesRevision_.
+  std::set<std::string> EvacuatedZones_;
+  std::uint64_t ZonesRevision_ = 0;
 };
 BOOST_DESCRIBE_STRUCT(DirectoryUpdate, (),
                       (After_, Revision_, AgeMs_, Servers_, Version_,
-                       VersionAgeMs_, Preset_, Complete_, Era_))
+                       VersionAgeMs_, Preset_, Complete_, Era_, EvacuatedZones_,
+                       ZonesRevision_))
 
 /// Sent by an operator: requests the status of this process.
 struct StatusRequest {
--- a/src/libcumingauge/control/serverlist.cpp
+++ b/src/libcumingauge/control/serverlist.cpp
@@ -80,12 +80,22 @@
 }
 
 /// Returns whether two entries are the same for choosing a server. ColdFor_ is
-/// ignored, since it counts from the first time that the server is listed.
+/// ignored: it counts from the time at which the spell was noticed.
 bool isSameListing(const ListedServer &Left, ListedServer Right) {
   Right.Server_.ColdFor_ = Left.Server_.ColdFor_;
   return Left.Server_ == Right.Server_ && Left.Leaving_ == Right.Leaving_;
 }
 
+/// Numbers the cold spell of a server that was read from the directory. It is a
+/// new one when the time until the server is warm has grown.
+void numberColdSpell(const ListedServer &Known, ListedServer &Read) {
+  if (Known.Server_.Vm_ != Read.Server_.Vm_)
+    return;
+  Read.Server_.ColdSpell_ = Known.Server_.ColdSpell_;
+  if (Read.Server_.ColdFor_ > Known.Server_.ColdFor_)
+    ++Read.Server_.ColdSpell_;
+}
+
 /// Applies an entry without recording its revision for the peers.
 /// \returns true when it changed what is known of the server.
 bool updateListed(CoreState &State, const ports::ServerEntry &Entry,
@@ -101,14 +111,18 @@
     return true;
   }
   recordListing(State, *Entry.Listed_);
+  ListedServer Read = *Entry.Listed_;
+  if (Known != Listed.end() && !Entry.IsFromPeer_)
+    numberColdSpell(Known->second, Read);
   if (Known != Listed.end() &&
       Known->second.Server_.Vm_ != Entry.Listed_->Server_.Vm_)
     recordRemoval(State, Known->second);
-  if (Known != Listed.end() && isSameListing(Known->second, *Entry.Listed_))
+  if (Known != Listed.end() && isSameListing(Known->second, Read)) {
+    Known->second.Server_.ColdFor_ = Read.Server_.ColdFor_;
     return false;
-  addDifference(Found, Known == Listed.end() ? nullptr : &Known->second,
-                &*Entry.Listed_);
-  Listed[Entry.Name_] = *Entry.Listed_;
+  }
+  addDifference(Found, Known == Listed.end() ? nullptr : &Known->second, &Read);
+  Listed[Entry.Name_] = Read;
   return true;
 }
 
--- a/src/libcumingauge/control/subject.cpp
+++ b/src/libcumingauge/control/subject.cpp
@@ -6,24 +6,25 @@
 
 namespace {
 
-/// Presets and servers that an action affects. Selecting a preset and replacing
-/// that preset both affect its name, so that they conflict.
+/// Presets, servers and zones that an action affects. Selecting a preset and
+/// replacing that preset both affect its name, so that they conflict.
 struct Subject {
   std::set<std::string> Presets_;
   std::set<std::string> Servers_;
   bool SelectsPreset_ = false; ///< the action selects the preset in force
+  std::string Zone_;           ///< evacuated or returned zone; empty: none
 };
 
 /// Returns the subject of an action of any kind.
 struct SubjectOf {
   Subject operator()(const model::PutPreset &Action) const {
-    return {{Action.Preset_.Name_}, {}, false};
+    return {{Action.Preset_.Name_}, {}, false, ""};
   }
   Subject operator()(const model::ChoosePreset &Action) const {
-    return {{Action.Name_}, {}, true};
+    return {{Action.Name_}, {}, true, ""};
   }
   Subject operator()(const model::PutServer &Action) const {
-    return {{}, {Action.Server_.Name_}, false};
+    return {{}, {Action.Server_.Name_}, false, ""};
   }
   Subject operator()(const model::PutServers &Action) const {
     Subject Out;
@@ -32,13 +33,19 @@
     return Out;
   }
   Subject operator()(const model::RemoveServer &Action) const {
-    return {{}, {Action.Name_}, false};
+    return {{}, {Action.Name_}, false, ""};
   }
   Subject operator()(const model::MarkLeaving &Action) const {
-    return {{}, {Action.Name_}, false};
+    return {{}, {Action.Name_}, false, ""};
   }
   Subject operator()(const model::ReturnServer &Action) const {
-    return {{}, {Action.Name_}, false};
+    return {{}, {Action.Name_}, false, ""};
+  }
+  Subject operator()(const model::EvacuateZone &Action) const {
+    return {{}, {}, false, Action.Zone_};
+  }
+  Subject operator()(const model::ReturnZone &Action) const {
+    return {{}, {}, false, Action.Zone_};
   }
 };
 
@@ -56,6 +63,7 @@
   const Subject L = std::visit(SubjectOf{}, Left);
   const Subject R = std::visit(SubjectOf{}, Right);
   return (L.SelectsPreset_ && R.SelectsPreset_) ||
+         (!L.Zone_.empty() && L.Zone_ == R.Zone_) ||
          haveCommonElement(L.Presets_, R.Presets_) ||
          haveCommonElement(L.Servers_, R.Servers_);
 }
--- a/src/libcumingauge/control/viewpublisher.cpp
+++ b/src/libcumingauge/control/viewpublisher.cpp
@@ -1,6 +1,7 @@
 #include "control/viewpublisher.h"
 #include "control/corestate.h"
 #include <algorithm>
+#include <utility>
 
 namespace cumingauge::control {
 
@@ -55,6 +56,34 @@
   }
 }
 
+using ProcessList = std::vector<model::ProcessPlace>;
+
+/// Returns all processes that are listed in the directory, or have been members
+/// and did not leave. Those that were lost may be alive behind a partition.
+ProcessList listProcesses(const CoreState &State) {
+  ProcessList Out;
+  if (State.Settings_.FollowsDirectory_) {
+    for (const model::Member &Listed : State.Directory_.ListedMembers_)
+      Out.push_back({Listed.Process_, Listed.Zone_});
+    return Out;
+  }
+  for (const auto &[Name, Record] : State.Members_.Records_)
+    if (Record.Member_.Status_ != model::MemberStatus::Left)
+      Out.push_back({Name, Record.Member_.Zone_});
+  return Out;
+}
+
+/// Sets the list of processes; an unchanged one is shared with the last view.
+void setProcesses(const CoreState &State, ControlView &View) {
+  View.Process_ = State.Members_.Self_;
+  ProcessList Listed = listProcesses(State);
+  const bool IsKnown = State.View_ && State.View_->Processes_ &&
+                       *State.View_->Processes_ == Listed;
+  View.Processes_ =
+      IsKnown ? State.View_->Processes_
+              : std::make_shared<const ProcessList>(std::move(Listed));
+}
+
 unsigned fleetRank(const CoreState &State) {
   const auto Live = liveMembers(State.Members_);
   return static_cast<unsigned>(
@@ -106,6 +135,7 @@
          Left.FleetRank_ == Right.FleetRank_ &&
          Left.ZoneSize_ == Right.ZoneSize_ &&
          Left.ZoneRank_ == Right.ZoneRank_ && hasSameProberRank(Left, Right) &&
+         Left.Processes_ == Right.Processes_ &&
          Left.Confirmed_ == Right.Confirmed_;
 }
 
@@ -126,6 +156,7 @@
   else
     View->FleetRank_ = fleetRank(State);
   setProberRank(State, *View);
+  setProcesses(State, *View);
   View->Confirmed_ = State.Confirmed_;
   if (State.View_ && isSameView(*State.View_, *View))
     return;
--- a/src/libcumingauge/model/backendserver.h
+++ b/src/libcumingauge/model/backendserver.h
@@ -18,9 +18,11 @@
   std::uint16_t Port_ = 0;
   unsigned Slots_ = 1;      ///< calls that it can run concurrently
   milliseconds ColdFor_{0}; ///< warm-up time after it was listed
+  /// Changes each time that the server is seen to become cold again.
+  unsigned ColdSpell_ = 0;
 };
 BOOST_DESCRIBE_STRUCT(BackendServer, (),
                       (Name_, Vm_, Service_, Zone_, Host_, Port_, Slots_,
-                       ColdFor_))
+                       ColdFor_, ColdSpell_))
 
 } // namespace cumingauge::model
--- a/src/libcumingauge/model/change.h
+++ b/src/libcumingauge/model/change.h
@@ -60,9 +60,23 @@
 };
 BOOST_DESCRIBE_STRUCT(ReturnServer, (), (Name_, Vm_))
 
+/// Takes the servers of an availability zone out of use.
+struct EvacuateZone {
+  static constexpr const char *Kind = "evacuateZone";
+  std::string Zone_;
+};
+BOOST_DESCRIBE_STRUCT(EvacuateZone, (), (Zone_))
+
+/// Takes the servers of an evacuated availability zone back into use.
+struct ReturnZone {
+  static constexpr const char *Kind = "returnZone";
+  std::string Zone_;
+};
+BOOST_DESCRIBE_STRUCT(ReturnZone, (), (Zone_))
+
 using ChangeAction =
     std::variant<PutPreset, ChoosePreset, PutServer, PutServers, RemoveServer,
-                 MarkLeaving, ReturnServer>;
+                 MarkLeaving, ReturnServer, EvacuateZone, ReturnZone>;
 
 /// One entry of the change log. Versions count the entries, starting with 1.
 struct Change {
--- a/src/libcumingauge/model/configstate.cpp
+++ b/src/libcumingauge/model/configstate.cpp
@@ -7,6 +7,10 @@
   return Found == State.Presets_.end() ? nullptr : &Found->second;
 }
 
+bool isEvacuated(const ConfigState &State, const BackendServer &Server) {
+  return State.EvacuatedZones_.count(Server.Zone_) > 0;
+}
+
 bool isMarkedLeaving(const ConfigState &State, const BackendServer &Server) {
   const auto Found = State.LeavingVms_.find(Server.Name_);
   return Found != State.LeavingVms_.end() && Found->second == Server.Vm_;
--- a/src/libcumingauge/model/controlview.h
+++ b/src/libcumingauge/model/controlview.h
@@ -1,13 +1,22 @@
 #pragma once
 
 #include "model/configstate.h"
+#include "model/describe.h"
 #include "model/time.h"
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace cumingauge::model {
 
+/// An entry process and its availability zone.
+struct ProcessPlace {
+  std::string Process_;
+  std::string Zone_;
+};
+BOOST_DESCRIBE_STRUCT(ProcessPlace, (), (Process_, Zone_))
+
 /// Immutable snapshot of the control state that the control thread publishes
 /// to the traffic threads. Each new view replaces the previous one as a whole.
 struct ControlView {
@@ -25,6 +34,10 @@
   /// they may be alive behind a network partition and still send probes.
   unsigned ProberCount_ = 1;
   unsigned ProberRank_ = 0;
+  /// All entry processes of the fleet, in touch or not, if they are known; the
+  /// same list in every process that knows the same members.
+  std::shared_ptr<const std::vector<ProcessPlace>> Processes_;
+  std::string Process_; ///< name of this process
   /// The state was read from the store, not only from peers.
   bool Confirmed_ = false;
 };
--- a/src/libcumingauge/model/event.h
+++ b/src/libcumingauge/model/event.h
@@ -34,6 +34,8 @@
   ServersChanged, ///< several at once; Detail_ names them
   ServersRead,    ///< this process read the whole list from the directory
   ServerLastCallEnded,
+  ZoneEvacuated, ///< the servers of a zone get no new work from now on
+  ZoneReturned,  ///< they get work again
   CallRetried,
   CallHedged,
   CallRefused,
@@ -51,8 +53,9 @@
                     MemberJoined, MemberSuspected, MemberDead, MemberReturned,
                     ServerCold, ServerReady, ServerLeaving, ServerEjected,
                     ServerGone, ServerPaused, ServerResumed, ServersChanged,
-                    ServersRead, ServerLastCallEnded, CallRetried, CallHedged,
-                    CallRefused, BudgetSpent, PauseFound, StoreAway, StoreBack,
+                    ServersRead, ServerLastCallEnded, ZoneEvacuated,
+                    ZoneReturned, CallRetried, CallHedged, CallRefused,
+                    BudgetSpent, PauseFound, StoreAway, StoreBack,
                     StoreRestored, ProcessStarted, ProcessReady,
                     ProcessStopping, Alarm)
 
--- a/src/libcumingauge/model/preset.h
+++ b/src/libcumingauge/model/preset.h
@@ -4,6 +4,7 @@
 #include "model/problem.h"
 #include "model/route.h"
 #include "model/time.h"
+#include <map>
 #include <string>
 #include <vector>
 
@@ -86,6 +87,14 @@
                       (MaxConnections_, WarmConnections_, InFlightPerSlot_,
                        ConnectTimeout_))
 
+/// Limit on the calls that all processes together send to a cold server within
+/// any second: the service's ColdCallsPerSecond_ times Overshoot_, plus Slack_.
+struct ColdLimits {
+  double Overshoot_ = 1;
+  double Slack_ = 0;
+};
+BOOST_DESCRIBE_STRUCT(ColdLimits, (), (Overshoot_, Slack_))
+
 /// When a failing backend server is ejected, and how it returns.
 struct EjectionRule {
   double FailureRatio_ = 0.5; ///< failures per attempt at which it is ejected
@@ -102,8 +111,12 @@
 struct ServiceRule {
   std::string Service_;
   std::string HealthPath_; ///< path of probes; empty: the default path
+  /// Calls a second that a cold server tolerates from the whole fleet; 0: as
+  /// many as a warm one.
+  double ColdCallsPerSecond_ = 0;
 };
-BOOST_DESCRIBE_STRUCT(ServiceRule, (), (Service_, HealthPath_))
+BOOST_DESCRIBE_STRUCT(ServiceRule, (),
+                      (Service_, HealthPath_, ColdCallsPerSecond_))
 
 /// Limits on callers; 0: the setting of the entry process applies.
 struct CallerLimits {
@@ -127,14 +140,17 @@
   QueueLimits Queue_;
   ServerLimits Servers_;
   EjectionRule Ejection_;
+  ColdLimits Cold_;
   std::vector<Route> Routes_;
   std::vector<ServiceRule> Services_;
   CallerLimits Callers_;
+  /// Region of each availability zone, for routes with homes.
+  std::map<std::string, std::string> Regions_;
 };
 BOOST_DESCRIBE_STRUCT(Preset, (),
                       (Name_, Summary_, Pick_, ZoneCost_, Measuring_, Retry_,
-                       Hedge_, Queue_, Servers_, Ejection_, Routes_, Services_,
-                       Callers_))
+                       Hedge_, Queue_, Servers_, Ejection_, Cold_, Routes_,
+                       Services_, Callers_, Regions_))
 
 /// Checks the values of a preset against their ranges. Returns the problems
 /// found; none when the preset is valid.
--- a/src/libcumingauge/model/processstatus.h
+++ b/src/libcumingauge/model/processstatus.h
@@ -4,6 +4,7 @@
 #include "model/member.h"
 #include "model/serveractivity.h"
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,12 +25,14 @@
   bool StoreAway_ = false;
   unsigned FleetSize_ = 0;
   unsigned Links_ = 0;
+  /// Availability zones whose servers get no new work.
+  std::set<std::string> EvacuatedZones_;
   std::vector<ServerActivity> Servers_;
   std::vector<Member> Members_;
 };
 BOOST_DESCRIBE_STRUCT(ProcessStatus, (),
                       (Process_, Incarnation_, Zone_, Region_, Version_,
                        Preset_, ViewAgeMs_, Confirmed_, Ready_, StoreAway_,
-                       FleetSize_, Links_, Servers_, Members_))
+                       FleetSize_, Links_, EvacuatedZones_, Servers_, Members_))
 
 } // namespace cumingauge::model
--- a/src/libcumingauge/model/route.h
+++ b/src/libcumingauge/model/route.h
@@ -35,10 +35,12 @@
   unsigned MaxAttempts_ = 0; ///< servers a call may be sent to; 0: the preset's
   /// Services that share the calls; empty: only Service_.
   std::vector<RoutePart> Parts_;
+  /// Regions whose servers may get the calls; empty: all.
+  std::vector<std::string> Homes_;
 };
 BOOST_DESCRIBE_STRUCT(Route, (),
                       (Name_, PathPrefix_, Service_, Idempotent_, Priority_,
                        Deadline_, MaxBodyBytes_, Host_, Objective_,
-                       MaxAttempts_, Parts_))
+                       MaxAttempts_, Parts_, Homes_))
 
 } // namespace cumingauge::model
--- a/src/libcumingauge/platform/configurationdocument.cpp
+++ b/src/libcumingauge/platform/configurationdocument.cpp
@@ -37,12 +37,24 @@
   return Out;
 }
 
+std::vector<std::string> readHomes(const Json &Route) {
+  std::vector<std::string> Out;
+  const Json *Homes = findField(Route, "home-regions");
+  if (!Homes || !Homes->is_array())
+    return Out;
+  for (const Json &Home : *Homes)
+    if (Home.is_string())
+      Out.push_back(Home.get<std::string>());
+  return Out;
+}
+
 std::optional<model::Route> readRoute(const Json &Document) {
   const auto Host = textField(Document, "host");
   const auto Prefix = textField(Document, "prefix");
   const auto Service = textField(Document, "service");
   model::Route Out;
   Out.Parts_ = readParts(Document);
+  Out.Homes_ = readHomes(Document);
   if (!Host || !Prefix || (!Service && Out.Parts_.empty()))
     return std::nullopt;
   Out.Name_ = textField(Document, "name").value_or(*Host + *Prefix);
@@ -72,7 +84,8 @@
     if (!Name)
       continue;
     Out.Services_.push_back(
-        {*Name, textField(Service, "health-check-path").value_or("")});
+        {*Name, textField(Service, "health-check-path").value_or(""),
+         std::max(numberField(Service, "cold-per-s").value_or(0), 0.0)});
     // A preset has one connection limit for all services: the smallest is used.
     if (const auto Limit = countField(Service, "connection-limit"))
       Out.Servers_.MaxConnections_ = static_cast<unsigned>(
--- a/src/libcumingauge/platform/dialect.cpp
+++ b/src/libcumingauge/platform/dialect.cpp
@@ -2,6 +2,7 @@
 #include "platform/wirenames.h"
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace cumingauge::platform {
 
@@ -12,6 +13,8 @@
 constexpr std::size_t MinFields = 3;
 /// Longest time for which a server may want no calls; longer ones are errors.
 constexpr double MaxPauseSeconds = 3600;
+/// Longest time for which a server may be cold; longer ones are errors.
+constexpr double MaxColdMs = 24.0 * 60 * 60 * 1000;
 constexpr std::string_view LeavingValue = "1";
 
 /// Returns whether an answer guarantees that the call did not run: it has the
@@ -26,33 +29,53 @@
   return Status == StatusMisdirected;
 }
 
-/// Returns a time in seconds, whole or with decimals; nothing when the text is
-/// not one or the time is longer than MaxPauseSeconds.
-std::optional<model::milliseconds> readSeconds(const std::string &Text) {
+/// Returns a plain number, whole or with decimals; nothing when the text is not
+/// one or it is larger than \p Max.
+std::optional<double> readNumber(const std::string &Text, double Max) {
   const bool IsPlain = !Text.empty() &&
                        Text.find_first_not_of("0123456789.") == Text.npos &&
                        Text.front() != '.' && Text.back() != '.';
-  double Seconds = 0;
+  double Out = 0;
   const char *const End = Text.data() + Text.size();
-  const auto Read = std::from_chars(Text.data(), End, Seconds);
-  if (!IsPlain || Read.ec != std::errc() || Read.ptr != End ||
-      Seconds > MaxPauseSeconds)
+  const auto Read = std::from_chars(Text.data(), End, Out);
+  if (!IsPlain || Read.ec != std::errc() || Read.ptr != End || Out > Max)
+    return std::nullopt;
+  return Out;
+}
+
+/// Returns a time in seconds, if the text is one.
+std::optional<model::milliseconds> readSeconds(const std::string &Text) {
+  const auto Seconds = readNumber(Text, MaxPauseSeconds);
+  if (!Seconds)
     return std::nullopt;
   return std::chrono::ceil<model::milliseconds>(
-      std::chrono::duration<double>(Seconds));
+      std::chrono::duration<double>(*Seconds));
 }
 
-/// Reads the fields Server-Leaving, in any answer, and Retry-After, which asks
-/// for a pause in an answer 503 only.
+/// Returns a whole or decimal number of milliseconds; nothing when the text is
+/// not one or the time is too long.
+std::optional<model::milliseconds> readMillis(const std::string &Text) {
+  const auto Millis = readNumber(Text, MaxColdMs);
+  if (!Millis)
+    return std::nullopt;
+  return model::milliseconds(static_cast<long long>(std::ceil(*Millis)));
+}
+
+/// Reads the fields Server-Leaving and Cold-Milliseconds, in any answer, and
+/// Retry-After, which asks for a pause in an answer 503 only.
 model::ServerNotice readNotice(unsigned Status,
-                               const std::optional<std::string> &Leaving,
-                               const std::optional<std::string> &RetryAfter) {
+                               const traffic::NoticeFields &Fields) {
   model::ServerNotice Out;
-  Out.IsLeaving_ = Leaving == LeavingValue;
-  Out.IsUnreadable_ = Leaving && !Out.IsLeaving_;
-  if (Status != StatusUnavailable || !RetryAfter)
+  Out.IsLeaving_ = Fields.Leaving_ == LeavingValue;
+  Out.IsUnreadable_ = Fields.Leaving_ && !Out.IsLeaving_;
+  if (Fields.Cold_) {
+    const auto ColdFor = readMillis(*Fields.Cold_);
+    Out.ColdFor_ = ColdFor.value_or(model::milliseconds(0));
+    Out.IsUnreadable_ = Out.IsUnreadable_ || !ColdFor;
+  }
+  if (Status != StatusUnavailable || !Fields.Pause_)
     return Out;
-  const auto Pause = readSeconds(*RetryAfter);
+  const auto Pause = readSeconds(*Fields.Pause_);
   Out.Pause_ = Pause.value_or(model::milliseconds(0));
   Out.IsUnreadable_ = Out.IsUnreadable_ || !Pause;
   return Out;
@@ -75,6 +98,7 @@
   Out.IsLeaving_ = isLeaving;
   Out.Leaving_ = wirenames::ServerLeaving;
   Out.Pause_ = wirenames::RetryAfter;
+  Out.Cold_ = wirenames::ColdMilliseconds;
   Out.ReadNotice_ = readNotice;
   return Out;
 }
--- a/src/libcumingauge/platform/directoryclient.cpp
+++ b/src/libcumingauge/platform/directoryclient.cpp
@@ -32,8 +32,15 @@
 constexpr unsigned HttpInternalError = 500;
 
 const char *prefixOf(DirectoryTopic Topic) {
-  return Topic == DirectoryTopic::Servers ? wirenames::ServersPrefix
-                                          : wirenames::MembersPrefix;
+  switch (Topic) {
+  case DirectoryTopic::Configuration:
+    return wirenames::OperatorPrefix;
+  case DirectoryTopic::Servers:
+    return wirenames::ServersPrefix;
+  case DirectoryTopic::Members:
+    break;
+  }
+  return wirenames::MembersPrefix;
 }
 
 /// Returns a key as the value of a field in a request target.
@@ -67,10 +74,7 @@
 
 std::string watchTarget(const DirectoryRequest &Request,
                         model::milliseconds Wait) {
-  return std::string(wirenames::Watch) +
-         (Request.Topic_ == DirectoryTopic::Configuration
-              ? wirenames::ConfigurationKey
-              : prefixOf(Request.Topic_)) +
+  return std::string(wirenames::Watch) + prefixOf(Request.Topic_) +
          "&after=" + std::to_string(Request.After_) +
          "&wait-ms=" + std::to_string(Wait.count());
 }
@@ -80,11 +84,6 @@
   Out.Method_ = "GET";
   switch (Request.Operation_) {
   case DirectoryOperation::Read:
-    if (Request.Topic_ == DirectoryTopic::Configuration) {
-      Out.Target_ =
-          std::string(wirenames::ReadKey) + wirenames::ConfigurationKey;
-      break;
-    }
     Out.Target_ = std::string(wirenames::ReadRange) + prefixOf(Request.Topic_);
     if (!Request.Page_.empty())
       Out.Target_ += "&after=" + encodeKey(Request.Page_);
@@ -134,6 +133,9 @@
 
   void add(const Json &Item) {
     const std::string Key = textField(Item, "key").value_or("");
+    if (Request_.Topic_ == DirectoryTopic::Configuration &&
+        hasPrefix(Key, wirenames::EvacuationPrefix))
+      return addZone(Key, !isDeletion(Item));
     if (isDeletion(Item))
       return addDeletion(Key);
     const auto Value = valueOf(Item);
@@ -164,6 +166,17 @@
       Out_.Configuration_ = std::move(Read);
   }
 
+  /// Only the key of an evacuation counts.
+  void addZone(const std::string &Key, bool Evacuated) {
+    Out_.Zones_.push_back(
+        {Key.substr(std::string_view(wirenames::EvacuationPrefix).size()),
+         Evacuated});
+  }
+
+  static bool hasPrefix(const std::string &Key, std::string_view Prefix) {
+    return Key.rfind(Prefix, 0) == 0;
+  }
+
   void addDeletion(const std::string &Key) {
     if (Request_.Topic_ == DirectoryTopic::Servers)
       Out_.Servers_.push_back({nameFromKey(Key), std::nullopt, 0});
@@ -181,7 +194,7 @@
   /// has the name of a server.
   static std::string nameFromKey(const std::string &Key) {
     const std::string_view Prefix = wirenames::ServersPrefix;
-    return Key.rfind(Prefix, 0) == 0 ? Key.substr(Prefix.size()) : Key;
+    return hasPrefix(Key, Prefix) ? Key.substr(Prefix.size()) : Key;
   }
 
   void addMember(const std::string &Key, const std::string &Value) {
--- a/src/libcumingauge/platform/platformsettings.cpp
+++ b/src/libcumingauge/platform/platformsettings.cpp
@@ -31,6 +31,10 @@
           Path + "/bounds/retryRatio", "must be between 0 and 1", Found);
   require(Bounds.RetryBurst_ >= 0, Path + "/bounds/retryBurst",
           "must not be negative", Found);
+  require(Bounds.ColdOvershoot_ >= 0, Path + "/bounds/coldOvershoot",
+          "must not be negative", Found);
+  require(Bounds.ColdSlack_ >= 0, Path + "/bounds/coldSlack",
+          "must not be negative", Found);
   return Found;
 }
 
--- a/src/libcumingauge/platform/platformsettings.h
+++ b/src/libcumingauge/platform/platformsettings.h
@@ -4,6 +4,8 @@
 #include "model/describe.h"
 #include "model/problem.h"
 #include "model/time.h"
+#include <map>
+#include <string>
 
 namespace cumingauge::platform {
 
@@ -15,16 +17,23 @@
   model::seconds Grace_{6};
   double RetryRatio_ = 0.2; ///< retries per call, over the whole fleet
   double RetryBurst_ = 58;  ///< retries beyond the ratio, over the whole fleet
+  /// Calls that a cold server gets within a second: its rate times
+  /// ColdOvershoot_ plus ColdSlack_.
+  double ColdOvershoot_ = 1;
+  double ColdSlack_ = 0;
 };
-BOOST_DESCRIBE_STRUCT(Bounds, (), (Leaving_, Grace_, RetryRatio_, RetryBurst_))
+BOOST_DESCRIBE_STRUCT(Bounds, (),
+                      (Leaving_, Grace_, RetryRatio_, RetryBurst_,
+                       ColdOvershoot_, ColdSlack_))
 
 /// Settings for the connection to the platform.
 struct PlatformSettings {
   adapters::AddressSettings
       Store_; ///< address of the platform's metadata store
   Bounds Bounds_;
+  std::map<std::string, std::string> Regions_; ///< of each availability zone
 };
-BOOST_DESCRIBE_STRUCT(PlatformSettings, (), (Store_, Bounds_))
+BOOST_DESCRIBE_STRUCT(PlatformSettings, (), (Store_, Bounds_, Regions_))
 
 /// Checks the ranges of the settings. Returns one problem for each invalid
 /// setting, with its path below \p Path; empty when all are valid.
--- a/src/libcumingauge/platform/wirenames.h
+++ b/src/libcumingauge/platform/wirenames.h
@@ -11,6 +11,7 @@
 constexpr const char *ExpectedInstance = "Expected-Instance";
 constexpr const char *ServerLeaving = "Server-Leaving";
 constexpr const char *RetryAfter = "Retry-After";
+constexpr const char *ColdMilliseconds = "Cold-Milliseconds";
 constexpr const char *StoreEra = "Store-Era";
 constexpr const char *ResponseSignature = "Response-Signature";
 
@@ -24,7 +25,11 @@
 constexpr const char *Transaction = "/kv-txn";
 
 // Keys of the metadata store.
+/// Prefix of all that operators write.
+constexpr const char *OperatorPrefix = "op/";
 constexpr const char *ConfigurationKey = "op/config";
+/// Followed by the name of an availability zone.
+constexpr const char *EvacuationPrefix = "op/evacuate/";
 constexpr const char *ServersPrefix = "servers/";
 constexpr const char *MembersPrefix = "cumingauge/members/";
 /// Never written: reading an absent key is the cheapest read.
--- a/src/libcumingauge/policy/assessment.cpp
+++ b/src/libcumingauge/policy/assessment.cpp
@@ -1,4 +1,6 @@
 #include "policy/assessment.h"
+#include "policy/coldservers.h"
+#include "policy/homes.h"
 #include "policy/limits.h"
 #include <algorithm>
 #include <cmath>
@@ -184,7 +186,9 @@
 
 bool isEligible(ServerHandle Handle, const AssessmentContext &Context) {
   const ServerRecord &Server = Context.State_.Servers_[Handle];
-  if (Server.Draining_ || !isAllowedByEjectionState(Server, Context))
+  if (Server.Draining_ || !isAllowedByEjectionState(Server, Context) ||
+      !isHome(Context.State_, Context.Request_.Call_.Route_, Server) ||
+      !isColdCallDue(Context.State_, Server, Context.Now_))
     return false;
   return !Context.ExcludeTried_ || !wasTried(Context.Request_.Call_, Handle);
 }
--- a/src/libcumingauge/policy/balancer.cpp
+++ b/src/libcumingauge/policy/balancer.cpp
@@ -2,7 +2,10 @@
 #include "policy/admission.h"
 #include "policy/balancerstate.h"
 #include "policy/choice.h"
+#include "policy/coldservers.h"
 #include "policy/feedback.h"
+#include "policy/homes.h"
+#include "policy/members.h"
 #include "policy/retry.h"
 #include <algorithm>
 
@@ -93,6 +96,8 @@
     return refuse(model::ResultCode::NotRunNoServer);
   if (Service->Members_.empty())
     return refuseWithoutServer(State, *Service, Now);
+  if (!hasHomeServer(State, *Service, Call.Route_))
+    return refuse(model::ResultCode::NotRunNoServer);
   depositBudgets(*Service, Call, State.Preset_);
   if (hasWaitedTooLong(*Service, Call, Now))
     return refuse(model::ResultCode::NotRunDeadline);
@@ -143,7 +148,11 @@
 
 void recordReport(BalancerState &State, ServerHandle Server,
                   const model::LoadReport &Report, model::TimePoint Now) {
-  applyReport(State, State.Servers_.at(Server), Report, Now);
+  ServerRecord &Record = State.Servers_.at(Server);
+  if (Report.Cold_ &&
+      recordCold(State, Server, State.Preset_.Ejection_.SlowStart_, Now))
+    updateMembers(State, State.Services_[Record.Service_], Now);
+  applyReport(State, Record, Report, Now);
 }
 
 bool tryRetry(BalancerState &State, const CallFacts &Call, AttemptEnd End,
--- a/src/libcumingauge/policy/balancerstate.h
+++ b/src/libcumingauge/policy/balancerstate.h
@@ -31,7 +31,9 @@
       Evicted_;         ///< refused calls that the next releaseWaiting returns
   unsigned Queued_ = 0; ///< queued calls of all services
   std::vector<ServerHandle>
-      Paused_; ///< servers that wanted no calls for a time
+      Paused_;                     ///< servers that wanted no calls for a time
+  std::vector<ServerHandle> Cold_; ///< servers that were cold at the last look
+  model::TimePoint StartedAt_;     ///< when the first view was applied
   ReasonCounts Reasons_{};
 };
 
--- a/src/libcumingauge/policy/loadquery.cpp
+++ b/src/libcumingauge/policy/loadquery.cpp
@@ -1,5 +1,7 @@
 #include "policy/loadquery.h"
 #include "policy/choice.h"
+#include "policy/coldservers.h"
+#include "policy/homes.h"
 #include <algorithm>
 
 namespace cumingauge::policy {
@@ -19,14 +21,23 @@
 
 /// Returns whether the server may be used for the call, whatever its load is.
 bool isCandidate(const BalancerState &State, ServerHandle Handle,
-                 const CallFacts &Call) {
+                 const CallFacts &Call, model::TimePoint Now) {
   const ServerRecord &Server = State.Servers_[Handle];
-  return !Server.Draining_ &&
+  return !Server.Draining_ && isHome(State, Call.Route_, Server) &&
+         isColdCallDue(State, Server, Now) &&
          Server.Outlier_.EjectionState_ == EjectionState::Healthy &&
          std::find(Call.Tried_.begin(), Call.Tried_.end(), Handle) ==
              Call.Tried_.end();
 }
 
+/// Returns whether the subset has servers of the own zone.
+bool hasServersInZone(const BalancerState &State,
+                      const ServiceRecord &Service) {
+  return std::any_of(
+      Service.Subset_.begin(), Service.Subset_.end(),
+      [&](ServerHandle Handle) { return State.Servers_[Handle].SameZone_; });
+}
+
 /// Returns whether the server needs no query: its last report is fresh, or a
 /// query was sent so recently that the response may still come.
 bool hasFreshOrPendingReport(const ServerRecord &Server,
@@ -59,7 +70,9 @@
   const model::MeasuringBudget &Rule = State.Preset_.Measuring_;
   if (!Service || Rule.LoadQueryCount_ == 0 || Service->Subset_.empty())
     return Out;
-  const bool IsFar = Round == LoadQueryRound::OtherZones;
+  // Without servers in the own zone, those of the others take their place.
+  const bool HasOwn = hasServersInZone(State, *Service);
+  const bool IsFar = HasOwn && Round == LoadQueryRound::OtherZones;
   const unsigned Width =
       IsFar ? Rule.RemoteZoneLoadQueryCount_ : Rule.LoadQueryCount_;
   const std::size_t Count = Service->Subset_.size();
@@ -68,7 +81,8 @@
   for (std::size_t I = 0; I < Count && Compared < Width; ++I) {
     const ServerHandle Handle = Service->Subset_[(First + I) % Count];
     ServerRecord &Server = State.Servers_[Handle];
-    if (Server.SameZone_ == IsFar || !isCandidate(State, Handle, Call))
+    if ((HasOwn && Server.SameZone_ == IsFar) ||
+        !isCandidate(State, Handle, Call, Now))
       continue;
     // In the first round the limit covers all servers compared, including those
     // that need no query; in later rounds it covers the queries only.
@@ -87,11 +101,13 @@
   const ServiceRecord *Service = serviceOf(State, Call);
   if (!Service)
     return true;
+  const bool HasOwn = hasServersInZone(State, *Service);
   return std::any_of(
       Service->Subset_.begin(), Service->Subset_.end(),
       [&](ServerHandle Handle) {
         const ServerRecord &Server = State.Servers_[Handle];
-        return Server.SameZone_ && isCandidate(State, Handle, Call) &&
+        return (Server.SameZone_ || !HasOwn) &&
+               isCandidate(State, Handle, Call, Now) &&
                Now - Server.Report_.HeardAt_ <
                    2 * State.Preset_.Measuring_.LoadQueryMinReportAge_ &&
                Server.Pace_ < MaxNormalPace &&
--- a/src/libcumingauge/policy/loadquery.h
+++ b/src/libcumingauge/policy/loadquery.h
@@ -24,7 +24,7 @@
                                          model::TimePoint Now);
 
 /// Returns whether a server of the own zone is expected to answer the call at
-/// about the mean time.
+/// about the mean time. Without servers there, those of other zones count.
 bool hasResponsiveServerInZone(const BalancerState &State,
                                const CallFacts &Call, model::TimePoint Now);
 
--- a/src/libcumingauge/policy/notices.cpp
+++ b/src/libcumingauge/policy/notices.cpp
@@ -1,4 +1,5 @@
 #include "policy/notices.h"
+#include "policy/coldservers.h"
 #include "policy/members.h"
 #include <algorithm>
 
@@ -23,7 +24,8 @@
 
 bool isOpen(const BalancerState &State, ServerHandle Server,
             model::TimePoint Now) {
-  return isOpen(State.Servers_.at(Server), Now);
+  const ServerRecord &Record = State.Servers_.at(Server);
+  return isOpen(Record, Now) && !isClosedByCold(State, Record, Now);
 }
 
 bool hasAnnouncedLeaving(const BalancerState &State, ServerHandle Server) {
@@ -36,6 +38,10 @@
   ServerRecord &Record = State.Servers_.at(Server);
   if (Record.AnnouncedLeaving_)
     return NoticeEffect::None;
+  const bool BecameCold = Notice.ColdFor_ > model::milliseconds(0) &&
+                          recordCold(State, Server, Notice.ColdFor_, Now);
+  if (BecameCold)
+    updateMembersOf(State, Record, Now);
   const bool WasOpen = isOpen(Record, Now);
   Record.AnnouncedLeaving_ = Notice.IsLeaving_;
   if (Notice.Pause_ > model::milliseconds(0))
@@ -43,7 +49,7 @@
   if (!WasOpen && !Notice.IsLeaving_)
     return NoticeEffect::None;
   if (isOpen(Record, Now))
-    return NoticeEffect::None;
+    return BecameCold ? NoticeEffect::Cold : NoticeEffect::None;
   if (WasOpen)
     updateMembersOf(State, Record, Now);
   if (Notice.IsLeaving_)
@@ -78,9 +84,13 @@
   model::Duration Out = model::Duration::zero();
   for (const ServerHandle Handle : Service.Listed_) {
     const ServerRecord &Server = State.Servers_[Handle];
-    if (!isPaused(Server, Now))
+    const bool IsCold = isClosedByCold(State, Server, Now);
+    if (Server.AnnouncedLeaving_ || (!isPaused(Server, Now) && !IsCold))
       continue;
-    const model::Duration Left = Server.PausedUntil_ - Now;
+    const model::Duration Left =
+        std::max(Server.PausedUntil_,
+                 IsCold ? Server.ColdUntil_ : Server.PausedUntil_) -
+        Now;
     Out = Out == model::Duration::zero() ? Left : std::min(Out, Left);
   }
   return Out;
--- a/src/libcumingauge/policy/notices.h
+++ b/src/libcumingauge/policy/notices.h
@@ -4,15 +4,16 @@
 #include "policy/balancerstate.h"
 #include <vector>
 
-/// What backend servers announce about themselves: that they leave, or that
-/// they want no call for a while. Such a server is taken out of the members of
-/// its service, so that no way of choosing a server leads to it.
+/// What backend servers announce about themselves: that they leave, that they
+/// want no call for a while, or that they are cold. A leaving or paused a
+/// server is taken out of the members of its service, so that no way of
+/// choosing a server leads to it.
 namespace cumingauge::policy {
 
 /// Returns whether a server may get calls as far as its own notices go.
 bool isOpen(const ServerRecord &Server, model::TimePoint Now);
 
-/// The same for a handle.
+/// The same for a handle, with the limit on calls to cold servers.
 bool isOpen(const BalancerState &State, ServerHandle Server,
             model::TimePoint Now);
 
@@ -20,7 +21,7 @@
 bool hasAnnouncedLeaving(const BalancerState &State, ServerHandle Server);
 
 /// What a notice has changed.
-enum class NoticeEffect { None, Left, Paused };
+enum class NoticeEffect { None, Left, Paused, Cold };
 
 /// Applies a notice of a server. A leaving server stays so for good; of two
 /// pauses the one that ends later counts.
@@ -32,8 +33,9 @@
 /// on.
 std::vector<ServerHandle> endPauses(BalancerState &State, model::TimePoint Now);
 
-/// Returns the time until the first pause of the service's servers ends; zero
-/// when none is paused.
+/// Returns the time until the first of the service's servers is open again that
+/// is paused, or closed to this thread because it is cold; zero when there is
+/// none.
 model::Duration timeToFirstOpen(const BalancerState &State,
                                 const ServiceRecord &Service,
                                 model::TimePoint Now);
--- a/src/libcumingauge/policy/reports.cpp
+++ b/src/libcumingauge/policy/reports.cpp
@@ -65,6 +65,11 @@
       (Record.NextSend_ + 1) % static_cast<unsigned>(Record.Sends_.size());
 }
 
+model::TimePoint lastSend(const ReportRecord &Record) {
+  const auto Size = static_cast<unsigned>(Record.Sends_.size());
+  return Record.Sends_[(Record.NextSend_ + Size - 1) % Size];
+}
+
 BacklogEstimate expectedBacklog(const ReportRecord &Record, double MeanBacklog,
                                 unsigned OwnInFlight, const ReportAging &Aging,
                                 model::TimePoint Now) {
--- a/src/libcumingauge/policy/reports.h
+++ b/src/libcumingauge/policy/reports.h
@@ -32,6 +32,10 @@
 /// Records that this thread sends a call to the server now.
 void recordSend(ReportRecord &Record, model::TimePoint Now);
 
+/// Returns when this thread last sent a call to the server; the epoch before
+/// the first one.
+model::TimePoint lastSend(const ReportRecord &Record);
+
 /// How the weight of a report depends on its age.
 struct ReportAging {
   model::Duration Relaxation_; ///< time to lose most weight
--- a/src/libcumingauge/policy/serverrecord.h
+++ b/src/libcumingauge/policy/serverrecord.h
@@ -15,10 +15,16 @@
   std::uint32_t Service_ = 0; ///< index into BalancerState::Services_
   double Slots_ = 1;          ///< as reported, or as configured before a report
   bool Present_ = false;      ///< is in the view
-  bool Leaving_ = false;      ///< marked as leaving in the view
+  bool Leaving_ = false;      ///< marked as leaving, or in an evacuated zone
+  bool Evacuated_ = false;    ///< its availability zone is evacuated
   bool Draining_ = false;     ///< reported draining by the server
   bool AnnouncedLeaving_ = false; ///< by its own answer; never taken back
   model::TimePoint PausedUntil_;  ///< by its own answer
+  /// By its entry or its own answer; in the past when it is warm.
+  model::TimePoint ColdUntil_;
+  /// Calls that this thread may send it in a cold call interval while it is
+  /// cold; 0: none.
+  unsigned ColdAllowance_ = 0;
   bool SameZone_ = false;
   bool InSubset_ = false;   ///< is in the subset that this thread prefers
   unsigned InFlight_ = 0;   ///< own attempts in flight
--- a/src/libcumingauge/policy/view.cpp
+++ b/src/libcumingauge/policy/view.cpp
@@ -1,8 +1,10 @@
 #include "policy/balancerstate.h"
+#include "policy/coldservers.h"
 #include "policy/members.h"
 #include "policy/notices.h"
 #include "policy/subset.h"
 #include <algorithm>
+#include <utility>
 #define XXH_INLINE_ALL // the CMake package has no target to link
 #include <xxhash.h>
 
@@ -32,10 +34,7 @@
   if (IsNew) {
     State.Servers_.emplace_back();
     State.Servers_.back().Slots_ = std::max(Server.Slots_, 1u);
-    const model::Duration SlowStart = State.Preset_.Ejection_.SlowStart_;
-    if (Server.ColdFor_ > model::milliseconds(0))
-      State.Servers_.back().RampStart_ = Now + Server.ColdFor_ - SlowStart;
-    else if (!FirstView)
+    if (Server.ColdFor_ == model::milliseconds(0) && !FirstView)
       State.Servers_.back().RampStart_ = Now;
   }
   return Entry->second;
@@ -47,6 +46,13 @@
                   bool Leaving, bool FirstView, model::TimePoint Now) {
   const ServerHandle Handle = findOrAddServer(State, Server, FirstView, Now);
   ServerRecord &Record = State.Servers_[Handle];
+  if (Server.ColdFor_ > model::milliseconds(0) &&
+      (Record.Server_.Name_.empty() ||
+       Record.Server_.ColdSpell_ != Server.ColdSpell_))
+    recordCold(State, Handle, Server.ColdFor_, Now);
+  const bool Evacuated = model::isEvacuated(*State.View_->Config_, Server);
+  if (std::exchange(Record.Evacuated_, Evacuated) && !Evacuated)
+    Record.RampStart_ = Now; // the load returns gradually
   if (Record.Leaving_ && !Leaving)
     Record.Draining_ = false; // the operator has removed the mark
   if (Record.Server_.Slots_ != Server.Slots_)
@@ -69,7 +75,7 @@
   Service.FormerMembers_.swap(Service.Members_);
   Service.Members_.clear();
   for (const ServerHandle Handle : Service.Listed_)
-    if (isOpen(State.Servers_[Handle], Now))
+    if (isOpen(State, Handle, Now))
       Service.Members_.push_back(Handle);
 }
 
@@ -83,7 +89,8 @@
   for (const auto &Entry : View.Config_->Servers_) {
     const model::BackendServer &Server = Entry.second;
     const bool Leaving = View.LeavingServers_.count(Server.Name_) > 0 ||
-                         model::isMarkedLeaving(*View.Config_, Server);
+                         model::isMarkedLeaving(*View.Config_, Server) ||
+                         model::isEvacuated(*View.Config_, Server);
     updateServer(State, Server, Leaving, FirstView, Now);
   }
 }
@@ -131,10 +138,10 @@
 /// Returns a subset of the own zone's servers, and after it one of the other
 /// zones for when these do not suffice.
 std::vector<ServerHandle> zoneSubset(const BalancerState &State,
-                                     const ServiceRecord &Service) {
+                                     const std::vector<ServerHandle> &Members) {
   std::vector<RingEntry> OwnZone;
   std::vector<RingEntry> OtherZones;
-  for (const ServerHandle Handle : Service.Members_)
+  for (const ServerHandle Handle : Members)
     (State.Servers_[Handle].SameZone_ ? OwnZone : OtherZones)
         .push_back(ringEntryOf(State, Handle));
   std::vector<ServerHandle> Out =
@@ -146,20 +153,29 @@
 }
 
 /// Returns a subset of all servers of the service.
-std::vector<ServerHandle> fleetSubset(const BalancerState &State,
-                                      const ServiceRecord &Service) {
+std::vector<ServerHandle>
+fleetSubset(const BalancerState &State,
+            const std::vector<ServerHandle> &Members) {
   std::vector<RingEntry> Ring;
-  for (const ServerHandle Handle : Service.Members_)
+  for (const ServerHandle Handle : Members)
     Ring.push_back(ringEntryOf(State, Handle));
   return subsetOf(std::move(Ring), fleetRank(State), maxUsers(State));
 }
 
-/// Selects the subset of a service anew.
-void selectSubset(BalancerState &State, ServiceRecord &Service) {
+/// Selects the subset of a service anew. The cold servers that this thread uses
+/// come beside the others, since no other thread stands in for it.
+void selectSubset(BalancerState &State, ServiceRecord &Service,
+                  model::TimePoint Now) {
   for (const ServerHandle Handle : Service.Listed_)
     State.Servers_[Handle].InSubset_ = false;
-  Service.Subset_ = State.View_->ZoneSize_ > 0 ? zoneSubset(State, Service)
-                                               : fleetSubset(State, Service);
+  std::vector<ServerHandle> Warm;
+  std::vector<ServerHandle> Cold;
+  for (const ServerHandle Handle : Service.Members_)
+    (isLimitedByCold(State, State.Servers_[Handle], Now) ? Cold : Warm)
+        .push_back(Handle);
+  Service.Subset_ = State.View_->ZoneSize_ > 0 ? zoneSubset(State, Warm)
+                                               : fleetSubset(State, Warm);
+  Service.Subset_.insert(Service.Subset_.end(), Cold.begin(), Cold.end());
   for (const ServerHandle Handle : Service.Subset_)
     State.Servers_[Handle].InSubset_ = true;
 }
@@ -196,17 +212,20 @@
   const unsigned FormerUsers = maxUsers(State);
   State.View_ = View;
   State.Preset_ = Preset;
+  if (FirstView)
+    State.StartedAt_ = Now;
   State.FleetThreads_ = std::max(View->FleetSize_, 1u) * State.Threads_;
   const bool ReselectAll = FirstView || FormerFleetRank != fleetRank(State) ||
                            FormerZoneRank != zoneRank(State) ||
                            FormerUsers != maxUsers(State);
   updateServers(State, *View, FirstView, Now);
+  updateColdUsers(State);
   for (ServiceRecord &Service : State.Services_) {
     selectMembers(State, Service, Now);
     updateTotals(State, Service);
     Service.Retries_.Cap_ = retryCap(State);
     if (ReselectAll || Service.Members_ != Service.FormerMembers_)
-      selectSubset(State, Service);
+      selectSubset(State, Service, Now);
     if (SharesChanged)
       delayProbes(Service.Probes_, Now);
   }
@@ -216,7 +235,7 @@
                    model::TimePoint Now) {
   selectMembers(State, Service, Now);
   updateTotals(State, Service);
-  selectSubset(State, Service);
+  selectSubset(State, Service, Now);
 }
 
 ConnectionShare connectionShare(const BalancerState &State,
--- a/src/libcumingauge/ports/directory.h
+++ b/src/libcumingauge/ports/directory.h
@@ -14,8 +14,12 @@
 
 namespace cumingauge::ports {
 
-/// The lists in a directory: the operators' configuration, the backend servers
-/// that have registered themselves, and the entry processes.
+using boost::describe::operators::operator==;
+using boost::describe::operators::operator!=;
+
+/// The lists in a directory: the operators' configuration with the zones that
+/// they have evacuated, the backend servers that have registered themselves,
+/// and the entry processes.
 enum class DirectoryTopic { Configuration, Servers, Members };
 BOOST_DESCRIBE_ENUM(DirectoryTopic, Configuration, Servers, Members)
 
@@ -57,7 +61,15 @@
   std::uint64_t Revision_ = 0; ///< revision of its last change; 0: unknown
   /// The entry is from a copy of the directory; the server has departed since.
   bool Departed_ = false;
+  bool IsFromPeer_ = false; ///< a peer has passed it on
+};
+
+/// Whether operators request that an availability zone is evacuated.
+struct ZoneRequest {
+  std::string Zone_;
+  bool Evacuated_ = false; ///< false: the request was withdrawn
 };
+BOOST_DESCRIBE_STRUCT(ZoneRequest, (), (Zone_, Evacuated_))
 
 /// The operators' configuration as one preset.
 struct ListedConfiguration {
@@ -77,6 +89,8 @@
   bool IsCompacted_ = false;
   std::string Next_; ///< Read: token of the next page; empty: last page
   std::optional<ListedConfiguration> Configuration_; ///< present if it is new
+  /// Topic Configuration: the evacuated zones, or the changes of a watch.
+  std::vector<ZoneRequest> Zones_;
   std::vector<ServerEntry> Servers_; ///< in the order of their changes
   std::vector<model::Member> Members_;
   model::Problems Unreadable_; ///< entries left out, with the reason
--- a/src/libcumingauge/traffic/dialect.h
+++ b/src/libcumingauge/traffic/dialect.h
@@ -8,6 +8,14 @@
 
 namespace cumingauge::traffic {
 
+/// Values of the fields Dialect::Leaving_, Pause_ and Cold_ of an answer, if
+/// any; several fields of a name are joined by commas.
+struct NoticeFields {
+  std::optional<std::string> Leaving_;
+  std::optional<std::string> Pause_;
+  std::optional<std::string> Cold_;
+};
+
 /// Protocol that callers, entry processes and backend servers use on top of
 /// HTTP: the names of its header fields and how their values are read. A field
 /// with an empty name is neither sent nor read.
@@ -21,6 +29,7 @@
   std::string LoadReport_;  ///< from backend servers: load report
   std::string Leaving_;     ///< from backend servers: they take no more calls
   std::string Pause_;       ///< from backend servers: no calls for a time
+  std::string Cold_;        ///< from backend servers: time until they are warm
   std::string Server_;      ///< to backend servers: name of the server meant
   std::string AnswerProof_; ///< a success without this field is incomplete
   bool CallIdRequired_ = false; ///< a success must repeat the call id
@@ -39,11 +48,9 @@
   /// Returns whether an answer for which IsNotRun_ holds also states that the
   /// server accepts no more calls.
   bool (*IsLeaving_)(unsigned Status, std::string_view NotRun) = nullptr;
-  /// Reads what a server announces about itself. The values are those of the
-  /// fields Leaving_ and Pause_, if any; several fields are joined by commas.
-  model::ServerNotice (*ReadNotice_)(
-      unsigned Status, const std::optional<std::string> &Leaving,
-      const std::optional<std::string> &Pause) = nullptr;
+  /// Reads what a server announces about itself.
+  model::ServerNotice (*ReadNotice_)(unsigned Status,
+                                     const NoticeFields &Fields) = nullptr;
 };
 
 } // namespace cumingauge::traffic
--- a/src/libcumingauge/traffic/trafficstats.cpp
+++ b/src/libcumingauge/traffic/trafficstats.cpp
@@ -36,6 +36,8 @@
   Sum.AbandonedCalls_ += Part.AbandonedCalls_;
   Sum.AnnouncedLeaving_ += Part.AnnouncedLeaving_;
   Sum.PausedServers_ += Part.PausedServers_;
+  Sum.ColdServers_ += Part.ColdServers_;
+  Sum.ColdServersClosed_ += Part.ColdServersClosed_;
   Sum.UnreadableNotices_ += Part.UnreadableNotices_;
   Sum.DiscardingConnections_ += Part.DiscardingConnections_;
 }
--- a/src/libcumingauge/traffic/trafficstats.h
+++ b/src/libcumingauge/traffic/trafficstats.h
@@ -51,6 +51,8 @@
   /// answers.
   std::uint64_t AnnouncedLeaving_ = 0;
   std::uint64_t PausedServers_ = 0;
+  std::uint64_t ColdServers_ = 0;       ///< cold, with a limit on their calls
+  std::uint64_t ColdServersClosed_ = 0; ///< of these, closed to the process
   /// Answers of servers whose announcement of a leave or a pause is invalid.
   std::uint64_t UnreadableNotices_ = 0;
   /// Connections on which bytes arrived after they were closed.
--- a/tests/control/directoryfleet.cpp
+++ b/tests/control/directoryfleet.cpp
@@ -124,6 +124,22 @@
   answerWatches();
 }
 
+void DirectoryFleet::evacuate(const std::string &Zone, bool Evacuated) {
+  if (Evacuated)
+    Stored_.EvacuatedZones_.insert(Zone);
+  else
+    Stored_.EvacuatedZones_.erase(Zone);
+  Stored_.ZoneLog_.push_back({++Stored_.Revision_, {Zone, Evacuated}});
+  answerWatches();
+}
+
+unsigned DirectoryFleet::countEvacuating(const std::string &Zone) const {
+  unsigned Out = 0;
+  for (const auto &[Number, View] : Views_)
+    Out += isReachable(Number) && View->Config_->EvacuatedZones_.count(Zone);
+  return Out;
+}
+
 void DirectoryFleet::setAway(bool Away, WaitingWatches Waiting) {
   Away_ = Away;
   if (!Away)
@@ -142,6 +158,7 @@
 
 void DirectoryFleet::compact() {
   Stored_.Log_.clear();
+  Stored_.ZoneLog_.clear();
   Stored_.CompactedTo_ = Stored_.Revision_;
 }
 
@@ -389,6 +406,13 @@
     Answer.Configuration_->Preset_.Name_ =
         "version " + std::to_string(Stored_.ConfigVersion_);
   }
+  if (Topic == DirectoryTopic::Configuration && After == 0)
+    for (const std::string &Zone : Stored_.EvacuatedZones_)
+      Answer.Zones_.push_back({Zone, true});
+  if (Topic == DirectoryTopic::Configuration && After > 0)
+    for (const auto &[Revision, Request] : Stored_.ZoneLog_)
+      if (Revision > After)
+        Answer.Zones_.push_back(Request);
   if (Topic == DirectoryTopic::Servers && After == 0)
     for (const auto &Entry : Stored_.Entries_)
       Answer.Servers_.push_back(Entry.second);
@@ -426,7 +450,8 @@
     else
       fill(Answer, Asked.Topic_, Asked.After_);
     const bool HasNews = Answer.IsCompacted_ || Answer.Configuration_ ||
-                         !Answer.Servers_.empty();
+                         !Answer.Zones_.empty() || !Answer.Servers_.empty();
+    !Answer.Servers_.empty();
     if (!HasNews || !isReachable(Asked.Process_)) {
       ++I;
       continue;
--- a/tests/control/directoryfleet.h
+++ b/tests/control/directoryfleet.h
@@ -52,6 +52,13 @@
   std::string vmAt(unsigned Number, const std::string &Name) const;
   bool hasView(unsigned Number) const { return Views_.count(Number) > 0; }
 
+  /// Requests or withdraws the evacuation of a zone and answers the watches for
+  /// it at once.
+  void evacuate(const std::string &Zone, bool Evacuated);
+
+  /// Returns the number of reachable processes that have a zone evacuated.
+  unsigned countEvacuating(const std::string &Zone) const;
+
   /// Writes a configuration and answers the watches for it at once.
   void configure(std::uint64_t Version);
 
@@ -136,6 +143,8 @@
     std::uint64_t Revision_ = 10;
     std::uint64_t ConfigVersion_ = 1;
     std::uint64_t ConfigRevision_ = 10;
+    std::set<std::string> EvacuatedZones_;
+    std::vector<std::pair<std::uint64_t, ports::ZoneRequest>> ZoneLog_;
     std::uint64_t CompactedTo_ = 0; ///< changes up to it are not in Log_
   };
 
--- a/tests/control/foldtest.cpp
+++ b/tests/control/foldtest.cpp
@@ -51,6 +51,8 @@
   CPPUNIT_TEST(refusesInvalidActions);
   CPPUNIT_TEST(needsConfirmationToMarkTheLastServer);
   CPPUNIT_TEST(clearsALeavingMarkWhenTheVmChanges);
+  CPPUNIT_TEST(evacuatesAZoneUntilItReturns);
+  CPPUNIT_TEST(needsConfirmationToEvacuateTheOnlyZone);
   CPPUNIT_TEST(appliesOnlyTheNextVersion);
   CPPUNIT_TEST(detectsADivergedLog);
   CPPUNIT_TEST_SUITE_END();
@@ -96,6 +98,32 @@
     CPPUNIT_ASSERT(!isMarkedLeaving(*Log.State_, Replaced));
   }
 
+  void evacuatesAZoneUntilItReturns() {
+    ChangeLog Log = sampleLog();
+    const std::string Zone = Log.State_->Servers_.at("s1").Zone_;
+    const auto Refused = model::ResultCode::ChangeRefused;
+    CPPUNIT_ASSERT(resultOfCheck(model::EvacuateZone{"nowhere"}, *Log.State_,
+                                 true) == Refused);
+    CPPUNIT_ASSERT(resultOfCheck(model::ReturnZone{Zone}, *Log.State_) ==
+                   Refused);
+    appendEntries(Log, {entryOn(*Log.State_, model::EvacuateZone{Zone})});
+    CPPUNIT_ASSERT(isEvacuated(*Log.State_, Log.State_->Servers_.at("s1")));
+    appendEntries(Log, {entryOn(*Log.State_, model::ReturnZone{Zone})});
+    CPPUNIT_ASSERT(!isEvacuated(*Log.State_, Log.State_->Servers_.at("s1")));
+  }
+
+  void needsConfirmationToEvacuateTheOnlyZone() {
+    ChangeLog Log = sampleLog();
+    const std::string Zone = Log.State_->Servers_.at("s1").Zone_;
+    CPPUNIT_ASSERT(resultOfCheck(model::EvacuateZone{Zone}, *Log.State_) ==
+                   model::ResultCode::ConfirmationNeeded);
+    model::BackendServer Elsewhere = samples::server("s3");
+    Elsewhere.Zone_ = "another zone";
+    appendEntries(Log, {entryOn(*Log.State_, model::PutServer{Elsewhere})});
+    CPPUNIT_ASSERT(resultOfCheck(model::EvacuateZone{Zone}, *Log.State_) ==
+                   model::ResultCode::Ok);
+  }
+
   void appliesOnlyTheNextVersion() {
     ChangeLog Log = sampleLog();
     model::Change Later = entryOn(*Log.State_, model::ChoosePreset{"peak"});
--- a/tests/ctl/sessiontest.cpp
+++ b/tests/ctl/sessiontest.cpp
@@ -4,6 +4,7 @@
 #include "presetcommands.h"
 #include "servercommands.h"
 #include "statuscommand.h"
+#include "zonecommands.h"
 #include <cppunit/extensions/HelperMacros.h>
 #include <cstdio>
 #include <filesystem>
@@ -99,6 +100,7 @@
   CPPUNIT_TEST(putsAPresetInForceOnEveryVm);
   CPPUNIT_TEST(retiresAServer);
   CPPUNIT_TEST(mustConfirmToRetireTheLastServer);
+  CPPUNIT_TEST(evacuatesAZoneOnEveryVm);
   CPPUNIT_TEST(seesVersionAndAuthorOfAConflict);
   CPPUNIT_TEST(getsUnknownOnlyWhenEveryAnswerIsLost);
   CPPUNIT_TEST(isRefusedWhileTheStoreIsDown);
@@ -157,6 +159,34 @@
     }) == ResultCode::Ok);
   }
 
+  void evacuatesAZoneOnEveryVm() {
+    LocalFleet Fleet(2);
+    Operator Anna(Fleet, "anna");
+    Anna.deploy();
+    const auto Evacuate = [&](bool Confirmed) {
+      ctl::SubmitOptions Options;
+      Options.Confirmed_ = Confirmed;
+      return Anna.run([&] {
+        return ctl::evacuateZone(Anna.Ctx_, "zone-a", Options, /*Wait=*/true);
+      });
+    };
+    CPPUNIT_ASSERT(Evacuate(false) == ResultCode::ConfirmationNeeded);
+    CPPUNIT_ASSERT(Evacuate(true) == ResultCode::Ok);
+    for (const auto &Process : Fleet.Processes_)
+      CPPUNIT_ASSERT_EQUAL(
+          std::size_t(1),
+          Process->view()->Config_->EvacuatedZones_.count("zone-a"));
+    CPPUNIT_ASSERT(Anna.status() == ResultCode::Ok);
+    CPPUNIT_ASSERT_EQUAL(
+        2, Anna.lastOutput()["summary"]["evacuatedZones"]["zone-a"].get<int>());
+    CPPUNIT_ASSERT(Anna.run([&] {
+      return ctl::returnZone(Anna.Ctx_, "zone-a", {});
+    }) == ResultCode::Ok);
+    CPPUNIT_ASSERT(Anna.run([&] { return ctl::listZones(Anna.Ctx_); }) ==
+                   ResultCode::Ok);
+    CPPUNIT_ASSERT(Anna.lastOutput()["evacuatedZones"].empty());
+  }
+
   void seesVersionAndAuthorOfAConflict() {
     const testing::LocalStore Store;
     Operator Anna(Store, "anna");
--- a/tests/platform/configurationdocumenttest.cpp
+++ b/tests/platform/configurationdocumenttest.cpp
@@ -44,6 +44,7 @@
 class ConfigurationDocumentTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ConfigurationDocumentTest);
   CPPUNIT_TEST(becomesAPresetWithThePolicyOfTheBasePreset);
+  CPPUNIT_TEST(hasTheHomesOfItsRoutesAndTheLimitsOfColdServers);
   CPPUNIT_TEST(skipsOnlyTheRoutesThatCannotBeRead);
   CPPUNIT_TEST(treatsARouteOfUnknownKindAsNotIdempotent);
   CPPUNIT_TEST(isRefusedWithoutANumericVersion);
@@ -81,6 +82,19 @@
     CPPUNIT_ASSERT(model::checkPreset(Preset, "").empty());
   }
 
+  void hasTheHomesOfItsRoutesAndTheLimitsOfColdServers() {
+    Json Document = makeValidDocument();
+    Document["routes"][0]["home-regions"] = {"ulaanbaatar", 7};
+    Document["services"][0]["cold-per-s"] = 6.1;
+    Document["services"].push_back({{"name", "wuno"}});
+    const model::Preset Preset = read(Document)->Preset_;
+    CPPUNIT_ASSERT(std::vector<std::string>{"ulaanbaatar"} ==
+                   Preset.Routes_[0].Homes_);
+    CPPUNIT_ASSERT(Preset.Routes_[1].Homes_.empty());
+    CPPUNIT_ASSERT_EQUAL(6.1, Preset.Services_[0].ColdCallsPerSecond_);
+    CPPUNIT_ASSERT_EQUAL(0.0, Preset.Services_[1].ColdCallsPerSecond_);
+  }
+
   void skipsOnlyTheRoutesThatCannotBeRead() {
     Json Document = makeValidDocument();
     Document["routes"][0].erase("prefix");
--- a/tests/platform/dialecttest.cpp
+++ b/tests/platform/dialecttest.cpp
@@ -11,6 +11,7 @@
   CPPUNIT_TEST(readsInFlightQueuedSlotsAndPace);
   CPPUNIT_TEST(ignoresAMalformedLoadReport);
   CPPUNIT_TEST(detectsACallThatDidNotRun);
+  CPPUNIT_TEST(readsHowLongAServerIsCold);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -44,6 +45,21 @@
     CPPUNIT_ASSERT(!Dialect.IsNotRun_(504, ""));
     CPPUNIT_ASSERT(!Dialect.IsLeaving_(503, "1"));
   }
+
+  void readsHowLongAServerIsCold() {
+    const traffic::Dialect &Dialect = platform::platformDialect();
+    const auto Read = [&](const char *Text) {
+      return Dialect.ReadNotice_(200, {std::nullopt, std::nullopt, Text});
+    };
+    CPPUNIT_ASSERT(Read("2500").ColdFor_ == model::milliseconds(2500));
+    CPPUNIT_ASSERT(Read("0.5").ColdFor_ == model::milliseconds(1));
+    CPPUNIT_ASSERT(Read("0").ColdFor_ == model::milliseconds(0));
+    CPPUNIT_ASSERT(!Read("0").IsUnreadable_);
+    for (const char *Text : {"", "-5", "soon", "1e9", "999999999999", "1,2"}) {
+      CPPUNIT_ASSERT(Read(Text).ColdFor_ == model::milliseconds(0));
+      CPPUNIT_ASSERT(Read(Text).IsUnreadable_);
+    }
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(PlatformDialectTest);
 
--- a/tests/platform/directoryclienttest.cpp
+++ b/tests/platform/directoryclienttest.cpp
@@ -141,6 +141,8 @@
   CPPUNIT_TEST(readsNoServerWhoseNameCannotBeSent);
   CPPUNIT_TEST(requestsThePageAfterAnOddKey);
   CPPUNIT_TEST(pollsWithTheShortestWatch);
+  CPPUNIT_TEST(readsEvacuatedZonesBesideTheConfiguration);
+  CPPUNIT_TEST(readsTheEndOfAnEvacuation);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -234,6 +236,35 @@
         std::string("/kv-watch?prefix=servers/&after=0&wait-ms=1"),
         Store.lastTarget());
   }
+
+  /// Only the key counts, whatever its value.
+  void readsEvacuatedZonesBesideTheConfiguration() {
+    CannedStore Store(listOf(
+        "items",
+        {item("op/config", codec::encodeBase64(R"({"version":7,"routes":[]})")),
+         item("op/evacuate/milano-a", "not base64!"),
+         item("op/evacuate/torino-b", base64Of(Json::object())),
+         item("op/other", base64Of(Json::object()))}));
+    const auto Read = Store.call(DirectoryOperation::Read,
+                                 ports::DirectoryTopic::Configuration);
+    CPPUNIT_ASSERT_EQUAL(std::string("/kv-range?prefix=op/"),
+                         Store.lastTarget());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), Read.Configuration_->Version_);
+    CPPUNIT_ASSERT(
+        (Read.Zones_ == std::vector<ports::ZoneRequest>{{"milano-a", true},
+                                                        {"torino-b", true}}));
+  }
+
+  void readsTheEndOfAnEvacuation() {
+    Json Deleted{
+        {"key", "op/evacuate/milano-a"}, {"revision", 90}, {"deleted", true}};
+    CannedStore Store(listOf("events", {Deleted}));
+    const auto Read = Store.call(DirectoryOperation::Watch,
+                                 ports::DirectoryTopic::Configuration);
+    CPPUNIT_ASSERT(
+        (Read.Zones_ == std::vector<ports::ZoneRequest>{{"milano-a", false}}));
+    CPPUNIT_ASSERT(!Read.Configuration_);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(DirectoryClientTest);
 
