Let the soak take zones out of use and start servers cold

The judge checks EVAC (no start on a server of the zone 5 s after the key was accepted, by a process in touch) and FAILBACK (calls at a cold server in any second, from all processes together).

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -4,7 +4,7 @@
 from collections import deque
 
 import wire
-from judge import CONFIG_SECONDS, NOT_RUN
+from judge import COLD_PER_SECOND, CONFIG_SECONDS, NOT_RUN
 from servers import body_of, signature
 
 MISSES_ALLOWED = 1  # the second failed check in a row takes a process out of the choice
@@ -200,7 +200,8 @@
                            route("/licence/", "catalogo", "unsafe", 1000),
                            route("/lookup/", "diritti", "safe", 1500),
                            route(f"/v{self.version}/", "catalogo", "safe", 800)],
-                "services": [{"name": name, "health-check-path": "/health", "connection-limit": 220}
+                "services": [{"name": name, "health-check-path": "/health", "connection-limit": 220,
+                              "cold-start-s": 3.0, "cold-per-s": COLD_PER_SECOND}
                              for name in ("catalogo", "diritti")],
                 "limits": {"max-header-bytes": 16384, "max-body-bytes": 65536,
                            "header-timeout-ms": 5000, "idle-timeout-ms": 20000}}
@@ -211,8 +212,13 @@
         self.accepted_at = self.judge.clock()
 
     async def rewrite(self):
-        """Writes the newest configuration once more."""
+        """Writes the newest configuration and the evacuated zones once more."""
         await self.store.put("op/config", self.document())
+        for zone in ("zone-a", "zone-b"):
+            if zone in self.judge.evacuated_since:
+                await self.store.put(f"op/evacuate/{zone}", {})
+            else:
+                await self.store.delete(f"op/evacuate/{zone}")
         self.accepted_at = self.judge.clock()
 
     async def check_version(self, number):
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -10,7 +10,7 @@
 import time
 
 from callers import ROUTES, Balancer, Caller, Operator, PipeliningCaller, exchange
-from judge import GRACE_SECONDS, STALL_SECONDS, Judge
+from judge import COLD_OVERSHOOT, COLD_SLACK, GRACE_SECONDS, STALL_SECONDS, Judge
 from proxy import Proxy
 from schedule import FIRST_RESTORED_SEED, draw_schedule, kinds_of_seed
 from servers import Server, signature
@@ -30,6 +30,9 @@
 RECOVERY_SHARE = 0.95
 
 
+OVERRIDES = f"platform.bounds.coldOvershoot={COLD_OVERSHOOT} platform.bounds.coldSlack={COLD_SLACK}"
+
+
 class Entry:
     """One entry process. The fleet restarts it under the same name when it exits."""
 
@@ -60,7 +63,8 @@
         path.write_text(self.settings())
         log = open(self.fleet.out / f"{self.name}.log", "ab")
         self.process = subprocess.Popen([self.fleet.options.program, "--settings", str(path)],
-                                        stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+                                        stdout=log, stderr=log, stdin=subprocess.DEVNULL,
+                                        env=dict(os.environ, CUMINGAUGE_SET=OVERRIDES))
         log.close()
         self.generation += 1
         self.stopping = False
@@ -119,7 +123,7 @@
         self.tasks.append(server)
         return server.sockets[0].getsockname()[1]
 
-    async def add_server(self, service, zone, proxy=None):
+    async def add_server(self, service, zone, proxy=None, is_cold=False):
         self.last_server_number += 1
         server = Server(f"i-{self.last_server_number:04x}", service, zone,
                         self.judge, self.random, self.clock)
@@ -130,6 +134,8 @@
         proxy.reset_all()
         self.proxies[server.name] = proxy
         self.servers.append(server)
+        if is_cold:
+            server.become_cold()
         await self.register(server)
         return server
 
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -25,6 +25,8 @@
 NOT_RUN = (408, 421, 429, 503)
 PAUSE_BEGIN_SECONDS = 0.5  # after an answer that asks for a pause
 PAUSE_ARRIVALS = 2  # allowed in a pause
+EVACUATION_SECONDS = 5.0
+COLD_PER_SECOND, COLD_OVERSHOOT, COLD_SLACK = 6.0, 1.5, 8
 
 
 @dataclass
@@ -56,6 +58,9 @@
         self.known_leaving = {}  # server name: processes that knew it before a restore
         self.restored_at = -1e9  # end of the last outage that ended with an older copy of the store
         self.announced_at = {}  # (server name, process): first answer passed on with its leaving
+        self.evacuated_since = {}  # zone: when its evacuation was accepted
+        self.cold_until = {}  # server name: end of its cold spell
+        self.cold_requests = {}  # server name: [(arrived at, sent by the caller at)]
         self.pauses = {}  # (server name, process): [begin, end, arrivals]
         self.disturbed_at = {}  # process: time of its last disturbance
         self.all_disturbed_at = -1e9  # last disturbance of all processes
@@ -169,6 +174,29 @@
                 self.report_violation("BUDGET", f"{call} from {process} reached {server}, the "
                                                 f"{pause[2]}th in its pause")
 
+    def record_cold(self, server, until):
+        self.cold_until[server] = until
+        self.cold_requests[server] = []
+
+    def record_request(self, call, server):
+        """Checks a request that is meant for the server against its zone and its cold spell."""
+        if call not in self.sent:
+            return
+        now, (at, process, _) = self.clock(), self.sent[call]
+        since = self.evacuated_since.get(server.zone)
+        if since is not None and now > since + EVACUATION_SECONDS \
+                and self.is_undisturbed(process, since):
+            self.report_violation("EVAC", f"{call} from {process} reached {server.name} in "
+                                          f"{server.zone} {now - since:.3f} s after its evacuation")
+        if now >= self.cold_until.get(server.name, 0.0):
+            return
+        requests = self.cold_requests[server.name]
+        requests.append((now, at))
+        count = sum(arrived > now - 1.0 and sent > now - 1.0 for arrived, sent in requests)
+        if count > COLD_PER_SECOND * COLD_OVERSHOOT + COLD_SLACK:
+            self.report_violation("FAILBACK", f"{count} requests in a second at {server.name}, "
+                                              f"cold for {self.cold_until[server.name] - now:.3f} s")
+
     def record_run(self, call, server, request):
         now = self.clock()
         if call not in self.sent:
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -309,6 +309,40 @@
     return inject
 
 
+def evacuate(random, _):
+    """Evacuates a zone and takes it back. Its servers become cold right before it returns."""
+    zone, seconds = random.choice(("zone-a", "zone-b")), random.uniform(5.5, 8.0)
+
+    async def inject(fleet):
+        if zone in fleet.judge.evacuated_since:
+            return
+        await fleet.store.put(f"op/evacuate/{zone}", {})
+        fleet.judge.evacuated_since[zone] = fleet.clock()
+        await asyncio.sleep(seconds)
+        await make_cold(fleet, zone)
+        await asyncio.sleep(0.2)
+        del fleet.judge.evacuated_since[zone]
+        await fleet.store.delete(f"op/evacuate/{zone}")
+    return inject
+
+
+async def make_cold(fleet, zone):
+    for server in fleet.servers:
+        if server.zone == zone and not server.gone and not server.left:
+            server.become_cold()
+            await fleet.register(server)
+
+
+def cold_start(random, _):
+    """Cold servers are added."""
+    zone, services = random.choice(("zone-a", "zone-b")), random.choice((1, 2, 4))
+
+    async def inject(fleet):
+        for i in range(services):
+            await fleet.add_server(("catalogo", "diritti")[i % 2], zone, is_cold=True)
+    return inject
+
+
 def configure(random, _):
     async def inject(fleet):
         for _ in range(random.choice((1, 1, 4))):
@@ -325,6 +359,7 @@
 
 
 FIRST_RESTORED_SEED = 201
+FIRST_EVACUATING_SEED = 301
 FIRST_KINDS = [("kill", kill), ("stop", stop), ("pause", pause), ("reload", reload),
                ("store down", store_flag("down", True, False)),
                ("store slow", store_flag("slow", 0.25, 0.0)),
@@ -341,4 +376,6 @@
                ("configure", configure), ("configure", configure)]
 # First seed that draws a kind, and the kind.
 LATER_KINDS = [(101, ("stop series", stop_series))] * 3 + \
-              [(FIRST_RESTORED_SEED, ("store restored", store_restored))] * 3
+              [(FIRST_RESTORED_SEED, ("store restored", store_restored))] * 3 + \
+              [(FIRST_EVACUATING_SEED, ("evacuate", evacuate))] * 3 + \
+              [(FIRST_EVACUATING_SEED, ("cold start", cold_start))] * 2
--- a/bench/soak/servers.py
+++ b/bench/soak/servers.py
@@ -8,6 +8,7 @@
 MAX_QUEUED = 4
 REJECTED_SHARE = 0.3  # of the calls to a server that answers twice
 COPY_DELAY_SECONDS = (0.002, 0.02)
+COLD_SECONDS = 3.0
 PAUSE_SHARE = 0.3  # of the rejections
 PAUSE_SECONDS = 1.5
 ARRIVAL_SECONDS = 0.2  # in which an answer has arrived, or its connection is closed
@@ -41,6 +42,7 @@
         self.doubles = 0.0
         self.gone = False
         self.left = False  # its entry was removed
+        self.cold_until = -1e9
         self.slot_freed = asyncio.Event()
         self.port = 0
         self._server = None
@@ -64,11 +66,19 @@
         for writer in list(self._writers):
             wire.reset(writer)
 
+    def cold_ms(self):
+        return max(0, int(1000 * (self.cold_until - self.clock())))
+
+    def become_cold(self):
+        self.cold_until = self.clock() + COLD_SECONDS
+        self.judge.record_cold(self.name, self.cold_until)
+
     def entry(self, proxy_port):
         return {"address": f"127.0.0.1:{proxy_port}",
                 "information": {"service": self.service, "version": "v1",
                                 "zone": self.zone, "slots": self.slots},
-                "status": {"state": self.state, "sequence": self.sequence, "cold-remaining-ms": 0}}
+                "status": {"state": self.state, "sequence": self.sequence,
+                           "cold-remaining-ms": self.cold_ms()}}
 
     def load_report(self):
         return f"{self.running},{self.waiting},{self.slots},{int(self.pace * 100)}"
@@ -78,7 +88,8 @@
         try:
             while (request := await wire.read_message(reader)) is not None:
                 if request.target == "/health":
-                    await self._send(writer, "200 OK" if self.state == "ready" else "503 X", {})
+                    fields = {"Cold-Milliseconds": self.cold_ms()} if self.cold_ms() else {}
+                    await self._send(writer, "200 OK" if self.state == "ready" else "503 X", fields)
                 elif not await self._answer(request, writer):
                     return wire.reset(writer)
         except (wire.Closed, ConnectionError, OSError):
@@ -102,6 +113,7 @@
         if request.fields.get("expected-instance") != self.name:
             await self._send(writer, "421 Misdirected Request", {})
             return True
+        self.judge.record_request(call, self)
         is_full = self.running >= self.slots and self.waiting >= MAX_QUEUED
         if is_full or (self.doubles > 0 and self.random.random() < REJECTED_SHARE):
             await self._reject(call, writer)
