--- a/bench/policy.cpp
+++ b/bench/policy.cpp
@@ -63,14 +63,16 @@
       "\"p999_ms\":%.2f,\"others_p99_ms\":%.2f,\"patient_p99_ms\":%.1f,"
       "\"goodput\":%.4f,\"urgent_ok\":%.5f,\"not_run\":%.4f,\"extra\":%.4f,"
       "\"retries\":%.4f,\"probes_per_s\":%.1f,\"max_probes_in_s\":%.0f,"
-      "\"refusal_late_ms\":%.1f,\"doubled\":%u}\n",
+      "\"refusal_late_ms\":%.1f,\"doubled\":%u,\"cold_crashes\":%u,"
+      "\"cold_in_s\":%u}\n",
       Cell.Deployment_.Name_.c_str(),
       DisturbanceNames[static_cast<std::size_t>(Cell.Disturbance_)], Cell.Load_,
       Cell.Seed_, Arm.Name_.c_str(), Result.P50Ms_, Result.P99Ms_,
       Result.P999Ms_, Result.OthersP99Ms_, Result.PatientP99Ms_,
       Result.GoodputShare_, Result.UrgentOk_, Result.NotRunShare_,
       Result.ExtraWork_, Result.RetryShare_, Result.ProbesPerSecond_,
-      Result.MaxProbesInASecond_, Result.RefusalMs_, Result.RanTwice_);
+      Result.MaxProbesInASecond_, Result.RefusalMs_, Result.RanTwice_,
+      Result.ColdCrashes_, Result.MostColdCallsInASecond_);
 }
 
 std::vector<std::pair<Cell, Arm>> makePlan(const Options &Wanted) {
--- a/bench/policysim/deployments.h
+++ b/bench/policysim/deployments.h
@@ -97,16 +97,28 @@
 
 /// Returns the arms: plain baselines, some of the parts, and everything
 /// together.
+/// Returns a guarded preset that limits the calls to cold servers.
+inline model::Preset coldLimitPreset(model::PickMethod Pick) {
+  constexpr double ColdCallsPerSecond = 30;
+  model::Preset Out = guardedPreset(Pick);
+  for (const char *Service : {"catalogue", "rights", "booking", "results"})
+    Out.Services_.push_back({Service, "", ColdCallsPerSecond});
+  Out.Cold_ = {1.5, 8};
+  return Out;
+}
+
 inline std::vector<Arm> allArms() {
   using model::PickMethod;
-  return {{"random", baselinePreset(PickMethod::Random)},
-          {"round-robin", baselinePreset(PickMethod::RoundRobin)},
-          {"least-of-two", baselinePreset(PickMethod::LeastInFlightOfTwo)},
-          {"least-of-two+guards", hedgedPreset(PickMethod::LeastInFlightOfTwo)},
-          {"expected-wait", guardedPreset(PickMethod::ExpectedWait)},
-          {"expected-wait+hedge", hedgedPreset(PickMethod::ExpectedWait)},
-          {"agency", probingPreset(50)},
-          {"association", probingPreset(10)}};
+  return {
+      {"random", baselinePreset(PickMethod::Random)},
+      {"round-robin", baselinePreset(PickMethod::RoundRobin)},
+      {"least-of-two", baselinePreset(PickMethod::LeastInFlightOfTwo)},
+      {"least-of-two+guards", hedgedPreset(PickMethod::LeastInFlightOfTwo)},
+      {"expected-wait", guardedPreset(PickMethod::ExpectedWait)},
+      {"expected-wait+cold-limit", coldLimitPreset(PickMethod::ExpectedWait)},
+      {"expected-wait+hedge", hedgedPreset(PickMethod::ExpectedWait)},
+      {"agency", probingPreset(50)},
+      {"association", probingPreset(10)}};
 }
 
 } // namespace cumingauge::bench
--- a/bench/policysim/run.h
+++ b/bench/policysim/run.h
@@ -95,6 +95,32 @@
   publishView(Sim);
 }
 
+/// Makes the servers of the first zone cold.
+inline void makeZoneCold(Simulation &Sim) {
+  constexpr SimTime ColdTime = 3 * Second;
+  for (ServerModel &Server : Sim.Servers_) {
+    if (Server.Zone_ != 0)
+      continue;
+    Server.ColdUntil_ = Sim.Now_ + ColdTime;
+    model::BackendServer &Listed = Sim.Config_->Servers_[Server.Name_];
+    Listed.ColdFor_ = model::milliseconds(ColdTime / Ms);
+    ++Listed.ColdSpell_;
+  }
+}
+
+/// Evacuates the first zone, and takes it back with cold servers.
+inline void handleZoneStep(Simulation &Sim, unsigned Step) {
+  const std::string &Zone = Sim.Cell_.Deployment_.Zones_[0];
+  if (Step == 0 && Sim.Cell_.Disturbance_ == Disturbance::Evacuation) {
+    Sim.Config_->EvacuatedZones_.insert(Zone);
+    schedule(Sim, Sim.Now_ + 2 * Second, EventType::ZoneStep, 1);
+  } else {
+    Sim.Config_->EvacuatedZones_.erase(Zone);
+    makeZoneCold(Sim);
+  }
+  publishView(Sim);
+}
+
 /// Starts the disturbance of the run.
 inline void applyDisturbance(Simulation &Sim) {
   const Disturbance Kind = Sim.Cell_.Disturbance_;
@@ -118,6 +144,8 @@
     redrawSpeeds(Sim);
   if (Kind == Disturbance::RollingDrain)
     schedule(Sim, 2 * Second, EventType::DrainStep, 0);
+  if (Kind == Disturbance::Evacuation || Kind == Disturbance::ColdZone)
+    schedule(Sim, 3 * Second, EventType::ZoneStep, 0);
 }
 
 /// Creates servers, processes and the first events.
@@ -188,6 +216,8 @@
     return handleSharedReport(Sim, Event.A_);
   case EventType::RedrawSpeeds:
     return redrawSpeeds(Sim);
+  case EventType::ZoneStep:
+    return handleZoneStep(Sim, Event.A_);
   case EventType::DrainStep:
   case EventType::ViewChange:
     return handleDrainStep(Sim, Event.A_, Event.B_);
@@ -243,6 +273,8 @@
   }
   Out.ProbesPerSecond_ = static_cast<double>(Probes) / Sim.Cell_.Seconds_;
   Out.RefusalMs_ = Sim.RefusalMs_;
+  Out.ColdCrashes_ = Sim.ColdCrashes_;
+  Out.MostColdCallsInASecond_ = static_cast<unsigned>(Sim.MostColdCalls_);
   for (const SimCall &Call : Sim.Calls_)
     Out.RanTwice_ += !Call.Facts_.Route_.Idempotent_ && Call.Runs_ > 1;
   return Out;
--- a/bench/policysim/scenario.h
+++ b/bench/policysim/scenario.h
@@ -52,11 +52,15 @@
   Stuck,     ///< half of the servers report their load at the start for ever
   Burst,     ///< 8 times as many archive pulls for 2 s
   Greedy,    ///< one caller sends 20 times its share
+  /// The first zone is evacuated for 2 s; its servers are cold when it returns.
+  Evacuation,
+  /// The servers of the first zone become cold together, and none is evacuated.
+  ColdZone,
 };
-constexpr std::array<const char *, 13> DisturbanceNames = {
-    "none",       "moving",        "slow-one", "fail-fast", "fail-third",
-    "noisy-half", "rolling-drain", "lag-50ms", "lag-500ms", "lag-hidden",
-    "stuck",      "burst",         "greedy"};
+constexpr std::array<const char *, 15> DisturbanceNames = {
+    "none",       "moving",        "slow-one", "fail-fast",  "fail-third",
+    "noisy-half", "rolling-drain", "lag-50ms", "lag-500ms",  "lag-hidden",
+    "stuck",      "burst",         "greedy",   "evacuation", "cold-zone"};
 
 /// One arm of a comparison: a preset under test.
 struct Arm {
@@ -88,8 +92,10 @@
   double RetryShare_ = 0;
   double ProbesPerSecond_ = 0;
   double MaxProbesInASecond_ = 0; ///< in any second, fleet-wide, one service
-  double RefusalMs_ = 0;  ///< longest time from a deadline to the refusal
-  unsigned RanTwice_ = 0; ///< calls of non-idempotent routes that ran twice
+  double RefusalMs_ = 0;     ///< longest time from a deadline to the refusal
+  unsigned RanTwice_ = 0;    ///< calls of non-idempotent routes that ran twice
+  unsigned ColdCrashes_ = 0; ///< cold servers that got too many calls
+  unsigned MostColdCallsInASecond_ = 0; ///< at one cold server
 };
 
 } // namespace cumingauge::bench
--- a/bench/policysim/servermodel.h
+++ b/bench/policysim/servermodel.h
@@ -17,9 +17,11 @@
   std::deque<unsigned> Queue_; ///< waiting attempts
   double Speed_ = 1;
   bool Failing_ = false;
+  SimTime FailingUntil_ = 0; ///< after a crash
   bool Draining_ = false;
   bool Stuck_ = false;
   SimTime ColdUntil_ = 0;
+  std::deque<SimTime> ColdCalls_; ///< arrivals of the last second while cold
   /// Load figures by time, oldest first, for reports that lag.
   std::deque<std::pair<SimTime, unsigned>> History_;
 };
--- a/bench/policysim/serverside.h
+++ b/bench/policysim/serverside.h
@@ -50,6 +50,21 @@
   recordLoad(Server, Sim.Now_);
 }
 
+/// Counts a call at a cold server. One that gets more than it bears crashes and
+/// fails calls for a second.
+inline void recordColdCall(Simulation &Sim, ServerModel &Server) {
+  constexpr std::size_t MaxColdCalls = 53; // 1.5 times 30, and 8
+  auto &Calls = Server.ColdCalls_;
+  Calls.push_back(Sim.Now_);
+  while (Calls.front() <= Sim.Now_ - Second)
+    Calls.pop_front();
+  Sim.MostColdCalls_ = std::max(Sim.MostColdCalls_, Calls.size());
+  if (Calls.size() <= MaxColdCalls || Sim.Now_ < Server.FailingUntil_)
+    return;
+  ++Sim.ColdCrashes_;
+  Server.FailingUntil_ = Sim.Now_ + Second;
+}
+
 /// Handles the arrival of an attempt at its server.
 inline void handleArrivalAtServer(Simulation &Sim, unsigned Id) {
   constexpr std::size_t ShedQueuePerSlot = 10;
@@ -60,7 +75,9 @@
     return;
   if (Server.Draining_)
     return sendReply(Sim, Id, policy::AttemptEnd::Draining);
-  if (Server.Failing_) {
+  if (Attempt.Call_ != NoCall && Sim.Now_ < Server.ColdUntil_)
+    recordColdCall(Sim, Server);
+  if (Server.Failing_ || Sim.Now_ < Server.FailingUntil_) {
     Sim.Now_ += FailTime;
     sendReply(Sim, Id, policy::AttemptEnd::AnsweredError);
     Sim.Now_ -= FailTime;
--- a/bench/policysim/simulation.h
+++ b/bench/policysim/simulation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "policy/coldservers.h"
 #include "policysim/serverside.h"
 
 /// Events at the entry processes. The balancing decisions are made by the real
@@ -171,6 +172,7 @@
 inline void handleTick(Simulation &Sim, unsigned Process) {
   constexpr SimTime Period = 5 * Ms;
   policy::BalancerState &State = *Sim.Processes_[Process];
+  policy::endColdPhases(State, toTimePoint(Sim.Now_));
   releaseQueuedCalls(Sim, Process);
   for (const policy::DueProbe &Order :
        policy::dueProbes(State, toTimePoint(Sim.Now_))) {
--- a/bench/policysim/simulationstate.h
+++ b/bench/policysim/simulationstate.h
@@ -27,6 +27,7 @@
   SharedReport,
   RedrawSpeeds,
   DrainStep,
+  ZoneStep,
   ViewChange,
 };
 
@@ -98,6 +99,8 @@
                 UrgentGood_ = 0;
   double RefusalMs_ = 0;
   unsigned NextDrainPlace_ = 0;
+  unsigned ColdCrashes_ = 0;
+  std::size_t MostColdCalls_ = 0;
 };
 
 namespace detail {
@@ -146,9 +149,16 @@
   View->FleetSize_ = Sim.Cell_.Deployment_.Processes_;
   View->ProberCount_ = View->FleetSize_;
   View->Confirmed_ = true;
+  std::vector<model::ProcessPlace> Processes;
+  for (unsigned P = 0; P < Sim.Processes_.size(); ++P)
+    Processes.push_back({"front-" + std::to_string(P),
+                         Sim.Cell_.Deployment_.Zones_[zoneOf(Sim, P)]});
+  View->Processes_ = std::make_shared<const std::vector<model::ProcessPlace>>(
+      std::move(Processes));
   for (unsigned P = 0; P < Sim.Processes_.size(); ++P) {
     auto Own = std::make_shared<model::ControlView>(*View);
     Own->FleetRank_ = P;
+    Own->Process_ = "front-" + std::to_string(P);
     Own->ProberRank_ = P;
     policy::applyView(*Sim.Processes_[P], Own, toTimePoint(Sim.Now_));
   }
