Start the whole fleet without refusing its first calls

Callers saw: after all machines were restarted together every call was refused until a machine had its configuration, 0.6 to 0.8 s after it listened, which used up the one retry of most callers.

Cause: a process that starts waits a fifth of the leaving bound for the lists of its peers, also when these have just started as well; and calls without a view are refused at once.

Change: a process without lists answers a subscription by DirectoryNotRead; a fleet reader whose peers have all answered so reads the directory at once, and the others get the lists from it. Only two processes of the fleet do so, so that the directory gets no more calls. A process that has nothing reads its second reader's list at once too. If the answer is lost, the wait ends as before. Connections that arrive before the first view wait for it unread, for `http.freshWaitMs` at most; the time of their first request counts from when they were accepted.

Weighed: reading the directory at once in the readers, whoever they hear: rejected, since a directory that came back from an older copy would be believed before peers that know better. Reading everywhere: 312 reads of the whole list in a moment. Not accepting connections: they would wait in the listening socket where a stop loses them.

--- a/src/libcumingauge/adapters/httpcallersession.cpp
+++ b/src/libcumingauge/adapters/httpcallersession.cpp
@@ -137,7 +137,8 @@
     return false;
   const traffic::RequestHead &Head = Reader_.head();
   Incoming_ = std::make_unique<HttpCallRequest>();
-  Incoming_->Arrived_ = Worker_.now();
+  Incoming_->Arrived_ =
+      std::exchange(FirstArrival_, std::nullopt).value_or(Worker_.now());
   const auto Admission = Worker_.findRoute(Head.Host_, Head.Target_);
   if (!Admission.Route_) {
     refuseRequest(Admission.Reason_);
--- a/src/libcumingauge/adapters/httpcallersession.h
+++ b/src/libcumingauge/adapters/httpcallersession.h
@@ -31,6 +31,10 @@
   /// Starts to read requests.
   void start();
 
+  /// Makes the time of the first request count from this moment, at which the
+  /// caller may have sent it, instead of from when it is read.
+  void countTimeFrom(model::TimePoint Accepted) { FirstArrival_ = Accepted; }
+
   /// Answers NotRunTooManyConnections and closes the connection.
   void refuseConnection();
 
@@ -115,6 +119,7 @@
   /// Reader step of a pipelined request that must wait until all calls before
   /// it are answered.
   std::optional<ReadStep> DeferredStep_;
+  std::optional<model::TimePoint> FirstArrival_;
   Phase Phase_ = Phase::Head;
   model::TimePoint TimeoutAt_;   ///< end of the current phase's timeout
   model::TimePoint CallTimerAt_; ///< when the call wants to be woken up
--- a/src/libcumingauge/adapters/httpworker.cpp
+++ b/src/libcumingauge/adapters/httpworker.cpp
@@ -37,7 +37,7 @@
           Common_->Settings_.Zone_, Common_->Settings_.Threads_,
           Common_->Settings_.Seed_ + Index * SeedStep, Index)),
       ConfiguredLimits_(Common_->Settings_.Limits_),
-      Limits_(ConfiguredLimits_) {}
+      StartedAt_(now()), Limits_(ConfiguredLimits_) {}
 
 HttpWorker::~HttpWorker() = default;
 
@@ -66,7 +66,30 @@
     Session->startDraining();
   if (Open > limits().MaxCallerConnections_)
     return Session->refuseConnection();
-  Session->start();
+  if (!waitsForFirstView())
+    return Session->start();
+  Session->countTimeFrom(now());
+  HeldSessions_.push_back(Session);
+}
+
+/// A refusal would cost a caller one of its few attempts when the whole fleet
+/// starts at once, so connections wait for the first view instead.
+bool HttpWorker::waitsForFirstView() const {
+  const bool HasPreset = View_ && model::presetInForce(*View_->Config_);
+  return !HasPreset && !Stop_ && now() - StartedAt_ < limits().FreshWait_;
+}
+
+void HttpWorker::startHeldSessions() {
+  if (HeldSessions_.empty())
+    return;
+  log(LogLevel::Info, "connections waited for the first view",
+      {{"connections", HeldSessions_.size()},
+       {"afterStartMs",
+        std::chrono::duration_cast<model::milliseconds>(now() - StartedAt_)
+            .count()}});
+  const auto Held = std::exchange(HeldSessions_, {});
+  for (const auto &Session : Held)
+    Session->start();
 }
 
 void HttpWorker::removeSession(HttpCallerSession &Session) {
@@ -100,6 +123,7 @@
   boost::asio::post(Io_, [this, Done = std::move(Done)] {
     DrainDone_ = Done;
     Stop_ = planStop(limits(), now());
+    startHeldSessions();
     for (HttpCallerSession *Session : Sessions_)
       Session->startDraining();
     finishDrainIfDone();
@@ -375,6 +399,8 @@
 void HttpWorker::tick() {
   const model::TimePoint Now = now();
   endPauses();
+  if (!waitsForFirstView())
+    startHeldSessions();
   checkFreshViewWaits();
   releaseWaiting();
   sendProbes();
--- a/src/libcumingauge/adapters/httpworker.h
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -181,6 +181,8 @@
   /// Continues the queued calls that can be dispatched or must be refused.
   void releaseWaiting();
   void scheduleRelease();
+  bool waitsForFirstView() const;
+  void startHeldSessions();
   void checkFreshViewWaits();
   void tick();
   void maintainPools();
@@ -232,6 +234,7 @@
   std::shared_ptr<policy::BalancerState> Balancer_;
   std::shared_ptr<const model::ControlView> View_;
   HttpLimits ConfiguredLimits_; ///< from the settings
+  model::TimePoint StartedAt_;
   /// ConfiguredLimits_ with the overrides of the preset in force.
   HttpLimits Limits_;
   traffic::RouteTable Routes_;
@@ -240,6 +243,8 @@
   model::milliseconds LoadQueryTimeout_{4};
   std::unordered_map<policy::ServerHandle, Server> Servers_;
   std::unordered_map<policy::CallId, std::weak_ptr<HttpCall>> QueuedCalls_;
+  /// Callers' connections of which nothing is read before the first view.
+  std::vector<std::shared_ptr<HttpCallerSession>> HeldSessions_;
   std::vector<FreshViewWait> FreshViewWaits_;
   std::unordered_map<policy::CallId, LoadQuery> LoadQueries_;
   std::unordered_set<HttpCallerSession *> Sessions_;
--- a/src/libcumingauge/adapters/httpworkerservers.cpp
+++ b/src/libcumingauge/adapters/httpworkerservers.cpp
@@ -38,6 +38,8 @@
       server(*Handle);
   for (auto &[Handle, Entry] : Servers_)
     updateServer(Handle, Entry);
+  if (!waitsForFirstView())
+    startHeldSessions();
   NextMaintenance_ = now();
   scheduleRelease();
 }
--- a/src/libcumingauge/control/core.cpp
+++ b/src/libcumingauge/control/core.cpp
@@ -88,6 +88,10 @@
     if (!From_.Operator_)
       handleDirectorySubscription(State_, From_, Message);
   }
+  void operator()(const DirectoryNotRead & /*Message*/) const {
+    if (!From_.Operator_)
+      handleDirectoryNotRead(State_, From_);
+  }
   void operator()(const DirectoryUpdate &Message) const {
     if (!From_.Operator_)
       handleDirectoryUpdate(State_, From_, Message);
--- a/src/libcumingauge/control/directorylinks.cpp
+++ b/src/libcumingauge/control/directorylinks.cpp
@@ -2,6 +2,7 @@
 #include "control/configurationfeed.h"
 #include "control/corestate.h"
 #include "control/directorycalls.h"
+#include "control/directoryfollower.h"
 #include "control/linkmanager.h"
 #include "control/readerchoice.h"
 #include "control/serverfeed.h"
@@ -64,12 +65,16 @@
          State.Directory_.Configuration_.Read_;
 }
 
-/// Returns the readers to keep links to.
-MemberRefs wantedReaders(const CoreState &State) {
-  const auto IsReachable = [&](const Member &Value) {
+ReachablePredicate reachableFrom(const CoreState &State) {
+  return [&State](const Member &Value) {
     return findLinkTo(State.Links_, Value.Process_) ||
            !isAddressAvoided(State, addressOf(Value));
   };
+}
+
+/// Returns the readers to keep links to.
+MemberRefs wantedReaders(const CoreState &State) {
+  const ReachablePredicate IsReachable = reachableFrom(State);
   const std::vector<Member> &Members = State.Directory_.ListedMembers_;
   const Member &Self = State.Settings_.Self_;
   MemberRefs Readers = chooseReaders(Members, Self, IsReachable);
@@ -78,6 +83,15 @@
   return chooseStartPeers(Members, Self, IsReachable);
 }
 
+/// Returns whether every process that could have given this one its first state
+/// has answered that it has none, as when the whole fleet starts at once.
+bool haveNotRead(const CoreState &State, const MemberRefs &Readers) {
+  return std::all_of(Readers.begin(), Readers.end(), [&](const Member *Reader) {
+    const Link *Known = findLinkTo(State.Links_, Reader->Process_);
+    return Known && Known->HasNotRead_;
+  });
+}
+
 ServerListChange changeOf(const CoreState &State, const std::string &Name) {
   const DirectoryFollower &Follower = State.Directory_;
   ServerListChange Out{Name, std::nullopt, false, std::nullopt};
@@ -282,9 +296,16 @@
     return State.Now_ - State.StartedAt_.value_or(State.Now_) <
            membersReadDelay(State) +
                fractionOfLeavingBound(State, StartWaitFraction);
-  return State.Now_ - Members.ConfirmedAt_ <
-             fractionOfLeavingBound(State, StartWaitFraction) &&
-         !wantedReaders(State).empty();
+  if (State.Now_ - Members.ConfirmedAt_ >=
+      fractionOfLeavingBound(State, StartWaitFraction))
+    return false;
+  const MemberRefs Wanted = wantedReaders(State);
+  if (Wanted.empty())
+    return false;
+  // All others go on waiting for the fleet readers.
+  return !haveNotRead(State, Wanted) ||
+         !isFleetReader(State.Directory_.ListedMembers_, State.Settings_.Self_,
+                        reachableFrom(State));
 }
 
 void maintainDirectoryLinks(CoreState &State) {
@@ -305,7 +326,7 @@
       fractionOfLeavingBound(State, SecondReaderFraction);
   std::optional<model::TimePoint> LastSubscription;
   for (const auto &[Id, Value] : State.Links_.Links_)
-    if (Value.SubscribedAt_)
+    if (Value.SubscribedAt_ && !Value.HasNotRead_)
       LastSubscription =
           std::max(LastSubscription.value_or(*Value.SubscribedAt_),
                    *Value.SubscribedAt_);
@@ -330,10 +351,20 @@
   From.SentChange_ = State.Directory_.LastChange_;
   if (isListRead(State))
     sendUpdate(State, From);
+  else
+    send(State, From, DirectoryNotRead{});
+}
+
+void handleDirectoryNotRead(CoreState &State, Link &From) {
+  if (!From.SubscribedAt_)
+    return;
+  From.HasNotRead_ = true;
+  followDirectory(State);
 }
 
 void handleDirectoryUpdate(CoreState &State, Link &From,
                            const DirectoryUpdate &Message) {
+  From.HasNotRead_ = false;
   DirectoryFollower &Follower = State.Directory_;
   const bool IsComplete = Message.Complete_.value_or(false);
   const std::uint64_t Era = Message.Era_.value_or(0);
--- a/src/libcumingauge/control/directorylinks.h
+++ b/src/libcumingauge/control/directorylinks.h
@@ -47,6 +47,9 @@
 /// themselves.
 model::Duration membersReadDelay(const CoreState &State);
 
+/// Records that a peer has no list to give yet.
+void handleDirectoryNotRead(CoreState &State, Link &From);
+
 /// Handles a peer's subscription: sends the changes that it lacks, and updates
 /// from now on.
 void handleDirectorySubscription(CoreState &State, Link &From,
--- a/src/libcumingauge/control/peermessage.h
+++ b/src/libcumingauge/control/peermessage.h
@@ -120,6 +120,13 @@
 };
 BOOST_DESCRIBE_STRUCT(DirectorySubscription, (), (Revision_, Version_, Era_))
 
+/// Response to DirectorySubscription of a process that has just started and has
+/// no list itself. The updates follow once it has.
+struct DirectoryNotRead {
+  static constexpr const char *Kind = "directoryNotRead";
+};
+BOOST_DESCRIBE_STRUCT(DirectoryNotRead, (), ())
+
 /// Changes in the directory. Also sent without changes, to show up to which
 /// revision and how recently the sender has confirmed its data.
 struct DirectoryUpdate {
@@ -180,6 +187,7 @@
 using PeerMessage =
     std::variant<Heartbeat, Entries, EntriesRequest, StateChunk, MemberUpdate,
                  ServerReports, StatusRequest, StatusReply, TimelineRequest,
-                 TimelineReply, DirectorySubscription, DirectoryUpdate>;
+                 TimelineReply, DirectorySubscription, DirectoryNotRead,
+                 DirectoryUpdate>;
 
 } // namespace cumingauge::control
--- a/src/libcumingauge/control/readerchoice.cpp
+++ b/src/libcumingauge/control/readerchoice.cpp
@@ -172,6 +172,18 @@
   return Fleet;
 }
 
+bool isFleetReader(const std::vector<Member> &Members, const Member &Self,
+                   const ReachablePredicate &IsReachable) {
+  Groups All = groupsByRank(Members);
+  if (All.empty() && !Members.empty()) {
+    MemberRefs &Whole = All[SmallZones];
+    for (const Member &Value : Members)
+      Whole.push_back(&Value);
+    sortByRank(Whole);
+  }
+  return contains(fleetReaders(All, Self, IsReachable), Self.Process_);
+}
+
 std::vector<const Member *>
 chooseStartPeers(const std::vector<Member> &Members, const Member &Self,
                  const ReachablePredicate &IsReachable) {
--- a/src/libcumingauge/control/readerchoice.h
+++ b/src/libcumingauge/control/readerchoice.h
@@ -23,6 +23,12 @@
 chooseReaders(const std::vector<model::Member> &Members,
               const model::Member &Self, const ReachablePredicate &IsReachable);
 
+/// Returns whether a process is one of the two that call the directory for the
+/// whole fleet; in a fleet too small for a group, one of the first two in rank.
+bool isFleetReader(const std::vector<model::Member> &Members,
+                   const model::Member &Self,
+                   const ReachablePredicate &IsReachable);
+
 /// Returns whether a process is among the members.
 bool contains(const std::vector<const model::Member *> &Members,
               const std::string &Process);
--- a/tests/control/directoryfleet.cpp
+++ b/tests/control/directoryfleet.cpp
@@ -97,6 +97,22 @@
   feed(Number, Started{});
 }
 
+void DirectoryFleet::restartAll(const std::set<unsigned> &Away) {
+  for (unsigned I = 0; I < size(); ++I) {
+    kill(I);
+    Views_.erase(I);
+  }
+  Links_.clear();
+  Watches_.clear();
+  Paused_.clear();
+  for (unsigned I = 0; I < size(); ++I)
+    Cores_[I] = makeCore(settingsOf(I, /*FirstStart=*/false), I);
+  Dead_ = Away;
+  for (unsigned I = 0; I < size(); ++I)
+    if (!Dead_.count(I))
+      feed(I, Started{});
+}
+
 bool DirectoryFleet::isListed(unsigned Number, const std::string &Name) const {
   const auto View = Views_.find(Number);
   return View != Views_.end() &&
--- a/tests/control/directoryfleet.h
+++ b/tests/control/directoryfleet.h
@@ -38,6 +38,8 @@
   void expire(const std::string &Name);
 
   void restart(unsigned Number);
+  /// Restarts all processes at the same moment, except those that stay away.
+  void restartAll(const std::set<unsigned> &Away = {});
   /// Ends a process. Its peers notice nothing unless resetLinks() was called.
   void kill(unsigned Number);
   /// From now on the peers of a killed process see their links closed.
@@ -51,6 +53,9 @@
   /// Returns the start of a server that a process knows; empty: none.
   std::string vmAt(unsigned Number, const std::string &Name) const;
   bool hasView(unsigned Number) const { return Views_.count(Number) > 0; }
+  unsigned countWithView() const {
+    return static_cast<unsigned>(Views_.size());
+  }
 
   /// Requests or withdraws the evacuation of a zone and answers the watches for
   /// it at once.
--- a/tests/control/directoryrelaytest.cpp
+++ b/tests/control/directoryrelaytest.cpp
@@ -41,6 +41,8 @@
   CPPUNIT_TEST(keepTheBoundWhenTheFleetReadersLoseTheDirectory);
   CPPUNIT_TEST(keepTheBoundWhenAZoneLosesItsReaders);
   CPPUNIT_TEST(doNotConfirmEachOtherWhileTheDirectoryIsAway);
+  CPPUNIT_TEST(reachAFleetThatStartsAtOnceWithinATenthOfASecond);
+  CPPUNIT_TEST(areReadByEachProcessWhenTheFleetReadersStayAway);
   CPPUNIT_TEST(areNotPassedInCirclesWhenTheyAreOld);
   CPPUNIT_TEST_SUITE_END();
 
@@ -131,6 +133,30 @@
 
   /// Guards against a storm of messages between processes that subscribe to
   /// each other while the directory is away: each update led to another one.
+  void reachAFleetThatStartsAtOnceWithinATenthOfASecond() {
+    for (const DirectoryFleetSize Size :
+         {DirectoryFleetSize{1, 3}, DirectoryFleetSize{3, 4},
+          DirectoryFleetSize{3, 38}, DirectoryFleetSize{3, 104}}) {
+      DirectoryFleet Fleet(Size);
+      settle(Fleet);
+      const unsigned Before = Fleet.calls();
+      Fleet.restartAll();
+      Fleet.wait(model::milliseconds(100));
+      CPPUNIT_ASSERT_EQUAL(Fleet.size(), Fleet.countWithView());
+      // One read of the members each; the lists are read by a few processes.
+      CPPUNIT_ASSERT_LESSEQUAL(Fleet.size() + 10, Fleet.calls() - Before);
+    }
+  }
+
+  /// Processes that get nothing from their readers still read by themselves.
+  void areReadByEachProcessWhenTheFleetReadersStayAway() {
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    Fleet.restartAll(Fleet.watchers());
+    Fleet.wait(model::milliseconds(600));
+    CPPUNIT_ASSERT_EQUAL(Fleet.reachableCount(), Fleet.countWithView());
+  }
+
   void areNotPassedInCirclesWhenTheyAreOld() {
     constexpr LinkId ToReader = 1;
     constexpr LinkId FromSubscriber = 2;
--- a/tests/http/frontend.cpp
+++ b/tests/http/frontend.cpp
@@ -43,7 +43,7 @@
 
 FrontEnd::FrontEnd(const std::vector<Target> &Servers,
                    adapters::HttpLimits Limits, unsigned Threads,
-                   const traffic::Dialect &Dialect)
+                   const traffic::Dialect &Dialect, bool HasView)
     : Servers_(Servers), Preset_(samplePreset()) {
   adapters::TrafficSettings Settings;
   Settings.Threads_ = Threads;
@@ -64,7 +64,8 @@
     Events_.push_back(Kind);
   };
   Traffic_ = adapters::startTraffic(Settings, std::move(Hooks));
-  publish();
+  if (HasView)
+    publish();
 }
 
 FrontEnd::~FrontEnd() { Traffic_->stop(); }
--- a/tests/http/frontend.h
+++ b/tests/http/frontend.h
@@ -26,7 +26,8 @@
   explicit FrontEnd(
       const std::vector<Target> &Servers, adapters::HttpLimits Limits = {},
       unsigned Threads = 2,
-      const traffic::Dialect &Dialect = adapters::nativeDialect());
+      const traffic::Dialect &Dialect = adapters::nativeDialect(),
+      bool HasView = true);
   ~FrontEnd();
 
   adapters::HttpTraffic &traffic() { return *Traffic_; }
@@ -38,6 +39,9 @@
   /// Changes the preset and publishes the view.
   void changePreset(const std::function<void(model::Preset &)> &Edit);
 
+  /// Publishes the view; to be called once after a start without one.
+  void publish();
+
   /// Sets whether the view counts as fresh.
   void setFresh(bool Fresh) { Fresh_ = Fresh; }
 
@@ -51,8 +55,6 @@
   std::vector<model::EventKind> events() const;
 
 private:
-  void publish();
-
   std::vector<Target> Servers_;
   model::Preset Preset_;
   std::set<std::string> Leaving_;
--- a/tests/http/lifetest.cpp
+++ b/tests/http/lifetest.cpp
@@ -26,6 +26,8 @@
   CPPUNIT_TEST(aRequestThatCrossesTheCloseEndsTheConnectionAtOnce);
   CPPUNIT_TEST(stoppingGivesUpAtTheDrainTimeout);
   CPPUNIT_TEST(warmConnectionsAreOpenedBeforeTheFirstCall);
+  CPPUNIT_TEST(callsBeforeTheFirstViewWaitForIt);
+  CPPUNIT_TEST(callsWithoutAFirstViewAreRefusedAsNotRun);
   CPPUNIT_TEST(viewsAndReportsAreAppliedWhileCallsRun);
   CPPUNIT_TEST_SUITE_END();
 
@@ -230,6 +232,37 @@
 
   /// Exercises the hand-over from the control thread to the traffic threads, so
   /// that the thread sanitizer finds data races in it.
+  /// As when the whole fleet starts at once: a refusal would use up the one
+  /// retry of a caller.
+  void callsBeforeTheFirstViewWaitForIt() {
+    ScriptedServer Server(
+        [](const Request &) { return ScriptedServer::answer("issued"); });
+    adapters::HttpLimits Limits;
+    Limits.FreshWait_ = model::milliseconds(60000);
+    FrontEnd Front({{"cat-1", Server.port()}}, Limits, 2,
+                   adapters::nativeDialect(), /*HasView=*/false);
+    std::vector<std::unique_ptr<RawCaller>> Callers;
+    for (int I = 0; I < 20; ++I) {
+      Callers.push_back(std::make_unique<RawCaller>(Front.port()));
+      Callers.back()->send(request("POST", "/licence", "", "x"));
+    }
+    Front.publish();
+    for (const auto &Caller : Callers)
+      CPPUNIT_ASSERT_EQUAL(std::string("issued"), Caller->read().Body_);
+  }
+
+  void callsWithoutAFirstViewAreRefusedAsNotRun() {
+    adapters::HttpLimits Limits;
+    Limits.FreshWait_ = model::milliseconds(50);
+    FrontEnd Front({}, Limits, 2, adapters::nativeDialect(),
+                   /*HasView=*/false);
+    RawCaller Caller(Front.port());
+    const auto Answer = Caller.call(request("POST", "/licence", "", "x"));
+    CPPUNIT_ASSERT_EQUAL(503u, Answer.Status_);
+    CPPUNIT_ASSERT_EQUAL(std::string("107 NotRunControlStale"),
+                         Answer.ResultCode_);
+  }
+
   void viewsAndReportsAreAppliedWhileCallsRun() {
     ScriptedServer One(
         [](const Request &) { return ScriptedServer::answer("found"); });
