Try the next peer at once while a fleet starts

Change: while a process has no list, a refused link makes it try the next peer at once, and the address is avoided for 0.3 s in place of 3 s. Of two links between two starting processes one is closed; the subscription on the other one now says as well that its sender has nothing. Links to peers that stood in for readers are closed in the first two seconds.

Test: RelayedDirectoryUpdates::reachAFleetThatStartsInTwoHalves, red before (no process of the first half had a view after 50 ms).

--- a/src/libcumingauge/adapters/httpworker.cpp
+++ b/src/libcumingauge/adapters/httpworker.cpp
@@ -36,8 +36,8 @@
       Balancer_(policy::makeBalancer(
           Common_->Settings_.Zone_, Common_->Settings_.Threads_,
           Common_->Settings_.Seed_ + Index * SeedStep, Index)),
-      ConfiguredLimits_(Common_->Settings_.Limits_),
-      StartedAt_(now()), Limits_(ConfiguredLimits_) {}
+      ConfiguredLimits_(Common_->Settings_.Limits_), StartedAt_(now()),
+      Limits_(ConfiguredLimits_) {}
 
 HttpWorker::~HttpWorker() = default;
 
--- a/src/libcumingauge/control/core.cpp
+++ b/src/libcumingauge/control/core.cpp
@@ -127,6 +127,9 @@
   }
   void operator()(const LinkFailed &Input) const {
     handleLinkFailed(State_, Input);
+    // When the whole fleet starts at once many peers do not listen yet.
+    if (State_.Settings_.FollowsDirectory_ && !State_.Directory_.Servers_.Read_)
+      followDirectory(State_);
   }
   void operator()(const PeerMessageReceived &Input) const {
     Link *From = findLink(State_.Links_, Input.Link_);
--- a/src/libcumingauge/control/directorylinks.cpp
+++ b/src/libcumingauge/control/directorylinks.cpp
@@ -39,6 +39,8 @@
 /// Fraction of the leaving bound between announcing this process and reading
 /// the member list when the whole fleet starts.
 constexpr double MembersReadFraction = 0.4;
+/// Time after the start for which links that are not wanted are closed at once.
+constexpr model::seconds StartLinksTime{2};
 constexpr model::seconds SilentLinkTimeout{3};
 constexpr model::milliseconds ChoicePeriod{1000};
 
@@ -221,11 +223,14 @@
 }
 
 /// Closes the links to peers that have given this process its first state and
-/// are no readers of it.
+/// are no readers of it. Where peers started at the same time, the readers may
+/// only be reached a little later.
 void closeStartLinks(CoreState &State) {
-  if (!isListRead(State) ||
-      !std::exchange(State.Directory_.HasStartLinks_, false))
+  bool &HasStartLinks = State.Directory_.HasStartLinks_;
+  if (!isListRead(State) || !HasStartLinks)
     return;
+  HasStartLinks =
+      State.Now_ - State.StartedAt_.value_or(State.Now_) < StartLinksTime;
   const MemberRefs Wanted = wantedReaders(State);
   std::vector<LinkId> Unwanted;
   for (const auto &[Id, Value] : State.Links_.Links_)
@@ -243,7 +248,8 @@
   State.Links_.NextChoice_ = State.Now_ + ChoicePeriod;
   dropExpiredAttempts(State);
   const MemberRefs Wanted = wantedReaders(State);
-  State.Directory_.HasStartLinks_ = !isListRead(State);
+  if (!isListRead(State))
+    State.Directory_.HasStartLinks_ = true;
   for (const Member *Reader : Wanted)
     if (!findLinkTo(State.Links_, Reader->Process_))
       openLink(State, addressOf(*Reader));
@@ -348,6 +354,7 @@
   From.KnownRevision_ =
       DirectoryRevision{Message.Era_.value_or(0), Message.Revision_};
   From.KnownVersion_ = Message.Version_;
+  From.HasNotRead_ = Message.Revision_ == 0 && Message.Version_ == 0;
   From.SentChange_ = State.Directory_.LastChange_;
   if (isListRead(State))
     sendUpdate(State, From);
--- a/src/libcumingauge/control/linkmanager.cpp
+++ b/src/libcumingauge/control/linkmanager.cpp
@@ -16,6 +16,8 @@
 constexpr model::milliseconds ChoicePeriod{1000};
 constexpr model::seconds OpenTimeout{5};
 constexpr model::seconds AvoidAfterFailure{3};
+/// AvoidAfterFailure of a process that starts; its peers may be starting too.
+constexpr model::milliseconds AvoidWhileStarting{300};
 constexpr model::seconds SeedPeriod{10};
 constexpr model::seconds SeedPeriodAlone{1};
 constexpr model::seconds UnwantedLinkTimeout{30};
@@ -125,6 +127,11 @@
                      });
 }
 
+/// Returns whether this process follows a directory and has no list of it yet.
+bool isStarting(const CoreState &State) {
+  return State.Settings_.FollowsDirectory_ && !State.Directory_.Servers_.Read_;
+}
+
 } // namespace
 
 bool isAddressAvoided(const CoreState &State, const PeerAddress &Address) {
@@ -230,7 +237,8 @@
   const PeerAddress Address{Input.Host_, Input.Port_};
   State.Links_.Opening_.erase(Address);
   State.Links_.AvoidUntil_[Address] =
-      State.Now_ + jittered(State, AvoidAfterFailure);
+      State.Now_ + jittered(State, isStarting(State) ? AvoidWhileStarting
+                                                     : AvoidAfterFailure);
   State.Links_.NextChoice_ = State.Now_;
   std::vector<std::string> Failed;
   for (const Member *Peer : livePeers(State))
--- a/src/libcumingauge/control/linktable.h
+++ b/src/libcumingauge/control/linktable.h
@@ -64,7 +64,7 @@
   std::uint64_t KnownVersion_ = 0;
   /// When this process subscribed to the peer's directory updates.
   std::optional<model::TimePoint> SubscribedAt_;
-  bool HasNotRead_ = false; ///< the peer had no list when subscribed to
+  bool HasNotRead_ = false; ///< the peer has said that it has no list yet
   /// When the topics of the last directory update that was sent had been
   /// confirmed; the older one of the two.
   model::TimePoint ConfirmedAt_;
--- a/src/libcumingauge/policy/choice.cpp
+++ b/src/libcumingauge/policy/choice.cpp
@@ -141,7 +141,8 @@
 /// are then full everywhere, and every thread would connect to every server.
 bool canLeaveSubset(const BalancerState &State, const ServiceRecord &Service,
                     const AssessmentContext &Context) {
-  if (State.FleetThreads_ <= model::maxConnections(State.Preset_, Service.Name_))
+  if (State.FleetThreads_ <=
+      model::maxConnections(State.Preset_, Service.Name_))
     return true;
   return std::none_of(
       Service.Subset_.begin(), Service.Subset_.end(),
--- a/src/libcumingauge/policy/servicerecord.h
+++ b/src/libcumingauge/policy/servicerecord.h
@@ -17,7 +17,7 @@
   /// Listed servers that may get new calls.
   std::vector<ServerHandle> Members_;
   std::vector<ServerHandle> FormerMembers_; ///< the same in the previous view
-  std::vector<ServerHandle> Subset_;     ///< servers that this thread prefers
+  std::vector<ServerHandle> Subset_; ///< servers that this thread prefers
   unsigned MaxUsers_ = 0; ///< threads that may have a server in their subset
   std::uint32_t RoundRobinPosition_ = 0; ///< next position in round-robin order
   double Slots_ = 0;                     ///< sum over all members
--- a/src/libcumingauge/policy/view.cpp
+++ b/src/libcumingauge/policy/view.cpp
@@ -95,8 +95,9 @@
   }
 }
 
-/// Returns how many threads may have one server of a service in their subset. Threads that
-/// share a rank use the same servers, so one rank counts as that many users.
+/// Returns how many threads may have one server of a service in their subset.
+/// Threads that share a rank use the same servers, so one rank counts as that
+/// many users.
 unsigned maxUsers(const BalancerState &State, const ServiceRecord &Service) {
   const unsigned Limit = model::maxConnections(State.Preset_, Service.Name_);
   return std::max(State.Thread_ ? Limit : Limit / State.Threads_, 1u);
@@ -153,9 +154,9 @@
 }
 
 /// Returns a subset of all servers of the service.
-std::vector<ServerHandle>
-fleetSubset(const BalancerState &State,
-            const std::vector<ServerHandle> &Members, unsigned MaxUsers) {
+std::vector<ServerHandle> fleetSubset(const BalancerState &State,
+                                      const std::vector<ServerHandle> &Members,
+                                      unsigned MaxUsers) {
   std::vector<RingEntry> Ring;
   for (const ServerHandle Handle : Members)
     Ring.push_back(ringEntryOf(State, Handle));
--- a/tests/control/directoryrelaytest.cpp
+++ b/tests/control/directoryrelaytest.cpp
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(keepTheBoundWhenAZoneLosesItsReaders);
   CPPUNIT_TEST(doNotConfirmEachOtherWhileTheDirectoryIsAway);
   CPPUNIT_TEST(reachAFleetThatStartsAtOnceWithinATenthOfASecond);
+  CPPUNIT_TEST(reachAFleetThatStartsInTwoHalves);
   CPPUNIT_TEST(areReadByEachProcessWhenTheFleetReadersStayAway);
   CPPUNIT_TEST(areNotPassedInCirclesWhenTheyAreOld);
   CPPUNIT_TEST_SUITE_END();
@@ -148,6 +149,26 @@
     }
   }
 
+  /// The first half finds most of its readers not listening yet.
+  void reachAFleetThatStartsInTwoHalves() {
+    for (const unsigned FirstHalf : {0u, 1u}) {
+      DirectoryFleet Fleet(ThreeZones);
+      settle(Fleet);
+      std::set<unsigned> Later;
+      for (unsigned I = 1 - FirstHalf; I < Fleet.size(); I += 2)
+        Later.insert(I);
+      const unsigned Before = Fleet.calls();
+      Fleet.restartAll(Later);
+      Fleet.wait(model::milliseconds(50));
+      CPPUNIT_ASSERT_EQUAL(Fleet.reachableCount(), Fleet.countWithView());
+      for (const unsigned Number : Later)
+        Fleet.restart(Number);
+      Fleet.wait(model::milliseconds(100));
+      CPPUNIT_ASSERT_EQUAL(Fleet.size(), Fleet.countWithView());
+      CPPUNIT_ASSERT_LESSEQUAL(Fleet.size() + 20, Fleet.calls() - Before);
+    }
+  }
+
   /// Processes that get nothing from their readers still read by themselves.
   void areReadByEachProcessWhenTheFleetReadersStayAway() {
     DirectoryFleet Fleet(ThreeZones);
--- a/tests/http/frontend.h
+++ b/tests/http/frontend.h
@@ -23,11 +23,10 @@
     std::uint16_t Port_ = 0;
   };
 
-  explicit FrontEnd(
-      const std::vector<Target> &Servers, adapters::HttpLimits Limits = {},
-      unsigned Threads = 2,
-      const traffic::Dialect &Dialect = adapters::nativeDialect(),
-      bool HasView = true);
+  explicit FrontEnd(const std::vector<Target> &Servers,
+                    adapters::HttpLimits Limits = {}, unsigned Threads = 2,
+                    const traffic::Dialect &Dialect = adapters::nativeDialect(),
+                    bool HasView = true);
   ~FrontEnd();
 
   adapters::HttpTraffic &traffic() { return *Traffic_; }
