Make the soak catch a program that ignores evacuations

As the platform's rule says, a process now has to be undisturbed for the 3 s before it sends the call; the check is stricter.

--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -185,7 +185,7 @@
         now, (at, process, _) = self.clock(), self.sent[call]
         since = self.evacuated_since.get(server.zone)
         if since is not None and now > since + EVACUATION_SECONDS \
-                and self.is_undisturbed(process, since):
+                and self.is_undisturbed(process, at):
             self.report_violation("EVAC", f"{call} from {process} reached {server.name} in "
                                           f"{server.zone} {now - since:.3f} s after its evacuation")
         if now >= self.cold_until.get(server.name, 0.0):
