Tell peers of the removal of a server that was never known here

At 11.858 s front-torino-b-2 catches up by a watch from revision 43 and takes over as reader of the fleet; its update tells the others of a new server, but not of the removal. No process hears of it until it reads the whole list.

Cause: a removal of a server that the reader does not know changed nothing there, and was recorded with the revision of the entry, which the platform's adapter gave as 0. So it was in no update. Whole reads after an outage hid this; since the evidence of a reader goes on with its watch.

Ruled out: an update older than what its receiver knows (all were applied), the poll of the configuration at 11.66 s (it moves its own feed only).

Change: a removal is recorded at the revision at which it is known here, and the adapter gives the revision of the item. The same class elsewhere: evacuated zones are sent as a whole set with their revision, the configuration as a whole, so neither can miss a removal.

Test: RelayedDirectoryUpdates::tellOfTheRemovalOfAServerThatTheReaderNeverKnew, red before.

--- a/src/libcumingauge/control/serverlist.cpp
+++ b/src/libcumingauge/control/serverlist.cpp
@@ -128,14 +128,17 @@
 
 /// Applies an entry and records its revision for the peers. An entry that is
 /// unchanged may have been absent meanwhile, and peers that read the list at
-/// that time lack it; so its own revision is recorded.
+/// that time lack it; so its own revision is recorded. The removal of a server
+/// that was never known here is news to peers that knew it.
 bool applyServerEntry(CoreState &State, const ports::ServerEntry &Entry,
                       Differences &Found) {
   const bool Changed = updateListed(State, Entry, Found);
   const DirectoryRevision Known = State.Directory_.KnownRevision_;
   ServerChange &Last = State.Directory_.Changes_[Entry.Name_];
   const DirectoryRevision At =
-      Changed ? Known : DirectoryRevision{Known.Era_, Entry.Revision_};
+      Changed || !Entry.Listed_
+          ? Known
+          : DirectoryRevision{Known.Era_, Entry.Revision_};
   Last.Revision_ = std::max(Last.Revision_, At);
   if (Changed)
     Last.Number_ = ++State.Directory_.LastChange_;
--- a/src/libcumingauge/platform/directoryclient.cpp
+++ b/src/libcumingauge/platform/directoryclient.cpp
@@ -179,7 +179,7 @@
 
   void addDeletion(const std::string &Key) {
     if (Request_.Topic_ == DirectoryTopic::Servers)
-      Out_.Servers_.push_back({nameFromKey(Key), std::nullopt, 0});
+      Out_.Servers_.push_back({nameFromKey(Key), std::nullopt, Revision_});
   }
 
   void addServer(const std::string &Key, const std::string &Value) {
--- a/tests/control/directoryrelaytest.cpp
+++ b/tests/control/directoryrelaytest.cpp
@@ -33,6 +33,21 @@
       }));
 }
 
+/// Returns what a directory answers whose server "x" was removed between the
+/// revisions 43 and 98.
+ports::DirectoryResponse responseTo(const ports::DirectoryRequest &Request) {
+  ports::DirectoryResponse Out;
+  Out.Revision_ = 43;
+  Out.Era_ = 1;
+  if (Request.Topic_ == ports::DirectoryTopic::Configuration)
+    Out.Configuration_ = ports::ListedConfiguration{1, model::Preset()};
+  if (Request.Operation_ != ports::DirectoryOperation::Watch)
+    return Out;
+  Out.Revision_ = 98;
+  Out.Servers_ = {{"x", std::nullopt, 0}};
+  return Out;
+}
+
 class RelayedDirectoryUpdates : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RelayedDirectoryUpdates);
   CPPUNIT_TEST(areReadByTwoProcessesOfTheFleet);
@@ -44,6 +59,7 @@
   CPPUNIT_TEST(reachAFleetThatStartsAtOnceWithinATenthOfASecond);
   CPPUNIT_TEST(reachAFleetThatStartsInTwoHalves);
   CPPUNIT_TEST(areReadByEachProcessWhenTheFleetReadersStayAway);
+  CPPUNIT_TEST(tellOfTheRemovalOfAServerThatTheReaderNeverKnew);
   CPPUNIT_TEST(areNotPassedInCirclesWhenTheyAreOld);
   CPPUNIT_TEST_SUITE_END();
 
@@ -132,8 +148,6 @@
     CPPUNIT_ASSERT_EQUAL(Fleet.size(), Fleet.countSeeingLeaving("a"));
   }
 
-  /// Guards against a storm of messages between processes that subscribe to
-  /// each other while the directory is away: each update led to another one.
   void reachAFleetThatStartsAtOnceWithinATenthOfASecond() {
     for (const DirectoryFleetSize Size :
          {DirectoryFleetSize{1, 3}, DirectoryFleetSize{3, 4},
@@ -178,6 +192,49 @@
     CPPUNIT_ASSERT_EQUAL(Fleet.reachableCount(), Fleet.countWithView());
   }
 
+  /// A server was added and removed while the reader could not call the
+  /// directory, and its subscriber has seen the addition elsewhere.
+  void tellOfTheRemovalOfAServerThatTheReaderNeverKnew() {
+    constexpr LinkId FromSubscriber = 2;
+    CoreSettings Settings;
+    Settings.Self_ = memberNamed("reader");
+    Settings.FollowsDirectory_ = true;
+    const auto Core = makeCore(Settings, /*Seed=*/1);
+    model::TimePoint Now{model::seconds(1000)};
+    std::vector<CoreCommand> Commands = step(*Core, Started{}, Now);
+    step(*Core,
+         LinkOpened{FromSubscriber, memberNamed("another"), false, false}, Now);
+    step(*Core, PeerMessageReceived{FromSubscriber, DirectorySubscription{}},
+         Now);
+    bool Removed = false;
+    const auto IsRemoval = [](const CoreCommand &Command) {
+      const auto *Sent = std::get_if<SendPeer>(&Command);
+      const auto *News =
+          Sent ? std::get_if<DirectoryUpdate>(Sent->Message_.get()) : nullptr;
+      return News && std::any_of(News->Servers_.begin(), News->Servers_.end(),
+                                 [](const ServerListChange &Change) {
+                                   return Change.Name_ == "x" &&
+                                          !Change.Server_;
+                                 });
+    };
+    for (int I = 0; I < 200; ++I, Now += model::milliseconds(50)) {
+      std::vector<CoreCommand> Next = step(*Core, Ticked{}, Now);
+      for (const CoreCommand &Command : Commands)
+        if (const auto *Call = std::get_if<CallDirectory>(&Command)) {
+          const auto More = step(*Core,
+                                 DirectoryResponseReceived{
+                                     Call->Call_, responseTo(Call->Request_)},
+                                 Now);
+          Next.insert(Next.end(), More.begin(), More.end());
+        }
+      Removed = Removed || std::any_of(Next.begin(), Next.end(), IsRemoval);
+      Commands = std::move(Next);
+    }
+    CPPUNIT_ASSERT(Removed);
+  }
+
+  /// Guards against a storm of messages between processes that subscribe to
+  /// each other while the directory is away: each update led to another one.
   void areNotPassedInCirclesWhenTheyAreOld() {
     constexpr LinkId ToReader = 1;
     constexpr LinkId FromSubscriber = 2;
