Send the whole list after a read that may hide a removal

There front-torino-b-2 reads the whole list when it comes back (revision 99, known up to 43) and takes over as reader; the server was added and removed in between, so it is in no change that it knows, and its subscribers, which know revision 95, keep it.

Change: a list that goes beyond what was known marks the revision before which removals may be unknown (ChangesSince_); subscribers that know less get the whole list beside the changes. The changes come first, since only they say which servers have registered again; they are marked as incomplete, and their receiver confirms nothing, passes nothing on and subscribes from 0 until it has the whole list, so that a link that breaks between the two loses nothing.

Test: RelayedDirectoryUpdates::areWholeAfterAReadThatMayHideARemoval.

--- a/src/libcumingauge/control/directoryfollower.h
+++ b/src/libcumingauge/control/directoryfollower.h
@@ -59,6 +59,12 @@
   /// Revision of the first whole list of the era. Servers that were removed
   /// before it are missing in Changes_.
   DirectoryRevision FirstRevision_;
+  /// Revision of the last list that was taken as a whole and went beyond what
+  /// was known; all changes after it are in Changes_.
+  DirectoryRevision ChangesSince_;
+  /// A peer has sent changes that are only complete with the whole list, which
+  /// has not arrived yet.
+  bool AwaitsWholeList_ = false;
   /// Last known change of each server, removed ones included.
   std::map<std::string, ServerChange> Changes_;
   std::uint64_t LastChange_ = 0; ///< number of the latest of Changes_
--- a/src/libcumingauge/control/directorylinks.cpp
+++ b/src/libcumingauge/control/directorylinks.cpp
@@ -106,7 +106,11 @@
   return Out;
 }
 
-DirectoryUpdate makeUpdate(const CoreState &State, const Link &To) {
+/// What an update has of the server list.
+enum class UpdateContent { Changes, WholeList };
+
+DirectoryUpdate makeUpdate(const CoreState &State, const Link &To,
+                           UpdateContent Content) {
   const DirectoryFollower &Follower = State.Directory_;
   const DirectoryRevision Known = *To.KnownRevision_;
   DirectoryUpdate Out;
@@ -121,11 +125,7 @@
   if (const model::Preset *Preset = model::presetInForce(*State.Log_.State_);
       Preset && Out.Version_ > To.KnownVersion_)
     Out.Preset_ = *Preset;
-  // Removals before the first list that this process has are unknown here, and
-  // what the directory lost with an older era has no revision. So a peer that
-  // knows only an older revision or era gets the whole list.
-  if (Known < Follower.FirstRevision_ ||
-      Known.Era_ < Follower.KnownRevision_.Era_) {
+  if (Content == UpdateContent::WholeList) {
     Out.Complete_ = true;
     for (const auto &Entry : Follower.Listed_)
       Out.Servers_.push_back(changeOf(State, Entry.first));
@@ -137,10 +137,34 @@
   return Out;
 }
 
+/// Returns whether the changes that this process knows do not suffice for a
+/// peer: what the directory lost with an older era has no revision, and
+/// removals before the first list are unknown.
+bool lacksHistory(const DirectoryFollower &Follower, DirectoryRevision Known) {
+  return Known < Follower.FirstRevision_ ||
+         Known.Era_ < Follower.KnownRevision_.Era_;
+}
+
 void sendUpdate(CoreState &State, Link &To) {
+  const DirectoryFollower &Follower = State.Directory_;
+  if (Follower.AwaitsWholeList_)
+    return;
+  const DirectoryRevision Known = *To.KnownRevision_;
   To.UpdatedAt_ = State.Now_;
   To.ConfirmedAt_ = directoryConfirmedAt(State);
-  send(State, To, makeUpdate(State, To));
+  // Only the whole list shows all removals before it was read, only the changes
+  // say which servers have registered again.
+  const bool NeedsWholeList =
+      lacksHistory(Follower, Known) || Known < Follower.ChangesSince_;
+  if (!lacksHistory(Follower, Known)) {
+    DirectoryUpdate Changes = makeUpdate(State, To, UpdateContent::Changes);
+    if (NeedsWholeList)
+      Changes.Complete_ = false;
+    send(State, To, std::move(Changes));
+    To.KnownVersion_ = versionOf(State);
+  }
+  if (NeedsWholeList)
+    send(State, To, makeUpdate(State, To, UpdateContent::WholeList));
   To.KnownRevision_ = State.Directory_.KnownRevision_;
   To.KnownVersion_ = versionOf(State);
   To.SentChange_ = State.Directory_.LastChange_;
@@ -148,6 +172,8 @@
 
 DirectorySubscription ownSubscription(const CoreState &State) {
   const DirectoryRevision Known = State.Directory_.KnownRevision_;
+  if (State.Directory_.AwaitsWholeList_)
+    return {0, versionOf(State), Known.Era_};
   return {Known.Number_, versionOf(State), Known.Era_};
 }
 
@@ -385,6 +411,7 @@
     return send(State, From, ownSubscription(State));
   const DirectoryRevision FormerRevision = Follower.KnownRevision_;
   const std::uint64_t FormerVersion = versionOf(State);
+  const bool AwaitedWholeList = Follower.AwaitsWholeList_;
   const bool IsOfPresentEra = observePeerEra(State, Revision);
   // A reader with an older version, revision or era than this process confirms
   // nothing.
@@ -408,11 +435,15 @@
       applyCompleteList(State, entriesOf(Message), Revision);
     else
       applyServerChanges(State, entriesOf(Message), Revision);
-    recordUpdate(State, Follower.Servers_, Message.AgeMs_);
+    if (Message.Complete_ == false)
+      Follower.AwaitsWholeList_ = true;
+    if (!Follower.AwaitsWholeList_)
+      recordUpdate(State, Follower.Servers_, Message.AgeMs_);
   }
   subscribeToReaders(State);
   const bool IsChanged = Follower.KnownRevision_ != FormerRevision ||
-                         versionOf(State) != FormerVersion || ZonesChanged;
+                         versionOf(State) != FormerVersion || ZonesChanged ||
+                         (AwaitedWholeList && IsComplete);
   relayUpdate(State, IsChanged);
 }
 
--- a/src/libcumingauge/control/peermessage.h
+++ b/src/libcumingauge/control/peermessage.h
@@ -140,7 +140,8 @@
   std::uint32_t VersionAgeMs_ = 0;
   /// Set when Version_ is new to the peer.
   std::optional<model::Preset> Preset_;
-  /// True when Servers_ is the whole list; After_ then has no meaning.
+  /// True when Servers_ is the whole list; After_ then has no meaning. False
+  /// when the whole list follows, without which removals may be missing.
   std::optional<bool> Complete_;
   /// Era of the directory in which After_ and Revision_ count; absent: unknown.
   std::optional<std::uint64_t> Era_;
--- a/src/libcumingauge/control/serverfeed.cpp
+++ b/src/libcumingauge/control/serverfeed.cpp
@@ -42,7 +42,12 @@
   DirectoryFollower &Follower = State.Directory_;
   if (!Follower.Servers_.Read_ || Revision.Era_ > Follower.FirstRevision_.Era_)
     Follower.FirstRevision_ = Revision;
+  // A server may have been added and removed since what was known before.
+  if (!Follower.Servers_.Read_ || Follower.AwaitsWholeList_ ||
+      Revision > Follower.KnownRevision_)
+    Follower.ChangesSince_ = Revision;
   Follower.Servers_.Read_ = true;
+  Follower.AwaitsWholeList_ = false;
   advanceKnownRevision(State, Revision);
   applyServerList(State, Read, Missing);
 }
--- a/tests/control/directoryrelaytest.cpp
+++ b/tests/control/directoryrelaytest.cpp
@@ -60,6 +60,7 @@
   CPPUNIT_TEST(reachAFleetThatStartsInTwoHalves);
   CPPUNIT_TEST(areReadByEachProcessWhenTheFleetReadersStayAway);
   CPPUNIT_TEST(tellOfTheRemovalOfAServerThatTheReaderNeverKnew);
+  CPPUNIT_TEST(areWholeAfterAReadThatMayHideARemoval);
   CPPUNIT_TEST(areNotPassedInCirclesWhenTheyAreOld);
   CPPUNIT_TEST_SUITE_END();
 
@@ -233,6 +234,53 @@
     CPPUNIT_ASSERT(Removed);
   }
 
+  /// The reader loses its watch and reads the list; a server may have been
+  /// added and removed meanwhile, which its subscriber has seen the first half
+  /// of.
+  void areWholeAfterAReadThatMayHideARemoval() {
+    constexpr LinkId FromSubscriber = 2;
+    CoreSettings Settings;
+    Settings.Self_ = memberNamed("reader");
+    Settings.FollowsDirectory_ = true;
+    const auto Core = makeCore(Settings, /*Seed=*/1);
+    model::TimePoint Now{model::seconds(1000)};
+    std::vector<CoreCommand> Commands = step(*Core, Started{}, Now);
+    step(*Core,
+         LinkOpened{FromSubscriber, memberNamed("another"), false, false}, Now);
+    DirectorySubscription Subscription;
+    Subscription.Revision_ = 95;
+    Subscription.Era_ = 1;
+    step(*Core, PeerMessageReceived{FromSubscriber, Subscription}, Now);
+    bool IsWhole = false;
+    std::uint64_t Revision = 43;
+    for (int I = 0; I < 200; ++I, Now += model::milliseconds(50)) {
+      std::vector<CoreCommand> Next = step(*Core, Ticked{}, Now);
+      for (const CoreCommand &Command : Commands) {
+        const auto *Call = std::get_if<CallDirectory>(&Command);
+        if (!Call)
+          continue;
+        ports::DirectoryResponse Response = responseTo(Call->Request_);
+        Response.Servers_.clear();
+        Response.Revision_ = Revision;
+        if (Call->Request_.Operation_ == ports::DirectoryOperation::Watch) {
+          Response.Code_ = model::ResultCode::StoreUnavailable;
+          Revision = 98;
+        }
+        const auto More =
+            step(*Core, DirectoryResponseReceived{Call->Call_, Response}, Now);
+        Next.insert(Next.end(), More.begin(), More.end());
+      }
+      for (const CoreCommand &Command : Next)
+        if (const auto *Sent = std::get_if<SendPeer>(&Command))
+          if (const auto *News =
+                  std::get_if<DirectoryUpdate>(Sent->Message_.get()))
+            IsWhole = IsWhole || (News->Revision_ == 98 &&
+                                  News->Complete_.value_or(false));
+      Commands = std::move(Next);
+    }
+    CPPUNIT_ASSERT(IsWhole);
+  }
+
   /// Guards against a storm of messages between processes that subscribe to
   /// each other while the directory is away: each update led to another one.
   void areNotPassedInCirclesWhenTheyAreOld() {
