--- a/src/libcumingauge/control/directorylinks.cpp
+++ b/src/libcumingauge/control/directorylinks.cpp
@@ -220,6 +220,15 @@
     Feed.Revision_ = 0;
 }
 
+/// Records that removals may be missing until the whole list has arrived. If it
+/// never does, the next call reads it.
+void awaitWholeList(DirectoryFollower &Follower) {
+  Follower.AwaitsWholeList_ = true;
+  Follower.ListRead_.reset();
+  Follower.Servers_.Call_ = 0;
+  Follower.Servers_.Revision_ = 0;
+}
+
 /// Passes an update on to the subscribed peers that need it: at once when it
 /// brings a change, or when the confirmation that they have is getting old.
 void relayUpdate(CoreState &State, bool IsChanged) {
@@ -436,7 +445,7 @@
     else
       applyServerChanges(State, entriesOf(Message), Revision);
     if (Message.Complete_ == false)
-      Follower.AwaitsWholeList_ = true;
+      awaitWholeList(Follower);
     if (!Follower.AwaitsWholeList_)
       recordUpdate(State, Follower.Servers_, Message.AgeMs_);
   }
