--- a/src/libcumingauge/emulator/behaviour.h
+++ b/src/libcumingauge/emulator/behaviour.h
@@ -25,7 +25,7 @@
 BOOST_DESCRIBE_STRUCT(ServiceTime, (),
                       (PathPrefix_, Distribution_, Mean_, Sigma_, AnswerBytes_))
 
-/// Interference by another tenant of the hardware: calls that start during the
+/// Interference by another program on the hardware: calls that start during the
 /// first part of a period (Burst_) take Factor_ times as long.
 struct NoisyNeighbour {
   model::microseconds Period_{0}; ///< 0 for none
