--- a/review/9/play.py
+++ b/review/9/play.py
@@ -55,6 +55,7 @@
         ]
         if not await deployment.open(routes):
             return UNABLE
+        await deployment.entry.wait_in_touch()
         # One of the two targets is in trouble.
         deployment.targets[0].behave = answer_in_trouble
         got = [await ask(deployment, number) for number in range(REQUESTS)]
