Refuse answers whose status is none, in one place for all readers

Callers saw: an answer of a server with status 000 as an answer of their own, with the server's signature and body; with Not-Executed in it, 503, the promise that the call had not run. A safe call was not tried elsewhere.

Cause: Boost.Beast takes any three digits for a status, and AnswerReader looked only for 1xx. Below 300 the number even counted as a success. Its class: what the parser accepts was taken for what the protocol allows.

AnswerParser applies it to interim and final answers; AnswerReader, which reads the answers to first tries, retries, hedges, uploads, pipelined calls and probes, uses it and keeps what depends on the dialect. Statuses are 100 to 599 (RFC 9110), 101 is refused, a transfer coding in HTTP/1.0 too.

--- a/src/libcumingauge/adapters/httpanswerreader.cpp
+++ b/src/libcumingauge/adapters/httpanswerreader.cpp
@@ -1,5 +1,5 @@
 #include "adapters/httpanswerreader.h"
-#include "adapters/httpmessagereader.h"
+#include "adapters/httpanswerparser.h"
 #include <boost/lexical_cast/try_lexical_convert.hpp>
 
 namespace cumingauge::adapters {
@@ -9,12 +9,8 @@
 
 namespace {
 
-constexpr unsigned MaxInterimAnswers = 8;
-constexpr unsigned StatusSwitchingProtocols = 101;
 constexpr unsigned StatusNoContent = 204;
 
-bool isInterim(unsigned Status) { return Status >= 100 && Status < 200; }
-
 /// Stores the value of a field that this process evaluates. Returns true for a
 /// field that is not passed on to the caller.
 bool storeAnswerField(const traffic::Dialect &Names, string_view Name,
@@ -58,17 +54,13 @@
   return std::nullopt;
 }
 
-/// Converts a parsed head. Returns false when the framing is ambiguous, or when
-/// the end of the answer could not be distinguished from a lost connection.
-template <class Parser>
-bool readAnswerHead(const traffic::Dialect &Names, Parser &Source,
+/// Converts a well-formed head. Returns false when the end of the answer could
+/// not be distinguished from a lost connection.
+bool readAnswerHead(const traffic::Dialect &Names, const AnswerMessage &Source,
                     bool ToHeadRequest, traffic::AnswerHead &Head) {
   const auto &Parsed = Source.get();
   Head = {};
   Head.HasProof_ = Names.AnswerProof_.empty();
-  if (!isTransferCodingKnown(Parsed) || isInterim(Parsed.result_int()) ||
-      Parsed.count(http::field::content_length) > 1)
-    return false;
   Head.Status_ = Parsed.result_int();
   Head.Reason_ = textOf(Parsed.reason());
   Head.KeepAlive_ = Source.keep_alive();
@@ -106,30 +98,13 @@
 
 struct AnswerReader::Impl {
   Impl(std::uint32_t HeaderLimit, const traffic::Dialect &Names)
-      : Names_(Names), Reader_(HeaderLimit) {}
-
-  /// Goes on to the next answer when the head just parsed belongs to an interim
-  /// answer. Returns false for all others, for 101 (Switching Protocols) and
-  /// for too many interim answers.
-  bool skipInterim() {
-    const unsigned Status = Reader_.parser().get().result_int();
-    if (!isInterim(Status) || Status == StatusSwitchingProtocols ||
-        ++InterimCount_ > MaxInterimAnswers)
-      return false;
-    start();
-    return true;
-  }
-
-  void start() {
-    Reader_.start();
-    Reader_.parser().skip(ToHeadRequest_);
-  }
+      : Names_(Names), Parser_(HeaderLimit) {}
 
   const traffic::Dialect &Names_;
-  MessageReader<false> Reader_;
+  AnswerParser Parser_;
   traffic::AnswerHead Head_;
   bool ToHeadRequest_ = false;
-  unsigned InterimCount_ = 0;
+  model::AnswerFault Fault_ = model::AnswerFault::None;
 };
 
 AnswerReader::AnswerReader(std::uint32_t HeaderLimit,
@@ -141,45 +116,46 @@
 AnswerReader::~AnswerReader() = default;
 
 boost::asio::mutable_buffer AnswerReader::prepare() {
-  return Impl_->Reader_.prepare();
+  return Impl_->Parser_.prepare();
 }
 
-void AnswerReader::commit(std::size_t Bytes) { Impl_->Reader_.commit(Bytes); }
+void AnswerReader::commit(std::size_t Bytes) { Impl_->Parser_.commit(Bytes); }
 
 ReadStep AnswerReader::next() {
-  while (true) {
-    const ReadStep Step = Impl_->Reader_.next();
-    if (Step != ReadStep::Head)
-      return Step;
-    if (Impl_->skipInterim())
-      continue;
-    return readAnswerHead(Impl_->Names_, Impl_->Reader_.parser(),
-                          Impl_->ToHeadRequest_, Impl_->Head_)
-               ? Step
-               : ReadStep::Failed;
-  }
+  const ReadStep Step = Impl_->Parser_.next();
+  Impl_->Fault_ = Impl_->Parser_.fault();
+  if (Step != ReadStep::Head ||
+      readAnswerHead(Impl_->Names_, Impl_->Parser_.message(),
+                     Impl_->ToHeadRequest_, Impl_->Head_))
+    return Step;
+  Impl_->Fault_ = model::AnswerFault::Framing;
+  return ReadStep::Failed;
 }
 
 traffic::AnswerHead &AnswerReader::head() { return Impl_->Head_; }
 
 const traffic::AnswerHead &AnswerReader::head() const { return Impl_->Head_; }
 
-std::string_view AnswerReader::body() const { return Impl_->Reader_.body(); }
+std::string_view AnswerReader::body() const { return Impl_->Parser_.body(); }
 
-std::size_t AnswerReader::buffered() const { return Impl_->Reader_.buffered(); }
+std::size_t AnswerReader::buffered() const { return Impl_->Parser_.buffered(); }
 
-bool AnswerReader::isComplete() const {
-  return Impl_->Reader_.parser().is_done();
-}
+bool AnswerReader::hasBegun() const { return Impl_->Parser_.hasBegun(); }
+
+bool AnswerReader::isComplete() const { return Impl_->Parser_.isComplete(); }
+
+model::AnswerFault AnswerReader::fault() const { return Impl_->Fault_; }
+
+unsigned AnswerReader::status() const { return Impl_->Parser_.status(); }
 
-bool AnswerReader::finishAtClose() { return Impl_->Reader_.finishAtClose(); }
+bool AnswerReader::finishAtClose() { return Impl_->Parser_.finishAtClose(); }
 
-void AnswerReader::shrink() { Impl_->Reader_.shrink(); }
+void AnswerReader::shrink() { Impl_->Parser_.shrink(); }
 
 void AnswerReader::start(bool ToHeadRequest) {
   Impl_->ToHeadRequest_ = ToHeadRequest;
-  Impl_->InterimCount_ = 0;
-  Impl_->start();
+  Impl_->Fault_ = model::AnswerFault::None;
+  Impl_->Parser_.start(ToHeadRequest);
 }
 
 } // namespace cumingauge::adapters
--- a/src/libcumingauge/adapters/httpanswerreader.h
+++ b/src/libcumingauge/adapters/httpanswerreader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/httpreadstep.h"
+#include "model/answerfault.h"
 #include "traffic/dialect.h"
 #include "traffic/messagehead.h"
 #include <boost/asio/buffer.hpp>
@@ -32,6 +33,14 @@
   /// Bytes that were read but not parsed yet.
   std::size_t buffered() const;
 
+  /// Whether a part of the current answer has been received.
+  bool hasBegun() const;
+
+  /// What is wrong with the answer, after ReadStep::Failed.
+  model::AnswerFault fault() const;
+  /// Status that was received; 0 before the first head was parsed.
+  unsigned status() const;
+
   /// Whether the answer ends with the bytes returned so far.
   bool isComplete() const;
 
