Do not take a reset that a write has met for the end of an answer

Callers saw: a 200 with a part of its body as a complete answer, when a server had answered a long upload at once without a length and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once. With a read and a write pending, Asio runs the write first; it takes ECONNRESET, and the read ends with the end of the stream, which is how an answer without a length ends. Its class: one side of a connection learns of a failure and does not tell the other.

Evidence: AnswerToAnUnfinishedUpload::isNotWholeWhenItsConnectionIsReset failed on without a length; with a length and with chunks it passes there as well.

Change: HttpConnection remembers that a write has failed, and an answer without a length is then not ended by the end of the stream. EPIPE is told apart: it comes when the server closed its side before the reset, as one does that has sent its whole answer and reads no more; that answer stays whole (isWholeWhenItsServerHasFinished, which passed before too).

Looked for elsewhere: the client of the platform's service reads only after its whole request was written; a caller's connection ends with any failed write; probes have no body to write.

--- a/src/libcumingauge/adapters/httpconnection.cpp
+++ b/src/libcumingauge/adapters/httpconnection.cpp
@@ -90,12 +90,21 @@
     return process(traffic::RequestSent{});
   if (!Error)
     return report(ExchangeStep::BodyWanted);
+  recordWriteError(Error);
   // The server may still answer a partly sent request; the pending read reports
   // the outcome.
   if (Bytes == 0)
     fail(ExchangeStep::NotSent);
 }
 
+/// The kernel reports a reset to one operation only. After a write has got it,
+/// a read ends as if the server had closed its side. EPIPE means that the
+/// server has closed its side before the reset, so that all its bytes can be
+/// read.
+void HttpConnection::recordWriteError(error_code Error) {
+  WasReset_ = WasReset_ || Error != boost::asio::error::broken_pipe;
+}
+
 void HttpConnection::sendMore(std::string Piece, bool Last,
                               std::function<void(bool)> Done) {
   Piece_ = std::move(Piece);
@@ -103,6 +112,8 @@
       Socket_, boost::asio::buffer(Piece_),
       [Self = shared_from_this(), Last,
        Done = std::move(Done)](error_code Error, std::size_t) {
+        if (Error)
+          Self->recordWriteError(Error);
         if (!Error && Last)
           Self->process(traffic::RequestSent{});
         Done(!Error);
@@ -173,8 +184,8 @@
   if (Life_.isClosed())
     return;
   Reader_.commit(Bytes);
-  const bool EndsAnswer =
-      Error == boost::asio::error::eof && InAnswer_ && Reader_.finishAtClose();
+  const bool EndsAnswer = Error == boost::asio::error::eof && !WasReset_ &&
+                          InAnswer_ && Reader_.finishAtClose();
   if (Error && !EndsAnswer)
     return fail(ExchangeStep::Lost);
   process(traffic::BytesArrived{});
--- a/src/libcumingauge/adapters/httpconnection.h
+++ b/src/libcumingauge/adapters/httpconnection.h
@@ -101,6 +101,7 @@
   void perform(traffic::ConnectionAction Action);
   void onWritten(boost::system::error_code Error, std::size_t Bytes,
                  bool BodyComplete);
+  void recordWriteError(boost::system::error_code Error);
   void read();
   void onRead(boost::system::error_code Error, std::size_t Bytes);
   void parseAnswer();
@@ -132,6 +133,7 @@
   bool HasConnected_ = false;
   bool WasUsed_ = false;
   bool IsFirstExchange_ = false; ///< no answer can be to an earlier request
+  bool WasReset_ = false;        ///< a write has failed before the server's end
   bool Reading_ = false;
   bool Parsing_ = false;
   bool Paused_ = false;
