Read the last chunk of a body in pieces without ending the process

Callers saw: all calls of an entry process lost at once, when a server's answer, or a caller's request, had a chunked body whose last chunk arrived in pieces: first "0", CRLF, then one byte more. The message is sound.

Cause: MessageReader gave the four bytes to the parser again, which asserts that it gets five; the build of the deploy file keeps assertions.

Change: after the parser has asked for more of a chunk header, it is called again with at least the five bytes that any end of a chunked body has. Requests and answers share the reader, so both are mended.

--- a/src/libcumingauge/adapters/httpmessagereader.h
+++ b/src/libcumingauge/adapters/httpmessagereader.h
@@ -25,6 +25,8 @@
 /// Bytes of an incomplete chunk header or trailer in the buffer from which on
 /// the message counts as malformed.
 constexpr std::size_t MaxPendingBytes = 16384;
+/// Bytes of the shortest end of a chunked body: "0", CRLF, CRLF.
+constexpr std::size_t MinChunkedEndBytes = 5;
 
 /// Parses the messages of one connection, one after the other, with a new Beast
 /// parser for each message.
@@ -50,6 +52,7 @@
     Parser_->header_limit(HeaderLimit_);
     Parser_->body_limit(boost::none);
     Body_ = {};
+    NeededBytes_ = 1;
   }
 
   /// Returns how many bytes the next read should ask for.
@@ -110,8 +113,9 @@
 
   ReadStep parseBody() {
     while (!Parser_->is_done()) {
-      if (Buffer_.size() == 0)
+      if (Buffer_.size() < NeededBytes_)
         return ReadStep::NeedMore;
+      NeededBytes_ = 1;
       const std::size_t Room = roomForBody();
       auto &Target = Parser_->get().body();
       Target.data = Piece_.data();
@@ -134,6 +138,9 @@
   }
 
   ReadStep needMoreOfBody() {
+    // Beast asserts this length when it is given an incomplete last chunk
+    // again.
+    NeededBytes_ = MinChunkedEndBytes;
     if (Buffer_.size() < MaxPendingBytes)
       return ReadStep::NeedMore;
     Error_ = http::error::bad_chunk;
@@ -151,6 +158,7 @@
   std::optional<Parser> Parser_;
   std::vector<char> Piece_;
   std::string_view Body_;
+  std::size_t NeededBytes_ = 1; ///< below that, parsing the body waits
   boost::beast::error_code Error_;
 };
 
--- /dev/null
+++ b/tests/http/answerpiecestest.cpp
@@ -0,0 +1,79 @@
+#include "adapters/httpanswerreader.h"
+#include "platform/dialect.h"
+#include <boost/asio/buffer.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace cumingauge;
+using adapters::ReadStep;
+
+namespace {
+
+constexpr std::uint32_t HeaderLimit = 16384;
+const std::string Head =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// Reads answers whose bytes arrive as the test says.
+class PiecewiseReader {
+public:
+  /// Adds bytes as one read and parses as far as they go.
+  /// \returns the last step.
+  ReadStep feed(std::string_view Bytes) {
+    while (!Bytes.empty()) {
+      const std::size_t Copied = boost::asio::buffer_copy(
+          Reader_.prepare(), boost::asio::buffer(Bytes.data(), Bytes.size()));
+      Reader_.commit(Copied);
+      Bytes.remove_prefix(Copied);
+      if (const ReadStep Step = parse(); Step != ReadStep::NeedMore)
+        return Step;
+    }
+    return ReadStep::NeedMore;
+  }
+
+  const std::string &body() const { return Body_; }
+
+private:
+  ReadStep parse() {
+    while (true) {
+      const ReadStep Step = Reader_.next();
+      if (Step == ReadStep::Body)
+        Body_.append(Reader_.body());
+      else if (Step != ReadStep::Head)
+        return Step;
+    }
+  }
+
+  adapters::AnswerReader Reader_{HeaderLimit, platform::platformDialect()};
+  std::string Body_;
+};
+
+/// A chunked answer whose bytes arrive in pieces.
+class AnswerInPieces : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AnswerInPieces);
+  CPPUNIT_TEST(isReadWhereverItIsCut);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  /// Guards against the end of the process when the last chunk of a body
+  /// arrives in two pieces.
+  void isReadWhereverItIsCut() {
+    for (const std::string &Body :
+         {std::string("0\r\n\r\n"), std::string("5\r\nhello\r\n0\r\n\r\n"),
+          std::string("5;a=b\r\nhello\r\n0000\r\nX-A: 1\r\n\r\n")}) {
+      const std::string Whole = Head + Body;
+      for (std::size_t Cut = 1; Cut < Whole.size(); ++Cut)
+        for (std::size_t Next = Cut + 1; Next <= Whole.size(); ++Next) {
+          PiecewiseReader Reader;
+          Reader.feed(Whole.substr(0, Cut));
+          ReadStep Last = Reader.feed(Whole.substr(Cut, Next - Cut));
+          if (Next < Whole.size())
+            Last = Reader.feed(Whole.substr(Next));
+          CPPUNIT_ASSERT(Last == ReadStep::End);
+          CPPUNIT_ASSERT_EQUAL(std::string(Body.size() > 5 ? "hello" : ""),
+                               Reader.body());
+        }
+    }
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(AnswerInPieces);
+
+} // namespace
