Give up a message with a field that the parser cannot store

Callers would see: all calls of an entry process lost. Not reported; found while looking for what else ends a process in a chunk's trailers.

Cause: Boost.Beast throws std::length_error for a field value of 65,534 bytes or more. Trailers are bounded only while they are incomplete, so that 10,000 bytes followed by 65,000 in one read reach it, and nothing catches the exception. Heads are affected where http.headerBytes is set above 64 KiB.

Evidence: AnswerInPieces::isGivenUpWhenAFieldOfItsTrailersIsTooLong ended with 'field value too large' before the change.

Change: MessageReader, which requests and answers share, reports the exception as a head above the limit.

Result: the test passes, MalformedRequests passes.

--- a/src/libcumingauge/adapters/httpmessagereader.h
+++ b/src/libcumingauge/adapters/httpmessagereader.h
@@ -4,6 +4,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -98,12 +99,25 @@
   boost::beast::error_code error() const { return Error_; }
 
 private:
+  /// Parses buffered bytes and sets Error_. A field that the parser cannot
+  /// store is reported as one above the limit. \returns the bytes that were
+  /// consumed.
+  std::size_t put() {
+    Error_ = {};
+    std::size_t Used = 0;
+    try {
+      Used = Parser_->put(Buffer_.data(), Error_);
+    } catch (const std::length_error &) {
+      Error_ = http::error::header_limit;
+    }
+    Buffer_.consume(Used);
+    return Used;
+  }
+
   ReadStep parseHead() {
     if (Buffer_.size() == 0)
       return ReadStep::NeedMore;
-    Error_ = {};
-    const std::size_t Used = Parser_->put(Buffer_.data(), Error_);
-    Buffer_.consume(Used);
+    put();
     if (Error_ == http::error::need_more)
       return ReadStep::NeedMore;
     if (Error_)
@@ -121,9 +135,7 @@
       Target.data = Piece_.data();
       Target.size = Room;
       Target.more = true;
-      Error_ = {};
-      const std::size_t Used = Parser_->put(Buffer_.data(), Error_);
-      Buffer_.consume(Used);
+      const std::size_t Used = put();
       if (Error_ && Error_ != http::error::need_buffer &&
           Error_ != http::error::need_more)
         return ReadStep::Failed;
--- a/tests/http/answerpiecestest.cpp
+++ b/tests/http/answerpiecestest.cpp
@@ -50,6 +50,7 @@
 class AnswerInPieces : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AnswerInPieces);
   CPPUNIT_TEST(isReadWhereverItIsCut);
+  CPPUNIT_TEST(isGivenUpWhenAFieldOfItsTrailersIsTooLong);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -73,6 +74,15 @@
         }
     }
   }
+
+  /// Guards against the end of the process by a field that the parser cannot
+  /// store.
+  void isGivenUpWhenAFieldOfItsTrailersIsTooLong() {
+    PiecewiseReader Reader;
+    Reader.feed(Head + "0\r\nX-A: " + std::string(10000, 'a'));
+    CPPUNIT_ASSERT(Reader.feed(std::string(65000, 'a') + "\r\n\r\n") ==
+                   ReadStep::Failed);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(AnswerInPieces);
 
