Read the answers of the platform's service like those of servers

Callers would see: calls placed by what an answer that is none has said, or all calls of an entry process lost.

Cause: HttpClient had a parser of its own. It took status 000 and 600 for a status, an interim answer for the final one, so that the final one could become the answer to the next call, and chunks in HTTP/1.0. An incomplete chunk header or trailer was kept without a limit until the call's time was over.

Evidence: AnswerOfAService (tests/http/clientanswerstest.cpp) failed on in isNoneWhenItBreaksTheProtocol, isReadBehindInterimAnswers and isGivenUpWhenItsHeadOrBodyHasNoEnd.

Change: HttpClient reads through AnswerParser, with its bounds: 8 KiB for a head, 16 KiB for a chunk header or trailers, 16 MiB for a body. A faulty answer drops the connection, is told from no answer at all by a log line with address, fault and status, once in 10 s, and ends the call as one that may have run.

Readers looked at: AnswerReader (servers, probes) and HttpClient (the platform's service, the own store, for entry process and cumingaugectl) share the parser now. Peers answer through websocketpp, which bounds their head by 16,000 bytes; a link needs status 101, the digest of its key and the handshake with the fleet's key.

Result: the three tests pass; test programs platform (26) and peer (47) pass.

--- a/src/libcumingauge/adapters/httpanswersyntax.cpp
+++ b/src/libcumingauge/adapters/httpanswersyntax.cpp
@@ -37,7 +37,7 @@
     return AnswerFault::StatusLine;
   if (Error == http::error::header_limit ||
       Error == http::error::buffer_overflow)
-    return AnswerFault::HeadTooLong;
+    return AnswerFault::TooLong;
   if (Error == http::error::bad_content_length ||
       Error == http::error::multiple_content_length ||
       Error == http::error::bad_transfer_encoding)
--- a/src/libcumingauge/adapters/httpclient.cpp
+++ b/src/libcumingauge/adapters/httpclient.cpp
@@ -1,4 +1,6 @@
 #include "adapters/httpclient.h"
+#include "adapters/httpanswerparser.h"
+#include "adapters/log.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
@@ -17,9 +19,12 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
+constexpr std::uint32_t MaxHeadBytes = 8192;
 /// The VM list of the largest fleet is longer than any stored value.
-constexpr std::uint64_t MaxAnswerBytes = 16 * 1024 * 1024;
+constexpr std::size_t MaxAnswerBytes = 16 * 1024 * 1024;
 constexpr std::size_t MaxIdleConnections = 2;
+/// Faulty answers of a service are logged once in this time.
+constexpr model::seconds FaultLogInterval{10};
 /// A peer that no longer responds is detected within idle time + interval *
 /// probes = 2 s.
 constexpr int KeepAliveIdleSeconds = 1;
@@ -48,9 +53,36 @@
   Pool(asio::io_context &Io, HttpClientSettings Settings)
       : Io_(Io), Settings_(std::move(Settings)) {}
 
+  /// Returns an idle connection that can be used, or null.
+  Stream takeIdle() {
+    if (!Idle_.empty()) {
+      Stream Out = std::move(Idle_.back());
+      Idle_.pop_back();
+      return Out;
+    }
+    return nullptr;
+  }
+
+  void logFault(model::AnswerFault Fault, unsigned Status) {
+    const model::TimePoint Now = std::chrono::steady_clock::now();
+    if (FaultLogged_ && Now - *FaultLogged_ < FaultLogInterval) {
+      ++FaultsLeftOut_;
+      return;
+    }
+    FaultLogged_ = Now;
+    log(LogLevel::Warning, "faulty answer of a service",
+        {{"host", Settings_.Host_},
+         {"port", Settings_.Port_},
+         {"fault", boost::describe::enum_to_string(Fault, "")},
+         {"status", Status},
+         {"leftOut", std::exchange(FaultsLeftOut_, 0)}});
+  }
+
   asio::io_context &Io_;
   const HttpClientSettings Settings_;
   std::vector<Stream> Idle_;
+  std::optional<model::TimePoint> FaultLogged_;
+  std::uint64_t FaultsLeftOut_ = 0; ///< not logged since FaultLogged_
 };
 
 /// One call from connect to answer.
@@ -62,10 +94,10 @@
         Handler_(std::move(Handler)) {}
 
   void start() {
-    if (Call_.NewConnection_ || Pool_->Idle_.empty())
+    if (!Call_.NewConnection_)
+      Stream_ = Pool_->takeIdle();
+    if (!Stream_)
       return connect();
-    Stream_ = std::move(Pool_->Idle_.back());
-    Pool_->Idle_.pop_back();
     Reused_ = true;
     send();
   }
@@ -110,28 +142,75 @@
   }
 
   void receive() {
-    Parser_.emplace();
-    Parser_->body_limit(MaxAnswerBytes);
-    http::async_read(
-        *Stream_, Buffer_, *Parser_,
+    Parser_.start(/*ToHeadRequest=*/Call_.Method_ == "HEAD");
+    Read_ = HttpClientAnswer();
+    read();
+  }
+
+  void read() {
+    Stream_->async_read_some(
+        Parser_.prepare(),
         [Self = shared_from_this()](error_code Failed, std::size_t Bytes) {
-          if (Failed)
-            return Bytes > 0 || Failed == beast::error::timeout
-                       ? Self->fail(true)
-                       : Self->failOrRepeat(true);
-          Self->finish();
+          Self->onRead(Failed, Bytes);
         });
   }
 
+  void onRead(error_code Failed, std::size_t Bytes) {
+    Parser_.commit(Bytes);
+    const bool EndsAnswer =
+        Failed == asio::error::eof && Parser_.finishAtClose();
+    if (!Failed || EndsAnswer)
+      return parse();
+    if (Failed == beast::error::timeout)
+      return fail(true);
+    if (Parser_.hasBegun())
+      return failFaulty(model::AnswerFault::BrokenOff);
+    failOrRepeat(true);
+  }
+
+  void parse() {
+    while (true) {
+      switch (Parser_.next()) {
+      case ReadStep::NeedMore:
+        return read();
+      case ReadStep::Head:
+        takeHead();
+        break;
+      case ReadStep::Body:
+        Read_.Body_.append(Parser_.body());
+        if (Read_.Body_.size() > MaxAnswerBytes)
+          return failFaulty(model::AnswerFault::TooLong);
+        break;
+      case ReadStep::End:
+        return finish();
+      case ReadStep::Failed:
+        return failFaulty(Parser_.fault());
+      }
+    }
+  }
+
+  void takeHead() {
+    const auto &Head = Parser_.message().get();
+    Read_.Answered_ = true;
+    Read_.Status_ = Head.result_int();
+    const std::string &Captured = Pool_->Settings_.CapturedHeader_;
+    if (!Captured.empty())
+      Read_.CapturedValue_ = std::string(Head[Captured]);
+  }
+
   /// Repeats the call on a new connection if the failed one was reused, since
   /// the service may have closed it in the meantime; otherwise fails.
   void failOrRepeat(bool MayHaveSent) {
     if (!Reused_ || !Call_.Repeatable_)
       return fail(MayHaveSent);
-    Buffer_.clear();
     connect();
   }
 
+  void failFaulty(model::AnswerFault Fault) {
+    Pool_->logFault(Fault, Parser_.status());
+    fail(/*MayHaveSent=*/true);
+  }
+
   void fail(bool MayHaveSent) {
     Stream_.reset();
     Pool_->Idle_.clear(); // their peer may be unreachable as well
@@ -141,21 +220,13 @@
   }
 
   void finish() {
-    auto &Answer = Parser_->get();
-    HttpClientAnswer Read;
-    Read.Answered_ = true;
-    Read.Status_ = Answer.result_int();
-    const std::string &Noticed = Pool_->Settings_.CapturedHeader_;
-    if (!Noticed.empty())
-      Read.CapturedValue_ = std::string(Answer[Noticed]);
-    Read.Body_ = std::move(Answer.body());
-    if (Answer.keep_alive() && Buffer_.size() == 0 &&
+    if (Parser_.message().keep_alive() && Parser_.buffered() == 0 &&
         Pool_->Idle_.size() < MaxIdleConnections) {
       Stream_->expires_never();
       Pool_->Idle_.push_back(std::move(Stream_));
     }
     Stream_.reset();
-    Handler_(Read);
+    Handler_(Read_);
   }
 
   const std::shared_ptr<Pool> Pool_;
@@ -163,9 +234,9 @@
   const HttpClientHandler Handler_;
   Stream Stream_;
   bool Reused_ = false;
-  beast::flat_buffer Buffer_;
   http::request<http::string_body> Request_;
-  std::optional<http::response_parser<http::string_body>> Parser_;
+  AnswerParser Parser_{MaxHeadBytes};
+  HttpClientAnswer Read_; ///< as far as it was read
 };
 
 HttpClient::HttpClient(asio::io_context &Io, HttpClientSettings Settings)
--- a/src/libcumingauge/model/answerfault.h
+++ b/src/libcumingauge/model/answerfault.h
@@ -8,19 +8,18 @@
 /// log and the metrics.
 enum class AnswerFault {
   None,
-  StatusLine,  ///< no status line of HTTP/1.0 or HTTP/1.1
-  Status,      ///< a status below 100 or above 599
-  FieldLine,   ///< a name that is no token, or a control byte in a value
-  HeadTooLong, ///< a head or a field above the limit
-  Framing,     ///< its end is ambiguous or determined in an unknown way
-  Chunk,       ///< a chunk header that is invalid or too long
-  Interim,     ///< a change of protocol, or too many interim answers
-  WrongCall,   ///< names another call, or none where a call must be named
-  NoProof,     ///< a success without the field that proves it
-  BrokenOff,   ///< the connection ended within the answer
+  StatusLine, ///< no status line of HTTP/1.0 or HTTP/1.1
+  Status,     ///< a status below 100 or above 599
+  FieldLine,  ///< a name that is no token, or a control byte in a value
+  TooLong,    ///< a head, a field or a body above the limit
+  Framing,    ///< its end is ambiguous or determined in an unknown way
+  Chunk,      ///< a chunk header that is invalid or too long
+  Interim,    ///< a change of protocol, or too many interim answers
+  WrongCall,  ///< names another call, or none where a call must be named
+  NoProof,    ///< a success without the field that proves it
+  BrokenOff,  ///< the connection ended within the answer
 };
-BOOST_DESCRIBE_ENUM(AnswerFault, None, StatusLine, Status, FieldLine,
-                    HeadTooLong, Framing, Chunk, Interim, WrongCall, NoProof,
-                    BrokenOff)
+BOOST_DESCRIBE_ENUM(AnswerFault, None, StatusLine, Status, FieldLine, TooLong,
+                    Framing, Chunk, Interim, WrongCall, NoProof, BrokenOff)
 
 } // namespace cumingauge::model
