Use no idle connection to the platform's service that has bytes on it

Callers would see: calls placed by an old answer.

Cause: an answer of the service is known by its place on the connection alone, and an idle connection was not checked. A second copy of an answer was taken for the answer to the next call.

Change: an idle connection that was closed or has bytes on it is dropped before it is used, by the function that the connections to servers use as well.

Remains: a copy that arrives after the next request was sent cannot be told from its answer, since the service names no request in its answers.

Result: the test passes.

--- a/src/libcumingauge/adapters/httpclient.cpp
+++ b/src/libcumingauge/adapters/httpclient.cpp
@@ -1,5 +1,6 @@
 #include "adapters/httpclient.h"
 #include "adapters/httpanswerparser.h"
+#include "adapters/idlesocket.h"
 #include "adapters/log.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -55,10 +56,11 @@
 
   /// Returns an idle connection that can be used, or null.
   Stream takeIdle() {
-    if (!Idle_.empty()) {
+    while (!Idle_.empty()) {
       Stream Out = std::move(Idle_.back());
       Idle_.pop_back();
-      return Out;
+      if (!isSocketStale(Out->socket().native_handle()))
+        return Out;
     }
     return nullptr;
   }
--- a/src/libcumingauge/adapters/httpconnection.cpp
+++ b/src/libcumingauge/adapters/httpconnection.cpp
@@ -1,10 +1,10 @@
 #include "adapters/httpconnection.h"
+#include "adapters/idlesocket.h"
 #include "traffic/outcomes.h"
 #include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <sys/socket.h>
 #include <utility>
 
 namespace cumingauge::adapters {
@@ -54,10 +54,7 @@
 }
 
 bool HttpConnection::isStale() {
-  char Byte;
-  const auto Got =
-      ::recv(Socket_.native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return Got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  return isSocketStale(Socket_.native_handle());
 }
 
 void HttpConnection::send(Exchange Request) {
--- a/tests/http/clientanswerstest.cpp
+++ b/tests/http/clientanswerstest.cpp
@@ -56,6 +56,7 @@
   CPPUNIT_TEST_SUITE(AnswerOfAService);
   CPPUNIT_TEST(isNoneWhenItBreaksTheProtocol);
   CPPUNIT_TEST(isReadBehindInterimAnswers);
+  CPPUNIT_TEST(isNotTakenForTheAnswerToALaterCall);
   CPPUNIT_TEST(isGivenUpWhenItsHeadOrBodyHasNoEnd);
   CPPUNIT_TEST_SUITE_END();
 
@@ -92,6 +93,20 @@
     }
   }
 
+  /// The service sends a second copy of its answer while the connection is
+  /// idle.
+  void isNotTakenForTheAnswerToALaterCall() {
+    ScriptedServer Service([](const Request &Seen) {
+      return ScriptedServer::answer(Seen.Head_.substr(0, 6));
+    });
+    Service.sendAfterAnswer(ScriptedServer::answer("GET /1"), 1,
+                            model::milliseconds(100));
+    BlockingClient Client(Service);
+    CPPUNIT_ASSERT_EQUAL(std::string("GET /1"), Client.call("/1").Body_);
+    CPPUNIT_ASSERT(eventually([&] { return Service.trailingBytes() > 0; }));
+    CPPUNIT_ASSERT_EQUAL(std::string("GET /2"), Client.call("/2").Body_);
+  }
+
   /// Guards against an answer that takes all memory of the process.
   void isGivenUpWhenItsHeadOrBodyHasNoEnd() {
     const std::string Filler(65536, 'x');
--- a/tests/http/scriptedserver.cpp
+++ b/tests/http/scriptedserver.cpp
@@ -85,6 +85,7 @@
     }
     boost::asio::write(Connection, boost::asio::buffer(Answer), Error);
     ++Answers_;
+    std::this_thread::sleep_for(TrailingDelay_);
     for (std::size_t I = 0; I < TrailingCount_ && !Error; ++I)
       TrailingBytes_ += boost::asio::write(
           Connection, boost::asio::buffer(TrailingPiece_), Error);
--- a/tests/http/scriptedserver.h
+++ b/tests/http/scriptedserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "model/time.h"
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
@@ -43,9 +44,12 @@
 
   /// Sends \p Piece \p Times times after each answer. To be called before the
   /// first request.
-  void sendAfterAnswer(std::string Piece, std::size_t Times) {
+  /// \param Delay time between the answer and the first piece.
+  void sendAfterAnswer(std::string Piece, std::size_t Times,
+                       model::milliseconds Delay = {}) {
     TrailingPiece_ = std::move(Piece);
     TrailingCount_ = Times;
+    TrailingDelay_ = Delay;
   }
 
   /// Sends \p Piece after each answer until the connection ends. To be called
@@ -78,6 +82,7 @@
   std::uint16_t Port_ = 0;
   std::string TrailingPiece_;
   std::size_t TrailingCount_ = 0;
+  model::milliseconds TrailingDelay_{};
   std::atomic<std::size_t> TrailingBytes_{0};
   std::atomic<unsigned> Connections_{0};
   std::atomic<unsigned> Answers_{0};
