Test what a link does with a peer that gives no answer

Already handled: websocketpp ends a link whose answer is not status 101 and bounds its head; the test passed on the code as it was. Nothing else changes for peers.

Result: PeerLinkTest::failsWhenTheOtherSideGivesNoAnswer passes (status 000; a head without end, of which less than 16 MiB are taken).

--- a/tests/peer/peerlinkstest.cpp
+++ b/tests/peer/peerlinkstest.cpp
@@ -2,9 +2,12 @@
 #include "adapters/refusallog.h"
 #include "adapters/websockets.h"
 #include "linkpair.h"
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace cumingauge;
+using boost::asio::ip::tcp;
 using model::ResultCode;
 using testing::LinkPair;
 using testing::linkSettings;
@@ -12,6 +15,9 @@
 
 namespace {
 
+/// What a peer can write until it notices that its link was given up.
+constexpr std::size_t MaxBytesTaken = 16 * 1024 * 1024;
+
 class PeerLinkTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(PeerLinkTest);
   CPPUNIT_TEST(carriesMessagesBothWays);
@@ -21,6 +27,7 @@
   CPPUNIT_TEST(isRefusedWithAnUnsupportedProtocolVersion);
   CPPUNIT_TEST(isClosedWhenItsSendQueueIsFull);
   CPPUNIT_TEST(failsWhenTheHandshakeTimesOut);
+  CPPUNIT_TEST(failsWhenTheOtherSideGivesNoAnswer);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -111,6 +118,36 @@
         runUntil(Pair.Io_, [&] { return !Pair.Opening_.Failed_.empty(); }));
   }
 
+  /// The other side sends bytes that are no answer, the second kind without
+  /// end.
+  void failsWhenTheOtherSideGivesNoAnswer() {
+    const std::string Endless(1024 * 1024, 'x');
+    for (const std::string &Answer :
+         {std::string("HTTP/1.1 000 Trouble\r\n\r\n"),
+          "HTTP/1.1 101 Switching Protocols\r\nX-A: " + Endless}) {
+      LinkPair Pair;
+      tcp::acceptor Broken(
+          Pair.Io_, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+      tcp::socket Socket(Pair.Io_);
+      std::size_t Sent = 0;
+      std::function<void()> SendOn = [&] {
+        boost::asio::async_write(Socket, boost::asio::buffer(Answer),
+                                 [&](auto Failed, std::size_t Bytes) {
+                                   Sent += Bytes;
+                                   if (!Failed &&
+                                       Answer.size() > Endless.size())
+                                     SendOn();
+                                 });
+      };
+      Broken.async_accept(Socket, [&](auto) { SendOn(); });
+      Pair.Opening_.Links_.open("127.0.0.1", Broken.local_endpoint().port());
+      CPPUNIT_ASSERT(
+          runUntil(Pair.Io_, [&] { return !Pair.Opening_.Failed_.empty(); }));
+      CPPUNIT_ASSERT(Pair.Opening_.Opened_.empty());
+      CPPUNIT_ASSERT(Sent < MaxBytesTaken);
+    }
+  }
+
 private:
   static void expectRefusal(const adapters::PeerLinksSettings &Opening,
                             ResultCode Code) {
