Count an answer with an invalid head as broken in the load tool

Cause: the load tool, which judges what callers receive, took any status below 400 for an answer, 000 and interim ones too, so that it would not have shown the incident.

Change: it asks the function that all readers use; such an answer is a BrokenAnswer.

No test of its own; callHttp, which reads answers of our own stand-ins only, stays as it is.

--- a/src/cumingauge-load/callerconnection.cpp
+++ b/src/cumingauge-load/callerconnection.cpp
@@ -1,4 +1,5 @@
 #include "callerconnection.h"
+#include "adapters/httpanswersyntax.h"
 #include "model/resultcode.h"
 #include "traffic/headers.h"
 #include <boost/beast/http/read.hpp>
@@ -36,6 +37,12 @@
   return Found != Header.end() && Found->value() != Call;
 }
 
+/// Returns whether a head is well-formed and not that of an interim answer.
+bool isFinalAnswer(const adapters::AnswerMessage &Parsed) {
+  return adapters::findHeadFault(Parsed) == model::AnswerFault::None &&
+         !adapters::isInterimStatus(Parsed.get().result_int());
+}
+
 /// Classifies a complete answer by its result code, or by its status and header
 /// fields when it has none.
 OutcomeKind outcomeKindOf(const http::response_header<> &Header, int Code) {
@@ -119,6 +126,8 @@
           return Self->fail(Error, Self->Parser_->got_some()
                                        ? OutcomeKind::BrokenAnswer
                                        : OutcomeKind::ConnectionLost);
+        if (!isFinalAnswer(*Self->Parser_))
+          return Self->fail({}, OutcomeKind::BrokenAnswer);
         Self->readBody();
       });
 }
