Tell which server sent a faulty answer, and what was wrong with it

Operators saw: code 133 for a call, and that the attempt ended as Broken, like one whose connection was lost. Nothing told a status of 000 from an answer to another call, and a faulty answer to a probe left no trace.

Change: HttpConnection keeps the fault of an answer, also of one that broke off. 'faulty answer of a server' in the log has server, VM, call, fault and status, within the limit of the call log; cumingauge_faulty_answers_total counts by server and fault, in at most 256 pairs and the rest as 'other' for each thread.

--- a/src/libcumingauge/adapters/calllog.cpp
+++ b/src/libcumingauge/adapters/calllog.cpp
@@ -90,6 +90,21 @@
        {"leftOut", std::exchange(Suppressed_, 0)}});
 }
 
+void CallLog::recordFaultyAnswer(const std::string &Call,
+                                 const model::BackendServer &Server,
+                                 model::AnswerFault Fault, unsigned Status,
+                                 model::TimePoint Now) {
+  if (!admitLine(Now))
+    return;
+  log(LogLevel::Warning, "faulty answer of a server",
+      {{"call", Call},
+       {"server", Server.Name_},
+       {"vm", Server.Vm_},
+       {"fault", boost::describe::enum_to_string(Fault, "")},
+       {"status", Status},
+       {"leftOut", std::exchange(Suppressed_, 0)}});
+}
+
 bool CallLog::admitLine(model::TimePoint Now) {
   if (Now - WindowStart_ >= WindowLength) {
     WindowStart_ = Now;
--- a/src/libcumingauge/adapters/calllog.h
+++ b/src/libcumingauge/adapters/calllog.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "model/answerfault.h"
 #include "model/attempttrace.h"
+#include "model/backendserver.h"
 #include "model/resultcode.h"
 #include "model/time.h"
 #include <cstdint>
@@ -52,6 +54,14 @@
   void recordUnreadableNotice(const std::string &Call,
                               const std::string &Server, model::TimePoint Now);
 
+  /// Logs that a server's answer was refused or broke off.
+  /// \param Call empty when it was the answer to a probe.
+  /// \param Status status that was received; 0 without one.
+  void recordFaultyAnswer(const std::string &Call,
+                          const model::BackendServer &Server,
+                          model::AnswerFault Fault, unsigned Status,
+                          model::TimePoint Now);
+
 private:
   /// Counts a line and returns whether it may be written in the current window.
   bool admitLine(model::TimePoint Now);
--- a/src/libcumingauge/adapters/httpcall.cpp
+++ b/src/libcumingauge/adapters/httpcall.cpp
@@ -220,8 +220,10 @@
   case ExchangeStep::NotSent:
     return onFailure(Number, AttemptState::NotSent);
   case ExchangeStep::Lost:
+    recordFault(Number);
     return onFailure(Number, AttemptState::Lost);
   case ExchangeStep::Malformed:
+    recordFault(Number);
     return onFailure(Number, AttemptState::Malformed);
   }
 }
@@ -327,6 +329,13 @@
                              Connection->head().Status_ >= StatusServerError});
 }
 
+void HttpCall::recordFault(AttemptNumber Number) {
+  const Attempt &Failed = attempt(Number);
+  if (Failed.Connection_)
+    Worker_.recordAnswerFault(Failed.Server_, Failed.Connection_->fault(),
+                              Failed.Connection_->status(), callId());
+}
+
 void HttpCall::onFailure(AttemptNumber Number, AttemptState State) {
   attempt(Number).Connection_ = nullptr;
   apply(traffic::AttemptFailed{Number, State, /*Draining_=*/false});
--- a/src/libcumingauge/adapters/httpcall.h
+++ b/src/libcumingauge/adapters/httpcall.h
@@ -90,6 +90,7 @@
   takeKeptAnswer(traffic::AttemptNumber Number);
   bool shouldRetryServerError(const traffic::AnswerHead &Head);
   void finishKeptAnswer(traffic::AttemptNumber Number);
+  void recordFault(traffic::AttemptNumber Number);
   void onFailure(traffic::AttemptNumber Number, traffic::AttemptState State);
   void readMoreBody(traffic::AttemptNumber Number);
   void sendPiece(traffic::AttemptNumber Number,
--- a/src/libcumingauge/adapters/httpconnection.cpp
+++ b/src/libcumingauge/adapters/httpconnection.cpp
@@ -11,6 +11,7 @@
 
 using boost::asio::ip::tcp;
 using boost::system::error_code;
+using model::AnswerFault;
 using traffic::ConnectionAction;
 
 namespace {
@@ -62,6 +63,7 @@
   IsFirstExchange_ = !std::exchange(WasUsed_, true);
   Exchange_ = std::move(Request);
   Failure_ = ExchangeStep::Lost;
+  Fault_ = AnswerFault::None;
   InAnswer_ = true;
   Paused_ = false;
   SkippingStaleAnswer_ = false;
@@ -183,8 +185,11 @@
   Reader_.commit(Bytes);
   const bool EndsAnswer = Error == boost::asio::error::eof && !WasReset_ &&
                           InAnswer_ && Reader_.finishAtClose();
-  if (Error && !EndsAnswer)
+  if (Error && !EndsAnswer) {
+    if (InAnswer_ && Reader_.hasBegun())
+      Fault_ = AnswerFault::BrokenOff;
     return fail(ExchangeStep::Lost);
+  }
   process(traffic::BytesArrived{});
 }
 
@@ -220,7 +225,7 @@
     finishAnswer();
     return false;
   case ReadStep::Failed:
-    fail(ExchangeStep::Malformed);
+    failMalformed(Reader_.fault());
     return false;
   }
   return false;
@@ -234,7 +239,7 @@
       (SkippingStaleAnswer_ ? MaxStaleBytes : MaxDiscardedBytes))
     return true;
   if (SkippingStaleAnswer_)
-    fail(ExchangeStep::Malformed);
+    failMalformed(AnswerFault::WrongCall);
   else
     process(traffic::Abandoned{});
   return false;
@@ -247,19 +252,21 @@
          !head().UntilClose_ && head().CallId_ != Exchange_.CallId_;
 }
 
-/// Whether the answer is for the current call and, if it is a success, has the
-/// fields that the dialect requires of one. Where servers repeat call ids, an
-/// answer without one may be a copy of an answer to an earlier request.
-bool HttpConnection::isAnswerAcceptable() const {
+/// Returns why the answer is not taken for that of the current call, if so: it
+/// is another call's, or a success without the fields that the dialect requires
+/// of one. Where servers repeat call ids, an answer without one may be a copy
+/// of an answer to an earlier request.
+AnswerFault HttpConnection::findCallFault() const {
   if (!traffic::isAnswerTo(Exchange_.CallId_, head().CallId_))
-    return false;
+    return AnswerFault::WrongCall;
+  if (Exchange_.CallId_.empty())
+    return AnswerFault::None;
+  const bool IsSuccess = head().Status_ < FirstStatusAfterSuccess;
   if (Names_.CallIdRequired_ && head().CallId_.empty() &&
-      !Exchange_.CallId_.empty() && !IsFirstExchange_)
-    return false;
-  if (head().Status_ >= FirstStatusAfterSuccess || Exchange_.CallId_.empty())
-    return true;
-  return head().HasProof_ &&
-         !(Names_.CallIdRequired_ && head().CallId_.empty());
+      (IsSuccess || !IsFirstExchange_))
+    return AnswerFault::WrongCall;
+  return IsSuccess && !head().HasProof_ ? AnswerFault::NoProof
+                                        : AnswerFault::None;
 }
 
 bool HttpConnection::hasFailedCall(std::string_view CallId) const {
@@ -277,8 +284,8 @@
     SkippingStaleAnswer_ = SkippedStaleAnswer_ = true;
     return true;
   }
-  if (!isAnswerAcceptable()) {
-    fail(ExchangeStep::Malformed);
+  if (const AnswerFault Fault = findCallFault(); Fault != AnswerFault::None) {
+    failMalformed(Fault);
     return false;
   }
   recordFailedCall();
@@ -302,6 +309,11 @@
   process(traffic::ConnectionBroken{});
 }
 
+void HttpConnection::failMalformed(AnswerFault Fault) {
+  Fault_ = Fault;
+  fail(ExchangeStep::Malformed);
+}
+
 void HttpConnection::report(ExchangeStep Step) {
   if (AnswerUnwanted_ || !Exchange_.Handler_)
     return;
--- a/src/libcumingauge/adapters/httpconnection.h
+++ b/src/libcumingauge/adapters/httpconnection.h
@@ -80,6 +80,11 @@
 
   traffic::AnswerHead &head() { return Reader_.head(); }
   const traffic::AnswerHead &head() const { return Reader_.head(); }
+  /// What was wrong with the answer, with ExchangeStep::Lost and Malformed;
+  /// None when no part of it has arrived.
+  model::AnswerFault fault() const { return Fault_; }
+  /// Status that was received; 0 without one.
+  unsigned status() const { return Reader_.status(); }
   std::string_view body() const { return Reader_.body(); }
   /// With ExchangeStep::Body: whether this is the last piece.
   bool isAnswerComplete() const { return Reader_.isComplete(); }
@@ -109,10 +114,11 @@
   bool handleHead();
   bool discardBody();
   bool isStaleAnswer() const;
-  bool isAnswerAcceptable() const;
+  model::AnswerFault findCallFault() const;
   void recordFailedCall();
   void finishAnswer();
   void fail(ExchangeStep Reason);
+  void failMalformed(model::AnswerFault Fault);
   void report(ExchangeStep Step);
   void close();
 
@@ -125,6 +131,7 @@
   Exchange Exchange_;
   std::string Piece_;
   ExchangeStep Failure_ = ExchangeStep::Lost;
+  model::AnswerFault Fault_ = model::AnswerFault::None;
   model::TimePoint IdleSince_;
   std::optional<model::seconds> IdleTimeout_;
   /// Calls whose requests were answered here with a failure.
--- a/src/libcumingauge/adapters/httpprobe.cpp
+++ b/src/libcumingauge/adapters/httpprobe.cpp
@@ -48,7 +48,7 @@
 void HttpProbe::onExchange(ExchangeStep Step) {
   switch (Step) {
   case ExchangeStep::Head:
-    Notice_ = Connection_->head().Notice_;
+    Result_.Notice_ = Connection_->head().Notice_;
     return;
   case ExchangeStep::BodyWanted:
     return;
@@ -60,6 +60,8 @@
   case ExchangeStep::End:
     return handleReport();
   default:
+    Result_.Fault_ = Connection_->fault();
+    Result_.Status_ = Connection_->status();
     return end(std::nullopt);
   }
 }
@@ -84,10 +86,11 @@
   Connection_ = nullptr;
   if (Connection)
     Connection->abandon();
+  Result_.Report_ = std::move(Report);
   const Handler OnEnd = std::move(OnEnd_);
   OnEnd_ = nullptr;
   if (OnEnd)
-    OnEnd({std::move(Report), Notice_});
+    OnEnd(Result_);
 }
 
 } // namespace cumingauge::adapters
--- a/src/libcumingauge/adapters/httpprobe.h
+++ b/src/libcumingauge/adapters/httpprobe.h
@@ -17,6 +17,8 @@
   struct Result {
     std::optional<model::LoadReport> Report_; ///< absent when the probe failed
     model::ServerNotice Notice_;
+    model::AnswerFault Fault_ = model::AnswerFault::None; ///< of the answer
+    unsigned Status_ = 0; ///< that was received, with a fault; 0 without one
   };
   /// Receives the result. Called once.
   using Handler = std::function<void(const Result &)>;
@@ -41,7 +43,7 @@
   HttpPool::Ticket Ticket_ = HttpPool::NoTicket;
   std::shared_ptr<HttpConnection> Connection_;
   std::string Body_;
-  model::ServerNotice Notice_; ///< of the answer's head
+  Result Result_; ///< as far as it is known
 };
 
 } // namespace cumingauge::adapters
--- a/src/libcumingauge/adapters/httpworker.h
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -131,6 +131,12 @@
   /// Applies what a server has announced in the answer to a call.
   void recordNotice(policy::ServerHandle Server,
                     const model::ServerNotice &Notice, const std::string &Call);
+  /// Records that an answer of a server was refused or broke off; does nothing
+  /// without a fault.
+  /// \param Status status that was received; 0 without one.
+  /// \param Call empty when it was the answer to a probe.
+  void recordAnswerFault(policy::ServerHandle Server, model::AnswerFault Fault,
+                         unsigned Status, const std::string &Call);
   /// Whether a server has not announced that it wants no calls.
   bool isOpen(policy::ServerHandle Server) const;
   /// Name that a request carries to identify the server it is meant for.
--- a/src/libcumingauge/adapters/httpworkerservers.cpp
+++ b/src/libcumingauge/adapters/httpworkerservers.cpp
@@ -221,6 +221,7 @@
 
 void HttpWorker::onProbeEnded(policy::ServerHandle Server,
                               const HttpProbe::Result &Result) {
+  recordAnswerFault(Server, Result.Fault_, Result.Status_, /*Call=*/"");
   recordNotice(Server, Result.Notice_, /*Call=*/"");
   if (Result.Report_) {
     policy::recordReport(*Balancer_, Server, *Result.Report_, now());
@@ -261,6 +262,19 @@
     Common_->ShareNotice_(*this, Known.Name_, Known.Vm_, Notice);
 }
 
+void HttpWorker::recordAnswerFault(policy::ServerHandle Handle,
+                                   model::AnswerFault Fault, unsigned Status,
+                                   const std::string &Call) {
+  if (Fault == model::AnswerFault::None)
+    return;
+  const model::BackendServer &Known = policy::serverOf(*Balancer_, Handle);
+  {
+    const std::lock_guard<std::mutex> Lock(PublishedMutex_);
+    traffic::recordFaultyAnswer(Stats_, Known.Name_, Fault);
+  }
+  CallLog_.recordFaultyAnswer(Call, Known, Fault, Status, now());
+}
+
 void HttpWorker::applyNotice(const std::string &Server, const std::string &Vm,
                              const model::ServerNotice &Notice) {
   boost::asio::post(Io_, [this, Server, Vm, Notice] {
--- a/src/libcumingauge/adapters/metricspage.cpp
+++ b/src/libcumingauge/adapters/metricspage.cpp
@@ -102,6 +102,18 @@
   return Family;
 }
 
+MetricFamily faultyAnswersFamily(const traffic::TrafficStats &Traffic) {
+  MetricFamily Family = makeFamily(
+      "cumingauge_faulty_answers_total",
+      "Answers of backend servers that were refused or broke off, by fault",
+      MetricType::Counter);
+  for (const auto &[Key, Count] : Traffic.FaultyAnswers_)
+    addValue(Family, static_cast<double>(Count),
+             {{"server", Key.first},
+              {"fault", boost::describe::enum_to_string(Key.second, "")}});
+  return Family;
+}
+
 MetricFamily storeCallsFamily(const StoreCallCounts &Calls) {
   MetricFamily Family =
       makeFamily("cumingauge_store_calls_total",
@@ -168,6 +180,7 @@
   Out.push_back(counter("cumingauge_discarding_connections_total",
                         "Closed connections on which more bytes arrived",
                         ToDouble(Traffic.DiscardingConnections_)));
+  Out.push_back(faultyAnswersFamily(Traffic));
 }
 
 void addControl(const ControlStats &Control, std::vector<MetricFamily> &Out) {
--- a/src/libcumingauge/model/answerfault.h
+++ b/src/libcumingauge/model/answerfault.h
@@ -10,7 +10,7 @@
   None,
   StatusLine, ///< no status line of HTTP/1.0 or HTTP/1.1
   Status,     ///< a status below 100 or above 599
-  FieldLine,  ///< a name that is no token, or a control byte in a value
+  FieldLine,  ///< a name that is no token, a control byte, or a CR without LF
   TooLong,    ///< a head, a field or a body above the limit
   Framing,    ///< its end is ambiguous or determined in an unknown way
   Chunk,      ///< a chunk header that is invalid or too long
--- a/src/libcumingauge/traffic/trafficstats.cpp
+++ b/src/libcumingauge/traffic/trafficstats.cpp
@@ -3,6 +3,15 @@
 
 namespace cumingauge::traffic {
 
+namespace {
+
+/// Pairs of server and fault that are counted apart, which bounds the metrics
+/// of a large fleet.
+constexpr std::size_t MaxAnswerFaultKeys = 256;
+constexpr const char *OtherServers = "other";
+
+} // namespace
+
 void recordCall(RouteStats &Stats, model::ResultCode Code,
                 model::Duration Latency) {
   ++Stats.Calls_[Code];
@@ -14,6 +23,15 @@
       std::chrono::duration_cast<model::microseconds>(Latency).count());
 }
 
+void recordFaultyAnswer(TrafficStats &Stats, std::string_view Server,
+                        model::AnswerFault Fault) {
+  const AnswerFaultKey Key(Server, Fault);
+  const bool IsCountedApart = Stats.FaultyAnswers_.count(Key) > 0 ||
+                              Stats.FaultyAnswers_.size() < MaxAnswerFaultKeys;
+  ++Stats.FaultyAnswers_[IsCountedApart ? Key
+                                        : AnswerFaultKey(OtherServers, Fault)];
+}
+
 void addStats(TrafficStats &Sum, const TrafficStats &Part) {
   for (const auto &[Name, Route] : Part.Routes_) {
     RouteStats &Total = Sum.Routes_[Name];
@@ -40,6 +58,8 @@
   Sum.ColdServersClosed_ += Part.ColdServersClosed_;
   Sum.UnreadableNotices_ += Part.UnreadableNotices_;
   Sum.DiscardingConnections_ += Part.DiscardingConnections_;
+  for (const auto &[Key, Count] : Part.FaultyAnswers_)
+    Sum.FaultyAnswers_[Key] += Count;
 }
 
 } // namespace cumingauge::traffic
--- a/src/libcumingauge/traffic/trafficstats.h
+++ b/src/libcumingauge/traffic/trafficstats.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include "model/answerfault.h"
 #include "model/resultcode.h"
 #include "model/time.h"
 #include <array>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
+#include <utility>
 
 namespace cumingauge::traffic {
 
@@ -30,6 +33,9 @@
   std::uint64_t LatencySumMicros_ = 0;
 };
 
+/// Server and fault whose faulty answers are counted together.
+using AnswerFaultKey = std::pair<std::string, model::AnswerFault>;
+
 /// Counters of the traffic threads since the process started. InFlight_,
 /// Queued_ and the numbers of connections are current values.
 struct TrafficStats {
@@ -57,6 +63,8 @@
   std::uint64_t UnreadableNotices_ = 0;
   /// Connections on which bytes arrived after they were closed.
   std::uint64_t DiscardingConnections_ = 0;
+  /// Answers to calls and probes that were refused or broke off.
+  std::map<AnswerFaultKey, std::uint64_t> FaultyAnswers_;
 };
 
 /// Counts one call that has ended.
@@ -64,6 +72,11 @@
 void recordCall(RouteStats &Stats, model::ResultCode Code,
                 model::Duration Latency);
 
+/// Counts one faulty answer. Those of servers beyond the first few hundred are
+/// counted together, as of the server "other".
+void recordFaultyAnswer(TrafficStats &Stats, std::string_view Server,
+                        model::AnswerFault Fault);
+
 /// Adds the counters of one thread to a sum.
 void addStats(TrafficStats &Sum, const TrafficStats &Part);
 
--- a/tests/http/brokenanswerstest.cpp
+++ b/tests/http/brokenanswerstest.cpp
@@ -1,14 +1,15 @@
 #include "http/frontend.h"
 #include "http/scriptedserver.h"
 #include "platform/dialect.h"
-#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
+#include <map>
 
 using namespace cumingauge;
 using namespace cumingauge::test;
 
 namespace {
 
+using model::AnswerFault;
 using Request = ScriptedServer::Request;
 
 constexpr unsigned KeptBytes = 65536;
@@ -171,6 +172,7 @@
   CPPUNIT_TEST(isRefusedInEachPlaceOfAPipeline);
   CPPUNIT_TEST(isNoReportWhenAProbeGetsIt);
   CPPUNIT_TEST(isNoPromiseThatTheCallDidNotRun);
+  CPPUNIT_TEST(isCountedByItsServerAndItsFault);
   CPPUNIT_TEST(isToldFromASoundOneThatIsOdd);
   CPPUNIT_TEST_SUITE_END();
 
@@ -245,6 +247,9 @@
       return Played.Front_.traffic().stats().ProbesFailed_ > 0 &&
              Played.Server_.ended() > 0;
     }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         Played.Front_.traffic().stats().FaultyAnswers_.count(
+                             {"cat-1", AnswerFault::Status}));
   }
 
   /// Guards against a refusal that promises that the call did not run, taken
@@ -258,6 +263,33 @@
     }
   }
 
+  void isCountedByItsServerAndItsFault() {
+    for (const auto &[Answer, Fault] : std::map<std::string, AnswerFault>{
+             {withWrongStatus().back(), AnswerFault::Status},
+             {withWrongStatusLine().front(), AnswerFault::StatusLine},
+             {withWrongLines().back(), AnswerFault::FieldLine},
+             {withWrongFraming().back(), AnswerFault::Framing},
+             {withWrongChunks().front(), AnswerFault::Chunk},
+             {withWrongInterim().back(), AnswerFault::Interim},
+             {withLines("X-A: " + std::string(KeptBytes, 'a') + "\r\n"),
+              AnswerFault::TooLong},
+             {"HTTP/1.1 200 OK\r\n" + Id + Body, AnswerFault::NoProof},
+             {"HTTP/1.1 200 OK\r\nResponse-Signature: s\r\n" + Body,
+              AnswerFault::WrongCall},
+             {framed("Content-Length: 9\r\n", "hello"),
+              AnswerFault::BrokenOff}}) {
+      OneServer Played(Answer);
+      Played.Server_.closeAfterAnswer();
+      Played.ask(call("POST", "/licence"));
+      const auto Counted = Played.Front_.traffic().stats().FaultyAnswers_;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Answer, std::size_t(1), Counted.size());
+      const auto &[Key, Count] = *Counted.begin();
+      CPPUNIT_ASSERT_EQUAL(std::string("cat-1"), Key.first);
+      CPPUNIT_ASSERT_MESSAGE(Answer, Key.second == Fault);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), Count);
+    }
+  }
+
   void isToldFromASoundOneThatIsOdd() {
     for (const std::string &Answer : oddAnswers())
       for (const unsigned Kept : {0U, KeptBytes}) {
