Test a stop during which calls keep coming to slow servers

Reported from elsewhere: requests that came late in a planned stop were passed on and cut at its end without an answer.

Already handled: from http.drainIdleTimeMs on (2.8 s of a grace of 6 s) requests are refused as not run, and calls in flight are answered before the process ends. The new test passed on the code as it was: of 24 unsafe calls, sent one after the other until the end of the stop to a server that works longer, those that were passed on got 504, the others 503 or a close before they were read, and none was abandoned.

--- a/tests/http/stoppingtest.cpp
+++ b/tests/http/stoppingtest.cpp
@@ -49,6 +49,7 @@
   CPPUNIT_TEST(aCallerThatReadsSlowlyReceivesTheWholeLastAnswer);
   CPPUNIT_TEST(anAnswerThatIsBeingDeliveredIsNotCutBeforeTheEnd);
   CPPUNIT_TEST(aConnectionAcceptedAfterItsThreadHasEndedTheDrainIsNotServed);
+  CPPUNIT_TEST(noCallOfTheWholeStopIsPassedOnAndCutOff);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -265,6 +266,54 @@
     CPPUNIT_ASSERT(Later.read().Closed_);
   }
 
+  /// Guards against calls that are passed on late in the stop and have no
+  /// answer at its end. Their servers work for longer than the stop lasts.
+  void noCallOfTheWholeStopIsPassedOnAndCutOff() {
+    constexpr int Calls = 24;
+    constexpr model::milliseconds Step{100};
+    Gate Working;
+    ScriptedServer Server([&](const Request &) {
+      Working.pass();
+      return ScriptedServer::answer("late");
+    });
+    adapters::HttpLimits Limits;
+    Limits.DrainTimeout_ = Calls * Step;
+    Limits.DrainAcceptTime_ = Calls * Step / 3;
+    Limits.DrainIdleTime_ = Calls * Step / 2;
+    FrontEnd Front({{"cat-1", Server.port()}}, Limits, 1);
+    std::vector<std::unique_ptr<RawCaller>> Callers;
+    for (int I = 0; I < Calls; ++I)
+      Callers.push_back(std::make_unique<RawCaller>(Front.port()));
+    std::atomic<bool> Ended{false};
+    Front.traffic().drain([&] { Ended = true; });
+    std::vector<RawCaller::Answer> Answers(Calls);
+    std::vector<std::thread> Waiting;
+    for (int I = 0; I < Calls; ++I) {
+      Callers[I]->send(
+          request("POST", "/licence/" + std::to_string(I), "", "x"));
+      Waiting.emplace_back([&, I] { Answers[I] = Callers[I]->read(); });
+      std::this_thread::sleep_for(Step);
+    }
+    for (std::thread &Thread : Waiting)
+      Thread.join();
+    CPPUNIT_ASSERT(eventually([&] { return Ended.load(); }));
+    CPPUNIT_ASSERT(countOf(Server, "/licence/0") > 0);
+    bool IsRefusing = false;
+    for (int I = 0; I < Calls; ++I) {
+      const bool Reached = countOf(Server, "/licence/" + std::to_string(I)) > 0;
+      IsRefusing = IsRefusing || !Reached;
+      CPPUNIT_ASSERT(!Reached || !IsRefusing);
+      // One that was passed on may have run, and its caller is told so.
+      const unsigned Status = Answers[I].Status_;
+      CPPUNIT_ASSERT(Reached ? Status == 504
+                             : Answers[I].Closed_ || Status == 503);
+    }
+    CPPUNIT_ASSERT(IsRefusing);
+    Working.open();
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0),
+                         Front.traffic().stats().AbandonedCalls_);
+  }
+
 private:
   /// Returns a body that fits into no socket buffer.
   static std::string longBody() {
