Let the soak's servers send broken answers, and end them in a real reset

Cause: garbled answers of the soak were cut ones only, so that neither status 000 nor a cut answer without a length was played. Its resets were none: abort() of asyncio lets the kernel end a connection in order when all was read from it.

Change: a garbling server takes turns with four forms; wire.reset sets SO_LINGER to 0; the judge counts a status below 100 or above 599 as MIXED. A test that a probe gives up an answer without end.

--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -295,6 +295,8 @@
             if status in (502, 504) and self.working.get(call) \
                     and (stop := self._stop_around(call, process)):
                 stop.replaced.append(call)
+        if not 100 <= status < 600:
+            self.report_violation("MIXED", f"{call} from {process} got status {status}")
         if status // 100 == 2:
             if answer.fields.get("response-signature") != signature or answer.body != body:
                 self.report_violation("MIXED", f"{call} from {process} got another body")
--- a/bench/soak/servers.py
+++ b/bench/soak/servers.py
@@ -26,9 +26,10 @@
 class Server:
     """One incarnation of a backend server behind a proxy of its own.
 
-    pace multiplies the service time. fails (500), loses (reset), garbles (truncated answer)
-    and doubles (answer sent twice) are probabilities per call. A server that answers twice
-    also rejects calls, and sends some rejections again while the next attempt runs."""
+    pace multiplies the service time. fails (500), loses (reset), garbles (truncated or
+    malformed answer) and doubles (answer sent twice) are probabilities per call. A server that
+    answers twice also rejects calls, and sends some rejections again while the next attempt
+    runs."""
 
     def __init__(self, name, service, zone, judge, random, clock):
         self.name, self.service, self.zone = name, service, zone
@@ -40,6 +41,7 @@
         self.service_seconds = 0.03
         self.fails = self.loses = self.garbles = 0.0
         self.doubles = 0.0
+        self.garbled = 0  # answers so far
         self.gone = False
         self.left = False  # its entry was removed
         self.cold_until = -1e9
@@ -163,6 +165,18 @@
             except (ConnectionError, OSError):
                 pass
 
+    def _garble(self, whole):
+        """Returns what is sent in place of an answer before the connection is reset. The
+        forms take turns: cut, without a status, with a blank in a field name, cut and without
+        a length."""
+        self.garbled += 1
+        half = whole[: len(whole) // 2]
+        forms = (half,
+                 whole.replace(b" 200 OK", b" 000 Trouble", 1),
+                 whole.replace(b"Attempt-Id:", b"Attempt Id:", 1),
+                 half.replace(b"Content-Length:", b"X-Length:", 1))
+        return forms[self.garbled % len(forms)]
+
     async def _finish(self, call, writer):
         fields = {"Attempt-Id": call, "Response-Signature": signature(call)}
         if self.random.random() < self.loses:
@@ -175,8 +189,7 @@
         body = body_of(call)
         if self.random.random() < self.garbles:
             self.judge.record_broken_off(call)
-            whole = wire.compose("HTTP/1.1 200 OK", fields, body)
-            writer.write(whole[: len(whole) // 2])
+            writer.write(self._garble(wire.compose("HTTP/1.1 200 OK", fields, body)))
             await writer.drain()
             return False
         self.judge.record_end(call, 200)
--- a/bench/soak/wire.py
+++ b/bench/soak/wire.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import socket
+import struct
 
 MAX_HEAD_BYTES = 65536
 
@@ -68,7 +70,12 @@
 
 
 def reset(writer):
-    """Aborts a connection without sending the data that is still buffered."""
+    """Resets a connection without sending the data that is still buffered."""
     transport = writer.transport
-    if transport is not None:
-        transport.abort()
+    if transport is None:
+        return
+    connection = transport.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        # Without this option, the kernel ends a connection from which all was read in order.
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    transport.abort()
--- a/tests/http/clientanswerstest.cpp
+++ b/tests/http/clientanswerstest.cpp
@@ -110,8 +110,7 @@
   /// Guards against an answer that takes all memory of the process.
   void isGivenUpWhenItsHeadOrBodyHasNoEnd() {
     const std::string Filler(65536, 'x');
-    for (const auto &[Start, Piece] :
-         std::vector<std::pair<std::string, std::string>>{
+    for (const auto &Played : std::vector<std::pair<std::string, std::string>>{
              {"HTTP/1.1 200 ", Filler},
              {"HTTP/1.1 200 OK\r\n", "X-A: " + Filler + "\r\n"},
              {"", "HTTP/1.1 100 Continue\r\n\r\n"},
@@ -120,11 +119,13 @@
              {Chunked + "\r\n5;a=", Filler},
              {Chunked + "\r\n0\r\nX-A: ", Filler}}) {
       ScriptedServer Service(
-          [&, First = Start](const Request &) { return First + Piece; });
-      Service.sendWithoutEnd(Piece);
-      CPPUNIT_ASSERT_MESSAGE(Start, !BlockingClient(Service).call().Answered_);
+          [&](const Request &) { return Played.first + Played.second; });
+      Service.sendWithoutEnd(Played.second);
+      CPPUNIT_ASSERT_MESSAGE(Played.first,
+                             !BlockingClient(Service).call().Answered_);
       CPPUNIT_ASSERT(eventually([&] { return Service.closed() == 1; }));
-      CPPUNIT_ASSERT_MESSAGE(Start, Service.trailingBytes() < MaxBytesTaken);
+      CPPUNIT_ASSERT_MESSAGE(Played.first,
+                             Service.trailingBytes() < MaxBytesTaken);
     }
   }
 };
--- a/tests/http/endlessanswerstest.cpp
+++ b/tests/http/endlessanswerstest.cpp
@@ -60,6 +60,7 @@
   CPPUNIT_TEST(isCutOffAtTheDeadlineInABodyWithoutLength);
   CPPUNIT_TEST(isNotReadOnWhenItSaysThatTheCallDidNotRun);
   CPPUNIT_TEST(isNotReadOnWhenItBelongsToAnotherCall);
+  CPPUNIT_TEST(isGivenUpByAProbe);
   CPPUNIT_TEST(takesLittleMemoryFromManyServersAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
@@ -156,6 +157,22 @@
                    "1000\r\n" + Filler + "\r\n"});
   }
 
+  void isGivenUpByAProbe() {
+    for (const std::string &Start : {Head + "\r\n", Head + "X-A: "}) {
+      ScriptedServer Broken(
+          [&](const ScriptedServer::Request &) { return Start; });
+      Broken.sendWithoutEnd(Filler);
+      FrontEnd Front({{"cat-1", Broken.port()}}, limits(), 1,
+                     platform::platformDialect());
+      Front.changePreset([](model::Preset &Preset) {
+        Preset.Measuring_.ProbesPerSecond_ = 20;
+      });
+      CPPUNIT_ASSERT(eventually([&] { return Broken.closed() > 0; }));
+      CPPUNIT_ASSERT(Broken.trailingBytes() <
+                     MaxBytesTaken * Broken.connections());
+    }
+  }
+
   void takesLittleMemoryFromManyServersAtOnce() {
     constexpr unsigned Callers = 24;
     ScriptedServer Broken([&](const ScriptedServer::Request &) {
