Fuzz the reader of answers; name its parts for what they are

Change: MutatedInput::isRejectedOrReadAsAnAnswerWhereverItIsCut reads mutated answers as one piece and as three and wants the same verdict and body. AnswerMessage, which is a parser, is called ParsedAnswer; comments are shorter. No change of behaviour.

--- a/src/cumingauge-load/callerconnection.cpp
+++ b/src/cumingauge-load/callerconnection.cpp
@@ -38,7 +38,7 @@
 }
 
 /// Returns whether a head is well-formed and not that of an interim answer.
-bool isFinalAnswer(const adapters::AnswerMessage &Parsed) {
+bool isFinalAnswer(const adapters::ParsedAnswer &Parsed) {
   return adapters::findHeadFault(Parsed) == model::AnswerFault::None &&
          !adapters::isInterimStatus(Parsed.get().result_int());
 }
--- a/src/libcumingauge/adapters/httpanswerparser.cpp
+++ b/src/libcumingauge/adapters/httpanswerparser.cpp
@@ -33,8 +33,8 @@
       return fail(faultOf(Reader_.error()));
     if (Step != ReadStep::Head)
       return Step;
-    Status_ = message().get().result_int();
-    if (const auto Fault = findHeadFault(message());
+    Status_ = parsed().get().result_int();
+    if (const auto Fault = findHeadFault(parsed());
         Fault != model::AnswerFault::None)
       return fail(Fault);
     if (!isInterimStatus(Status_))
--- a/src/libcumingauge/adapters/httpanswerparser.h
+++ b/src/libcumingauge/adapters/httpanswerparser.h
@@ -25,7 +25,7 @@
   ReadStep next();
 
   /// The parsed head, valid after ReadStep::Head.
-  const AnswerMessage &message() { return Reader_.parser(); }
+  const ParsedAnswer &parsed() { return Reader_.parser(); }
   /// Piece of the body, valid after ReadStep::Body until the next call.
   std::string_view body() const { return Reader_.body(); }
   /// Bytes that were read but not parsed yet.
--- a/src/libcumingauge/adapters/httpanswerreader.cpp
+++ b/src/libcumingauge/adapters/httpanswerreader.cpp
@@ -56,7 +56,7 @@
 
 /// Converts a well-formed head. Returns false when the end of the answer could
 /// not be distinguished from a lost connection.
-bool readAnswerHead(const traffic::Dialect &Names, const AnswerMessage &Source,
+bool readAnswerHead(const traffic::Dialect &Names, const ParsedAnswer &Source,
                     bool ToHeadRequest, traffic::AnswerHead &Head) {
   const auto &Parsed = Source.get();
   Head = {};
@@ -125,7 +125,7 @@
   const ReadStep Step = Impl_->Parser_.next();
   Impl_->Fault_ = Impl_->Parser_.fault();
   if (Step != ReadStep::Head ||
-      readAnswerHead(Impl_->Names_, Impl_->Parser_.message(),
+      readAnswerHead(Impl_->Names_, Impl_->Parser_.parsed(),
                      Impl_->ToHeadRequest_, Impl_->Head_))
     return Step;
   Impl_->Fault_ = model::AnswerFault::Framing;
--- a/src/libcumingauge/adapters/httpanswersyntax.cpp
+++ b/src/libcumingauge/adapters/httpanswersyntax.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-// Range of valid status codes (RFC 9110, section 15).
+// Valid status codes (RFC 9110, section 15).
 constexpr unsigned FirstStatus = 100;
 constexpr unsigned FirstFinalStatus = 200;
 constexpr unsigned LastStatus = 599;
@@ -17,13 +17,14 @@
 
 } // namespace
 
-AnswerFault findHeadFault(const AnswerMessage &Parsed) {
+AnswerFault findHeadFault(const ParsedAnswer &Parsed) {
   const auto &Head = Parsed.get();
   const unsigned Status = Head.result_int();
   if (Status < FirstStatus || Status > LastStatus)
     return AnswerFault::Status;
   if (Status == StatusSwitchingProtocols) // no request asks for it
     return AnswerFault::Interim;
+  // HTTP/1.0 has no transfer codings (RFC 9112, section 6.1).
   const bool HasCoding = Head.count(http::field::transfer_encoding) > 0;
   if (!messages::isTransferCodingKnown(Head) ||
       (HasCoding && Head.version() < Http11))
--- a/src/libcumingauge/adapters/httpanswersyntax.h
+++ b/src/libcumingauge/adapters/httpanswersyntax.h
@@ -8,12 +8,13 @@
 /// functions, so that no reader accepts what another one refuses.
 namespace cumingauge::adapters {
 
-using AnswerMessage =
+/// Parser of an answer, which holds its head.
+using ParsedAnswer =
     boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
 /// Returns what is wrong with a head for which the parser found no error.
-/// \param Parsed parser that has read the head of a final or interim answer.
-model::AnswerFault findHeadFault(const AnswerMessage &Parsed);
+/// \param Parsed has read the head of a final or interim answer.
+model::AnswerFault findHeadFault(const ParsedAnswer &Parsed);
 
 /// Returns the fault that an error of the parser stands for.
 model::AnswerFault faultOf(boost::beast::error_code Error);
--- a/src/libcumingauge/adapters/httpclient.cpp
+++ b/src/libcumingauge/adapters/httpclient.cpp
@@ -192,7 +192,7 @@
   }
 
   void takeHead() {
-    const auto &Head = Parser_.message().get();
+    const auto &Head = Parser_.parsed().get();
     Read_.Answered_ = true;
     Read_.Status_ = Head.result_int();
     const std::string &Captured = Pool_->Settings_.CapturedHeader_;
@@ -222,7 +222,7 @@
   }
 
   void finish() {
-    if (Parser_.message().keep_alive() && Parser_.buffered() == 0 &&
+    if (Parser_.parsed().keep_alive() && Parser_.buffered() == 0 &&
         Pool_->Idle_.size() < MaxIdleConnections) {
       Stream_->expires_never();
       Pool_->Idle_.push_back(std::move(Stream_));
--- a/src/libcumingauge/adapters/httpmessagereader.h
+++ b/src/libcumingauge/adapters/httpmessagereader.h
@@ -99,9 +99,8 @@
   boost::beast::error_code error() const { return Error_; }
 
 private:
-  /// Parses buffered bytes and sets Error_. A field that the parser cannot
-  /// store is reported as one above the limit. \returns the bytes that were
-  /// consumed.
+  /// Parses buffered bytes, sets Error_ and returns the bytes consumed. A field
+  /// that the parser cannot store is reported as one above the limit.
   std::size_t put() {
     Error_ = {};
     std::size_t Used = 0;
@@ -150,8 +149,8 @@
   }
 
   ReadStep needMoreOfBody() {
-    // Beast asserts this length when it is given an incomplete last chunk
-    // again.
+    // Beast asserts that it gets so many when it has asked for more of the last
+    // chunk.
     NeededBytes_ = MinChunkedEndBytes;
     if (Buffer_.size() < MaxPendingBytes)
       return ReadStep::NeedMore;
--- a/tests/fuzz/fuzztest.cpp
+++ b/tests/fuzz/fuzztest.cpp
@@ -3,10 +3,12 @@
 #include "codec/describedjson.h"
 #include "control/storecodec.h"
 #include "mutation.h"
+#include "support/piecewisereader.h"
 #include <cppunit/extensions/HelperMacros.h>
 #include <functional>
 
 using namespace cumingauge;
+using adapters::ReadStep;
 
 namespace {
 
@@ -78,6 +80,16 @@
   return Out;
 }
 
+std::vector<std::string> sampleAnswers() {
+  const std::string Head = "HTTP/1.1 200 OK\r\nAttempt-Id: a\r\n";
+  const std::string Chunked = Head + "Transfer-Encoding: chunked\r\n\r\n";
+  return {Head + "Content-Length: 5\r\n\r\nhello",
+          Head + "X-A: 1\r\n 2\r\nContent-Length: 0\r\n\r\n",
+          Chunked + "5;a=\"b\"\r\nhello\r\n0\r\nX-A: 1\r\n\r\n",
+          Chunked + "0\r\n\r\n",
+          "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.0 204 No Content\r\n\r\n"};
+}
+
 /// Runs a target on mutated samples. Returns how many inputs it accepted.
 std::uint64_t
 countAccepted(const std::vector<std::string> &Samples,
@@ -98,6 +110,7 @@
   CPPUNIT_TEST(isRejectedOrRoundTripsAsPeerMessage);
   CPPUNIT_TEST(isRejectedOrRoundTripsAsChangeEntry);
   CPPUNIT_TEST(isRejectedOrRoundTripsAsSettings);
+  CPPUNIT_TEST(isRejectedOrReadAsAnAnswerWhereverItIsCut);
   CPPUNIT_TEST_SUITE_END();
 
   static void expectAcceptedAndRejected(std::uint64_t Accepted) {
@@ -160,6 +173,30 @@
           return true;
         }));
   }
+
+  /// An answer is accepted with the same body when it arrives in three pieces.
+  void isRejectedOrReadAsAnAnswerWhereverItIsCut() {
+    std::mt19937_64 Random(testing::readFuzzPlan().Seed_);
+    expectAcceptedAndRejected(
+        countAccepted(sampleAnswers(), [&](const std::string &Bytes) {
+          testing::PiecewiseReader Whole;
+          testing::PiecewiseReader Cut;
+          const std::string_view Text = Bytes;
+          const std::size_t First = Random() % (Text.size() + 1);
+          const std::size_t Second = Random() % (Text.size() - First + 1);
+          const bool IsAccepted = Whole.feed(Text) == ReadStep::End;
+          ReadStep Last = ReadStep::NeedMore;
+          for (const std::string_view Piece :
+               {Text.substr(0, First), Text.substr(First, Second),
+                Text.substr(First + Second)})
+            if (Last == ReadStep::NeedMore)
+              Last = Cut.feed(Piece);
+          CPPUNIT_ASSERT_EQUAL_MESSAGE(Bytes, IsAccepted,
+                                       Last == ReadStep::End);
+          CPPUNIT_ASSERT(!IsAccepted || Whole.body() == Cut.body());
+          return IsAccepted;
+        }));
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(MutatedInput);
 
--- a/tests/http/answerpiecestest.cpp
+++ b/tests/http/answerpiecestest.cpp
@@ -1,51 +1,15 @@
-#include "adapters/httpanswerreader.h"
-#include "platform/dialect.h"
-#include <boost/asio/buffer.hpp>
+#include "support/piecewisereader.h"
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace cumingauge;
 using adapters::ReadStep;
+using testing::PiecewiseReader;
 
 namespace {
 
-constexpr std::uint32_t HeaderLimit = 16384;
 const std::string Head =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-/// Reads answers whose bytes arrive as the test says.
-class PiecewiseReader {
-public:
-  /// Adds bytes as one read and parses as far as they go.
-  /// \returns the last step.
-  ReadStep feed(std::string_view Bytes) {
-    while (!Bytes.empty()) {
-      const std::size_t Copied = boost::asio::buffer_copy(
-          Reader_.prepare(), boost::asio::buffer(Bytes.data(), Bytes.size()));
-      Reader_.commit(Copied);
-      Bytes.remove_prefix(Copied);
-      if (const ReadStep Step = parse(); Step != ReadStep::NeedMore)
-        return Step;
-    }
-    return ReadStep::NeedMore;
-  }
-
-  const std::string &body() const { return Body_; }
-
-private:
-  ReadStep parse() {
-    while (true) {
-      const ReadStep Step = Reader_.next();
-      if (Step == ReadStep::Body)
-        Body_.append(Reader_.body());
-      else if (Step != ReadStep::Head)
-        return Step;
-    }
-  }
-
-  adapters::AnswerReader Reader_{HeaderLimit, platform::platformDialect()};
-  std::string Body_;
-};
-
 /// A chunked answer whose bytes arrive in pieces.
 class AnswerInPieces : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AnswerInPieces);
