Refuse a success whose proof is empty; test a broken answer to a hedge

Callers would see: a success without the server's signature. Not reported; found by looking for heads of which only a part is checked.

Cause: the field that proves a success was looked for by its name alone.

--- a/src/libcumingauge/adapters/httpanswerreader.cpp
+++ b/src/libcumingauge/adapters/httpanswerreader.cpp
@@ -26,7 +26,7 @@
   if (iequals(Name, Names.LoadReport_))
     Head.Report_ = textOf(Value);
   if (iequals(Name, Names.AnswerProof_))
-    Head.HasProof_ = true;
+    Head.HasProof_ = !Value.empty();
   return false;
 }
 
--- a/tests/http/brokenanswerstest.cpp
+++ b/tests/http/brokenanswerstest.cpp
@@ -1,6 +1,8 @@
 #include "http/frontend.h"
+#include "http/gate.h"
 #include "http/scriptedserver.h"
 #include "platform/dialect.h"
+#include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
 #include <map>
 
@@ -122,6 +124,7 @@
           withLines("X!#$%&'*+-.^_`|~9: 1\r\n"),
           withLines("Connection: keep-alive, , x\r\n"),
           withLines("Content-Length: 5\r\n"),
+          withLines(Id),
           framed("CONTENT-LENGTH: 5, 5\r\n", "hello"),
           framed("Content-Length: 0005\r\n", "hello"),
           framed("transfer-encoding: CHUNKED\r\n", InChunks),
@@ -169,9 +172,11 @@
   CPPUNIT_TEST(isRefusedForItsChunksOrTrailers);
   CPPUNIT_TEST(isRefusedForItsInterimAnswers);
   CPPUNIT_TEST(isReplacedByAnotherServersAnswerToASafeCall);
+  CPPUNIT_TEST(isNotWaitedForWhenAHedgeGetsIt);
   CPPUNIT_TEST(isRefusedInEachPlaceOfAPipeline);
   CPPUNIT_TEST(isNoReportWhenAProbeGetsIt);
   CPPUNIT_TEST(isNoPromiseThatTheCallDidNotRun);
+  CPPUNIT_TEST(isRefusedWithAnEmptyProof);
   CPPUNIT_TEST(isCountedByItsServerAndItsFault);
   CPPUNIT_TEST(isToldFromASoundOneThatIsOdd);
   CPPUNIT_TEST_SUITE_END();
@@ -221,6 +226,38 @@
     }
   }
 
+  void isNotWaitedForWhenAHedgeGetsIt() {
+    constexpr unsigned WarmCalls = 200;
+    Gate Slow;
+    std::atomic<unsigned> Attempts{0};
+    const auto Script = [&](const Request &Seen) {
+      const bool IsHedged =
+          Seen.Head_.find("/search/slow") != std::string::npos;
+      if (IsHedged && ++Attempts > 1)
+        return withWrongStatus().front();
+      if (IsHedged)
+        Slow.pass();
+      return withLines("");
+    };
+    ScriptedServer One(Script);
+    ScriptedServer Two(Script);
+    FrontEnd Front({{"cat-1", One.port()}, {"cat-2", Two.port()}},
+                   OneServer::limits(KeptBytes), 1,
+                   platform::platformDialect());
+    Front.changePreset([](model::Preset &Preset) { Preset.Hedge_.Ratio_ = 1; });
+    RawCaller Caller(Front.port());
+    for (unsigned I = 0; I < WarmCalls; ++I)
+      Caller.call(call("GET", "/search"));
+    Caller.send(call("GET", "/search/slow"));
+    CPPUNIT_ASSERT(eventually(
+        [&] { return !Front.traffic().stats().FaultyAnswers_.empty(); }));
+    Slow.open();
+    const auto Got = Caller.read();
+    CPPUNIT_ASSERT_EQUAL(200U, Got.Status_);
+    CPPUNIT_ASSERT_EQUAL(std::string("hello"), Got.Body_);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), Front.traffic().stats().Hedges_);
+  }
+
   void isRefusedInEachPlaceOfAPipeline() {
     ScriptedServer Server([](const Request &Seen) {
       return Seen.Head_.find("/search/2") == std::string::npos
@@ -263,6 +300,11 @@
     }
   }
 
+  void isRefusedWithAnEmptyProof() {
+    checkRefused(
+        {"HTTP/1.1 200 OK\r\n" + Id + "Response-Signature: \r\n" + Body});
+  }
+
   void isCountedByItsServerAndItsFault() {
     for (const auto &[Answer, Fault] : std::map<std::string, AnswerFault>{
              {withWrongStatus().back(), AnswerFault::Status},
