Refuse an answer that names two calls

Callers would see: an answer whose head names another call and theirs. Not reported; found as the empty proof was.

Cause: of several fields with the id of the call, the last one counted.

Evidence: BrokenAnswer::isRefusedWhenItNamesTwoCalls failed before the change (the other id first; with the other id last the answer was passed over as a stale copy).

Change: ids that differ make the answer a faulty one (WrongCall); the same id twice is odd but sound and passes (isToldFromASoundOneThatIsOdd).

--- a/src/libcumingauge/adapters/httpanswerreader.cpp
+++ b/src/libcumingauge/adapters/httpanswerreader.cpp
@@ -1,10 +1,12 @@
 #include "adapters/httpanswerreader.h"
 #include "adapters/httpanswerparser.h"
+#include <algorithm>
 #include <boost/lexical_cast/try_lexical_convert.hpp>
 
 namespace cumingauge::adapters {
 
 using namespace messages;
+using model::AnswerFault;
 using traffic::Framing;
 
 namespace {
@@ -43,6 +45,15 @@
   return Out;
 }
 
+/// Whether all fields of this name have the same value.
+template <class Fields>
+bool haveOneValue(const Fields &Parsed, const std::string &Name) {
+  const auto Range = Parsed.equal_range(Name);
+  return std::all_of(Range.first, Range.second, [&](const auto &Field) {
+    return Field.value() == Range.first->value();
+  });
+}
+
 /// Returns the "timeout" parameter of a Keep-Alive field.
 std::optional<model::seconds> idleTimeoutOf(string_view KeepAlive) {
   for (const auto &Parameter : http::param_list{KeepAlive}) {
@@ -54,10 +65,12 @@
   return std::nullopt;
 }
 
-/// Converts a well-formed head. Returns false when the end of the answer could
-/// not be distinguished from a lost connection.
-bool readAnswerHead(const traffic::Dialect &Names, const ParsedAnswer &Source,
-                    bool ToHeadRequest, traffic::AnswerHead &Head) {
+/// Converts a well-formed head. Returns a fault when the end of the answer
+/// could not be distinguished from a lost connection, or when it names two
+/// calls.
+AnswerFault readAnswerHead(const traffic::Dialect &Names,
+                           const ParsedAnswer &Source, bool ToHeadRequest,
+                           traffic::AnswerHead &Head) {
   const auto &Parsed = Source.get();
   Head = {};
   Head.HasProof_ = Names.AnswerProof_.empty();
@@ -71,7 +84,7 @@
     Head.Length_ = *Length;
   } else if (!ToHeadRequest && Source.need_eof()) {
     if (!Names.AnswersUntilClose_)
-      return false;
+      return AnswerFault::Framing;
     Head.UntilClose_ = true;
     Head.Framing_ = Framing::Chunked; // so that the caller sees where it ends
   }
@@ -91,7 +104,8 @@
   // param_list expects a leading ';', which the value of the field lacks.
   const std::string KeepAlive = ";" + textOf(Parsed[http::field::keep_alive]);
   Head.IdleTimeout_ = idleTimeoutOf(KeepAlive);
-  return true;
+  return haveOneValue(Parsed, Names.CallId_) ? AnswerFault::None
+                                             : AnswerFault::WrongCall;
 }
 
 } // namespace
@@ -104,7 +118,7 @@
   AnswerParser Parser_;
   traffic::AnswerHead Head_;
   bool ToHeadRequest_ = false;
-  model::AnswerFault Fault_ = model::AnswerFault::None;
+  AnswerFault Fault_ = AnswerFault::None;
 };
 
 AnswerReader::AnswerReader(std::uint32_t HeaderLimit,
@@ -124,12 +138,11 @@
 ReadStep AnswerReader::next() {
   const ReadStep Step = Impl_->Parser_.next();
   Impl_->Fault_ = Impl_->Parser_.fault();
-  if (Step != ReadStep::Head ||
-      readAnswerHead(Impl_->Names_, Impl_->Parser_.parsed(),
-                     Impl_->ToHeadRequest_, Impl_->Head_))
+  if (Step != ReadStep::Head)
     return Step;
-  Impl_->Fault_ = model::AnswerFault::Framing;
-  return ReadStep::Failed;
+  Impl_->Fault_ = readAnswerHead(Impl_->Names_, Impl_->Parser_.parsed(),
+                                 Impl_->ToHeadRequest_, Impl_->Head_);
+  return Impl_->Fault_ == AnswerFault::None ? Step : ReadStep::Failed;
 }
 
 traffic::AnswerHead &AnswerReader::head() { return Impl_->Head_; }
@@ -144,7 +157,7 @@
 
 bool AnswerReader::isComplete() const { return Impl_->Parser_.isComplete(); }
 
-model::AnswerFault AnswerReader::fault() const { return Impl_->Fault_; }
+AnswerFault AnswerReader::fault() const { return Impl_->Fault_; }
 
 unsigned AnswerReader::status() const { return Impl_->Parser_.status(); }
 
@@ -154,7 +167,7 @@
 
 void AnswerReader::start(bool ToHeadRequest) {
   Impl_->ToHeadRequest_ = ToHeadRequest;
-  Impl_->Fault_ = model::AnswerFault::None;
+  Impl_->Fault_ = AnswerFault::None;
   Impl_->Parser_.start(ToHeadRequest);
 }
 
--- a/tests/http/brokenanswerstest.cpp
+++ b/tests/http/brokenanswerstest.cpp
@@ -177,6 +177,7 @@
   CPPUNIT_TEST(isNoReportWhenAProbeGetsIt);
   CPPUNIT_TEST(isNoPromiseThatTheCallDidNotRun);
   CPPUNIT_TEST(isRefusedWithAnEmptyProof);
+  CPPUNIT_TEST(isRefusedWhenItNamesTwoCalls);
   CPPUNIT_TEST(isCountedByItsServerAndItsFault);
   CPPUNIT_TEST(isToldFromASoundOneThatIsOdd);
   CPPUNIT_TEST_SUITE_END();
@@ -305,6 +306,13 @@
         {"HTTP/1.1 200 OK\r\n" + Id + "Response-Signature: \r\n" + Body});
   }
 
+  /// Guards against an answer of which only the last id is looked at.
+  void isRefusedWhenItNamesTwoCalls() {
+    checkRefused(
+        {"HTTP/1.1 200 OK\r\nAttempt-Id: b2\r\n" + Signed + Body,
+         "HTTP/1.1 200 OK\r\n" + Signed + "Attempt-Id: b2\r\n" + Body});
+  }
+
   void isCountedByItsServerAndItsFault() {
     for (const auto &[Answer, Fault] : std::map<std::string, AnswerFault>{
              {withWrongStatus().back(), AnswerFault::Status},
