Replace a caller's key by the name of its workspace

What callers saw: on a deployment whose configuration lists workspaces with keys, a server got the key of each caller, and the workspace that the caller named itself; calls without a key or with an unknown one were run.

Cause: the list of workspaces in the configuration was not read, and nothing set, replaced or dropped the two header fields. They were passed on like any end-to-end field.

Change: workspaces with digests of their keys, and routes that need one, are part of a preset. traffic::identifyCaller decides on each request before its body is read: 401 (158, 159) without a known key, 503 for an unknown key while the view may be old. A request keeps the name of the workspace and not the credentials, and all ways to a server write their head from it. A caller's own field with a workspace is always dropped. A key is looked up again when the call has waited for a fresh view. The call log names the workspace. A pipelined request is now admitted once in place of twice.

Why it works: there is one place that decides and one that writes the head, and the credentials are not in what that place writes.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -4,6 +4,7 @@
 from collections import deque
 
 import wire
+import workspaces
 from judge import COLD_PER_SECOND, CONFIG_SECONDS, NOT_RUN
 from servers import body_of, signature
 
@@ -90,7 +91,7 @@
         call = f"c{self.number}-{self.call_count}"
         self.judge.record_sent(call, self.entry.name, is_safe, deadline)
         fields = {"Host": "soak.example", "Attempt-Id": call,
-                  "Deadline-Milliseconds": int(deadline * 1000)}
+                  "Deadline-Milliseconds": int(deadline * 1000), **workspaces.credentials(call)}
         body = b"x" * 200 if method == "POST" else b""
         try:
             self.writer.write(wire.compose(f"{method} {prefix}{call} HTTP/1.1", fields, body))
@@ -176,7 +177,7 @@
         self.waiting.append((call, self.judge.clock() + deadline + 0.5))
         fields = {"Host": "soak.example", "Attempt-Id": call,
                   "Deadline-Milliseconds": int(deadline * 1000),
-                  "Work-Milliseconds": PIPELINED_WORK_MILLISECONDS}
+                  "Work-Milliseconds": PIPELINED_WORK_MILLISECONDS, **workspaces.credentials(call)}
         writer.write(wire.compose(f"GET {prefix}{call} HTTP/1.1", fields))
 
 
@@ -203,6 +204,7 @@
                 "services": [{"name": name, "health-check-path": "/health", "connection-limit": 220,
                               "cold-start-s": 3.0, "cold-per-s": COLD_PER_SECOND}
                              for name in ("catalogo", "diritti")],
+                "tenants": workspaces.document(),
                 "limits": {"max-header-bytes": 16384, "max-body-bytes": 65536,
                            "header-timeout-ms": 5000, "idle-timeout-ms": 20000}}
 
@@ -242,7 +244,7 @@
         generation, version, accepted = entry.generation, self.version, self.accepted_at
         old, at = self.seen.get((entry.name, generation), 0), self.judge.clock()
         self.judge.record_sent(call, entry.name, True, 0.8)
-        fields = {"Attempt-Id": call, "Deadline-Milliseconds": 800}
+        fields = {"Attempt-Id": call, "Deadline-Milliseconds": 800, **workspaces.credentials(call)}
         try:
             answer = await asyncio.wait_for(
                 exchange(entry.port, "GET", f"/v{target}/x", fields), 1.5)
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -9,6 +9,7 @@
 import subprocess
 import time
 
+import workspaces
 from callers import ROUTES, Balancer, Caller, Operator, PipeliningCaller, exchange
 from judge import COLD_OVERSHOOT, COLD_SLACK, GRACE_SECONDS, STALL_SECONDS, Judge
 from proxy import Proxy
@@ -263,7 +264,8 @@
                 try:
                     answer = await asyncio.wait_for(exchange(
                         entry.port, "GET", f"{ROUTES[0][1]}{call}",
-                        {"Attempt-Id": call, "Deadline-Milliseconds": 800}), 1.5)
+                        {"Attempt-Id": call, "Deadline-Milliseconds": 800,
+                         **workspaces.credentials(call)}), 1.5)
                 except (OSError, asyncio.TimeoutError):
                     continue
                 served += answer is not None and answer.fields.get("response-signature") == signature(call)
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -8,6 +8,8 @@
 
 from dataclasses import dataclass, field
 
+from workspaces import workspace_of
+
 STABLE_SECONDS = 3.0
 GRACE_SECONDS = 6.0
 LEAVING_SECONDS = 2.0
@@ -202,6 +204,9 @@
         if call not in self.sent:
             return self.report_violation("UNASKED", f"{call} at {server.name}")
         at, process, is_safe = self.sent[call]
+        if "authorization" in request.fields or request.fields.get("tenant") != workspace_of(call):
+            self.report_violation("UNASKED", f"{call} from {process} ran with its key, or for "
+                                             f"workspace {request.fields.get('tenant')}")
         earlier_runs = self.runs.setdefault(call, [])
         self.arrivals.append((now, not earlier_runs))
         earlier_runs.append((now, server.name, process))
@@ -295,6 +300,8 @@
             if status in (502, 504) and self.working.get(call) \
                     and (stop := self._stop_around(call, process)):
                 stop.replaced.append(call)
+        if status == 401:
+            self.report_violation("DENIED", f"{call} from {process} got 401")
         if not 100 <= status < 600:
             self.report_violation("MIXED", f"{call} from {process} got status {status}")
         if status // 100 == 2:
--- a/src/libcumingauge/adapters/calllog.cpp
+++ b/src/libcumingauge/adapters/calllog.cpp
@@ -42,6 +42,7 @@
       {{"call", Record.Call_},
        {"route", Record.Route_},
        {"service", Record.Service_},
+       {"workspace", Record.Workspace_},
        {"code", static_cast<int>(Record.Code_)},
        {"codeName", codeName(Record.Code_)},
        {"tookMs", Record.Took_.count()},
--- a/src/libcumingauge/adapters/calllog.h
+++ b/src/libcumingauge/adapters/calllog.h
@@ -17,6 +17,7 @@
   std::string Call_; ///< call id
   std::string Route_;
   std::string Service_;
+  std::string Workspace_; ///< whose key the caller has; empty: none
   model::ResultCode Code_ = model::ResultCode::Ok;
   model::milliseconds Took_{0};    ///< from arrival to the end of the answer
   model::milliseconds Allowed_{0}; ///< from arrival to deadline
--- a/src/libcumingauge/adapters/httpcall.cpp
+++ b/src/libcumingauge/adapters/httpcall.cpp
@@ -193,6 +193,8 @@
   Out.reserve(Head.Target_.size() + Head.Fields_.size() + 256);
   Out.append(Head.Method_).append(" ").append(Head.Target_);
   Out.append(" HTTP/1.1\r\n").append(Head.Fields_);
+  if (!Request_.Workspace_.empty())
+    appendHeader(Out, Names.Workspace_, Request_.Workspace_);
   appendHeader(Out, Names.CallId_, Head.CallId_);
   appendHeader(Out, Names.Attempt_, std::to_string(SentAttempt));
   appendHeader(Out, Names.Server_,
--- a/src/libcumingauge/adapters/httpcall.h
+++ b/src/libcumingauge/adapters/httpcall.h
@@ -44,6 +44,8 @@
   const policy::CallFacts &facts() const { return Facts_; }
   bool isPipelined() const { return Request_.Pipelined_; }
   const std::string &callId() const { return Request_.Head_.CallId_; }
+  const std::string &workspace() const { return Request_.Workspace_; }
+  const traffic::RequestHead &head() const { return Request_.Head_; }
   std::vector<model::AttemptTrace> traces() const;
 
 private:
--- a/src/libcumingauge/adapters/httpcalleranswers.cpp
+++ b/src/libcumingauge/adapters/httpcalleranswers.cpp
@@ -25,11 +25,14 @@
 constexpr std::size_t MaxCopiedBytes = 16384;
 constexpr unsigned StatusNoContent = 204;
 constexpr unsigned StatusNotModified = 304;
+constexpr unsigned StatusUnauthorized = 401;
 
 const char *reasonPhrase(unsigned Status) {
   switch (Status) {
   case 400:
     return "Bad Request";
+  case StatusUnauthorized:
+    return "Unauthorized";
   case 404:
     return "Not Found";
   case 408:
@@ -117,6 +120,8 @@
       std::max(RetryAfter, Worker_.limits().RetryAfter_);
   if (model::isNotRun(Code) && Wait > model::milliseconds(0))
     appendHeader(Outgoing_, "Retry-After", formatSeconds(Wait));
+  if (Status == StatusUnauthorized)
+    appendHeader(Outgoing_, "WWW-Authenticate", Names.KeyScheme_);
   appendHeader(Outgoing_, "Content-Type", "text/plain");
   appendFraming(Outgoing_, Framing::Length, Text.size() + 1);
   if (!KeepAlive_)
--- a/src/libcumingauge/adapters/httpcallersession.cpp
+++ b/src/libcumingauge/adapters/httpcallersession.cpp
@@ -2,6 +2,7 @@
 // httpcalleranswers.cpp.
 #include "adapters/httpcallersession.h"
 #include "adapters/httpcall.h"
+#include "adapters/httptext.h"
 #include "adapters/httpworker.h"
 #include <algorithm>
 #include <utility>
@@ -21,6 +22,14 @@
 /// caller cannot occupy all servers.
 constexpr std::size_t MaxPipelinedCalls = 8;
 
+/// Returns whether a request has a form in which it can run beside others.
+bool canRunConcurrently(const traffic::RequestHead &Head) {
+  const bool HasNoBody =
+      Head.Framing_ == traffic::Framing::None ||
+      (Head.Framing_ == traffic::Framing::Length && Head.Length_ == 0);
+  return HasNoBody && !Head.ExpectsContinue_ && !Head.IsHead_ && !Head.Http10_;
+}
+
 } // namespace
 
 HttpCallerSession::HttpCallerSession(tcp::socket Socket, HttpWorker &Worker)
@@ -139,12 +148,12 @@
   Incoming_ = std::make_unique<HttpCallRequest>();
   Incoming_->Arrived_ =
       std::exchange(FirstArrival_, std::nullopt).value_or(Worker_.now());
-  const auto Admission = Worker_.findRoute(Head.Host_, Head.Target_);
+  const auto Admission = Worker_.admitRequest(Head);
   if (!Admission.Route_) {
     refuseRequest(Admission.Reason_);
     return false;
   }
-  Incoming_->Route_ = Admission.Route_;
+  applyAdmission(Admission, *Incoming_);
   MaxBodyBytes_ = Admission.Route_->MaxBodyBytes_;
   if (Head.Length_ > MaxBodyBytes_) {
     refuseRequest(ResultCode::RequestBodyTooLarge);
@@ -174,6 +183,19 @@
   return false;
 }
 
+/// Sets the route and the workspace of a request whose head was read. From here
+/// on the key is not among the fields that are passed on.
+void HttpCallerSession::applyAdmission(const RequestAdmission &Admission,
+                                       HttpCallRequest &Request) {
+  Request.Route_ = Admission.Route_;
+  Request.Workspace_ = Admission.Identity_.Workspace_;
+  if (!Admission.Identity_.PassesCredentials_)
+    return;
+  traffic::RequestHead &Head = Reader_.head();
+  for (const std::string &Credentials : Head.Credentials_)
+    appendHeader(Head.Fields_, Worker_.dialect().Key_, Credentials);
+}
+
 /// Takes over the head that was read and sets the caller and the deadline,
 /// which follow from it. While the process stops, the deadline lies before its
 /// end, except for an answer that is passed on already.
@@ -218,17 +240,6 @@
 
 // Pipelined requests.
 
-bool HttpCallerSession::canRunConcurrently(
-    const traffic::RequestHead &Head) const {
-  const bool HasNoBody =
-      Head.Framing_ == traffic::Framing::None ||
-      (Head.Framing_ == traffic::Framing::Length && Head.Length_ == 0);
-  if (!HasNoBody || Head.ExpectsContinue_ || Head.IsHead_ || Head.Http10_)
-    return false;
-  const auto Admission = Worker_.findRoute(Head.Host_, Head.Target_);
-  return Admission.Route_ && Admission.Route_->Idempotent_;
-}
-
 /// Starts the calls of the pipelined requests that have arrived. The first one
 /// that must not run concurrently waits until all calls before it are answered,
 /// and so do those after it. While the process stops no call is added, so that
@@ -240,19 +251,23 @@
     const ReadStep Step = Reader_.next();
     if (Step == ReadStep::NeedMore)
       return;
-    if (Step == ReadStep::Head && canRunConcurrently(Reader_.head()))
-      startPipelinedCall();
-    else
+    if (Step != ReadStep::Head || !startPipelinedCall())
       DeferredStep_ = Step;
   }
 }
 
-void HttpCallerSession::startPipelinedCall() {
+/// Starts the call of a pipelined request, unless it must not run beside others
+/// or is refused. Returns whether it did.
+bool HttpCallerSession::startPipelinedCall() {
+  if (!canRunConcurrently(Reader_.head()))
+    return false;
+  const auto Admission = Worker_.admitRequest(Reader_.head());
+  if (!Admission.Route_ || !Admission.Route_->Idempotent_)
+    return false;
   HttpCallRequest Incoming;
   Incoming.Arrived_ = Worker_.now();
   Incoming.Pipelined_ = true;
-  Incoming.Route_ =
-      Worker_.findRoute(Reader_.head().Host_, Reader_.head().Target_).Route_;
+  applyAdmission(Admission, Incoming);
   HttpCallRequest Request =
       completeRequest(std::move(Incoming), /*Complete=*/true);
   PipelinedCall Started;
@@ -266,6 +281,7 @@
   const auto Answer = Started.Answer_;
   PipelinedCalls_.push_back(std::move(Started));
   Answer->start(Call);
+  return true;
 }
 
 /// Makes the oldest pipelined call the one that is answered now.
--- a/src/libcumingauge/adapters/httpcallersession.h
+++ b/src/libcumingauge/adapters/httpcallersession.h
@@ -4,6 +4,7 @@
 #include "adapters/callerchannel.h"
 #include "adapters/httpcallrequest.h"
 #include "adapters/httprequestreader.h"
+#include "adapters/requestadmission.h"
 #include "model/time.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -82,10 +83,11 @@
   bool handleHead();
   bool handleBodyPiece();
   void dispatch(bool Complete);
+  void applyAdmission(const RequestAdmission &Admission,
+                      HttpCallRequest &Request);
   HttpCallRequest completeRequest(HttpCallRequest Request, bool Complete);
   void startPipelinedCalls();
-  bool canRunConcurrently(const traffic::RequestHead &Head) const;
-  void startPipelinedCall();
+  bool startPipelinedCall();
   void answerNextCall();
   bool endsAfterAnswer() const;
   bool isCloseAnnounced() const { return !ClosingIdle_ && !KeepAlive_; }
--- a/src/libcumingauge/adapters/httpcallrequest.h
+++ b/src/libcumingauge/adapters/httpcallrequest.h
@@ -15,6 +15,7 @@
   std::string KeptBody_;     ///< the body or its beginning, kept for retries
   bool BodyComplete_ = true; ///< false: the rest is requested piece by piece
   std::string Caller_;       ///< whose quota the call uses
+  std::string Workspace_;    ///< whose key the caller has; empty: none
   bool Pipelined_ = false;   ///< arrived while an earlier call was unanswered
   model::TimePoint Arrived_;
   model::TimePoint Deadline_;
--- a/src/libcumingauge/adapters/httprequestreader.cpp
+++ b/src/libcumingauge/adapters/httprequestreader.cpp
@@ -76,8 +76,13 @@
   }
   if (iequals(Name, Names.Caller_))
     Head.Caller_ = textOf(Value);
-  if (iequals(Name, Names.Server_))
-    return true; // dropped; this process sets the name of the server itself
+  if (iequals(Name, Names.Key_)) {
+    Head.Credentials_.push_back(textOf(Value));
+    return true;
+  }
+  // Dropped; this process sets both itself.
+  if (iequals(Name, Names.Server_) || iequals(Name, Names.Workspace_))
+    return true;
   appendField(Head.Fields_, Name, Value);
   return true;
 }
--- a/src/libcumingauge/adapters/httpworker.cpp
+++ b/src/libcumingauge/adapters/httpworker.cpp
@@ -98,17 +98,30 @@
   finishDrainIfDone();
 }
 
-HttpWorker::Admission HttpWorker::findRoute(const std::string &Host,
-                                            const std::string &Target) {
+RequestAdmission HttpWorker::admitRequest(const traffic::RequestHead &Head) {
   const model::Preset *Preset =
       View_ ? model::presetInForce(*View_->Config_) : nullptr;
   if (!Preset)
-    return {nullptr, ResultCode::NotRunControlStale};
+    return {nullptr, ResultCode::NotRunControlStale, {}};
   const std::string_view Path =
-      std::string_view(Target).substr(0, Target.find('?'));
-  if (auto Route = Routes_.choose(Host, Path))
-    return {std::move(Route), ResultCode::Ok};
-  return {nullptr, ResultCode::RequestNoRoute};
+      std::string_view(Head.Target_).substr(0, Head.Target_.find('?'));
+  auto Route = Routes_.choose(Head.Host_, Path);
+  if (!Route)
+    return {nullptr, ResultCode::RequestNoRoute, {}};
+  auto Identity = identify(Head, *Route);
+  if (Identity.Reason_ != ResultCode::Ok)
+    return {nullptr, Identity.Reason_, {}};
+  return {std::move(Route), ResultCode::Ok, std::move(Identity)};
+}
+
+traffic::CallerIdentity HttpWorker::identify(const traffic::RequestHead &Head,
+                                             const model::Route &Route) const {
+  auto Identity = traffic::identifyCaller(Keys_, dialect().KeyScheme_, Head,
+                                          Route.KeyRequired_);
+  // A newer configuration may have the key.
+  if (Identity.Reason_ == ResultCode::RequestKeyUnknown && !isFresh())
+    Identity.Reason_ = ResultCode::NotRunControlStale;
+  return Identity;
 }
 
 void HttpWorker::recordRefusedRequest(const std::string &Call,
@@ -234,7 +247,7 @@
     if (!Call)
       continue;
     if (Fresh)
-      choose(Call);
+      placeAfterWait(Call);
     else if (Now >= Wait.Until_)
       Call->decide({policy::Verdict::Refuse, policy::NoServer,
                     ResultCode::NotRunControlStale});
@@ -243,6 +256,17 @@
   }
 }
 
+void HttpWorker::placeAfterWait(const std::shared_ptr<HttpCall> &Call) {
+  const auto Identity = identify(Call->head(), Call->facts().Route_);
+  if (Identity.Reason_ == ResultCode::Ok &&
+      Identity.Workspace_ == Call->workspace())
+    return choose(Call);
+  Call->decide({policy::Verdict::Refuse, policy::NoServer,
+                Identity.Reason_ == ResultCode::Ok
+                    ? ResultCode::RequestKeyUnknown
+                    : Identity.Reason_});
+}
+
 void HttpWorker::recordCallStart() {
   const std::lock_guard<std::mutex> Lock(PublishedMutex_);
   ++Stats_.InFlight_;
@@ -297,6 +321,7 @@
   Record.Call_ = Call.callId();
   Record.Route_ = Facts.Route_.Name_;
   Record.Service_ = Facts.Route_.Service_;
+  Record.Workspace_ = Call.workspace();
   Record.Code_ = Code;
   Record.Took_ =
       std::chrono::duration_cast<model::milliseconds>(now() - Facts.Arrived_);
--- a/src/libcumingauge/adapters/httpworker.h
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -6,12 +6,14 @@
 #include "adapters/httppool.h"
 #include "adapters/httpprobe.h"
 #include "adapters/httptraffic.h"
+#include "adapters/requestadmission.h"
 #include "adapters/stopplan.h"
 #include "policy/balancer.h"
 #include "policy/loadquery.h"
 #include "traffic/routetable.h"
 #include "traffic/serverlifecycle.h"
 #include "traffic/trafficstats.h"
+#include "traffic/workspacekeys.h"
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -62,12 +64,6 @@
 
   // For callers' sessions.
 
-  /// Route of a request, or why it is refused.
-  struct Admission {
-    std::shared_ptr<const model::Route> Route_; ///< null: refused
-    model::ResultCode Reason_ = model::ResultCode::Ok;
-  };
-
   /// Starts a session on a new connection of a caller. Above the limit of
   /// connections the caller gets a refusal, or the connection is just closed.
   void addCallerConnection(boost::asio::ip::tcp::socket Socket);
@@ -85,7 +81,8 @@
   model::TimePoint answerBy() const {
     return Stop_ ? Stop_->AnswerBy_ : model::TimePoint::max();
   }
-  Admission findRoute(const std::string &Host, const std::string &Target);
+  /// Finds the route of a request and checks its caller's key.
+  RequestAdmission admitRequest(const traffic::RequestHead &Head);
   /// \param Call identity from the request, or empty.
   void recordRefusedRequest(const std::string &Call, const std::string &Target,
                             model::ResultCode Code);
@@ -184,6 +181,10 @@
                         const traffic::ServerEvent &Event);
   /// Dispatches, queues or refuses a call as the balancer decides.
   void choose(const std::shared_ptr<HttpCall> &Call);
+  /// Places a call whose view was stale, unless its key has been withdrawn.
+  void placeAfterWait(const std::shared_ptr<HttpCall> &Call);
+  traffic::CallerIdentity identify(const traffic::RequestHead &Head,
+                                   const model::Route &Route) const;
   /// Continues the queued calls that can be dispatched or must be refused.
   void releaseWaiting();
   void scheduleRelease();
@@ -244,6 +245,7 @@
   /// ConfiguredLimits_ with the overrides of the preset in force.
   HttpLimits Limits_;
   traffic::RouteTable Routes_;
+  traffic::WorkspaceKeys Keys_;
   model::milliseconds ConnectTimeout_{200};
   model::milliseconds ProbeTimeout_{500};
   model::milliseconds LoadQueryTimeout_{4};
--- a/src/libcumingauge/adapters/httpworkerservers.cpp
+++ b/src/libcumingauge/adapters/httpworkerservers.cpp
@@ -28,6 +28,8 @@
   if (const model::Preset *Preset = model::presetInForce(*View->Config_)) {
     if (Changed)
       Routes_.replaceRoutes(Preset->Routes_, rotationStart());
+    if (!Keys_.isFor(Preset->Workspaces_))
+      Keys_ = traffic::WorkspaceKeys(Preset->Workspaces_);
     applyLimits(Preset->Callers_);
     ConnectTimeout_ = Preset->Servers_.ConnectTimeout_;
     ProbeTimeout_ = Preset->Measuring_.ProbeTimeout_;
--- a/src/libcumingauge/adapters/nativedialect.cpp
+++ b/src/libcumingauge/adapters/nativedialect.cpp
@@ -16,6 +16,9 @@
   traffic::Dialect Out;
   Out.DeadlineMs_ = names::DeadlineMs;
   Out.Caller_ = names::Caller;
+  Out.Key_ = names::Key;
+  Out.KeyScheme_ = names::KeyScheme;
+  Out.Workspace_ = names::Workspace;
   Out.CallId_ = names::CallId;
   Out.Attempt_ = names::Attempt;
   Out.ResultCode_ = names::ResultCode;
--- /dev/null
+++ b/src/libcumingauge/adapters/requestadmission.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "model/resultcode.h"
+#include "model/route.h"
+#include "traffic/workspacekeys.h"
+#include <memory>
+
+namespace cumingauge::adapters {
+
+/// Route of a request and its caller's identity, or why it is refused.
+struct RequestAdmission {
+  std::shared_ptr<const model::Route> Route_; ///< null: refused
+  model::ResultCode Reason_ = model::ResultCode::Ok;
+  traffic::CallerIdentity Identity_;
+};
+
+} // namespace cumingauge::adapters
--- a/src/libcumingauge/codec/describedjson.h
+++ b/src/libcumingauge/codec/describedjson.h
@@ -2,6 +2,7 @@
 
 #include "model/describe.h"
 #include "model/problem.h"
+#include "model/shared.h"
 #include <boost/describe.hpp>
 #include <boost/mp11.hpp>
 #include <cctype>
@@ -58,6 +59,10 @@
 template <class T> struct IsMap<std::map<std::string, T>> : std::true_type {};
 template <class T> struct IsOptional : std::false_type {};
 template <class T> struct IsOptional<std::optional<T>> : std::true_type {};
+template <class T> struct IsShared : std::false_type {};
+template <class T> struct IsShared<model::Shared<T>> : std::true_type {
+  using Value = T;
+};
 template <class T> struct IsVariant : std::false_type {};
 template <class... T> struct IsVariant<std::variant<T...>> : std::true_type {};
 
@@ -234,6 +239,8 @@
     for (const auto &Entry : Value)
       Out[Entry.first] = toJson(Entry.second);
     return Out;
+  } else if constexpr (detail::IsShared<T>::value) {
+    return toJson(*Value);
   } else if constexpr (detail::IsVariant<T>::value) {
     return std::visit(
         [](const auto &Alternative) {
@@ -303,6 +310,10 @@
   } else if constexpr (detail::IsOptional<T>::value) {
     Out.emplace();
     fromJson(In, Path, *Out, Found);
+  } else if constexpr (detail::IsShared<T>::value) {
+    typename detail::IsShared<T>::Value Value{};
+    fromJson(In, Path, Value, Found);
+    Out = std::move(Value);
   } else if constexpr (detail::IsVariant<T>::value) {
     detail::readVariant(In, Path, Out, Found);
   } else {
--- a/src/libcumingauge/model/preset.cpp
+++ b/src/libcumingauge/model/preset.cpp
@@ -100,6 +100,9 @@
           Path + "/ejection/baseTimeMs", "must be at least 1 ms", Found);
   require(!Value.Routes_.empty(), Path + "/routes", "must have a route", Found);
   checkRoutes(Value.Routes_, Path + "/routes", Found);
+  const Problems OfWorkspaces =
+      checkWorkspaces(*Value.Workspaces_, Path + "/workspaces");
+  Found.insert(Found.end(), OfWorkspaces.begin(), OfWorkspaces.end());
   return Found;
 }
 
--- a/src/libcumingauge/model/preset.h
+++ b/src/libcumingauge/model/preset.h
@@ -4,6 +4,7 @@
 #include "model/problem.h"
 #include "model/route.h"
 #include "model/time.h"
+#include "model/workspace.h"
 #include <map>
 #include <string>
 #include <vector>
@@ -150,11 +151,12 @@
   CallerLimits Callers_;
   /// Region of each availability zone, for routes with homes.
   std::map<std::string, std::string> Regions_;
+  Workspaces Workspaces_;
 };
 BOOST_DESCRIBE_STRUCT(Preset, (),
                       (Name_, Summary_, Pick_, ZoneCost_, Measuring_, Retry_,
                        Hedge_, Queue_, Servers_, Ejection_, Cold_, Routes_,
-                       Services_, Callers_, Regions_))
+                       Services_, Callers_, Regions_, Workspaces_))
 
 /// Returns the settings of a service, or null when the preset has none.
 const ServiceRule *findServiceRule(const Preset &Value,
--- a/src/libcumingauge/model/resultcode.cpp
+++ b/src/libcumingauge/model/resultcode.cpp
@@ -29,6 +29,9 @@
   case ResultCode::RequestMalformed:
   case ResultCode::RequestLengthConflict:
     return 400;
+  case ResultCode::RequestKeyMissing:
+  case ResultCode::RequestKeyUnknown:
+    return 401;
   case ResultCode::RequestHeadersTooLarge:
     return 431;
   case ResultCode::RequestBodyTooLarge:
--- a/src/libcumingauge/model/resultcode.h
+++ b/src/libcumingauge/model/resultcode.h
@@ -65,6 +65,8 @@
   RequestLengthConflict = 155,
   RequestExpectationUnknown = 156,
   CallerGone = 157,
+  RequestKeyMissing = 158,
+  RequestKeyUnknown = 159,
 };
 
 BOOST_DESCRIBE_ENUM(
@@ -81,7 +83,7 @@
     UnknownConnectionLost, UnknownAnswerBroken, UnknownAnswerMalformed,
     RequestMalformed, RequestHeadersTooLarge, RequestBodyTooLarge,
     RequestTimeout, RequestNoRoute, RequestLengthConflict,
-    RequestExpectationUnknown, CallerGone)
+    RequestExpectationUnknown, CallerGone, RequestKeyMissing, RequestKeyUnknown)
 
 /// Returns the name of a code, as used in the documentation; "Unnamed" for a
 /// number that is not a code.
--- a/src/libcumingauge/model/route.h
+++ b/src/libcumingauge/model/route.h
@@ -37,10 +37,11 @@
   std::vector<RoutePart> Parts_;
   /// Regions whose servers may get the calls; empty: all.
   std::vector<std::string> Homes_;
+  bool KeyRequired_ = false; ///< calls need the key of a workspace
 };
 BOOST_DESCRIBE_STRUCT(Route, (),
                       (Name_, PathPrefix_, Service_, Idempotent_, Priority_,
                        Deadline_, MaxBodyBytes_, Host_, Objective_,
-                       MaxAttempts_, Parts_, Homes_))
+                       MaxAttempts_, Parts_, Homes_, KeyRequired_))
 
 } // namespace cumingauge::model
--- /dev/null
+++ b/src/libcumingauge/model/workspace.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "model/describe.h"
+#include "model/problem.h"
+#include "model/shared.h"
+#include <string>
+#include <vector>
+
+namespace cumingauge::model {
+
+/// A group of callers that prove by a key that they belong together.
+struct Workspace {
+  /// Told to backend servers in a header field.
+  std::string Name_;
+  /// SHA-256 of each of its keys, in lowercase hexadecimal.
+  std::vector<std::string> KeyDigests_;
+};
+BOOST_DESCRIBE_STRUCT(Workspace, (), (Name_, KeyDigests_))
+
+using Workspaces = Shared<std::vector<Workspace>>;
+
+/// Returns whether a name can be written into a header field.
+bool isWorkspaceName(const std::string &Name);
+
+/// Checks that names can be written into a header field, that digests have the
+/// form of SHA-256 digests, and that neither occurs twice. Returns the problems
+/// found.
+/// \param Path JSON path of the list in its document.
+Problems checkWorkspaces(const std::vector<Workspace> &Values,
+                         const std::string &Path);
+
+} // namespace cumingauge::model
--- a/src/libcumingauge/platform/configurationdocument.cpp
+++ b/src/libcumingauge/platform/configurationdocument.cpp
@@ -1,7 +1,9 @@
 #include "platform/configurationdocument.h"
+#include "codec/sha256.h"
 #include "platform/jsonfields.h"
 #include <algorithm>
 #include <limits>
+#include <set>
 
 namespace cumingauge::platform {
 
@@ -106,6 +108,81 @@
       Route.MaxBodyBytes_ = *Bytes;
 }
 
+/// Reads the workspaces of a configuration one after the other.
+class WorkspaceReader {
+public:
+  explicit WorkspaceReader(model::Problems &Found) : Found_(Found) {}
+
+  /// \param Path JSON path of the workspace in the document.
+  void read(const Json &Tenant, const std::string &Path) {
+    model::Workspace Read;
+    Read.Name_ = textField(Tenant, "name").value_or("");
+    if (!model::isWorkspaceName(Read.Name_) ||
+        !Names_.insert(Read.Name_).second) {
+      Found_.push_back({Path, "name is missing, not visible ASCII characters "
+                              "or used twice; the workspace is left out"});
+      return;
+    }
+    const Json *Keys = findField(Tenant, "api-keys");
+    if (Keys && Keys->is_array())
+      addKeys(*Keys, Path, Read);
+    else
+      Found_.push_back({Path, "api-keys is missing or has the wrong type"});
+    Workspaces_.push_back(std::move(Read));
+  }
+
+  std::vector<model::Workspace> take() { return std::move(Workspaces_); }
+
+private:
+  /// Adds the digests of a workspace's keys. One problem is reported for all
+  /// that are left out, as there may be many.
+  void addKeys(const Json &Keys, const std::string &Path,
+               model::Workspace &Out) {
+    for (const Json &Key : Keys) {
+      if (!Key.is_string())
+        continue;
+      const std::string Digest =
+          codec::sha256Hex(Key.get_ref<const std::string &>());
+      if (Digests_.insert(Digest).second)
+        Out.KeyDigests_.push_back(Digest);
+    }
+    const std::size_t LeftOut = Keys.size() - Out.KeyDigests_.size();
+    if (LeftOut > 0)
+      Found_.push_back({Path, std::to_string(LeftOut) +
+                                  " keys are not text or are used twice; they "
+                                  "are left out"});
+  }
+
+  model::Problems &Found_;
+  std::vector<model::Workspace> Workspaces_;
+  std::set<std::string> Names_;
+  std::set<std::string> Digests_;
+};
+
+void readWorkspaces(const Json &Document, model::Preset &Out,
+                    model::Problems &Found) {
+  const Json *Tenants = findField(Document, "tenants");
+  if (!Tenants)
+    return;
+  if (!Tenants->is_array()) {
+    Found.push_back(
+        {"configuration/tenants", "has the wrong type; no key is valid"});
+    return;
+  }
+  WorkspaceReader Reader(Found);
+  for (std::size_t I = 0; I < Tenants->size(); ++I)
+    Reader.read((*Tenants)[I], "configuration/tenants/" + std::to_string(I));
+  Out.Workspaces_ = Reader.take();
+}
+
+/// Returns whether the calls of a route need a key. They do when the document
+/// has a list of workspaces, even one that is empty or cannot be read.
+bool isKeyRequired(const Json &Document, const Json &Route) {
+  const Json *IsPublic = findField(Route, "public");
+  return findField(Document, "tenants") &&
+         !(IsPublic && IsPublic->is_boolean() && IsPublic->get<bool>());
+}
+
 } // namespace
 
 std::optional<ports::ListedConfiguration>
@@ -123,14 +200,17 @@
   Out.Preset_.Name_ = "version " + std::to_string(*Version);
   Out.Preset_.Routes_.clear();
   for (std::size_t I = 0; I < Routes->size(); ++I) {
-    if (auto Route = readRoute((*Routes)[I]))
+    if (auto Route = readRoute((*Routes)[I])) {
+      Route->KeyRequired_ = isKeyRequired(Parsed, (*Routes)[I]);
       Out.Preset_.Routes_.push_back(std::move(*Route));
-    else
+    } else {
       Found.push_back(
           {"configuration/routes/" + std::to_string(I),
            "host, prefix or service is missing or has the wrong type; "
            "the route is left out"});
+    }
   }
+  readWorkspaces(Parsed, Out.Preset_, Found);
   readServices(Parsed, Out.Preset_);
   readLimits(Parsed, Out.Preset_);
   return Out;
--- a/src/libcumingauge/platform/configurationdocument.h
+++ b/src/libcumingauge/platform/configurationdocument.h
@@ -8,9 +8,9 @@
 
 /// Parses the operators' configuration document.
 /// \param Base policy values, which the document does not contain.
-/// \param Found receives a problem for each route that cannot be read; such
-/// routes are left out.
-/// \returns nothing when the document as a whole cannot be read.
+/// \param Found receives a problem for each route, workspace and key that
+/// cannot be read; these are left out. \returns nothing when the document as a
+/// whole cannot be read.
 std::optional<ports::ListedConfiguration>
 readConfiguration(std::string_view Document, const model::Preset &Base,
                   model::Problems &Found);
--- a/src/libcumingauge/platform/dialect.cpp
+++ b/src/libcumingauge/platform/dialect.cpp
@@ -85,6 +85,9 @@
   traffic::Dialect Out;
   Out.DeadlineMs_ = wirenames::DeadlineMs;
   Out.CallId_ = wirenames::AttemptId;
+  Out.Key_ = wirenames::Authorization;
+  Out.KeyScheme_ = wirenames::KeyScheme;
+  Out.Workspace_ = wirenames::Tenant;
   Out.ResultCode_ = "X-Result-Code";
   Out.NotRun_ = wirenames::NotExecuted;
   Out.LoadReport_ = wirenames::ServerLoad;
--- a/src/libcumingauge/platform/wirenames.h
+++ b/src/libcumingauge/platform/wirenames.h
@@ -6,6 +6,9 @@
 // Header fields.
 constexpr const char *DeadlineMs = "Deadline-Milliseconds";
 constexpr const char *AttemptId = "Attempt-Id";
+constexpr const char *Authorization = "Authorization";
+constexpr const char *KeyScheme = "Token";
+constexpr const char *Tenant = "Tenant";
 constexpr const char *NotExecuted = "Not-Executed";
 constexpr const char *ServerLoad = "Server-Load";
 constexpr const char *ExpectedInstance = "Expected-Instance";
--- a/src/libcumingauge/traffic/dialect.h
+++ b/src/libcumingauge/traffic/dialect.h
@@ -22,6 +22,9 @@
 struct Dialect {
   std::string DeadlineMs_;  ///< time left until the deadline, in ms
   std::string Caller_;      ///< whose quota the call uses
+  std::string Key_;         ///< from callers: credentials with a key
+  std::string KeyScheme_;   ///< authentication scheme of these credentials
+  std::string Workspace_;   ///< to backend servers: workspace of the key
   std::string CallId_;      ///< identifies the call; repeated in its answer
   std::string Attempt_;     ///< to backend servers: number of the attempt
   std::string ResultCode_;  ///< to callers: number and name of the result code
--- a/src/libcumingauge/traffic/headers.h
+++ b/src/libcumingauge/traffic/headers.h
@@ -14,6 +14,11 @@
 /// arrives with an attempt above 1 is itself a retry and is not retried again
 /// by this process.
 constexpr const char *Attempt = "X-Attempt";
+/// From callers: "Bearer KEY", with the key of a workspace.
+constexpr const char *Key = "Authorization";
+constexpr const char *KeyScheme = "Bearer";
+/// To backend servers: the workspace that has the caller's key.
+constexpr const char *Workspace = "X-Workspace";
 /// From callers: passed to the backend server unchanged.
 constexpr const char *IdempotencyKey = "Idempotency-Key";
 /// To callers: number and name of the result code, such as "130
--- a/src/libcumingauge/traffic/messagehead.h
+++ b/src/libcumingauge/traffic/messagehead.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 /// Heads of HTTP messages as they are passed on: the end-to-end fields as one
 /// block of text, the fields that this process acts on parsed into members.
@@ -20,6 +21,8 @@
   std::string Target_;
   std::string Host_;   ///< value of the Host field, with its port if any
   std::string Fields_; ///< end-to-end fields, each "Name: value\r\n"
+  /// Values of the fields Dialect::Key_, which are not among Fields_.
+  std::vector<std::string> Credentials_;
   Framing Framing_ = Framing::None;
   std::uint64_t Length_ = 0; ///< body bytes, with Framing::Length
   bool KeepAlive_ = false;
--- a/tests/peer/generators.h
+++ b/tests/peer/generators.h
@@ -55,6 +55,7 @@
         model::Preset Preset;
         Preset.Name_ = std::move(Name);
         Preset.Routes_.resize(2);
+        Preset.Workspaces_ = std::vector<model::Workspace>{{"north", {"d1"}}};
         return model::PutPreset{std::move(Preset)};
       }));
 }
--- a/tests/platform/configurationdocumenttest.cpp
+++ b/tests/platform/configurationdocumenttest.cpp
@@ -46,6 +46,10 @@
   CPPUNIT_TEST(becomesAPresetWithThePolicyOfTheBasePreset);
   CPPUNIT_TEST(keepsTheConnectionLimitOfEachService);
   CPPUNIT_TEST(hasTheHomesOfItsRoutesAndTheLimitsOfColdServers);
+  CPPUNIT_TEST(keepsDigestsOfTheKeysOfWorkspaces);
+  CPPUNIT_TEST(requiresAKeyOnAllRoutesButPublicOnes);
+  CPPUNIT_TEST(skipsOnlyTheWorkspacesAndKeysThatCannotBeRead);
+  CPPUNIT_TEST(letsNobodyInWhenItsWorkspacesCannotBeRead);
   CPPUNIT_TEST(skipsOnlyTheRoutesThatCannotBeRead);
   CPPUNIT_TEST(treatsARouteOfUnknownKindAsNotIdempotent);
   CPPUNIT_TEST(isRefusedWithoutANumericVersion);
@@ -107,6 +111,64 @@
     CPPUNIT_ASSERT_EQUAL(0.0, Preset.Services_[1].ColdCallsPerSecond_);
   }
 
+  void keepsDigestsOfTheKeysOfWorkspaces() {
+    Json Document = makeValidDocument();
+    Document["tenants"] = {{{"name", "north"}, {"api-keys", {"abc", ""}}},
+                           {{"name", "south"}, {"api-keys", Json::array()}}};
+    const model::Preset Preset = read(Document)->Preset_;
+    const std::vector<model::Workspace> Expected = {
+        {"north",
+         {"ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad",
+          "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"}},
+        {"south", {}}};
+    CPPUNIT_ASSERT(Expected == *Preset.Workspaces_);
+    CPPUNIT_ASSERT(Found_.empty());
+    CPPUNIT_ASSERT(model::checkPreset(Preset, "").empty());
+  }
+
+  void requiresAKeyOnAllRoutesButPublicOnes() {
+    Json Document = makeValidDocument();
+    Document["routes"][1]["public"] = true;
+    CPPUNIT_ASSERT(!read(Document)->Preset_.Routes_[0].KeyRequired_);
+    Document["tenants"] = Json::array();
+    CPPUNIT_ASSERT(read(Document)->Preset_.Routes_[0].KeyRequired_);
+    CPPUNIT_ASSERT(!read(Document)->Preset_.Routes_[1].KeyRequired_);
+    Document["routes"][1]["public"] = "true";
+    CPPUNIT_ASSERT(read(Document)->Preset_.Routes_[1].KeyRequired_);
+  }
+
+  void skipsOnlyTheWorkspacesAndKeysThatCannotBeRead() {
+    Json Document = makeValidDocument();
+    Document["tenants"] = {{{"name", "a\r\nX: 1"}, {"api-keys", {"k1"}}},
+                           {{"api-keys", {"k2"}}},
+                           "north",
+                           {{"name", "north"}, {"api-keys", {"k3", 7, "k4"}}},
+                           {{"name", "north"}, {"api-keys", {"k5"}}},
+                           {{"name", "south"}, {"api-keys", {"k3", "k6"}}},
+                           {{"name", "west"}, {"api-keys", "k7"}}};
+    const model::Preset Preset = read(Document)->Preset_;
+    const auto &Read = *Preset.Workspaces_;
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), Read.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("north"), Read[0].Name_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), Read[0].KeyDigests_.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Read[1].KeyDigests_.size());
+    CPPUNIT_ASSERT(Read[2].KeyDigests_.empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(7), Found_.size());
+    CPPUNIT_ASSERT(model::checkPreset(Preset, "").empty());
+  }
+
+  void letsNobodyInWhenItsWorkspacesCannotBeRead() {
+    for (const Json &Tenants : {Json("north"), Json(nullptr), Json::object()}) {
+      Json Document = makeValidDocument();
+      Document["tenants"] = Tenants;
+      Found_.clear();
+      const model::Preset Preset = read(Document)->Preset_;
+      CPPUNIT_ASSERT(Preset.Routes_[0].KeyRequired_);
+      CPPUNIT_ASSERT(Preset.Workspaces_->empty());
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), Found_.size());
+    }
+  }
+
   void skipsOnlyTheRoutesThatCannotBeRead() {
     Json Document = makeValidDocument();
     Document["routes"][0].erase("prefix");
