--- a/tests/fuzz/fuzztest.cpp
+++ b/tests/fuzz/fuzztest.cpp
@@ -1,4 +1,5 @@
 #include "adapters/controlruntime.h"
+#include "adapters/httpanswerreader.h"
 #include "adapters/peercodec.h"
 #include "codec/describedjson.h"
 #include "control/storecodec.h"
@@ -179,8 +180,8 @@
     std::mt19937_64 Random(testing::readFuzzPlan().Seed_);
     expectAcceptedAndRejected(
         countAccepted(sampleAnswers(), [&](const std::string &Bytes) {
-          testing::PiecewiseReader Whole;
-          testing::PiecewiseReader Cut;
+          testing::PiecewiseReader<adapters::AnswerReader> Whole;
+          testing::PiecewiseReader<adapters::AnswerReader> Cut;
           const std::string_view Text = Bytes;
           const std::size_t First = Random() % (Text.size() + 1);
           const std::size_t Second = Random() % (Text.size() - First + 1);
--- a/tests/http/answerpiecestest.cpp
+++ b/tests/http/answerpiecestest.cpp
@@ -1,9 +1,10 @@
+#include "adapters/httpanswerreader.h"
 #include "support/piecewisereader.h"
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace cumingauge;
 using adapters::ReadStep;
-using testing::PiecewiseReader;
+using PiecewiseReader = testing::PiecewiseReader<adapters::AnswerReader>;
 
 namespace {
 
--- a/tests/support/piecewisereader.h
+++ b/tests/support/piecewisereader.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "adapters/httpanswerreader.h"
+#include "adapters/httpreadstep.h"
 #include "platform/dialect.h"
 #include <boost/asio/buffer.hpp>
 #include <string>
@@ -8,8 +8,9 @@
 
 namespace cumingauge::testing {
 
-/// Reads one answer whose bytes arrive as the test says.
-class PiecewiseReader {
+/// Reads one message whose bytes arrive as the test says.
+/// \tparam Reader AnswerReader or RequestReader.
+template <class Reader> class PiecewiseReader {
 public:
   /// Adds bytes as one read, or several if there is no room, and parses as far
   /// as they go.
@@ -40,7 +41,7 @@
   }
 
   static constexpr std::uint32_t HeaderLimit = 16384;
-  adapters::AnswerReader Reader_{HeaderLimit, platform::platformDialect()};
+  Reader Reader_{HeaderLimit, platform::platformDialect()};
   std::string Body_;
 };
 
