Let a call take its caller's identity anew after a wait

Callers saw: nothing yet; found while reading afresh. A call that waited for a fresh view while workspaces came into force was refused with 401 although its caller had a valid key, since its credentials were already among the fields that are passed on.

Cause: the decision on the credentials was written into the request's fields when it was read.

Change: the request keeps the identity, and the head is written from it: the workspace, or the credentials where they are not meant for this process. After the wait the call gets the identity that the view in force gives, or is refused. model::Shared is copied only, so that no object without a value is left behind by a move.

--- a/src/libcumingauge/adapters/httpcall.cpp
+++ b/src/libcumingauge/adapters/httpcall.cpp
@@ -193,8 +193,7 @@
   Out.reserve(Head.Target_.size() + Head.Fields_.size() + 256);
   Out.append(Head.Method_).append(" ").append(Head.Target_);
   Out.append(" HTTP/1.1\r\n").append(Head.Fields_);
-  if (!Request_.Workspace_.empty())
-    appendHeader(Out, Names.Workspace_, Request_.Workspace_);
+  appendIdentity(Out);
   appendHeader(Out, Names.CallId_, Head.CallId_);
   appendHeader(Out, Names.Attempt_, std::to_string(SentAttempt));
   appendHeader(Out, Names.Server_,
@@ -209,6 +208,18 @@
   return Out.append("\r\n");
 }
 
+/// Appends the workspace of the call. Its credentials follow only if they are
+/// not meant for this process.
+void HttpCall::appendIdentity(std::string &Out) const {
+  const traffic::Dialect &Names = Worker_.dialect();
+  if (!workspace().empty())
+    appendHeader(Out, Names.Workspace_, workspace());
+  if (!Request_.Identity_.PassesCredentials_)
+    return;
+  for (const std::string &Credentials : Request_.Head_.Credentials_)
+    appendHeader(Out, Names.Key_, Credentials);
+}
+
 void HttpCall::onExchange(AttemptNumber Number, ExchangeStep Step) {
   switch (Step) {
   case ExchangeStep::BodyWanted:
--- a/src/libcumingauge/adapters/httpcall.h
+++ b/src/libcumingauge/adapters/httpcall.h
@@ -31,6 +31,12 @@
   /// Applies the balancer's decision on this call.
   void decide(const policy::Decision &Decision);
 
+  /// Replaces the caller's identity, as of another configuration. To be called
+  /// before the call is placed.
+  void identify(traffic::CallerIdentity Identity) {
+    Request_.Identity_ = std::move(Identity);
+  }
+
   void onCallerLeft();
 
   /// Moves the deadline forward to this time, if it is later, unless an answer
@@ -44,7 +50,7 @@
   const policy::CallFacts &facts() const { return Facts_; }
   bool isPipelined() const { return Request_.Pipelined_; }
   const std::string &callId() const { return Request_.Head_.CallId_; }
-  const std::string &workspace() const { return Request_.Workspace_; }
+  const std::string &workspace() const { return Request_.Identity_.Workspace_; }
   const traffic::RequestHead &head() const { return Request_.Head_; }
   std::vector<model::AttemptTrace> traces() const;
 
@@ -98,6 +104,7 @@
   void sendPiece(traffic::AttemptNumber Number,
                  const CallerChannel::BodyPiece &Piece);
   std::string requestHead(traffic::AttemptNumber Number) const;
+  void appendIdentity(std::string &Out) const;
   void setTimer();
 
   HttpWorker &Worker_;
--- a/src/libcumingauge/adapters/httpcallersession.cpp
+++ b/src/libcumingauge/adapters/httpcallersession.cpp
@@ -2,7 +2,6 @@
 // httpcalleranswers.cpp.
 #include "adapters/httpcallersession.h"
 #include "adapters/httpcall.h"
-#include "adapters/httptext.h"
 #include "adapters/httpworker.h"
 #include <algorithm>
 #include <utility>
@@ -153,7 +152,8 @@
     refuseRequest(Admission.Reason_);
     return false;
   }
-  applyAdmission(Admission, *Incoming_);
+  Incoming_->Route_ = Admission.Route_;
+  Incoming_->Identity_ = Admission.Identity_;
   MaxBodyBytes_ = Admission.Route_->MaxBodyBytes_;
   if (Head.Length_ > MaxBodyBytes_) {
     refuseRequest(ResultCode::RequestBodyTooLarge);
@@ -183,19 +183,6 @@
   return false;
 }
 
-/// Sets the route and the workspace of a request whose head was read. From here
-/// on the key is not among the fields that are passed on.
-void HttpCallerSession::applyAdmission(const RequestAdmission &Admission,
-                                       HttpCallRequest &Request) {
-  Request.Route_ = Admission.Route_;
-  Request.Workspace_ = Admission.Identity_.Workspace_;
-  if (!Admission.Identity_.PassesCredentials_)
-    return;
-  traffic::RequestHead &Head = Reader_.head();
-  for (const std::string &Credentials : Head.Credentials_)
-    appendHeader(Head.Fields_, Worker_.dialect().Key_, Credentials);
-}
-
 /// Takes over the head that was read and sets the caller and the deadline,
 /// which follow from it. While the process stops, the deadline lies before its
 /// end, except for an answer that is passed on already.
@@ -267,7 +254,8 @@
   HttpCallRequest Incoming;
   Incoming.Arrived_ = Worker_.now();
   Incoming.Pipelined_ = true;
-  applyAdmission(Admission, Incoming);
+  Incoming.Route_ = Admission.Route_;
+  Incoming.Identity_ = Admission.Identity_;
   HttpCallRequest Request =
       completeRequest(std::move(Incoming), /*Complete=*/true);
   PipelinedCall Started;
--- a/src/libcumingauge/adapters/httpcallersession.h
+++ b/src/libcumingauge/adapters/httpcallersession.h
@@ -4,7 +4,6 @@
 #include "adapters/callerchannel.h"
 #include "adapters/httpcallrequest.h"
 #include "adapters/httprequestreader.h"
-#include "adapters/requestadmission.h"
 #include "model/time.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -83,8 +82,6 @@
   bool handleHead();
   bool handleBodyPiece();
   void dispatch(bool Complete);
-  void applyAdmission(const RequestAdmission &Admission,
-                      HttpCallRequest &Request);
   HttpCallRequest completeRequest(HttpCallRequest Request, bool Complete);
   void startPipelinedCalls();
   bool startPipelinedCall();
--- a/src/libcumingauge/adapters/httpcallrequest.h
+++ b/src/libcumingauge/adapters/httpcallrequest.h
@@ -3,6 +3,7 @@
 #include "model/route.h"
 #include "model/time.h"
 #include "traffic/messagehead.h"
+#include "traffic/workspacekeys.h"
 #include <memory>
 #include <string>
 
@@ -15,8 +16,8 @@
   std::string KeptBody_;     ///< the body or its beginning, kept for retries
   bool BodyComplete_ = true; ///< false: the rest is requested piece by piece
   std::string Caller_;       ///< whose quota the call uses
-  std::string Workspace_;    ///< whose key the caller has; empty: none
-  bool Pipelined_ = false;   ///< arrived while an earlier call was unanswered
+  traffic::CallerIdentity Identity_;
+  bool Pipelined_ = false; ///< arrived while an earlier call was unanswered
   model::TimePoint Arrived_;
   model::TimePoint Deadline_;
   /// Deadline of an answer that has begun to arrive.
--- a/src/libcumingauge/adapters/httpworker.cpp
+++ b/src/libcumingauge/adapters/httpworker.cpp
@@ -257,14 +257,12 @@
 }
 
 void HttpWorker::placeAfterWait(const std::shared_ptr<HttpCall> &Call) {
-  const auto Identity = identify(Call->head(), Call->facts().Route_);
-  if (Identity.Reason_ == ResultCode::Ok &&
-      Identity.Workspace_ == Call->workspace())
-    return choose(Call);
-  Call->decide({policy::Verdict::Refuse, policy::NoServer,
-                Identity.Reason_ == ResultCode::Ok
-                    ? ResultCode::RequestKeyUnknown
-                    : Identity.Reason_});
+  auto Identity = identify(Call->head(), Call->facts().Route_);
+  if (Identity.Reason_ != ResultCode::Ok)
+    return Call->decide(
+        {policy::Verdict::Refuse, policy::NoServer, Identity.Reason_});
+  Call->identify(std::move(Identity));
+  choose(Call);
 }
 
 void HttpWorker::recordCallStart() {
--- a/src/libcumingauge/adapters/httpworker.h
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -181,7 +181,8 @@
                         const traffic::ServerEvent &Event);
   /// Dispatches, queues or refuses a call as the balancer decides.
   void choose(const std::shared_ptr<HttpCall> &Call);
-  /// Places a call whose view was stale, unless its key has been withdrawn.
+  /// Places a call that has waited for a fresh view, unless its key has been
+  /// withdrawn.
   void placeAfterWait(const std::shared_ptr<HttpCall> &Call);
   traffic::CallerIdentity identify(const traffic::RequestHead &Head,
                                    const model::Route &Route) const;
--- a/src/libcumingauge/model/shared.h
+++ b/src/libcumingauge/model/shared.h
@@ -11,6 +11,10 @@
 public:
   Shared() : Value_(std::make_shared<const T>()) {}
   Shared(T Value) : Value_(std::make_shared<const T>(std::move(Value))) {}
+  // Copies only: an object that was moved from would have no value.
+  Shared(const Shared &) = default;
+  Shared &operator=(const Shared &) = default;
+  ~Shared() = default;
 
   const T &operator*() const { return *Value_; }
   const T *operator->() const { return Value_.get(); }
--- a/tests/http/workspacekeystest.cpp
+++ b/tests/http/workspacekeystest.cpp
@@ -74,6 +74,7 @@
   CPPUNIT_TEST(isReplacedByTheNameOfItsWorkspace);
   CPPUNIT_TEST(overridesTheWorkspaceThatACallerNames);
   CPPUNIT_TEST(staysHereWhenACallIsPipelinedOrUploadedOrTriedAgain);
+  CPPUNIT_TEST(staysHereWhenACallIsHedged);
   CPPUNIT_TEST(staysHereOnAPublicRoute);
   CPPUNIT_TEST(isRequiredBeforeACallReachesAServer);
   CPPUNIT_TEST(isCheckedBeforeTheBodyIsRead);
@@ -81,6 +82,7 @@
   CPPUNIT_TEST(isTakenAndRefusedAsTheConfigurationChanges);
   CPPUNIT_TEST(isNotCalledUnknownWhileTheConfigurationMayBeOld);
   CPPUNIT_TEST(isCheckedAgainAfterAWaitForAFreshView);
+  CPPUNIT_TEST(staysHereWhenWorkspacesComeIntoForceDuringAWait);
   CPPUNIT_TEST(isAFieldLikeAnyOtherWithoutWorkspaces);
   CPPUNIT_TEST_SUITE_END();
 
@@ -180,6 +182,34 @@
       assertSeenFrom("north", Seen);
   }
 
+  void staysHereWhenACallIsHedged() {
+    constexpr unsigned WarmCalls = 200;
+    Gate Slow;
+    std::atomic<unsigned> SlowAttempts{0};
+    const auto Script = [&](const Request &Seen) {
+      if (Seen.Head_.find("/search/slow") != std::string::npos &&
+          ++SlowAttempts == 1)
+        Slow.pass();
+      return answerTo(Seen);
+    };
+    ScriptedServer One(Script);
+    ScriptedServer Two(Script);
+    const auto Front = start({{"cat-1", One.port()}, {"cat-2", Two.port()}});
+    Front->changePreset(
+        [](model::Preset &Preset) { Preset.Hedge_.Ratio_ = 1; });
+    RawCaller Caller(Front->port());
+    for (unsigned I = 0; I < WarmCalls; ++I)
+      CPPUNIT_ASSERT_EQUAL(200U, Caller.call(search(NorthKey)).Status_);
+    Caller.send(
+        request("GET", "/search/slow", "Attempt-Id: a5\r\n" + NorthKey));
+    CPPUNIT_ASSERT_EQUAL(200U, Caller.read().Status_);
+    Slow.open();
+    CPPUNIT_ASSERT_EQUAL(2U, SlowAttempts.load());
+    for (const ScriptedServer *Server : {&One, &Two})
+      for (const Request &Seen : Server->requests())
+        assertSeenFrom("north", Seen);
+  }
+
   void staysHereOnAPublicRoute() {
     ScriptedServer Server([](const Request &Seen) { return answerTo(Seen); });
     const auto Front = start({{"cat-1", Server.port()}});
@@ -300,6 +330,23 @@
     CPPUNIT_ASSERT(Server.requests().empty());
   }
 
+  void staysHereWhenWorkspacesComeIntoForceDuringAWait() {
+    ScriptedServer Server([](const Request &Seen) { return answerTo(Seen); });
+    const Json Workspaces = Document_["tenants"];
+    Document_.erase("tenants");
+    const auto Front = start({{"cat-1", Server.port()}});
+    Front->setFresh(false);
+    RawCaller Waiting(Front->port());
+    Waiting.send(search(NorthKey));
+    CPPUNIT_ASSERT(
+        eventually([&] { return Front->traffic().stats().InFlight_ == 1; }));
+    Document_["tenants"] = Workspaces;
+    apply(*Front);
+    Front->setFresh(true);
+    CPPUNIT_ASSERT_EQUAL(200U, Waiting.read().Status_);
+    assertSeenFrom("north", Server.requests().back());
+  }
+
   void isAFieldLikeAnyOtherWithoutWorkspaces() {
     ScriptedServer Server([](const Request &Seen) { return answerTo(Seen); });
     Document_.erase("tenants");
