--- a/src/libcumingauge/traffic/workspacekeys.cpp
+++ b/src/libcumingauge/traffic/workspacekeys.cpp
@@ -2,7 +2,6 @@
 #include "codec/keydigest.h"
 #include <boost/algorithm/string/predicate.hpp>
 #include <optional>
-#include <utility>
 
 namespace cumingauge::traffic {
 
@@ -29,8 +28,8 @@
 
 } // namespace
 
-WorkspaceKeys::WorkspaceKeys(model::Workspaces Workspaces)
-    : Workspaces_(std::move(Workspaces)) {
+WorkspaceKeys::WorkspaceKeys(const model::Workspaces &Workspaces)
+    : Workspaces_(Workspaces) {
   for (const model::Workspace &Each : *Workspaces_)
     for (const std::string &Digest : Each.KeyDigests_)
       ByDigest_.emplace(Digest, &Each);
--- a/src/libcumingauge/traffic/workspacekeys.h
+++ b/src/libcumingauge/traffic/workspacekeys.h
@@ -14,7 +14,7 @@
 class WorkspaceKeys {
 public:
   WorkspaceKeys() = default;
-  explicit WorkspaceKeys(model::Workspaces Workspaces);
+  explicit WorkspaceKeys(const model::Workspaces &Workspaces);
 
   bool isEmpty() const { return ByDigest_.empty(); }
 
