--- a/src/libcumingauge/adapters/httpcall.h
+++ b/src/libcumingauge/adapters/httpcall.h
@@ -31,9 +31,9 @@
   /// Applies the balancer's decision on this call.
   void decide(const policy::Decision &Decision);
 
-  /// Replaces the caller's identity, as of another configuration. To be called
-  /// before the call is placed.
-  void identify(traffic::CallerIdentity Identity) {
+  /// Replaces the caller's identity, when the configuration has changed since
+  /// the request was read. To be called before the call is placed.
+  void setIdentity(traffic::CallerIdentity Identity) {
     Request_.Identity_ = std::move(Identity);
   }
 
--- a/src/libcumingauge/adapters/httpworker.cpp
+++ b/src/libcumingauge/adapters/httpworker.cpp
@@ -261,7 +261,7 @@
   if (Identity.Reason_ != ResultCode::Ok)
     return Call->decide(
         {policy::Verdict::Refuse, policy::NoServer, Identity.Reason_});
-  Call->identify(std::move(Identity));
+  Call->setIdentity(std::move(Identity));
   choose(Call);
 }
 
--- a/src/libcumingauge/adapters/httpworker.h
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -184,6 +184,7 @@
   /// Places a call that has waited for a fresh view, unless its key has been
   /// withdrawn.
   void placeAfterWait(const std::shared_ptr<HttpCall> &Call);
+  /// Determines the workspace of a request from the keys in force.
   traffic::CallerIdentity identify(const traffic::RequestHead &Head,
                                    const model::Route &Route) const;
   /// Continues the queued calls that can be dispatched or must be refused.
--- a/src/libcumingauge/model/preset.h
+++ b/src/libcumingauge/model/preset.h
@@ -151,7 +151,7 @@
   CallerLimits Callers_;
   /// Region of each availability zone, for routes with homes.
   std::map<std::string, std::string> Regions_;
-  Workspaces Workspaces_;
+  Workspaces Workspaces_; ///< whose keys are valid
 };
 BOOST_DESCRIBE_STRUCT(Preset, (),
                       (Name_, Summary_, Pick_, ZoneCost_, Measuring_, Retry_,
