Require keys by the preset, not by each route

Callers saw: nothing; the bytes between zones rose.

Cause: by reading, keyRequired was written for each route of a preset that goes over a peer link, also where no deployment uses keys, and a configuration may have many routes.

Change: the preset says that keys are required, and only a public route says that it is one.

KeyOfAWorkspace and the tests of the document pass.

--- a/src/libcumingauge/adapters/httpworker.cpp
+++ b/src/libcumingauge/adapters/httpworker.cpp
@@ -116,8 +116,9 @@
 
 traffic::CallerIdentity HttpWorker::identify(const traffic::RequestHead &Head,
                                              const model::Route &Route) const {
-  auto Identity = traffic::identifyCaller(Keys_, dialect().KeyScheme_, Head,
-                                          Route.KeyRequired_);
+  const bool KeyRequired = KeysRequired_ && !Route.Public_.value_or(false);
+  auto Identity =
+      traffic::identifyCaller(Keys_, dialect().KeyScheme_, Head, KeyRequired);
   // A newer configuration may have the key.
   if (Identity.Reason_ == ResultCode::RequestKeyUnknown && !isFresh())
     Identity.Reason_ = ResultCode::NotRunControlStale;
--- a/src/libcumingauge/adapters/httpworker.h
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -248,6 +248,7 @@
   HttpLimits Limits_;
   traffic::RouteTable Routes_;
   traffic::WorkspaceKeys Keys_;
+  bool KeysRequired_ = false; ///< by the preset in force
   model::milliseconds ConnectTimeout_{200};
   model::milliseconds ProbeTimeout_{500};
   model::milliseconds LoadQueryTimeout_{4};
--- a/src/libcumingauge/adapters/httpworkerservers.cpp
+++ b/src/libcumingauge/adapters/httpworkerservers.cpp
@@ -28,6 +28,7 @@
   if (const model::Preset *Preset = model::presetInForce(*View->Config_)) {
     if (Changed)
       Routes_.replaceRoutes(Preset->Routes_, rotationStart());
+    KeysRequired_ = Preset->KeysRequired_;
     if (!Keys_.isFor(Preset->Workspaces_))
       Keys_ = traffic::WorkspaceKeys(Preset->Workspaces_);
     applyLimits(Preset->Callers_);
--- a/src/libcumingauge/model/preset.h
+++ b/src/libcumingauge/model/preset.h
@@ -152,11 +152,14 @@
   /// Region of each availability zone, for routes with homes.
   std::map<std::string, std::string> Regions_;
   Workspaces Workspaces_; ///< whose keys are valid
+  /// Calls need the key of a workspace, except on public routes.
+  bool KeysRequired_ = false;
 };
 BOOST_DESCRIBE_STRUCT(Preset, (),
                       (Name_, Summary_, Pick_, ZoneCost_, Measuring_, Retry_,
                        Hedge_, Queue_, Servers_, Ejection_, Cold_, Routes_,
-                       Services_, Callers_, Regions_, Workspaces_))
+                       Services_, Callers_, Regions_, Workspaces_,
+                       KeysRequired_))
 
 /// Returns the settings of a service, or null when the preset has none.
 const ServiceRule *findServiceRule(const Preset &Value,
--- a/src/libcumingauge/model/route.h
+++ b/src/libcumingauge/model/route.h
@@ -3,6 +3,7 @@
 #include "model/describe.h"
 #include "model/time.h"
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,11 +38,12 @@
   std::vector<RoutePart> Parts_;
   /// Regions whose servers may get the calls; empty: all.
   std::vector<std::string> Homes_;
-  bool KeyRequired_ = false; ///< calls need the key of a workspace
+  /// Calls need no key although the preset requires keys; absent: they do.
+  std::optional<bool> Public_;
 };
 BOOST_DESCRIBE_STRUCT(Route, (),
                       (Name_, PathPrefix_, Service_, Idempotent_, Priority_,
                        Deadline_, MaxBodyBytes_, Host_, Objective_,
-                       MaxAttempts_, Parts_, Homes_, KeyRequired_))
+                       MaxAttempts_, Parts_, Homes_, Public_))
 
 } // namespace cumingauge::model
--- a/src/libcumingauge/platform/configurationdocument.cpp
+++ b/src/libcumingauge/platform/configurationdocument.cpp
@@ -73,6 +73,9 @@
   const auto Timeout = millisField(Document, "timeout-ms");
   if (Timeout > model::milliseconds(0))
     Out.Deadline_ = Timeout;
+  const Json *IsPublic = findField(Document, "public");
+  if (IsPublic && IsPublic->is_boolean() && IsPublic->get<bool>())
+    Out.Public_ = true;
   Out.MaxAttempts_ = static_cast<unsigned>(
       std::max<std::uint64_t>(countField(Document, "attempts").value_or(1), 1));
   return Out;
@@ -159,11 +162,14 @@
   std::set<std::string> Digests_;
 };
 
+/// Reads the workspaces. Keys are required when the document has a list of
+/// them, even one that is empty or cannot be read.
 void readWorkspaces(const Json &Document, model::Preset &Out,
                     model::Problems &Found) {
   const Json *Tenants = findField(Document, "tenants");
   if (!Tenants)
     return;
+  Out.KeysRequired_ = true;
   if (!Tenants->is_array()) {
     Found.push_back(
         {"configuration/tenants", "has the wrong type; no key is valid"});
@@ -175,14 +181,6 @@
   Out.Workspaces_ = Reader.take();
 }
 
-/// Returns whether the calls of a route need a key. They do when the document
-/// has a list of workspaces, even one that is empty or cannot be read.
-bool isKeyRequired(const Json &Document, const Json &Route) {
-  const Json *IsPublic = findField(Route, "public");
-  return findField(Document, "tenants") &&
-         !(IsPublic && IsPublic->is_boolean() && IsPublic->get<bool>());
-}
-
 } // namespace
 
 std::optional<ports::ListedConfiguration>
@@ -200,15 +198,13 @@
   Out.Preset_.Name_ = "version " + std::to_string(*Version);
   Out.Preset_.Routes_.clear();
   for (std::size_t I = 0; I < Routes->size(); ++I) {
-    if (auto Route = readRoute((*Routes)[I])) {
-      Route->KeyRequired_ = isKeyRequired(Parsed, (*Routes)[I]);
+    if (auto Route = readRoute((*Routes)[I]))
       Out.Preset_.Routes_.push_back(std::move(*Route));
-    } else {
+    else
       Found.push_back(
           {"configuration/routes/" + std::to_string(I),
            "host, prefix or service is missing or has the wrong type; "
            "the route is left out"});
-    }
   }
   readWorkspaces(Parsed, Out.Preset_, Found);
   readServices(Parsed, Out.Preset_);
--- a/tests/platform/configurationdocumenttest.cpp
+++ b/tests/platform/configurationdocumenttest.cpp
@@ -130,13 +130,19 @@
 
   void requiresAKeyOnAllRoutesButPublicOnes() {
     Json Document = makeValidDocument();
-    Document["routes"][1]["public"] = true;
-    CPPUNIT_ASSERT(!read(Document)->Preset_.Routes_[0].KeyRequired_);
+    CPPUNIT_ASSERT(!read(Document)->Preset_.KeysRequired_);
     Document["tenants"] = Json::array();
-    CPPUNIT_ASSERT(read(Document)->Preset_.Routes_[0].KeyRequired_);
-    CPPUNIT_ASSERT(!read(Document)->Preset_.Routes_[1].KeyRequired_);
-    Document["routes"][1]["public"] = "true";
-    CPPUNIT_ASSERT(read(Document)->Preset_.Routes_[1].KeyRequired_);
+    CPPUNIT_ASSERT(read(Document)->Preset_.KeysRequired_);
+    const auto IsPublic = [&] {
+      return read(Document)->Preset_.Routes_[1].Public_.value_or(false);
+    };
+    CPPUNIT_ASSERT(!IsPublic());
+    Document["routes"][1]["public"] = true;
+    CPPUNIT_ASSERT(IsPublic());
+    for (const Json &Other : {Json(false), Json("true"), Json(1), Json()}) {
+      Document["routes"][1]["public"] = Other;
+      CPPUNIT_ASSERT(!IsPublic());
+    }
   }
 
   void skipsOnlyTheWorkspacesAndKeysThatCannotBeRead() {
@@ -165,7 +171,7 @@
       Document["tenants"] = Tenants;
       Found_.clear();
       const model::Preset Preset = read(Document)->Preset_;
-      CPPUNIT_ASSERT(Preset.Routes_[0].KeyRequired_);
+      CPPUNIT_ASSERT(Preset.KeysRequired_);
       CPPUNIT_ASSERT(Preset.Workspaces_->empty());
       CPPUNIT_ASSERT_EQUAL(std::size_t(1), Found_.size());
     }
