--- a/tests/http/brokenanswerstest.cpp
+++ b/tests/http/brokenanswerstest.cpp
@@ -67,7 +67,7 @@
       framed("Transfer-Encoding : chunked\r\n", "5\r\nhello\r\n0\r\n\r\n"),
       "HTTP/1.1 200 OK\r\n X-A: before any field\r\n" + Signed + Body};
   for (const char C :
-       bytes({0,   1,   7,   8,   9,   10,  11,  12,  13,  27,  31, ' ',
+       bytes({0,   1,   7,   8,   9,   10,  11,  12,  13,  27,  31,    ' ',
               '"', '(', ',', '/', ';', '=', '@', '[', '{', 127, '\xff'}))
     Out.push_back(withLines("X-" + bytes({C}) + "A: 1\r\n"));
   return Out;
