Log by which configuration a request was refused

A refusal's line had neither the host nor the version of the configuration, and could not tell whether the process knew that version to be the newest. It shared its bound with the lines of all calls, so that busy seconds lost it.

The control thread now publishes the version that it has accepted, when that one was last confirmed and until when a newer one need not be in force; the traffic threads read it without a lock, for refusals only. The line of a refused request has host, what the parser found wrong, the version by which it was refused, the accepted one and the age of its confirmation, and a bound of its own of 20 lines a second and thread. Refusals by code are in cumingauge_calls_total under the empty route already.

No change of what callers get.

--- a/src/cumingauged/entryprocess.cpp
+++ b/src/cumingauged/entryprocess.cpp
@@ -59,6 +59,10 @@
 EntryProcess::Ports EntryProcess::start() {
   adapters::HttpTraffic::Hooks Hooks;
   Hooks.IsFresh_ = [this](model::TimePoint Now) { return isFresh(Now); };
+  Hooks.Configuration_ = [this] {
+    const auto *Control = StartedControl_.load();
+    return Control ? Control->configuration() : model::ConfigurationKnowledge();
+  };
   Hooks.ReportObservation_ = [this](control::ServerObservation Sighting) {
     if (auto *Control = StartedControl_.load())
       Control->recordSighting(std::move(Sighting));
--- a/src/libcumingauge/adapters/calllog.cpp
+++ b/src/libcumingauge/adapters/calllog.cpp
@@ -8,8 +8,6 @@
 namespace {
 
 constexpr model::seconds WindowLength{1};
-/// Limits the log of a thread to about 50 KB a second.
-constexpr unsigned LinesPerWindow = 100;
 /// One in this many ordinary calls is logged.
 constexpr std::uint64_t SampleInterval = 64;
 constexpr unsigned FirstServerError = 500;
@@ -36,7 +34,7 @@
 void CallLog::recordCall(const CallRecord &Record, model::TimePoint Now) {
   if (isOrdinary(Record) && ++OrdinaryCalls_ % SampleInterval != 0)
     return;
-  if (!admitLine(Now))
+  if (!admitLine(Calls_, Now))
     return;
   log(LogLevel::Info, Record.Abandoned_ ? "call abandoned" : "call ended",
       {{"call", Record.Call_},
@@ -51,51 +49,54 @@
        {"stoppingMs", Record.Stopping_.value_or(NotStopping).count()},
        {"pipelined", Record.Pipelined_ ? 1 : 0},
        {"configVersion", Record.ConfigVersion_},
-       {"leftOut", std::exchange(Suppressed_, 0)},
+       {"leftOut", std::exchange(Calls_.Suppressed_, 0)},
        LogField::json("attempts", codec::toJson(Record.Attempts_).dump())});
 }
 
-void CallLog::recordRefusedRequest(const std::string &Call,
-                                   const std::string &Target,
-                                   model::ResultCode Code,
+void CallLog::recordRefusedRequest(const RefusalRecord &Record,
                                    model::TimePoint Now) {
-  if (!admitLine(Now))
+  if (!admitLine(Refusals_, Now))
     return;
   log(LogLevel::Info, "request refused",
-      {{"call", Call},
-       {"target", Target},
-       {"code", static_cast<int>(Code)},
-       {"codeName", codeName(Code)},
-       {"leftOut", std::exchange(Suppressed_, 0)}});
+      {{"call", Record.Call_},
+       {"target", Record.Target_},
+       {"host", Record.Host_},
+       {"code", static_cast<int>(Record.Code_)},
+       {"codeName", codeName(Record.Code_)},
+       {"detail", Record.Detail_},
+       {"configVersion", Record.ConfigVersion_},
+       {"acceptedVersion", Record.AcceptedVersion_},
+       {"configAgeMs", Record.ConfigAge_.count()},
+       {"leftOut", std::exchange(Refusals_.Suppressed_, 0)}});
 }
 
 void CallLog::recordDiscardedBytes(const std::string &Peer, std::size_t Bytes,
                                    bool Announced, model::TimePoint Now) {
-  if (!admitLine(Now))
+  if (!admitLine(Calls_, Now))
     return;
   log(LogLevel::Info, "bytes discarded after close",
       {{"peer", Peer},
        {"bytes", Bytes},
        {"closeAnnounced", Announced ? 1 : 0},
-       {"leftOut", std::exchange(Suppressed_, 0)}});
+       {"leftOut", std::exchange(Calls_.Suppressed_, 0)}});
 }
 
 void CallLog::recordUnreadableNotice(const std::string &Call,
                                      const std::string &Server,
                                      model::TimePoint Now) {
-  if (!admitLine(Now))
+  if (!admitLine(Calls_, Now))
     return;
   log(LogLevel::Info, "notice of a server cannot be read",
       {{"call", Call},
        {"server", Server},
-       {"leftOut", std::exchange(Suppressed_, 0)}});
+       {"leftOut", std::exchange(Calls_.Suppressed_, 0)}});
 }
 
 void CallLog::recordFaultyAnswer(const std::string &Call,
                                  const model::BackendServer &Server,
                                  model::AnswerFault Fault, unsigned Status,
                                  model::TimePoint Now) {
-  if (!admitLine(Now))
+  if (!admitLine(Calls_, Now))
     return;
   log(LogLevel::Warning, "faulty answer of a server",
       {{"call", Call},
@@ -103,17 +104,17 @@
        {"vm", Server.Vm_},
        {"fault", boost::describe::enum_to_string(Fault, "")},
        {"status", Status},
-       {"leftOut", std::exchange(Suppressed_, 0)}});
+       {"leftOut", std::exchange(Calls_.Suppressed_, 0)}});
 }
 
-bool CallLog::admitLine(model::TimePoint Now) {
-  if (Now - WindowStart_ >= WindowLength) {
-    WindowStart_ = Now;
-    LinesInWindow_ = 0;
+bool CallLog::admitLine(LineWindow &Window, model::TimePoint Now) {
+  if (Now - Window.Start_ >= WindowLength) {
+    Window.Start_ = Now;
+    Window.Lines_ = 0;
   }
-  if (++LinesInWindow_ <= LinesPerWindow)
+  if (++Window.Lines_ <= Window.MaxLines_)
     return true;
-  ++Suppressed_;
+  ++Window.Suppressed_;
   return false;
 }
 
--- a/src/libcumingauge/adapters/calllog.h
+++ b/src/libcumingauge/adapters/calllog.h
@@ -12,6 +12,19 @@
 
 namespace cumingauge::adapters {
 
+/// Values that are logged for a request that did not become a call.
+struct RefusalRecord {
+  std::string Call_;   ///< identity from the request, or empty
+  std::string Target_; ///< empty when the head was not read
+  std::string Host_;
+  model::ResultCode Code_ = model::ResultCode::Ok;
+  std::string Detail_;                ///< what the parser found wrong, or empty
+  std::uint64_t ConfigVersion_ = 0;   ///< by which it was refused; 0: none
+  std::uint64_t AcceptedVersion_ = 0; ///< newest one of the process
+  /// Time since that version was last confirmed to be the newest; -1: never.
+  model::milliseconds ConfigAge_{-1};
+};
+
 /// Values that are logged for a call that has ended.
 struct CallRecord {
   std::string Call_; ///< call id
@@ -36,13 +49,17 @@
 /// number of lines a second is limited; the next line that is written says how
 /// many were left out. Not thread-safe.
 class CallLog {
+  // Together they limit the log of a thread to about 50 KB a second.
+  static constexpr unsigned MaxCallLines = 100;
+  static constexpr unsigned MaxRefusalLines = 20;
+
 public:
   /// Logs a call that has ended, unless it is not sampled or over the limit.
   void recordCall(const CallRecord &Record, model::TimePoint Now);
 
-  /// Logs a request that was refused before it became a call.
-  void recordRefusedRequest(const std::string &Call, const std::string &Target,
-                            model::ResultCode Code, model::TimePoint Now);
+  /// Logs a request that was refused before it became a call. These lines have
+  /// a limit of their own, so that calls do not displace them.
+  void recordRefusedRequest(const RefusalRecord &Record, model::TimePoint Now);
 
   /// Logs that bytes of a caller arrived after the connection was closed and
   /// are discarded.
@@ -64,12 +81,19 @@
                           model::TimePoint Now);
 
 private:
+  /// Bounds the lines of one kind.
+  struct LineWindow {
+    unsigned MaxLines_ = 0; ///< in one window
+    model::TimePoint Start_;
+    unsigned Lines_ = 0;
+    std::uint64_t Suppressed_ = 0; ///< since the last line
+  };
+
   /// Counts a line and returns whether it may be written in the current window.
-  bool admitLine(model::TimePoint Now);
+  static bool admitLine(LineWindow &Window, model::TimePoint Now);
 
-  model::TimePoint WindowStart_;
-  unsigned LinesInWindow_ = 0;
-  std::uint64_t Suppressed_ = 0;
+  LineWindow Calls_{MaxCallLines};
+  LineWindow Refusals_{MaxRefusalLines};
   std::uint64_t OrdinaryCalls_ = 0;
 };
 
--- a/src/libcumingauge/adapters/controlruntime.cpp
+++ b/src/libcumingauge/adapters/controlruntime.cpp
@@ -127,6 +127,16 @@
            DispatchDeadline_.load(std::memory_order_acquire);
   }
 
+  model::ConfigurationKnowledge configuration() const override {
+    // Read before the version, which is stored first: what is known of an older
+    // version does not count for a newer one.
+    const auto KnownUntil = KnownUntil_.load(std::memory_order_acquire);
+    const auto ConfirmedAt = ConfirmedAt_.load(std::memory_order_relaxed);
+    return {AcceptedVersion_.load(std::memory_order_relaxed),
+            model::TimePoint(model::TimePoint::duration(ConfirmedAt)),
+            model::TimePoint(model::TimePoint::duration(KnownUntil))};
+  }
+
   void recordSighting(control::ServerObservation Sighting) override {
     const std::lock_guard<std::mutex> Lock(SightingsMutex_);
     Sightings_[{Sighting.Server_, Sighting.Vm_}] = std::move(Sighting);
@@ -233,8 +243,9 @@
     while (!PendingInputs_.empty()) {
       const CoreInput Next = std::move(PendingInputs_.front());
       PendingInputs_.pop_front();
-      for (const control::CoreCommand &Order :
-           control::step(*Core_, Next, now()))
+      const auto Orders = control::step(*Core_, Next, now());
+      publishKnowledge();
+      for (const control::CoreCommand &Order : Orders)
         std::visit([this](const auto &Each) { execute(Each); }, Order);
     }
     IsProcessing_ = false;
@@ -245,6 +256,15 @@
         std::memory_order_release);
   }
 
+  void publishKnowledge() {
+    const auto Known = control::configurationKnowledge(*Core_, Limits_);
+    AcceptedVersion_.store(Known.Version_, std::memory_order_relaxed);
+    ConfirmedAt_.store(Known.ConfirmedAt_.time_since_epoch().count(),
+                       std::memory_order_relaxed);
+    KnownUntil_.store(Known.KnownUntil_.time_since_epoch().count(),
+                      std::memory_order_release);
+  }
+
   void countStoreCall(const std::string &OperationName,
                       model::ResultCode Code) {
     ++StoreCalls_[{OperationName, std::string(model::nameOf(Code))}];
@@ -380,6 +400,10 @@
   /// Time until which the view may be used, in nanoseconds of the steady clock.
   std::atomic<model::TimePoint::rep> DispatchDeadline_{
       model::TimePoint::min().time_since_epoch().count()};
+  // What configuration() returns; times are in nanoseconds of the steady clock.
+  std::atomic<std::uint64_t> AcceptedVersion_{0};
+  std::atomic<model::TimePoint::rep> ConfirmedAt_{0};
+  std::atomic<model::TimePoint::rep> KnownUntil_{0};
   mutable std::mutex StatsMutex_;
   ControlStats Stats_;
 };
--- a/src/libcumingauge/adapters/controlruntime.h
+++ b/src/libcumingauge/adapters/controlruntime.h
@@ -3,6 +3,7 @@
 #include "adapters/addresssettings.h"
 #include "adapters/eventring.h"
 #include "control/core.h"
+#include "model/configurationknowledge.h"
 #include "model/controlview.h"
 #include "model/serveractivity.h"
 #include <boost/asio/io_context.hpp>
@@ -100,6 +101,10 @@
   /// isolation rule of docs/design/isolation.md holds. Thread-safe, lock-free.
   virtual bool isFresh(model::TimePoint Now) const = 0;
 
+  /// Returns what the process knows about whether its configuration is the
+  /// newest one. Thread-safe, lock-free.
+  virtual model::ConfigurationKnowledge configuration() const = 0;
+
   /// Stores the state that a backend server has reported, to be processed at
   /// the next tick. Thread-safe.
   virtual void recordSighting(control::ServerObservation Sighting) = 0;
--- a/src/libcumingauge/adapters/httpcalleranswers.cpp
+++ b/src/libcumingauge/adapters/httpcalleranswers.cpp
@@ -79,8 +79,7 @@
 }
 
 void HttpCallerSession::refuseRequest(ResultCode Code) {
-  Worker_.recordRefusedRequest(Reader_.head().CallId_, Reader_.head().Target_,
-                               Code);
+  Worker_.recordRefusedRequest(Reader_.head(), Code, Reader_.errorText());
   KeepAlive_ = false;
   IsHeadRequest_ = Reader_.head().IsHead_;
   CallId_.clear();
--- a/src/libcumingauge/adapters/httprequestreader.cpp
+++ b/src/libcumingauge/adapters/httprequestreader.cpp
@@ -171,6 +171,11 @@
 
 ResultCode RequestReader::error() const { return Impl_->Error_; }
 
+std::string RequestReader::errorText() const {
+  const auto Error = Impl_->Reader_.error();
+  return Error && Impl_->Error_ != ResultCode::Ok ? Error.message() : "";
+}
+
 bool RequestReader::hasPartialRequest() const {
   return Impl_->Reader_.buffered() > 0 || Impl_->Reader_.parser().got_some();
 }
--- a/src/libcumingauge/adapters/httprequestreader.h
+++ b/src/libcumingauge/adapters/httprequestreader.h
@@ -7,6 +7,7 @@
 #include <boost/asio/buffer.hpp>
 #include <cstdint>
 #include <memory>
+#include <string>
 #include <string_view>
 
 namespace cumingauge::adapters {
@@ -38,6 +39,9 @@
   /// Returns the result code for ReadStep::Failed.
   model::ResultCode error() const;
 
+  /// Returns what the parser found wrong; empty without a fault of syntax.
+  std::string errorText() const;
+
   /// Returns whether bytes of a request have arrived that has not ended.
   bool hasPartialRequest() const;
 
--- a/src/libcumingauge/adapters/httptraffic.h
+++ b/src/libcumingauge/adapters/httptraffic.h
@@ -2,6 +2,7 @@
 
 #include "adapters/httpsettings.h"
 #include "control/peermessage.h"
+#include "model/configurationknowledge.h"
 #include "model/controlview.h"
 #include "model/serveractivity.h"
 #include "ports/eventsink.h"
@@ -20,6 +21,8 @@
   struct Hooks {
     /// Whether the control view is recent enough to act on at that time.
     std::function<bool(model::TimePoint)> IsFresh_;
+    /// What the process knows about whether its configuration is the newest.
+    std::function<model::ConfigurationKnowledge()> Configuration_;
     /// Passes a backend server's load report on to the control thread.
     std::function<void(control::ServerObservation)> ReportObservation_;
     ports::EventSink Events_;
--- a/src/libcumingauge/adapters/httpworker.cpp
+++ b/src/libcumingauge/adapters/httpworker.cpp
@@ -125,10 +125,18 @@
   return Identity;
 }
 
-void HttpWorker::recordRefusedRequest(const std::string &Call,
-                                      const std::string &Target,
-                                      ResultCode Code) {
-  CallLog_.recordRefusedRequest(Call, Target, Code, now());
+void HttpWorker::recordRefusedRequest(const traffic::RequestHead &Head,
+                                      ResultCode Code,
+                                      const std::string &Detail) {
+  const model::TimePoint Now = now();
+  const auto Known = Common_->Hooks_.Configuration_();
+  RefusalRecord Record{Head.CallId_, Head.Target_, Head.Host_, Code, Detail};
+  Record.ConfigVersion_ = View_ ? View_->Config_->Version_ : 0;
+  Record.AcceptedVersion_ = Known.Version_;
+  if (Known.ConfirmedAt_ != model::TimePoint())
+    Record.ConfigAge_ = std::chrono::duration_cast<model::milliseconds>(
+        Now - Known.ConfirmedAt_);
+  CallLog_.recordRefusedRequest(Record, Now);
   const std::lock_guard<std::mutex> Lock(PublishedMutex_);
   traffic::recordCall(Stats_.Routes_[""], Code, model::Duration(0));
 }
--- a/src/libcumingauge/adapters/httpworker.h
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -83,9 +83,10 @@
   }
   /// Finds the route of a request and checks its caller's key.
   RequestAdmission admitRequest(const traffic::RequestHead &Head);
-  /// \param Call identity from the request, or empty.
-  void recordRefusedRequest(const std::string &Call, const std::string &Target,
-                            model::ResultCode Code);
+  /// \param Head as far as it was read.
+  /// \param Detail what the parser found wrong, or empty.
+  void recordRefusedRequest(const traffic::RequestHead &Head,
+                            model::ResultCode Code, const std::string &Detail);
   void removeSession(HttpCallerSession &Session);
   /// Records the first bytes of a caller that arrived after its connection was
   /// closed.
--- a/src/libcumingauge/control/core.cpp
+++ b/src/libcumingauge/control/core.cpp
@@ -189,6 +189,16 @@
   return State.LastExchange_.value_or(model::TimePoint());
 }
 
+model::ConfigurationKnowledge
+configurationKnowledge(const CoreState &State, const FreshnessLimits &Limits) {
+  if (!State.Settings_.FollowsDirectory_)
+    return {versionOf(State), lastExchange(State),
+            dispatchDeadline(freshnessFacts(State), Limits)};
+  const model::TimePoint ConfirmedAt = configurationConfirmedAt(State);
+  return {versionOf(State), ConfirmedAt,
+          ConfirmedAt + State.Settings_.LeavingBound_};
+}
+
 const DirectoryEra &directoryEra(const CoreState &State) {
   return State.Directory_.Era_;
 }
--- a/src/libcumingauge/control/core.h
+++ b/src/libcumingauge/control/core.h
@@ -3,6 +3,7 @@
 #include "control/directoryera.h"
 #include "control/freshness.h"
 #include "control/peermessage.h"
+#include "model/configurationknowledge.h"
 #include "model/controlview.h"
 #include "model/event.h"
 #include "model/time.h"
@@ -165,6 +166,11 @@
 /// confirmed that this process is up to date; the epoch before the first one.
 model::TimePoint lastExchange(const CoreState &State);
 
+/// Returns what this process knows about whether its configuration is the
+/// newest one.
+model::ConfigurationKnowledge
+configurationKnowledge(const CoreState &State, const FreshnessLimits &Limits);
+
 /// Returns what this process has seen of the directory's eras.
 const DirectoryEra &directoryEra(const CoreState &State);
 
--- a/src/libcumingauge/control/directorylinks.cpp
+++ b/src/libcumingauge/control/directorylinks.cpp
@@ -297,6 +297,10 @@
   return confirmedAt(State.Directory_.Servers_);
 }
 
+model::TimePoint configurationConfirmedAt(const CoreState &State) {
+  return confirmedAt(State.Directory_.Configuration_);
+}
+
 model::TimePoint directoryConfirmedAt(const CoreState &State) {
   return std::min(confirmedAt(State.Directory_.Configuration_),
                   confirmedAt(State.Directory_.Servers_));
--- a/src/libcumingauge/control/directorylinks.h
+++ b/src/libcumingauge/control/directorylinks.h
@@ -14,6 +14,10 @@
 struct CoreState;
 struct DirectoryFeed;
 
+/// Returns when the configuration was last known to be the newest one, by the
+/// calls of this process or of a peer.
+model::TimePoint configurationConfirmedAt(const CoreState &State);
+
 /// Returns the time as of which the configuration and the list of servers are
 /// known to be complete, by calls of this process or of a peer.
 model::TimePoint directoryConfirmedAt(const CoreState &State);
--- a/tests/http/frontend.cpp
+++ b/tests/http/frontend.cpp
@@ -56,6 +56,12 @@
       Until->pass();
     return Fresh_.load();
   };
+  Hooks.Configuration_ = [this] {
+    using model::TimePoint;
+    const bool Known = Fresh_ && ConfigurationKnown_;
+    return model::ConfigurationKnowledge{
+        AcceptedVersion_, TimePoint(), Known ? TimePoint::max() : TimePoint()};
+  };
   Hooks.ReportObservation_ = [](const control::ServerObservation &) {};
   Hooks.Events_ = [this](model::EventKind Kind, const std::string &,
                          std::uint64_t, model::ResultCode,
@@ -88,6 +94,7 @@
 void FrontEnd::publish() {
   auto Config = std::make_shared<model::ConfigState>();
   Config->Version_ = ++Version_;
+  AcceptedVersion_ = Version_;
   Config->PresetInForce_ = Preset_.Name_;
   Config->Presets_[Preset_.Name_] = Preset_;
   for (const Target &Server : Servers_)
--- a/tests/http/frontend.h
+++ b/tests/http/frontend.h
@@ -44,6 +44,13 @@
   /// Sets whether the view counts as fresh.
   void setFresh(bool Fresh) { Fresh_ = Fresh; }
 
+  /// Sets whether the configuration is known to be the newest one; only a fresh
+  /// view can be.
+  void setConfigurationKnown(bool Known) { ConfigurationKnown_ = Known; }
+
+  /// Counts the next version as accepted although its view is not published.
+  void acceptNextVersion() { AcceptedVersion_ = Version_ + 1; }
+
   /// Blocks the traffic thread that next admits a call until the gate opens.
   void holdThread(Gate &Until) { HeldUntil_ = &Until; }
 
@@ -58,7 +65,9 @@
   model::Preset Preset_;
   std::set<std::string> Leaving_;
   std::uint64_t Version_ = 0;
+  std::atomic<std::uint64_t> AcceptedVersion_{0};
   std::atomic<bool> Fresh_{true};
+  std::atomic<bool> ConfigurationKnown_{true};
   std::atomic<Gate *> HeldUntil_{nullptr};
   mutable std::mutex Mutex_; ///< guards the events
   std::vector<model::EventKind> Events_;
