Do not refuse as wrong what a newer configuration may allow

Callers got 404, 413 or 431, and a caller does not repeat such a request, from a process that could not know: cut off from the store and its readers, paused, started a moment ago from a peer that is behind, or with a traffic thread that has not applied what the control thread has accepted. Only an unknown key asked whether the configuration may be old, and with the platform's directory the answer was always no: freshness decides on the dispatch of calls, which goes on with any view there, as each call names the server that it is meant for.

Cause: the traffic thread used its configuration as if it were the newest one.

Change: 404, 413, 431 and the 401 of an unknown key become 503 (107, not run) unless the thread's version is the accepted one and was confirmed, by own calls or a peer's, within the leaving bound. A part of a request that was passed on may have run, so an upload that grows too long stays 413. A request without any key stays 401. A control step that takes long ages the confirmation, so the bound covers it.

--- a/src/libcumingauge/adapters/httpcalleranswers.cpp
+++ b/src/libcumingauge/adapters/httpcalleranswers.cpp
@@ -79,6 +79,11 @@
 }
 
 void HttpCallerSession::refuseRequest(ResultCode Code) {
+  endRequest(Worker_.refusalCode(Code));
+}
+
+/// Answers a request that is not read to its end, and closes the connection.
+void HttpCallerSession::endRequest(ResultCode Code) {
   Worker_.recordRefusedRequest(Reader_.head(), Code, Reader_.errorText());
   KeepAlive_ = false;
   IsHeadRequest_ = Reader_.head().IsHead_;
@@ -97,7 +102,8 @@
     Call->onCallerLeft();
   if (AnswerStarted_)
     return abortAnswer();
-  refuseRequest(Code);
+  // A part of the request was sent to a server, so that it may have run.
+  endRequest(Code);
 }
 
 void HttpCallerSession::answer(ResultCode Code,
--- a/src/libcumingauge/adapters/httpworker.cpp
+++ b/src/libcumingauge/adapters/httpworker.cpp
@@ -119,12 +119,28 @@
   const bool KeyRequired = KeysRequired_ && !Route.Public_.value_or(false);
   auto Identity =
       traffic::identifyCaller(Keys_, dialect().KeyScheme_, Head, KeyRequired);
-  // A newer configuration may have the key.
-  if (Identity.Reason_ == ResultCode::RequestKeyUnknown && !isFresh())
-    Identity.Reason_ = ResultCode::NotRunControlStale;
+  Identity.Reason_ = refusalCode(Identity.Reason_);
   return Identity;
 }
 
+ResultCode HttpWorker::refusalCode(ResultCode Code) const {
+  switch (Code) {
+  case ResultCode::RequestNoRoute:
+  case ResultCode::RequestKeyUnknown:
+  case ResultCode::RequestBodyTooLarge:
+  case ResultCode::RequestHeadersTooLarge:
+    return isConfigurationNewest() ? Code : ResultCode::NotRunControlStale;
+  default:
+    return Code;
+  }
+}
+
+bool HttpWorker::isConfigurationNewest() const {
+  const auto Known = Common_->Hooks_.Configuration_();
+  return View_ && View_->Config_->Version_ == Known.Version_ &&
+         now() < Known.KnownUntil_;
+}
+
 void HttpWorker::recordRefusedRequest(const traffic::RequestHead &Head,
                                       ResultCode Code,
                                       const std::string &Detail) {
--- a/tests/control/directoryfleet.cpp
+++ b/tests/control/directoryfleet.cpp
@@ -186,6 +186,18 @@
   return lastExchange(*Cores_.at(Number));
 }
 
+bool DirectoryFleet::knowsNewest(unsigned Number) const {
+  const auto Known = configurationKnowledge(*Cores_[Number], {});
+  return versionAt(Number) == Known.Version_ && Now_ < Known.KnownUntil_;
+}
+
+unsigned DirectoryFleet::countKnowingNewest() const {
+  unsigned Out = 0;
+  for (unsigned I = 0; I < size(); ++I)
+    Out += knowsNewest(I) ? 1 : 0;
+  return Out;
+}
+
 void DirectoryFleet::withdraw(unsigned Number) {
   Stored_.Announced_.erase(memberOf(Number).Process_);
 }
--- a/tests/control/directoryfleet.h
+++ b/tests/control/directoryfleet.h
@@ -102,6 +102,10 @@
   /// Returns the time as of which a process takes its view to be complete.
   model::TimePoint confirmedAt(unsigned Number) const;
 
+  /// Returns whether a process knows that its configuration is the newest one.
+  bool knowsNewest(unsigned Number) const;
+  unsigned countKnowingNewest() const;
+
   /// Takes a copy of the directory's content.
   void copyDirectory() { Copy_ = Stored_; }
 
