Require proof of a 3xx or 4xx that is passed on

Callers got a 3xx or 4xx that no server had made, for a proper request, and do not send such a request again. Only a success had to have the field that proves it, so a faulty server's head with another status, or one of whatever has the server's address, was passed on; on the first exchange of a connection even without a call id.

Evidence: by reading; the test on the code before, for 301 without proof: Expected: 133 UnknownAnswerMalformed, Actual: 0 Ok

Change: an answer below 500 that does not declare that the call was not run needs the proof (fault NoProof); otherwise the attempt counts as malformed: repeated if the route allows, else 502 (133). Answers 5xx without proof are passed on as before: they are failures that say nothing about the request.

--- a/src/libcumingauge/adapters/httpconnection.cpp
+++ b/src/libcumingauge/adapters/httpconnection.cpp
@@ -24,6 +24,7 @@
 /// to the current one behind it.
 constexpr std::uint64_t MaxStaleBytes = 1024 * 1024;
 constexpr unsigned FirstStatusAfterSuccess = 300;
+constexpr unsigned FirstServerError = 500;
 /// Number of failed calls after which a connection is not used again, as it
 /// remembers all of them.
 constexpr std::size_t MaxFailedCalls = 16;
@@ -253,9 +254,10 @@
 }
 
 /// Returns why the answer is not taken for that of the current call, if so: it
-/// is another call's, or a success without the fields that the dialect requires
-/// of one. Where servers repeat call ids, an answer without one may be a copy
-/// of an answer to an earlier request.
+/// is another call's, or one below 500 without the fields that the dialect
+/// requires. A caller does not repeat its request after these, so none may come
+/// from bytes that no server has made. Where servers repeat call ids, an answer
+/// without one may be a copy of an answer to an earlier request.
 AnswerFault HttpConnection::findCallFault() const {
   if (!traffic::isAnswerTo(Exchange_.CallId_, head().CallId_))
     return AnswerFault::WrongCall;
@@ -265,8 +267,11 @@
   if (Names_.CallIdRequired_ && head().CallId_.empty() &&
       (IsSuccess || !IsFirstExchange_))
     return AnswerFault::WrongCall;
-  return IsSuccess && !head().HasProof_ ? AnswerFault::NoProof
-                                        : AnswerFault::None;
+  const bool NeedsProof =
+      IsSuccess || (head().Status_ < FirstServerError &&
+                    !Names_.IsNotRun_(head().Status_, head().NotRun_));
+  return NeedsProof && !head().HasProof_ ? AnswerFault::NoProof
+                                         : AnswerFault::None;
 }
 
 bool HttpConnection::hasFailedCall(std::string_view CallId) const {
--- a/tests/http/properrequeststest.cpp
+++ b/tests/http/properrequeststest.cpp
@@ -22,11 +22,15 @@
   CPPUNIT_TEST(isNotDeniedByAConfigurationThatIsNotYetReplaced);
   CPPUNIT_TEST(isNotCalledTooLongByLimitsThatMayBeOld);
   CPPUNIT_TEST(isDeniedByTheNewestConfiguration);
+  CPPUNIT_TEST(isNotDeniedByAnAnswerThatNoServerHasProved);
   CPPUNIT_TEST_SUITE_END();
 
-  ScriptedServer Server_{[](const Request &) {
-    return ScriptedServer::answer("done", Id + "Response-Signature: s1\r\n");
-  }};
+  ScriptedServer Server_{[](const Request &) { return proved("200 OK"); }};
+
+  static std::string proved(const std::string &Status) {
+    return ScriptedServer::answer("done", Id + "Response-Signature: s1\r\n",
+                                  Status);
+  }
 
   std::unique_ptr<FrontEnd> start() {
     return std::make_unique<FrontEnd>(
@@ -96,6 +100,107 @@
         "152 RequestBodyTooLarge", *Front,
         request("POST", "/licence/7", Id + "Content-Length: 99999999\r\n"));
   }
+
+  void isNotDeniedByAnAnswerThatNoServerHasProved() {
+    std::string Answer;
+    ScriptedServer Server([&](const Request &) { return Answer; });
+    FrontEnd Front({{"cat-1", Server.port()}}, {}, 1,
+                   platform::platformDialect());
+    for (const char *Status :
+         {"301 Moved", "400 Bad Request", "401 Unauthorized", "404 Not Found",
+          "408 Timeout", "413 Too Large", "429 Too Many"}) {
+      for (const std::string &Fields : {std::string(), Id}) {
+        Answer = ScriptedServer::answer("done", Fields, Status);
+        assertAnswered("133 UnknownAnswerMalformed", Front,
+                       request("POST", "/licence/7", Id, "x"));
+      }
+      Answer = proved(Status);
+      assertAnswered("0 Ok", Front, request("POST", "/licence/7", Id, "x"));
+    }
+    for (const char *Status : {"400 No Id", "421 Misdirected", "429 Full"}) {
+      Answer = ScriptedServer::answer("", "Not-Executed: 1\r\n", Status);
+      const auto Refusal =
+          RawCaller(Front.port()).call(request("POST", "/licence/7", Id, "x"));
+      CPPUNIT_ASSERT_EQUAL(503U, Refusal.Status_);
+    }
+  }
+
+  void hasTheLimitsThatAreInForceWhenItArrives() {
+    const std::string Long = "X-A: " + std::string(4000, 'a') + "\r\n";
+    const std::string LongRequest = request("GET", "/search/7", Id + Long);
+    adapters::HttpLimits Limits;
+    Limits.HeaderBytes_ = 1000;
+    FrontEnd Front({{"cat-1", Server_.port()}}, Limits, 1,
+                   platform::platformDialect(), /*HasView=*/false);
+    const auto SetLimit = [&](unsigned Bytes) {
+      Front.changePreset(
+          [&](model::Preset &Preset) { Preset.Callers_.HeaderBytes_ = Bytes; });
+    };
+    RawCaller Early(Front.port());
+    Early.send(LongRequest);
+    CPPUNIT_ASSERT(eventually(
+        [&] { return Front.traffic().stats().CallerConnections_ == 1; }));
+    SetLimit(6000);
+    CPPUNIT_ASSERT_EQUAL(200U, Early.read().Status_);
+    SetLimit(1000);
+    RawCaller Kept(Front.port());
+    CPPUNIT_ASSERT_EQUAL(200U,
+                         Kept.call(request("GET", "/search/7", Id)).Status_);
+    SetLimit(6000);
+    CPPUNIT_ASSERT_EQUAL(200U, Kept.call(LongRequest).Status_);
+  }
+
+  void isReadInEachFormThatTheStandardAllows() {
+    const std::string Fields = "Host: cumingauge\r\n" + Id;
+    const std::string Chunked = "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string Get = "GET /search/7 HTTP/1.1\r\n" + Fields;
+    const std::string Post = "POST /licence/7 HTTP/1.1\r\n" + Fields;
+    const std::vector<std::string> Proper = {
+        Get + "\r\n",
+        "\r\n" + Get + "\r\n",
+        "GET http://cumingauge/search/7?a=b HTTP/1.1\r\n" + Fields + "\r\n",
+        "GET /search/7 HTTP/1.1\r\nHost: CuminGauge:80\r\n" + Id + "\r\n",
+        Get + "X-A:\r\nX-B: \t \r\nX-C:  a b \t\r\n\r\n",
+        Get + "Content-Length: 0\r\n\r\n",
+        Get + "Content-Length: 1\r\n\r\nx",
+        Get + "Deadline-Milliseconds:   800  \r\n\r\n",
+        Get + "Deadline-Milliseconds: 800.5\r\n\r\n",
+        Get + "Deadline-Milliseconds: 0800\r\n\r\n",
+        Get + "Connection: keep-alive, X-A\r\nX-A: 1\r\n\r\n",
+        Post + "Content-Length: 1, 1\r\n\r\nx",
+        Post + "Expect: 100-Continue\r\nContent-Length: 1\r\n\r\nx",
+        Post + Chunked + "0\r\n\r\n",
+        Post + Chunked + "00000001\r\nx\r\n000\r\n\r\n",
+        Post + Chunked + "A\r\n0123456789\r\na\r\n0123456789\r\n0\r\n\r\n",
+        Post + Chunked + "1;a;b=c;d=\"e f\"\r\nx\r\n0;z\r\n\r\n",
+        Post + Chunked + "1\r\nx\r\n0\r\nX-A: 1\r\nX-B:\r\n\r\n",
+        Post + "Transfer-Encoding:  Chunked \r\n\r\n0\r\n\r\n"};
+    std::string Refused;
+    for (const std::string &Bytes : Proper)
+      if (!isReadWhereverItIsCut(Bytes) || statusOf(Bytes) != 200)
+        Refused += Bytes;
+    CPPUNIT_ASSERT_EQUAL(std::string(), Refused);
+  }
+
+private:
+  static bool isReadWhereverItIsCut(const std::string &Bytes) {
+    for (std::size_t Cut = 1; Cut <= Bytes.size(); ++Cut) {
+      testing::PiecewiseReader<adapters::RequestReader> Reader;
+      auto Last = Reader.feed(Bytes.substr(0, Cut));
+      if (Cut < Bytes.size())
+        Last = Reader.feed(Bytes.substr(Cut));
+      if (Last != adapters::ReadStep::End)
+        return false;
+    }
+    return true;
+  }
+
+  unsigned statusOf(const std::string &Bytes) {
+    const auto Front = start();
+    RawCaller Caller(Front->port());
+    const auto Answer = Caller.call(Bytes);
+    return Answer.Status_ == 100 ? Caller.read().Status_ : Answer.Status_;
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(ProperRequest);
 
