Apply the limit of a head that is in force when it arrives

A caller whose connection was accepted before the first configuration, or before a change of the limit, got 431 for a head that the configuration in force allows: the reader of a session kept the limit of the time when the session was made, for all of its requests.

Change: the session sets the reader's limit at each read; it holds for heads of which nothing was parsed yet.

--- a/src/libcumingauge/adapters/httpcallersession.cpp
+++ b/src/libcumingauge/adapters/httpcallersession.cpp
@@ -99,6 +99,7 @@
   }
   if (Phase_ == Phase::Head && !Reader_.hasPartialRequest())
     setTimeout(Worker_.limits().HeadTimeout_);
+  Reader_.setHeaderLimit(Worker_.limits().HeaderBytes_);
   Reader_.commit(Bytes);
   if (PieceHandler_)
     return streamBody();
--- a/src/libcumingauge/adapters/httpmessagereader.h
+++ b/src/libcumingauge/adapters/httpmessagereader.h
@@ -47,6 +47,13 @@
       Piece_ = {};
   }
 
+  /// Sets the limit for heads of which nothing was parsed yet.
+  void setHeaderLimit(std::uint32_t Bytes) {
+    HeaderLimit_ = Bytes;
+    if (Parser_ && !Parser_->got_some())
+      Parser_->header_limit(Bytes);
+  }
+
   /// Starts with a new message.
   void start() {
     Parser_.emplace();
@@ -164,7 +171,7 @@
     return Piece_.size();
   }
 
-  const std::uint32_t HeaderLimit_;
+  std::uint32_t HeaderLimit_;
   boost::beast::flat_buffer Buffer_;
   std::optional<Parser> Parser_;
   std::vector<char> Piece_;
--- a/src/libcumingauge/adapters/httprequestreader.cpp
+++ b/src/libcumingauge/adapters/httprequestreader.cpp
@@ -145,6 +145,10 @@
 
 RequestReader::~RequestReader() = default;
 
+void RequestReader::setHeaderLimit(std::uint32_t Bytes) {
+  Impl_->Reader_.setHeaderLimit(Bytes);
+}
+
 boost::asio::mutable_buffer RequestReader::prepare() {
   Impl_->Incoming_.resize(Impl_->Reader_.readSize());
   return boost::asio::buffer(Impl_->Incoming_);
--- a/src/libcumingauge/adapters/httprequestreader.h
+++ b/src/libcumingauge/adapters/httprequestreader.h
@@ -21,6 +21,9 @@
   RequestReader(std::uint32_t HeaderLimit, const traffic::Dialect &Names);
   ~RequestReader();
 
+  /// Sets the limit for heads of which nothing was parsed yet.
+  void setHeaderLimit(std::uint32_t Bytes);
+
   /// Returns a buffer for the next read from the socket.
   boost::asio::mutable_buffer prepare();
 
