Read three forms of proper requests that were refused

Callers got 400 for an empty line before a request line, for a target in absolute form that names the same host as Host, and for a deadline in ms with decimals. RFC 9112 (2.2, 3.2.2) asks to accept the first two, and servers tell times with decimals already.

Evidence: isReadInEachFormThatTheStandardAllows feeds 19 forms whole and cut at each byte; on the code before just these three were refused. The others were read: chunk sizes with leading zeros and in upper case, extensions, trailers, blanks around and empty values, Expect, bodies on GET, equal lengths in a list.

Change: the reader skips one empty line ahead of each request, takes the path of a target in absolute form whose host is the one of Host (another one is still 400), and cuts decimals of a deadline off. A deadline that is negative, empty, no number or above 32 bits is still 400.

--- a/src/libcumingauge/adapters/httpmessagereader.h
+++ b/src/libcumingauge/adapters/httpmessagereader.h
@@ -61,6 +61,7 @@
     Parser_->body_limit(boost::none);
     Body_ = {};
     NeededBytes_ = 1;
+    HasSkippedLine_ = false;
   }
 
   /// Returns how many bytes the next read should ask for.
@@ -120,8 +121,24 @@
     return Used;
   }
 
+  std::string_view pending() const {
+    return {static_cast<const char *>(Buffer_.data().data()), Buffer_.size()};
+  }
+
+  /// Skips one empty line ahead of a request, as RFC 9112 asks for.
+  void skipEmptyLine() {
+    if (Parser_->got_some() || HasSkippedLine_)
+      return;
+    HasSkippedLine_ = pending().substr(0, 2) == "\r\n";
+    Buffer_.consume(HasSkippedLine_ ? 2 : 0);
+  }
+
   ReadStep parseHead() {
-    if (Buffer_.size() == 0)
+    if (IsRequest)
+      skipEmptyLine();
+    const bool IsHalfLine =
+        IsRequest && !Parser_->got_some() && pending() == "\r";
+    if (Buffer_.size() == 0 || IsHalfLine)
       return ReadStep::NeedMore;
     put();
     if (Error_ == http::error::need_more)
@@ -176,6 +193,7 @@
   std::optional<Parser> Parser_;
   std::vector<char> Piece_;
   std::string_view Body_;
+  bool HasSkippedLine_ = false;
   std::size_t NeededBytes_ = 1; ///< below that, parsing the body waits
   boost::beast::error_code Error_;
 };
--- a/src/libcumingauge/adapters/httprequestreader.cpp
+++ b/src/libcumingauge/adapters/httprequestreader.cpp
@@ -1,5 +1,6 @@
 #include "adapters/httprequestreader.h"
 #include "adapters/httpmessagereader.h"
+#include <algorithm>
 #include <charconv>
 
 namespace cumingauge::adapters {
@@ -22,6 +23,17 @@
   return Value;
 }
 
+/// Returns a time in ms; decimals are cut off.
+std::optional<std::uint32_t> parseMillis(string_view Text) {
+  const std::size_t Point = std::min(Text.find('.'), Text.size());
+  const string_view Decimals = Text.substr(Point);
+  const bool HasOnlyDigits =
+      Decimals.find_first_not_of("0123456789", 1) == string_view::npos;
+  if (!HasOnlyDigits || Decimals.size() == 1)
+    return std::nullopt;
+  return parseNumber<std::uint32_t>(Text.substr(0, Point));
+}
+
 ResultCode resultCodeOf(boost::beast::error_code Error) {
   if (Error == http::error::header_limit ||
       Error == http::error::buffer_overflow)
@@ -33,6 +45,22 @@
   return ResultCode::RequestMalformed;
 }
 
+/// Returns path and query of a request, also of one whose target names its host
+/// too; empty when the target has another form or names another host.
+template <class Message> string_view pathOf(const Message &Parsed) {
+  constexpr std::string_view Scheme = "http://";
+  const string_view Target = Parsed.target();
+  if (Target.empty() || Target.front() == '/')
+    return Target;
+  if (!iequals(Target.substr(0, Scheme.size()), Scheme))
+    return {};
+  const string_view Rest = Target.substr(Scheme.size());
+  const std::size_t Path = std::min(Rest.find('/'), Rest.size());
+  if (!iequals(Rest.substr(0, Path), Parsed[http::field::host]))
+    return {};
+  return Path == Rest.size() ? "/" : Rest.substr(Path);
+}
+
 /// Returns Ok, or the code of the first fault that Beast does not check for.
 template <class Parser> ResultCode checkRequest(Parser &Source) {
   const auto &Parsed = Source.get();
@@ -46,7 +74,7 @@
   const std::size_t Hosts = Parsed.count(http::field::host);
   if (Hosts > 1 || (Http11Request && Hosts == 0))
     return ResultCode::RequestMalformed;
-  if (Parsed.target().empty() || Parsed.target().front() != '/')
+  if (pathOf(Parsed).empty())
     return ResultCode::RequestMalformed;
   const string_view Expected = Parsed[http::field::expect];
   if (!Expected.empty() && !iequals(Expected, "100-continue"))
@@ -60,7 +88,7 @@
 bool storeRequestField(const traffic::Dialect &Names, string_view Name,
                        string_view Value, traffic::RequestHead &Head) {
   if (iequals(Name, Names.DeadlineMs_)) {
-    const auto Ms = parseNumber<std::uint32_t>(Value);
+    const auto Ms = parseMillis(Value);
     if (Ms)
       Head.Deadline_ = model::milliseconds(*Ms);
     return Ms.has_value();
@@ -99,7 +127,7 @@
   if (Result != ResultCode::Ok)
     return Result;
   Head.Method_ = textOf(Parsed.method_string());
-  Head.Target_ = textOf(Parsed.target());
+  Head.Target_ = textOf(pathOf(Parsed));
   Head.Host_ = textOf(Parsed[http::field::host]);
   Head.KeepAlive_ = Source.keep_alive();
   Head.ExpectsContinue_ =
--- a/tests/http/properrequeststest.cpp
+++ b/tests/http/properrequeststest.cpp
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(isDeniedByTheNewestConfiguration);
   CPPUNIT_TEST(isNotDeniedByAnAnswerThatNoServerHasProved);
   CPPUNIT_TEST(hasTheLimitsThatAreInForceWhenItArrives);
+  CPPUNIT_TEST(isReadInEachFormThatTheStandardAllows);
   CPPUNIT_TEST_SUITE_END();
 
   ScriptedServer Server_{[](const Request &) { return proved("200 OK"); }};
