Do not refuse as wrong what a part of a configuration does not allow

A route, a workspace or a key of the configuration that cannot be read is left out with an alarm. Callers of that route then got 404, and those with that key 401, from every process, as if the rest were all of the configuration.

Evidence: the test on the code before, with a route whose service cannot be read: Expected: 107 NotRunControlStale, Actual: 154 RequestNoRoute

Change: the preset is marked as incomplete when a part was left out, also for the peers that get it; the refusals of the commit on outdated configurations ask for that too. The field is optional, so a preset of an older build is read as before.

--- a/src/libcumingauge/adapters/httpworker.cpp
+++ b/src/libcumingauge/adapters/httpworker.cpp
@@ -129,15 +129,18 @@
   case ResultCode::RequestKeyUnknown:
   case ResultCode::RequestBodyTooLarge:
   case ResultCode::RequestHeadersTooLarge:
-    return isConfigurationNewest() ? Code : ResultCode::NotRunControlStale;
+    return isConfigurationKnown() ? Code : ResultCode::NotRunControlStale;
   default:
     return Code;
   }
 }
 
-bool HttpWorker::isConfigurationNewest() const {
+bool HttpWorker::isConfigurationKnown() const {
   const auto Known = Common_->Hooks_.Configuration_();
-  return View_ && View_->Config_->Version_ == Known.Version_ &&
+  const model::Preset *Preset =
+      View_ ? model::presetInForce(*View_->Config_) : nullptr;
+  return Preset && !Preset->Incomplete_.value_or(false) &&
+         View_->Config_->Version_ == Known.Version_ &&
          now() < Known.KnownUntil_;
 }
 
--- a/src/libcumingauge/adapters/httpworker.h
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -83,9 +83,10 @@
   }
   /// Finds the route of a request and checks its caller's key.
   RequestAdmission admitRequest(const traffic::RequestHead &Head);
-  /// Returns the code with which a request is refused that has not run. What a
-  /// newer configuration may allow is not refused as wrong while the one in
-  /// force here may be outdated: the caller would not send it again.
+  /// Returns the code with which a request is refused that has not run. What
+  /// the newest configuration may allow is not refused as wrong while the one
+  /// in force here may be outdated or lacks parts: the caller would not send it
+  /// again.
   model::ResultCode refusalCode(model::ResultCode Code) const;
   /// \param Head as far as it was read.
   /// \param Detail what the parser found wrong, or empty.
@@ -192,8 +193,8 @@
   /// Determines the workspace of a request from the keys in force.
   traffic::CallerIdentity identify(const traffic::RequestHead &Head,
                                    const model::Route &Route) const;
-  /// Whether this thread's configuration is known to be the newest one.
-  bool isConfigurationNewest() const;
+  /// Whether this thread's configuration is known to be whole and the newest.
+  bool isConfigurationKnown() const;
   /// Continues the queued calls that can be dispatched or must be refused.
   void releaseWaiting();
   void scheduleRelease();
--- a/src/libcumingauge/model/preset.h
+++ b/src/libcumingauge/model/preset.h
@@ -6,6 +6,7 @@
 #include "model/time.h"
 #include "model/workspace.h"
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -154,12 +155,15 @@
   Workspaces Workspaces_; ///< whose keys are valid
   /// Calls need the key of a workspace, except on public routes.
   bool KeysRequired_ = false;
+  /// Parts of the document from which the preset was made could not be read and
+  /// are left out, so that it does not show what is wrong; absent: none.
+  std::optional<bool> Incomplete_;
 };
 BOOST_DESCRIBE_STRUCT(Preset, (),
                       (Name_, Summary_, Pick_, ZoneCost_, Measuring_, Retry_,
                        Hedge_, Queue_, Servers_, Ejection_, Cold_, Routes_,
                        Services_, Callers_, Regions_, Workspaces_,
-                       KeysRequired_))
+                       KeysRequired_, Incomplete_))
 
 /// Returns the settings of a service, or null when the preset has none.
 const ServiceRule *findServiceRule(const Preset &Value,
--- a/src/libcumingauge/platform/configurationdocument.cpp
+++ b/src/libcumingauge/platform/configurationdocument.cpp
@@ -194,6 +194,7 @@
                      "version or routes is missing or has the wrong type"});
     return std::nullopt;
   }
+  const std::size_t FoundBefore = Found.size();
   ports::ListedConfiguration Out{*Version, Base};
   Out.Preset_.Name_ = "version " + std::to_string(*Version);
   Out.Preset_.Routes_.clear();
@@ -209,6 +210,8 @@
   readWorkspaces(Parsed, Out.Preset_, Found);
   readServices(Parsed, Out.Preset_);
   readLimits(Parsed, Out.Preset_);
+  if (Found.size() > FoundBefore)
+    Out.Preset_.Incomplete_ = true;
   return Out;
 }
 
--- a/tests/http/properrequeststest.cpp
+++ b/tests/http/properrequeststest.cpp
@@ -1,12 +1,15 @@
 #include "adapters/httprequestreader.h"
 #include "http/frontend.h"
 #include "http/scriptedserver.h"
+#include "platform/configurationdocument.h"
 #include "platform/dialect.h"
 #include "support/piecewisereader.h"
 #include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
 
 using namespace cumingauge;
 using namespace cumingauge::test;
+using Json = nlohmann::json;
 using Request = ScriptedServer::Request;
 
 namespace {
@@ -22,6 +25,7 @@
   CPPUNIT_TEST(isNotDeniedByAConfigurationThatIsNotYetReplaced);
   CPPUNIT_TEST(isNotCalledTooLongByLimitsThatMayBeOld);
   CPPUNIT_TEST(isDeniedByTheNewestConfiguration);
+  CPPUNIT_TEST(isNotDeniedByAPartOfAConfiguration);
   CPPUNIT_TEST(isNotDeniedByAnAnswerThatNoServerHasProved);
   CPPUNIT_TEST(hasTheLimitsThatAreInForceWhenItArrives);
   CPPUNIT_TEST(isReadInEachFormThatTheStandardAllows);
@@ -34,6 +38,28 @@
                                   Status);
   }
 
+  static Json makeRoute(const std::string &Prefix, const std::string &Kind) {
+    return {{"name", Prefix}, {"host", "cumingauge"}, {"prefix", Prefix},
+            {"kind", Kind},   {"timeout-ms", 20000},  {"service", "catalogue"}};
+  }
+
+  static Json makeDocument() {
+    return {
+        {"version", 7},
+        {"routes",
+         {makeRoute("/search/", "safe"), makeRoute("/licence/", "unsafe")}}};
+  }
+
+  static void apply(FrontEnd &Front, const Json &Document) {
+    model::Problems Found;
+    Front.changePreset([&](model::Preset &Preset) {
+      const std::string Name = Preset.Name_;
+      Preset =
+          platform::readConfiguration(Document.dump(), Preset, Found)->Preset_;
+      Preset.Name_ = Name;
+    });
+  }
+
   std::unique_ptr<FrontEnd> start() {
     return std::make_unique<FrontEnd>(
         std::vector<FrontEnd::Target>{{"cat-1", Server_.port()}},
@@ -91,6 +117,26 @@
     CPPUNIT_ASSERT(Server_.requests().empty());
   }
 
+  void isNotDeniedByAPartOfAConfiguration() {
+    const auto Front = start();
+    const std::string Added = request("GET", "/added/7", Id);
+    Json Document = makeDocument();
+    apply(*Front, Document);
+    assertAnswered("154 RequestNoRoute", *Front, Added);
+    Document["routes"].push_back({{"host", "cumingauge"},
+                                  {"prefix", "/added/"},
+                                  {"service", Json::array()}});
+    apply(*Front, Document);
+    assertAnswered(Stale, *Front, Added);
+    assertAnswered("0 Ok", *Front, request("GET", "/search/7", Id));
+    Document = makeDocument();
+    Document["tenants"] = {{{"name", "north"}, {"api-keys", {1}}}};
+    apply(*Front, Document);
+    assertAnswered(
+        Stale, *Front,
+        request("GET", "/search/7", Id + "Authorization: Token 1\r\n"));
+  }
+
   void isDeniedByTheNewestConfiguration() {
     const auto Front = start();
     assertAnswered("154 RequestNoRoute", *Front,
--- a/tests/platform/configurationdocumenttest.cpp
+++ b/tests/platform/configurationdocumenttest.cpp
@@ -53,6 +53,7 @@
   CPPUNIT_TEST(letsNobodyInWhenItsWorkspacesCannotBeRead);
   CPPUNIT_TEST(fitsIntoAPeerMessageWhenItIsFullOfKeys);
   CPPUNIT_TEST(skipsOnlyTheRoutesThatCannotBeRead);
+  CPPUNIT_TEST(isIncompleteWhenAPartOfItCannotBeRead);
   CPPUNIT_TEST(treatsARouteOfUnknownKindAsNotIdempotent);
   CPPUNIT_TEST(isRefusedWithoutANumericVersion);
   CPPUNIT_TEST_SUITE_END();
@@ -199,6 +200,30 @@
                    adapters::MaxPeerMessageBytes);
   }
 
+  /// Guards against refusals by a process that lacks the part that allows the
+  /// request, also by one that has the configuration from a peer.
+  void isIncompleteWhenAPartOfItCannotBeRead() {
+    const auto IsIncomplete = [&](const Json &Document) {
+      control::DirectoryUpdate Update;
+      Update.Preset_ = read(Document)->Preset_;
+      const auto Received =
+          adapters::decodePeerMessage(adapters::encodePeerMessage(Update));
+      return std::get<control::DirectoryUpdate>(Received.value())
+          .Preset_->Incomplete_.value_or(false);
+    };
+    CPPUNIT_ASSERT(!IsIncomplete(makeValidDocument()));
+    const std::vector<std::pair<std::string, Json>> Unreadable = {
+        {"/routes/0/host", 7},
+        {"/routes/0/service", 7},
+        {"/tenants", 7},
+        {"/tenants", Json::array({{{"name", "north"}}})}};
+    for (const auto &[Path, Value] : Unreadable) {
+      Json Document = makeValidDocument();
+      Document[Json::json_pointer(Path)] = Value;
+      CPPUNIT_ASSERT_MESSAGE(Path, IsIncomplete(Document));
+    }
+  }
+
   void skipsOnlyTheRoutesThatCannotBeRead() {
     Json Document = makeValidDocument();
     Document["routes"][0].erase("prefix");
