Apply no limit on bodies that the configuration does not have

Callers got 413 above 16 MiB, the default of a preset, where the operators' configuration has no limit on bodies or one that cannot be read; a limit of the head above 32 bits was cut to its lowest bits.

Evidence: the test on the code before: Expected: 0 Ok, Actual: 152 RequestBodyTooLarge, without limits.

Change: a limit on bodies that is absent or cannot be read does not hold (bodies are streamed, so memory does not follow from it); one that cannot be read is a problem in the log and marks the configuration as incomplete.

--- a/src/libcumingauge/platform/configurationdocument.cpp
+++ b/src/libcumingauge/platform/configurationdocument.cpp
@@ -98,17 +98,31 @@
   }
 }
 
-void readLimits(const Json &Document, model::Preset &Out) {
-  const Json *Limits = findField(Document, "limits");
-  if (!Limits)
-    return;
+/// Reads a limit; 0 when it is absent or cannot be read.
+std::uint64_t readLimit(const Json &Limits, const char *Name,
+                        model::Problems &Found) {
+  const auto Limit = countField(Limits, Name);
+  if (!Limit && findField(Limits, Name))
+    Found.push_back({std::string("configuration/limits/") + Name,
+                     "has the wrong type; the limit does not hold"});
+  return Limit.value_or(0);
+}
+
+/// Reads the limits. Those that are absent or cannot be read do not hold, apart
+/// from the process's own.
+void readLimits(const Json &Document, model::Preset &Out,
+                model::Problems &Found) {
+  const Json *Listed = findField(Document, "limits");
+  const Json Limits = Listed ? *Listed : Json::object();
   Out.Callers_.HeaderBytes_ = static_cast<unsigned>(
-      countField(*Limits, "max-header-bytes").value_or(0));
-  Out.Callers_.HeadTimeout_ = millisField(*Limits, "header-timeout-ms");
-  Out.Callers_.IdleTimeout_ = millisField(*Limits, "idle-timeout-ms");
-  if (const auto Bytes = countField(*Limits, "max-body-bytes"))
-    for (model::Route &Route : Out.Routes_)
-      Route.MaxBodyBytes_ = *Bytes;
+      std::min<std::uint64_t>(readLimit(Limits, "max-header-bytes", Found),
+                              std::numeric_limits<unsigned>::max()));
+  Out.Callers_.HeadTimeout_ = millisField(Limits, "header-timeout-ms");
+  Out.Callers_.IdleTimeout_ = millisField(Limits, "idle-timeout-ms");
+  const std::uint64_t BodyBytes = readLimit(Limits, "max-body-bytes", Found);
+  for (model::Route &Route : Out.Routes_)
+    Route.MaxBodyBytes_ =
+        BodyBytes > 0 ? BodyBytes : std::numeric_limits<std::uint64_t>::max();
 }
 
 /// Reads the workspaces of a configuration one after the other.
@@ -209,7 +223,7 @@
   }
   readWorkspaces(Parsed, Out.Preset_, Found);
   readServices(Parsed, Out.Preset_);
-  readLimits(Parsed, Out.Preset_);
+  readLimits(Parsed, Out.Preset_, Found);
   if (Found.size() > FoundBefore)
     Out.Preset_.Incomplete_ = true;
   return Out;
--- a/tests/http/properrequeststest.cpp
+++ b/tests/http/properrequeststest.cpp
@@ -6,6 +6,8 @@
 #include "support/piecewisereader.h"
 #include <cppunit/extensions/HelperMacros.h>
 #include <nlohmann/json.hpp>
+#include <random>
+#include <sstream>
 
 using namespace cumingauge;
 using namespace cumingauge::test;
@@ -26,9 +28,11 @@
   CPPUNIT_TEST(isNotCalledTooLongByLimitsThatMayBeOld);
   CPPUNIT_TEST(isDeniedByTheNewestConfiguration);
   CPPUNIT_TEST(isNotDeniedByAPartOfAConfiguration);
+  CPPUNIT_TEST(isNotTooLongForAConfigurationWithoutALimit);
   CPPUNIT_TEST(isNotDeniedByAnAnswerThatNoServerHasProved);
   CPPUNIT_TEST(hasTheLimitsThatAreInForceWhenItArrives);
   CPPUNIT_TEST(isReadInEachFormThatTheStandardAllows);
+  CPPUNIT_TEST(isReadInChunksAndPiecesOfAnySize);
   CPPUNIT_TEST_SUITE_END();
 
   ScriptedServer Server_{[](const Request &) { return proved("200 OK"); }};
@@ -137,6 +141,18 @@
         request("GET", "/search/7", Id + "Authorization: Token 1\r\n"));
   }
 
+  void isNotTooLongForAConfigurationWithoutALimit() {
+    const std::string Upload(17000000, 'u');
+    const auto Front = start();
+    for (const Json &Limits :
+         {Json(nullptr), Json::object(), Json{{"max-body-bytes", "17"}}}) {
+      Json Document = makeDocument();
+      Document["limits"] = Limits;
+      apply(*Front, Document);
+      assertAnswered("0 Ok", *Front, request("POST", "/licence/7", Id, Upload));
+    }
+  }
+
   void isDeniedByTheNewestConfiguration() {
     const auto Front = start();
     assertAnswered("154 RequestNoRoute", *Front,
@@ -230,6 +246,36 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), Refused);
   }
 
+  void isReadInChunksAndPiecesOfAnySize() {
+    std::mt19937 Random(20261207);
+    // Sizes of all magnitudes.
+    const auto Draw = [&] {
+      return 1 + Random() % (std::size_t(1) << (Random() % 18));
+    };
+    for (int Run = 0; Run < 300; ++Run) {
+      std::string Whole =
+          request("POST", "/licence/7", Id + "Transfer-Encoding: chunked\r\n");
+      std::string Body;
+      for (std::size_t Chunks = Random() % 20; Chunks > 0; --Chunks) {
+        std::ostringstream Size;
+        const std::string Chunk(Draw(), '\r');
+        Size << std::hex << Chunk.size();
+        Whole += Size.str() + "\r\n" + Chunk + "\r\n";
+        Body += Chunk;
+      }
+      Whole += "0\r\n\r\n";
+      testing::PiecewiseReader<adapters::RequestReader> Reader;
+      auto Last = adapters::ReadStep::NeedMore;
+      for (std::size_t Sent = 0; Sent < Whole.size();) {
+        const std::size_t Piece = std::min(Draw(), Whole.size() - Sent);
+        Last = Reader.feed(std::string_view(Whole).substr(Sent, Piece));
+        Sent += Piece;
+      }
+      CPPUNIT_ASSERT(Last == adapters::ReadStep::End);
+      CPPUNIT_ASSERT(Body == Reader.body());
+    }
+  }
+
 private:
   static bool isReadWhereverItIsCut(const std::string &Bytes) {
     for (std::size_t Cut = 1; Cut <= Bytes.size(); ++Cut) {
--- a/tests/platform/configurationdocumenttest.cpp
+++ b/tests/platform/configurationdocumenttest.cpp
@@ -215,6 +215,8 @@
     const std::vector<std::pair<std::string, Json>> Unreadable = {
         {"/routes/0/host", 7},
         {"/routes/0/service", 7},
+        {"/limits/max-body-bytes", "1000"},
+        {"/limits/max-header-bytes", -1},
         {"/tenants", 7},
         {"/tenants", Json::array({{{"name", "north"}}})}};
     for (const auto &[Path, Value] : Unreadable) {
