Pass on a server's own 3xx or 4xx without proof again

Read afresh: only a success is said to need the proof, everything else of a server is passed on unchanged, and the call id tells whose answer it is.

Change: one of these needs the id of its call, now also on the first exchange of a connection, which is what bytes that no server has made lack. 408 and 429 that do not declare that the call was not run still need the proof, as callers take them for that promise.

--- a/src/libcumingauge/adapters/httpconnection.cpp
+++ b/src/libcumingauge/adapters/httpconnection.cpp
@@ -25,10 +25,18 @@
 constexpr std::uint64_t MaxStaleBytes = 1024 * 1024;
 constexpr unsigned FirstStatusAfterSuccess = 300;
 constexpr unsigned FirstServerError = 500;
+constexpr unsigned StatusRequestTimeout = 408;
+constexpr unsigned StatusTooManyRequests = 429;
 /// Number of failed calls after which a connection is not used again, as it
 /// remembers all of them.
 constexpr std::size_t MaxFailedCalls = 16;
 
+/// Returns whether callers take the status for a promise that the call did not
+/// run.
+bool isPromise(unsigned Status) {
+  return Status == StatusRequestTimeout || Status == StatusTooManyRequests;
+}
+
 } // namespace
 
 HttpConnection::HttpConnection(boost::asio::io_context &Io,
@@ -254,22 +262,24 @@
 }
 
 /// Returns why the answer is not taken for that of the current call, if so: it
-/// is another call's, or one below 500 without the fields that the dialect
-/// requires. A caller does not repeat its request after these, so none may come
-/// from bytes that no server has made. Where servers repeat call ids, an answer
-/// without one may be a copy of an answer to an earlier request.
+/// is another call's, or lacks the fields that the dialect requires. Where
+/// servers repeat call ids, an answer without one may be a copy of an answer to
+/// an earlier request. One below 500 needs the id also on a new connection, as
+/// a caller does not repeat its request after it. A status that promises that
+/// the call did not run needs the proof, like a success.
 AnswerFault HttpConnection::findCallFault() const {
   if (!traffic::isAnswerTo(Exchange_.CallId_, head().CallId_))
     return AnswerFault::WrongCall;
   if (Exchange_.CallId_.empty())
     return AnswerFault::None;
-  const bool IsSuccess = head().Status_ < FirstStatusAfterSuccess;
-  if (Names_.CallIdRequired_ && head().CallId_.empty() &&
-      (IsSuccess || !IsFirstExchange_))
+  const unsigned Status = head().Status_;
+  const bool IsNotRun = Names_.IsNotRun_(Status, head().NotRun_);
+  const bool NeedsId = !IsFirstExchange_ || Status < FirstStatusAfterSuccess ||
+                       (Status < FirstServerError && !IsNotRun);
+  if (Names_.CallIdRequired_ && head().CallId_.empty() && NeedsId)
     return AnswerFault::WrongCall;
   const bool NeedsProof =
-      IsSuccess || (head().Status_ < FirstServerError &&
-                    !Names_.IsNotRun_(head().Status_, head().NotRun_));
+      Status < FirstStatusAfterSuccess || (isPromise(Status) && !IsNotRun);
   return NeedsProof && !head().HasProof_ ? AnswerFault::NoProof
                                          : AnswerFault::None;
 }
