--- a/tests/http/properrequeststest.cpp
+++ b/tests/http/properrequeststest.cpp
@@ -142,7 +142,8 @@
   }
 
   void isNotTooLongForAConfigurationWithoutALimit() {
-    const std::string Upload(17000000, 'u');
+    std::string Upload;
+    Upload.resize(17000000, 'u');
     const auto Front = start();
     for (const Json &Limits :
          {Json(nullptr), Json::object(), Json{{"max-body-bytes", "17"}}}) {
