--- a/src/libcumingauge/adapters/httprequestreader.cpp
+++ b/src/libcumingauge/adapters/httprequestreader.cpp
@@ -46,9 +46,11 @@
 }
 
 /// Returns path and query of a request, also of one whose target names its host
-/// too; empty when the target has another form or names another host.
+/// too; empty when the target has another form or names another host. Hosts
+/// that servers could read in another way are not taken.
 template <class Message> string_view pathOf(const Message &Parsed) {
   constexpr std::string_view Scheme = "http://";
+  constexpr std::string_view Delimiters = "/?#@";
   const string_view Target = Parsed.target();
   if (Target.empty() || Target.front() == '/')
     return Target;
@@ -56,7 +58,9 @@
     return {};
   const string_view Rest = Target.substr(Scheme.size());
   const std::size_t Path = std::min(Rest.find('/'), Rest.size());
-  if (!iequals(Rest.substr(0, Path), Parsed[http::field::host]))
+  const string_view Host = Rest.substr(0, Path);
+  if (Host.empty() || Host.find_first_of(Delimiters) != string_view::npos ||
+      !iequals(Host, Parsed[http::field::host]))
     return {};
   return Path == Rest.size() ? "/" : Rest.substr(Path);
 }
--- a/tests/http/properrequeststest.cpp
+++ b/tests/http/properrequeststest.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(isNotDeniedByAnAnswerThatNamesNoCall);
   CPPUNIT_TEST(hasTheLimitsThatAreInForceWhenItArrives);
   CPPUNIT_TEST(isReadInEachFormThatTheStandardAllows);
+  CPPUNIT_TEST(isNotReadInAFormThatServersMayReadDifferently);
   CPPUNIT_TEST(isReadInChunksAndPiecesOfAnySize);
   CPPUNIT_TEST_SUITE_END();
 
@@ -283,6 +284,16 @@
     }
   }
 
+  void isNotReadInAFormThatServersMayReadDifferently() {
+    for (const std::string Host :
+         {"cumingauge?a=", "u@cumingauge", "cumingauge#a", ""})
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Host, 400U,
+                                   statusOf("GET http://" + Host +
+                                            "/search/7 HTTP/1.1\r\nHost: " +
+                                            Host + "\r\n" + Id + "\r\n"));
+    CPPUNIT_ASSERT(Server_.requests().empty());
+  }
+
 private:
   static bool isReadWhereverItIsCut(const std::string &Bytes) {
     for (std::size_t Cut = 1; Cut <= Bytes.size(); ++Cut) {
