Let the soak notice a late configuration that is answered with 503

The soak's check of configurations looked for 404 only, which a process whose configuration may be old does not answer any more. A 107 for the route of the newest version now counts like it, under the same condition that the process is in touch.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -8,6 +8,7 @@
 from judge import COLD_PER_SECOND, CONFIG_SECONDS, NOT_RUN
 from servers import body_of, signature
 
+CONTROL_STALE = "107 "  # begins the result code of a process whose configuration may be old
 MISSES_ALLOWED = 1  # the second failed check in a row takes a process out of the choice
 # Method, path prefix, is safe, deadline in seconds, weight.
 ROUTES = (("GET", "/search/", True, 0.8, 8), ("POST", "/licence/", False, 1.0, 3),
@@ -253,12 +254,15 @@
         if answer is None or entry.generation != generation:
             return
         is_known = answer.status != 404 and answer.status != 503
-        if target == version and answer.status == 404 and version == self.version \
+        # A process that may have an old configuration answers 503 in place of 404.
+        is_old = answer.status == 404 or \
+            answer.fields.get("x-result-code", "").startswith(CONTROL_STALE)
+        if target == version and is_old and version == self.version \
                 and self.judge.is_bound(entry.name, accepted, at, CONFIG_SECONDS):
             self.judge.report_violation("CONFIG", f"{entry.name} has no version {version} "
                                                   f"{at - accepted:.3f} s after it was accepted"
                                                   f"{self.judge.after_restore(accepted)}")
-        if target == version == old == self.version and answer.status == 404:
+        if target == version == old == self.version and is_old:
             self.judge.report_violation("CONFIG", f"{entry.name} lost version {version}, which "
                                                   "it had in force")
         if is_known:
