--- a/tests/http/frontend.cpp
+++ b/tests/http/frontend.cpp
@@ -3,6 +3,7 @@
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <poll.h>
 #include <thread>
 
 namespace cumingauge::test {
@@ -144,6 +145,12 @@
   return Out;
 }
 
+bool RawCaller::awaitBytes() {
+  constexpr int LongestWaitMs = 10000;
+  pollfd Descriptor{Socket_.native_handle(), POLLIN, 0};
+  return poll(&Descriptor, 1, LongestWaitMs) > 0;
+}
+
 RawCaller::Answer RawCaller::call(const std::string &Bytes, bool IsHead) {
   send(Bytes);
   return read(IsHead);
--- a/tests/http/frontend.h
+++ b/tests/http/frontend.h
@@ -95,6 +95,10 @@
   /// \param IsHead whether it answers a HEAD request and so has no body.
   Answer read(bool IsHead = false);
 
+  /// Waits until bytes or the end of the connection arrive.
+  /// \returns whether they did within ten seconds.
+  bool awaitBytes();
+
   /// Sends a request and reads its answer.
   Answer call(const std::string &Bytes, bool IsHead = false);
 
--- a/tests/http/scriptedserver.cpp
+++ b/tests/http/scriptedserver.cpp
@@ -34,6 +34,11 @@
   return Requests_;
 }
 
+std::vector<std::string> ScriptedServer::heads() const {
+  const std::lock_guard<std::mutex> Lock(Mutex_);
+  return Heads_;
+}
+
 std::string ScriptedServer::answer(const std::string &Body,
                                    const std::string &Fields,
                                    const std::string &Status) {
@@ -61,15 +66,22 @@
   while (true) {
     beast::http::request_parser<beast::http::string_body> Parser;
     Parser.body_limit(boost::none);
-    beast::http::read(Connection, Buffer, Parser, Error);
+    beast::http::read_header(Connection, Buffer, Parser, Error);
+    Request Seen;
+    if (!Error) {
+      std::ostringstream Head;
+      Head << Parser.get().base();
+      Seen.Head_ = Head.str();
+      {
+        const std::lock_guard<std::mutex> Lock(Mutex_);
+        Heads_.push_back(Seen.Head_);
+      }
+      beast::http::read(Connection, Buffer, Parser, Error);
+    }
     if (Error) {
       ++EndedByPeer_;
       return;
     }
-    Request Seen;
-    std::ostringstream Head;
-    Head << Parser.get().base();
-    Seen.Head_ = Head.str();
     Seen.Body_ = Parser.get().body();
     Seen.Connection_ = Number;
     {
--- a/tests/http/scriptedserver.h
+++ b/tests/http/scriptedserver.h
@@ -36,6 +36,10 @@
   unsigned connections() const { return Connections_; }
   std::vector<Request> requests() const;
 
+  /// Returns the heads of all requests so far, also of those whose body has not
+  /// ended.
+  std::vector<std::string> heads() const;
+
   /// Returns how many answers have been written so far.
   unsigned answers() const { return Answers_; }
 
@@ -90,8 +94,9 @@
   std::atomic<bool> CloseAfterAnswer_{false};
   std::atomic<unsigned> EndedByPeer_{0};
   std::atomic<unsigned> ClosedHere_{0};
-  mutable std::mutex Mutex_; ///< guards Requests_
+  mutable std::mutex Mutex_; ///< guards Requests_ and Heads_
   std::vector<Request> Requests_;
+  std::vector<std::string> Heads_;
   std::vector<std::shared_ptr<Socket>> ConnectionSockets_;
   std::vector<std::thread> ConnectionThreads_;
   std::thread AcceptThread_;
