Answer a stalled upload by the state of its attempt

A body longer than http.keptBodyBytes is passed on while it arrives. When it stalled for http.bodyTimeoutMs, the session dropped the call and answered 408, the promise that it has not run, although a server may have begun it. The call is now given up by an event of its life cycle, and the table of outcomes decides: 504 once bytes may have left for a server, 408 before that. An answer that is passed on already is broken off as before.

The property tests of the life cycle feed the event too.

--- a/src/libcumingauge/adapters/httpcall.cpp
+++ b/src/libcumingauge/adapters/httpcall.cpp
@@ -83,6 +83,10 @@
 
 void HttpCall::onCallerLeft() { apply(traffic::CallerLeft{}); }
 
+void HttpCall::giveUpRequest(model::ResultCode Reason) {
+  apply(traffic::RequestGivenUp{Reason});
+}
+
 void HttpCall::onTimer(model::TimePoint Now) {
   if (Now >= Request_.Deadline_)
     return apply(traffic::DeadlinePassed{});
--- a/src/libcumingauge/adapters/httpcall.h
+++ b/src/libcumingauge/adapters/httpcall.h
@@ -39,6 +39,10 @@
 
   void onCallerLeft();
 
+  /// Gives up a request whose rest does not arrive.
+  /// \param Reason code of the answer if the call certainly did not run.
+  void giveUpRequest(model::ResultCode Reason);
+
   /// Moves the deadline forward to this time, if it is later, unless an answer
   /// is passed on already.
   void limitDeadline(model::TimePoint Latest);
--- a/src/libcumingauge/adapters/httpcalleranswers.cpp
+++ b/src/libcumingauge/adapters/httpcalleranswers.cpp
@@ -106,6 +106,14 @@
   endRequest(Code);
 }
 
+/// Ends a call whose request is passed on while it arrives. A server may run it
+/// already, so the states of the attempts decide whether the code is true.
+void HttpCallerSession::giveUpStreamedRequest(ResultCode Code) {
+  PieceHandler_ = nullptr;
+  if (const auto Call = Call_)
+    Call->giveUpRequest(Code);
+}
+
 void HttpCallerSession::answer(ResultCode Code,
                                model::milliseconds RetryAfter) {
   if (Phase_ != Phase::Call || AnswerStarted_)
--- a/src/libcumingauge/adapters/httpcallersession.cpp
+++ b/src/libcumingauge/adapters/httpcallersession.cpp
@@ -384,7 +384,7 @@
   if (Phase_ == Phase::Head || Phase_ == Phase::KeptBody)
     return refuseRequest(ResultCode::RequestTimeout);
   if (PieceHandler_)
-    refuseStreamedRequest(ResultCode::RequestTimeout);
+    giveUpStreamedRequest(ResultCode::RequestTimeout);
 }
 
 } // namespace cumingauge::adapters
--- a/src/libcumingauge/traffic/callevents.h
+++ b/src/libcumingauge/traffic/callevents.h
@@ -72,6 +72,12 @@
 /// The deadline of the call has passed.
 struct DeadlinePassed {};
 BOOST_DESCRIBE_STRUCT(DeadlinePassed, (), ())
+/// The rest of a request that is passed on while it arrives is not waited for.
+struct RequestGivenUp {
+  /// Code of the answer if the call certainly did not run.
+  model::ResultCode Reason_ = model::ResultCode::RequestTimeout;
+};
+BOOST_DESCRIBE_STRUCT(RequestGivenUp, (), (Reason_))
 /// The caller closed its connection.
 struct CallerLeft {};
 BOOST_DESCRIBE_STRUCT(CallerLeft, (), ())
@@ -79,7 +85,8 @@
 using CallEvent =
     std::variant<CallArrived, ServerChosen, AdmissionRefused, ConnectionReady,
                  AnswerStarted, AnswerEnded, AttemptFailed, RetryDecided,
-                 HedgeDue, HedgeDecided, DeadlinePassed, CallerLeft>;
+                 HedgeDue, HedgeDecided, DeadlinePassed, RequestGivenUp,
+                 CallerLeft>;
 
 // Actions.
 
--- a/src/libcumingauge/traffic/calllifecycle.cpp
+++ b/src/libcumingauge/traffic/calllifecycle.cpp
@@ -256,6 +256,14 @@
       Fsm.Data_.fail(ResultCode::NotRunDeadline);
     }
   };
+  struct FailRequest {
+    template <class E, class F, class S, class T>
+    void operator()(const E &Event, F &Fsm, S &, T &) const {
+      Fsm.Data_.Actions_.push_back(RemoveFromQueue{});
+      Fsm.Data_.dropAllBut(NoAttempt, AttemptEnd::Cancelled);
+      Fsm.Data_.fail(Event.Reason_);
+    }
+  };
   struct CancelCall {
     template <class E, class F, class S, class T>
     void operator()(const E &, F &Fsm, S &, T &) const {
@@ -281,6 +289,14 @@
       Fsm.Data_.Actions_.push_back(EndCall{ResultCode::UnknownAnswerBroken});
     }
   };
+  struct AbortGivenUp {
+    template <class E, class F, class S, class T>
+    void operator()(const E &, F &Fsm, S &, T &) const {
+      Fsm.Data_.dropAllBut(NoAttempt, AttemptEnd::Cancelled);
+      Fsm.Data_.Actions_.push_back(AbortAnswer{});
+      Fsm.Data_.Actions_.push_back(EndCall{ResultCode::UnknownAnswerBroken});
+    }
+  };
   struct AbortAtDeadline {
     template <class E, class F, class S, class T>
     void operator()(const E &, F &Fsm, S &, T &) const {
@@ -300,6 +316,7 @@
       Row<Deciding,    ServerChosen,     Running,     Open,            none>,
       Row<Deciding,    AdmissionRefused, Ended,       Refuse,          none>,
       Row<Deciding,    DeadlinePassed,   Ended,       FailAtDeadline,  none>,
+      Row<Deciding,    RequestGivenUp,   Ended,       FailRequest,     none>,
       Row<Deciding,    CallerLeft,       Ended,       CancelCall,      none>,
       Row<Running,     ConnectionReady,  none,        Send,            IsConnecting>,
       Row<Running,     AnswerStarted,    Forwarding,  Forward,         IsSent>,
@@ -309,6 +326,7 @@
       Row<Running,     HedgeDue,         none,        AskForHedge,     CanHedge>,
       Row<Running,     HedgeDecided,     none,        Open,            IsHedge>,
       Row<Running,     DeadlinePassed,   Ended,       FailAtDeadline,  none>,
+      Row<Running,     RequestGivenUp,   Ended,       FailRequest,     none>,
       Row<Running,     CallerLeft,       Ended,       CancelCall,      none>,
       Row<AskingRetry, RetryDecided,     Deciding,    AskForServer,    IsAllowed>,
       Row<AskingRetry, RetryDecided,     Ended,       DenyRetry,       IsDenied>,
@@ -317,6 +335,7 @@
       Row<Forwarding,  AnswerEnded,      Ended,       Finish,          IsForwarded>,
       Row<Forwarding,  AttemptFailed,    Ended,       AbortOnFailure,  IsForwarded>,
       Row<Forwarding,  DeadlinePassed,   Ended,       AbortAtDeadline, none>,
+      Row<Forwarding,  RequestGivenUp,   Ended,       AbortGivenUp,    none>,
       Row<Forwarding,  CallerLeft,       Ended,       CancelCall,      none>> {};
   // clang-format on
 
--- a/tests/http/outcomestest.cpp
+++ b/tests/http/outcomestest.cpp
@@ -40,6 +40,8 @@
   CPPUNIT_TEST(unknownWhenTheConnectionIsLostAfterSending);
   CPPUNIT_TEST(answersFromARetryWhenTheCallIsIdempotent);
   CPPUNIT_TEST(unknownWhenTheDeadlinePasses);
+  CPPUNIT_TEST(unknownWhenAnUploadStallsThatAServerHasBegun);
+  CPPUNIT_TEST(refusedWhenABodyStallsThatNoServerHasSeen);
   CPPUNIT_TEST(unknownWhenTheAnswerIsMalformed);
   CPPUNIT_TEST(unknownWhenTheAnswerHasNoLength);
   CPPUNIT_TEST(abortsTheTransferWhenTheAnswerIsTruncated);
@@ -127,6 +129,35 @@
     CPPUNIT_ASSERT_EQUAL(2U, Late.connections());
   }
 
+  /// Guards against the promise of a 408 for an upload that a server runs.
+  void unknownWhenAnUploadStallsThatAServerHasBegun() {
+    ScriptedServer Server(
+        [](const Request &) { return ScriptedServer::answer("stored"); });
+    adapters::HttpLimits Limits;
+    Limits.BodyTimeout_ = model::milliseconds(200);
+    FrontEnd Front({{"cat-1", Server.port()}}, Limits);
+    RawCaller Caller(Front.port());
+    Caller.send("POST /bulk HTTP/1.1\r\nHost: cumingauge\r\n"
+                "Content-Length: 200000\r\n\r\n" +
+                std::string(150000, 'z'));
+    assertCode(model::ResultCode::UnknownDeadline, Caller.read());
+    CPPUNIT_ASSERT_EQUAL(1U, Server.connections());
+  }
+
+  void refusedWhenABodyStallsThatNoServerHasSeen() {
+    ScriptedServer Server(
+        [](const Request &) { return ScriptedServer::answer("stored"); });
+    adapters::HttpLimits Limits;
+    Limits.BodyTimeout_ = model::milliseconds(200);
+    FrontEnd Front({{"cat-1", Server.port()}}, Limits);
+    RawCaller Caller(Front.port());
+    Caller.send("POST /bulk HTTP/1.1\r\nHost: cumingauge\r\n"
+                "Content-Length: 20000\r\n\r\n" +
+                std::string(15000, 'z'));
+    assertCode(model::ResultCode::RequestTimeout, Caller.read());
+    CPPUNIT_ASSERT_EQUAL(0U, Server.connections());
+  }
+
   void unknownWhenTheAnswerIsMalformed() {
     ScriptedServer Garbling(
         [](const Request &) { return "HTP/1.1 what\r\n\r\n"; });
--- a/tests/traffic/calllifecycletest.cpp
+++ b/tests/traffic/calllifecycletest.cpp
@@ -109,6 +109,8 @@
       return feed(DeadlinePassed{});
     if (Kind == 2 && draw(6) == 0)
       return feed(CallerLeft{});
+    if (Kind == 4 && draw(6) == 0)
+      return feed(RequestGivenUp{model::ResultCode::NotRunDeadline});
     if (Kind == 3)
       return feed(ServerChosen{draw(5)}); // a queued call is dispatched
     if (Servers_.empty())
