Bound what the connections of all callers hold together

Cause: an unfinished body of 60 kB cost some 240 kB, as each connection had a read buffer, a parser buffer and a piece buffer of 64 kB each beside the body, and nothing bounded the sum.

- A waiting connection has a read buffer of 1 kB; a read that fills it goes on into a buffer of the thread.
Parser and piece buffers are released while a connection waits, and a head's list of fields when it has been copied.
Releasing the piece buffer between messages had no effect before, since assigning {} to a vector keeps its memory.
- Connections, calls and buffered answers count what they hold in one sum. policy/callermemory derives marks from the new setting http.memoryMb and decides who gives way: requests that no server has seen (112 NotRunMemory), answers that are not read, uploads, and running calls as a last resort.
Pipelined calls are not started above half of the bound.
- Callers leave a quarter of the descriptors to servers, peers and the store; beyond that the longest idle connection is closed for a new one.
- Uploads that stall for a second are given up beyond a quarter of a thread's calls at the service, or while calls wait; the table of outcomes gives their answer.
- A closing connection holds no buffers and is read for at most 1 MB.

Each connection that gives way leaves a line (10 a second and thread) and counts in cumingauge_caller_connections_gave_way_total.

--- a/src/libcumingauge/adapters/bufferedanswer.cpp
+++ b/src/libcumingauge/adapters/bufferedanswer.cpp
@@ -1,5 +1,6 @@
 #include "adapters/bufferedanswer.h"
 #include "adapters/httpcall.h"
+#include <algorithm>
 
 namespace cumingauge::adapters {
 
@@ -12,8 +13,11 @@
 
 } // namespace
 
-BufferedAnswer::BufferedAnswer(const boost::asio::any_io_executor &Executor)
-    : Timer_(Executor) {}
+BufferedAnswer::BufferedAnswer(const boost::asio::any_io_executor &Executor,
+                               CallerMemory &Memory)
+    : Timer_(Executor), Memory_(Memory) {
+  Memory_.set(MaxBufferedBytes);
+}
 
 BufferedAnswer::~BufferedAnswer() = default;
 
@@ -66,6 +70,7 @@
 bool BufferedAnswer::forwardBody(std::string_view Bytes, bool Last,
                                  std::function<void()> Done) {
   Body_.append(Bytes);
+  Memory_.set(std::max(Body_.capacity(), MaxBufferedBytes));
   HasBody_ = true;
   Last_ = Last;
   if (Last)
@@ -86,6 +91,7 @@
 void BufferedAnswer::onCallEnded() {
   Timer_.cancel();
   Call_ = nullptr;
+  Memory_.set(sizeof(BufferedAnswer) + Body_.capacity());
 }
 
 void BufferedAnswer::setTimer(model::TimePoint When) {
--- a/src/libcumingauge/adapters/bufferedanswer.h
+++ b/src/libcumingauge/adapters/bufferedanswer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/callerchannel.h"
+#include "adapters/callermemory.h"
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
@@ -16,7 +17,9 @@
 class BufferedAnswer : public CallerChannel,
                        public std::enable_shared_from_this<BufferedAnswer> {
 public:
-  explicit BufferedAnswer(const boost::asio::any_io_executor &Executor);
+  /// \param Memory sum of what callers' connections hold.
+  BufferedAnswer(const boost::asio::any_io_executor &Executor,
+                 CallerMemory &Memory);
   ~BufferedAnswer() override;
 
   /// Starts the call, which sends its answer to this object.
@@ -28,6 +31,10 @@
   /// Returns the call, or null after it has ended.
   const std::shared_ptr<HttpCall> &call() const { return Call_; }
 
+  /// Returns the bytes of memory that the answer takes; before it has arrived,
+  /// those that it may take.
+  std::uint64_t heldBytes() const { return Memory_.bytes(); }
+
   /// Passes on the part of the answer that is buffered. The call sends the rest
   /// to \p To itself.
   void forwardTo(const std::shared_ptr<CallerChannel> &To);
@@ -43,6 +50,7 @@
 
 private:
   boost::asio::steady_timer Timer_;
+  MemoryShare Memory_;
   std::shared_ptr<HttpCall> Call_;
   std::optional<model::ResultCode> Code_;
   model::milliseconds RetryAfter_{0}; ///< with Code_
--- a/src/libcumingauge/adapters/httpanswerparser.h
+++ b/src/libcumingauge/adapters/httpanswerparser.h
@@ -47,6 +47,9 @@
   /// answers, while no read is pending.
   void shrink() { Reader_.shrink(); }
 
+  /// Bytes that the buffers take.
+  std::size_t capacity() const { return Reader_.capacity(); }
+
 private:
   void startMessage();
   ReadStep fail(model::AnswerFault Fault);
--- a/src/libcumingauge/adapters/httpanswerreader.cpp
+++ b/src/libcumingauge/adapters/httpanswerreader.cpp
@@ -163,6 +163,8 @@
 
 bool AnswerReader::finishAtClose() { return Impl_->Parser_.finishAtClose(); }
 
+std::size_t AnswerReader::capacity() const { return Impl_->Parser_.capacity(); }
+
 void AnswerReader::shrink() { Impl_->Parser_.shrink(); }
 
 void AnswerReader::start(bool ToHeadRequest) {
--- a/src/libcumingauge/adapters/httpanswerreader.h
+++ b/src/libcumingauge/adapters/httpanswerreader.h
@@ -52,6 +52,9 @@
   /// answers, while no read is pending.
   void shrink();
 
+  /// Returns the bytes that the buffers take.
+  std::size_t capacity() const;
+
   /// Prepares for the next answer.
   /// \param ToHeadRequest whether it answers a HEAD request and has no body.
   void start(bool ToHeadRequest);
--- a/src/libcumingauge/adapters/httpcall.cpp
+++ b/src/libcumingauge/adapters/httpcall.cpp
@@ -41,9 +41,20 @@
     : Worker_(Worker), Caller_(std::move(Caller)),
       Request_(std::move(Incoming)),
       Facts_(factsOf(Request_, Worker.nextCallId())), Life_(rulesOf(Request_)),
-      HedgeAt_(model::TimePoint::max()) {
+      Memory_(Worker.callerMemory()), HedgeAt_(model::TimePoint::max()) {
   if (Request_.Head_.CallId_.empty())
     Request_.Head_.CallId_ = Worker.makeCallId(Facts_.Call_);
+  updateMemory();
+}
+
+void HttpCall::updateMemory() {
+  std::uint64_t Bytes = sizeof(HttpCall) + traffic::heldBytes(Request_.Head_) +
+                        Request_.KeptBody_.capacity();
+  for (const Attempt &Made : Attempts_)
+    Bytes += Made.KeptAnswer_.capacity() +
+             (Made.Connection_ ? Made.Connection_->heldBytes() : 0);
+  Memory_.set(Bytes);
+  Worker_.checkCallerMemory();
 }
 
 std::vector<model::AttemptTrace> HttpCall::traces() const {
@@ -271,11 +282,13 @@
   const bool Last = Connection->isAnswerComplete();
   if (Forwarding_ != Number) {
     attempt(Number).KeptAnswer_.append(Connection->body());
+    updateMemory();
     if (attempt(Number).KeptAnswer_.size() > Worker_.limits().KeptAnswerBytes_)
       return streamKeptAnswer(Number);
     return Connection->resume();
   }
   AnswerForwarded_ = Last;
+  updateMemory();
   if (Caller_->forwardBody(Connection->body(), Last,
                            [Connection] { Connection->resume(); }))
     Connection->resume();
@@ -302,8 +315,10 @@
 /// written.
 std::shared_ptr<const std::string>
 HttpCall::takeKeptAnswer(AttemptNumber Number) {
-  return std::make_shared<const std::string>(
+  const auto Taken = std::make_shared<const std::string>(
       std::exchange(attempt(Number).KeptAnswer_, {}));
+  updateMemory();
+  return Taken;
 }
 
 /// Whether the call is tried again after a buffered answer with status 500 or
@@ -381,6 +396,7 @@
                          if (Sent && !Last)
                            Self->readMoreBody(Number);
                        });
+  updateMemory();
 }
 
 void HttpCall::perform(const traffic::ForwardAnswer &Action) {
--- a/src/libcumingauge/adapters/httpcall.h
+++ b/src/libcumingauge/adapters/httpcall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/callerchannel.h"
+#include "adapters/callermemory.h"
 #include "adapters/httpcallrequest.h"
 #include "adapters/httppool.h"
 #include "model/attempttrace.h"
@@ -57,6 +58,8 @@
   const std::string &workspace() const { return Request_.Identity_.Workspace_; }
   const traffic::RequestHead &head() const { return Request_.Head_; }
   std::vector<model::AttemptTrace> traces() const;
+  /// Returns the bytes of memory that the request and its answers take.
+  std::uint64_t heldBytes() const { return Memory_.bytes(); }
 
 private:
   /// One dispatch of the call to a backend server.
@@ -110,12 +113,14 @@
   std::string requestHead(traffic::AttemptNumber Number) const;
   void appendIdentity(std::string &Out) const;
   void setTimer();
+  void updateMemory();
 
   HttpWorker &Worker_;
   std::shared_ptr<CallerChannel> Caller_;
   HttpCallRequest Request_;
   policy::CallFacts Facts_;
   traffic::CallLifecycle Life_;
+  MemoryShare Memory_;
   std::vector<Attempt> Attempts_;
   std::vector<traffic::CallEvent> Pending_;
   bool Applying_ = false; ///< further events are queued in Pending_
--- a/src/libcumingauge/adapters/httpcalleranswers.cpp
+++ b/src/libcumingauge/adapters/httpcalleranswers.cpp
@@ -90,6 +90,7 @@
   CallId_.clear();
   HasCallEnded_ = true;
   Incoming_.reset();
+  Reader_.release();
   Phase_ = Phase::Call;
   answer(Code, model::milliseconds(0));
 }
@@ -212,6 +213,7 @@
   Tail_.clear();
   WriteDone_ = std::exchange(PieceDone_, nullptr);
   setTimeout(Worker_.limits().WriteTimeout_);
+  WrittenPieceBytes_ = Piece_.size();
   const std::array<boost::asio::const_buffer, 3> Buffers = {
       boost::asio::buffer(WriteBuffer_),
       boost::asio::buffer(std::exchange(Piece_, {})),
@@ -221,10 +223,12 @@
       [Self = shared_from_this()](error_code Error, std::size_t) {
         Self->onWritten(Error);
       });
+  updateMemory();
 }
 
 void HttpCallerSession::onWritten(error_code Error) {
   WriteInProgress_ = false;
+  WrittenPieceBytes_ = 0;
   const auto Done = std::exchange(WriteDone_, nullptr);
   if (Phase_ == Phase::Closed || Phase_ == Phase::Closing)
     return;
@@ -236,7 +240,10 @@
     Done();
   if (!WriteInProgress_ && hasOutput())
     return write();
+  if (!WriteInProgress_)
+    releaseOutput();
   finishAnswer();
+  updateMemory();
 }
 
 void HttpCallerSession::onCallEnded() {
@@ -269,6 +276,7 @@
   BodyBytes_ = 0;
   if (!PipelinedCalls_.empty())
     return answerNextCall();
+  RequestSince_ = Worker_.now();
   setTimeout(Reader_.hasPartialRequest() ? Worker_.limits().HeadTimeout_
                                          : Worker_.limits().IdleTimeout_);
   const auto DeferredStep = std::exchange(DeferredStep_, std::nullopt);
@@ -283,7 +291,10 @@
   error_code Ignored;
   Socket_.shutdown(tcp::socket::shutdown_send, Ignored);
   setTimeout(LingerTimeout);
+  Incoming_.reset();
+  Reader_.release();
   read();
+  updateMemory();
 }
 
 /// Closes a connection that carries no call. A request that arrives after this
--- a/src/libcumingauge/adapters/httpcallersession.cpp
+++ b/src/libcumingauge/adapters/httpcallersession.cpp
@@ -20,6 +20,21 @@
 /// answered: more than callers usually pipeline, but few enough that a single
 /// caller cannot occupy all servers.
 constexpr std::size_t MaxPipelinedCalls = 8;
+/// Bytes after which a connection that is closing is not read on.
+constexpr std::size_t MaxDiscardedBytes = 1048576;
+
+/// Appends to a text that takes little more memory than it holds. Strings would
+/// double it.
+void appendTightly(std::string &To, std::string_view Bytes) {
+  const std::size_t Needed = To.size() + Bytes.size();
+  if (Needed > To.capacity()) {
+    std::string Larger;
+    Larger.reserve(Needed + Needed / 4);
+    Larger.append(To);
+    To.swap(Larger);
+  }
+  To.append(Bytes);
+}
 
 /// Returns whether a request has a form in which it can run beside others.
 bool canRunConcurrently(const traffic::RequestHead &Head) {
@@ -34,11 +49,13 @@
 HttpCallerSession::HttpCallerSession(tcp::socket Socket, HttpWorker &Worker)
     : Socket_(std::move(Socket)), Timer_(Socket_.get_executor()),
       Worker_(Worker), Reader_(Worker.limits().HeaderBytes_, Worker.dialect()),
+      Memory_(Worker.callerMemory()), WaitsSince_(Worker.now()),
       TimeoutAt_(model::TimePoint::max()),
       CallTimerAt_(model::TimePoint::max()),
       TimerSetFor_(model::TimePoint::max()) {
   error_code Ignored;
   Socket_.set_option(tcp::no_delay(true), Ignored);
+  Socket_.non_blocking(true, Ignored); // for readRest()
   const auto Remote = Socket_.remote_endpoint(Ignored);
   if (!Ignored)
     Peer_ = Remote.address().to_string();
@@ -49,6 +66,7 @@
 void HttpCallerSession::start() {
   setTimeout(Worker_.limits().IdleTimeout_);
   read();
+  updateMemory();
 }
 
 void HttpCallerSession::refuseConnection() {
@@ -92,15 +110,35 @@
     return;
   if (Error)
     return close();
-  if (Phase_ == Phase::Closing) {
-    if (!std::exchange(DiscardLogged_, true))
-      Worker_.recordDiscardedBytes(Peer_, Bytes, isCloseAnnounced());
-    return ClosingIdle_ ? close() : read();
-  }
-  if (Phase_ == Phase::Head && !Reader_.hasPartialRequest())
+  const std::size_t Limit = Reader_.readSize();
+  const bool IsFull = Bytes == Reader_.prepare().size();
+  if (Phase_ == Phase::Closing)
+    return discard(Bytes + (IsFull ? readRest(Limit) : 0));
+  if (Phase_ == Phase::Head && !Reader_.hasPartialRequest()) {
     setTimeout(Worker_.limits().HeadTimeout_);
+    RequestSince_ = WaitsSince_;
+  }
   Reader_.setHeaderLimit(Worker_.limits().HeaderBytes_);
   Reader_.commit(Bytes);
+  if (IsFull && Limit > Bytes) {
+    const std::size_t More = readRest(Limit - Bytes);
+    Reader_.append({Worker_.readBuffer().data(), More});
+  }
+  handleBytes();
+  updateMemory();
+}
+
+/// Reads what else has arrived into the buffer that the connections share.
+/// Returns 0 when nothing has; the next read reports a fault or an end.
+std::size_t HttpCallerSession::readRest(std::size_t Limit) {
+  std::vector<char> &Target = Worker_.readBuffer();
+  if (Target.size() < Limit)
+    Target.resize(Limit);
+  error_code Ignored;
+  return Socket_.read_some(boost::asio::buffer(Target.data(), Limit), Ignored);
+}
+
+void HttpCallerSession::handleBytes() {
   if (PieceHandler_)
     return streamBody();
   if (Phase_ != Phase::Call)
@@ -110,6 +148,16 @@
     read();
 }
 
+/// Passes over bytes that arrive after the connection was closed.
+void HttpCallerSession::discard(std::size_t Bytes) {
+  DiscardedBytes_ += Bytes;
+  if (!std::exchange(DiscardLogged_, true))
+    Worker_.recordDiscardedBytes(Peer_, Bytes, isCloseAnnounced());
+  if (ClosingIdle_ || DiscardedBytes_ > MaxDiscardedBytes)
+    return close();
+  read();
+}
+
 void HttpCallerSession::advance() {
   if (Advancing_)
     return;
@@ -144,6 +192,10 @@
 bool HttpCallerSession::handleHead() {
   if (refuseWhileStopping())
     return false;
+  if (!Worker_.hasMemoryForRequest()) {
+    refuseRequest(ResultCode::NotRunMemory);
+    return false;
+  }
   const traffic::RequestHead &Head = Reader_.head();
   Incoming_ = std::make_unique<HttpCallRequest>();
   Incoming_->Arrived_ =
@@ -177,7 +229,7 @@
     refuseRequest(ResultCode::RequestBodyTooLarge);
     return false;
   }
-  Incoming_->KeptBody_.append(Reader_.body());
+  appendTightly(Incoming_->KeptBody_, Reader_.body());
   if (Incoming_->KeptBody_.size() <= Worker_.limits().KeptBodyBytes_)
     return true;
   dispatch(/*Complete=*/false);
@@ -235,7 +287,7 @@
 void HttpCallerSession::startPipelinedCalls() {
   while (!Draining_ && Phase_ == Phase::Call && RequestComplete_ &&
          !DeferredStep_ && PipelinedCalls_.size() < MaxPipelinedCalls &&
-         !endsAfterAnswer()) {
+         Worker_.hasMemoryForPipelining() && !endsAfterAnswer()) {
     const ReadStep Step = Reader_.next();
     if (Step == ReadStep::NeedMore)
       return;
@@ -261,7 +313,8 @@
       completeRequest(std::move(Incoming), /*Complete=*/true);
   PipelinedCall Started;
   Started.KeepAlive_ = Request.Head_.KeepAlive_;
-  Started.Answer_ = std::make_shared<BufferedAnswer>(Socket_.get_executor());
+  Started.Answer_ = std::make_shared<BufferedAnswer>(Socket_.get_executor(),
+                                                     Worker_.callerMemory());
   Reader_.next(); // consumes the end of a request without a body
   Reader_.startNext();
   const auto Call =
@@ -335,7 +388,8 @@
 // Timeouts.
 
 void HttpCallerSession::setTimeout(model::milliseconds Timeout) {
-  TimeoutAt_ = Worker_.now() + Timeout;
+  WaitsSince_ = Worker_.now();
+  TimeoutAt_ = WaitsSince_ + Timeout;
   armTimer();
 }
 
--- a/src/libcumingauge/adapters/httpcallersession.h
+++ b/src/libcumingauge/adapters/httpcallersession.h
@@ -2,9 +2,11 @@
 
 #include "adapters/bufferedanswer.h"
 #include "adapters/callerchannel.h"
+#include "adapters/callermemory.h"
 #include "adapters/httpcallrequest.h"
 #include "adapters/httprequestreader.h"
 #include "model/time.h"
+#include "policy/callermemory.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
@@ -49,6 +51,19 @@
   /// Logs the calls that are not answered when the process ends.
   void recordAbandonedCalls() const;
 
+  /// Returns what the connection waits for and what it holds.
+  policy::CallerHolding holding() const;
+
+  /// Ends the connection to make room. A request that no server has seen is
+  /// refused with \p Code.
+  void giveWay(model::ResultCode Code);
+
+  /// Returns the call whose caller has sent nothing of its upload for this
+  /// time; null without one.
+  std::shared_ptr<HttpCall> stalledUpload(model::Duration Stall) const;
+
+  const std::shared_ptr<HttpCall> &call() const { return Call_; }
+
   // Interface for the call that is answered now.
 
   void answer(model::ResultCode Code, model::milliseconds RetryAfter) override;
@@ -76,6 +91,9 @@
   // Reading.
 
   void read();
+  std::size_t readRest(std::size_t Limit);
+  void handleBytes();
+  void discard(std::size_t Bytes);
   void onRead(boost::system::error_code Error, std::size_t Bytes);
   void advance();
   bool handleStep(ReadStep Step);
@@ -105,6 +123,10 @@
   void reset();
   void close();
   void dropCalls();
+  policy::CallerUse use() const;
+  bool isReadingPaused() const;
+  void updateMemory();
+  void releaseOutput();
   void setTimeout(model::milliseconds Timeout);
   void armTimer();
   void onTimerExpired();
@@ -114,6 +136,7 @@
   boost::asio::steady_timer Timer_;
   HttpWorker &Worker_;
   RequestReader Reader_;
+  MemoryShare Memory_; ///< without what the calls hold
   std::string Peer_;
   std::shared_ptr<HttpCall> Call_;
   std::deque<PipelinedCall> PipelinedCalls_; ///< oldest first
@@ -122,9 +145,11 @@
   std::optional<ReadStep> DeferredStep_;
   std::optional<model::TimePoint> FirstArrival_;
   Phase Phase_ = Phase::Head;
-  model::TimePoint TimeoutAt_;   ///< end of the current phase's timeout
-  model::TimePoint CallTimerAt_; ///< when the call wants to be woken up
-  model::TimePoint TimerSetFor_; ///< when the timer fires
+  model::TimePoint WaitsSince_;   ///< start of the current timeout
+  model::TimePoint RequestSince_; ///< first byte of the request being read
+  model::TimePoint TimeoutAt_;    ///< end of the current phase's timeout
+  model::TimePoint CallTimerAt_;  ///< when the call wants to be woken up
+  model::TimePoint TimerSetFor_;  ///< when the timer fires
   /// Request whose body is being read.
   std::unique_ptr<HttpCallRequest> Incoming_;
   std::string CallId_;
@@ -141,6 +166,8 @@
   std::string WriteBuffer_;         ///< bytes that precede the piece
   std::string WriteTail_;           ///< bytes that follow the piece
   std::function<void()> WriteDone_; ///< called when the piece has been written
+  std::size_t WrittenPieceBytes_ = 0;
+  std::size_t DiscardedBytes_ = 0; ///< after the connection was closed
   bool ReadInProgress_ = false;
   bool WriteInProgress_ = false;
   bool Advancing_ = false;
--- a/src/libcumingauge/adapters/httpconnection.cpp
+++ b/src/libcumingauge/adapters/httpconnection.cpp
@@ -122,6 +122,7 @@
        Done = std::move(Done)](error_code Error, std::size_t) {
         if (Error)
           Self->recordWriteError(Error);
+        Self->Piece_ = std::string();
         if (!Error && Last)
           Self->process(traffic::RequestSent{});
         Done(!Error);
--- a/src/libcumingauge/adapters/httpconnection.h
+++ b/src/libcumingauge/adapters/httpconnection.h
@@ -88,6 +88,10 @@
   std::string_view body() const { return Reader_.body(); }
   /// With ExchangeStep::Body: whether this is the last piece.
   bool isAnswerComplete() const { return Reader_.isComplete(); }
+  /// Bytes that the buffers of the exchange take.
+  std::size_t heldBytes() const {
+    return Reader_.capacity() + Piece_.capacity() + Exchange_.Head_.capacity();
+  }
   /// Whether it was ever ready for a request.
   bool hasConnected() const { return HasConnected_; }
   /// Port of this side; 0 before it was connected.
--- a/src/libcumingauge/adapters/httpmessagereader.h
+++ b/src/libcumingauge/adapters/httpmessagereader.h
@@ -23,6 +23,8 @@
 constexpr std::size_t BodyReadBytes = 65536;
 /// Larger buffers are released between messages.
 constexpr std::size_t KeptBufferBytes = 16384;
+/// Smaller buffers are kept while a connection waits.
+constexpr std::size_t SmallBufferBytes = 2048;
 /// Bytes of an incomplete chunk header or trailer in the buffer from which on
 /// the message counts as malformed.
 constexpr std::size_t MaxPendingBytes = 16384;
@@ -44,7 +46,30 @@
     if (Buffer_.size() == 0 && Buffer_.capacity() > KeptBufferBytes)
       Buffer_ = boost::beast::flat_buffer();
     if (Piece_.size() > KeptBufferBytes)
-      Piece_ = {};
+      std::vector<char>().swap(Piece_);
+  }
+
+  /// Releases room that holds no bytes, so that a connection which waits takes
+  /// little more than what has arrived. Ends the validity of body().
+  void releaseRoom() {
+    if (Buffer_.capacity() > SmallBufferBytes &&
+        Buffer_.capacity() / 2 > Buffer_.size())
+      Buffer_.shrink_to_fit();
+    Body_ = {};
+    if (Piece_.capacity() > SmallBufferBytes)
+      std::vector<char>().swap(Piece_);
+  }
+
+  /// Drops all bytes and starts with a new message.
+  void drop() {
+    Buffer_ = boost::beast::flat_buffer();
+    std::vector<char>().swap(Piece_);
+    start();
+  }
+
+  /// Returns the bytes that the buffers take.
+  std::size_t capacity() const {
+    return Buffer_.capacity() + Piece_.capacity();
   }
 
   /// Sets the limit for heads of which nothing was parsed yet.
--- a/src/libcumingauge/adapters/httprequestreader.cpp
+++ b/src/libcumingauge/adapters/httprequestreader.cpp
@@ -1,6 +1,7 @@
 #include "adapters/httprequestreader.h"
 #include "adapters/httpmessagereader.h"
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace cumingauge::adapters {
@@ -11,6 +12,8 @@
 
 namespace {
 
+/// Holds the whole head of most requests.
+constexpr std::size_t SmallReadBytes = 1024;
 constexpr unsigned Http11 = 11;
 constexpr unsigned Http10 = 10;
 
@@ -166,7 +169,7 @@
   /// Target of socket reads. Requests are parsed while a read is in progress,
   /// and parsing moves the bytes in the parser's buffer, so the read needs a
   /// separate buffer.
-  std::vector<char> Incoming_;
+  std::array<char, SmallReadBytes> Incoming_;
   traffic::RequestHead Head_;
   ResultCode Error_ = ResultCode::Ok;
 };
@@ -182,7 +185,6 @@
 }
 
 boost::asio::mutable_buffer RequestReader::prepare() {
-  Impl_->Incoming_.resize(Impl_->Reader_.readSize());
   return boost::asio::buffer(Impl_->Incoming_);
 }
 
@@ -190,14 +192,26 @@
   Impl_->Reader_.append({Impl_->Incoming_.data(), Bytes});
 }
 
+void RequestReader::append(std::string_view Bytes) {
+  Impl_->Reader_.append(Bytes);
+}
+
+std::size_t RequestReader::readSize() const {
+  return Impl_->Reader_.readSize();
+}
+
 ReadStep RequestReader::next() {
   const ReadStep Step = Impl_->Reader_.next();
+  if (Step == ReadStep::NeedMore)
+    Impl_->Reader_.releaseRoom();
   if (Step == ReadStep::Failed)
     Impl_->Error_ = resultCodeOf(Impl_->Reader_.error());
   if (Step != ReadStep::Head)
     return Step;
   Impl_->Error_ =
       fillRequest(Impl_->Names_, Impl_->Reader_.parser(), Impl_->Head_);
+  // The parser's list of fields takes many times the bytes of short fields.
+  Impl_->Reader_.parser().get().clear();
   return Impl_->Error_ == ResultCode::Ok ? Step : ReadStep::Failed;
 }
 
@@ -216,6 +230,16 @@
   return Impl_->Reader_.buffered() > 0 || Impl_->Reader_.parser().got_some();
 }
 
+std::size_t RequestReader::heldBytes() const {
+  return sizeof(Impl) + Impl_->Reader_.capacity() +
+         traffic::heldBytes(Impl_->Head_);
+}
+
+void RequestReader::release() {
+  Impl_->Reader_.drop();
+  Impl_->Head_ = {};
+}
+
 std::size_t RequestReader::buffered() const {
   return Impl_->Reader_.buffered();
 }
--- a/src/libcumingauge/adapters/httprequestreader.h
+++ b/src/libcumingauge/adapters/httprequestreader.h
@@ -24,12 +24,20 @@
   /// Sets the limit for heads of which nothing was parsed yet.
   void setHeaderLimit(std::uint32_t Bytes);
 
-  /// Returns a buffer for the next read from the socket.
+  /// Returns a buffer for the next read from the socket. It is small, as each
+  /// connection that waits has one; a read that fills it is followed by one
+  /// into a larger buffer that the connections share.
   boost::asio::mutable_buffer prepare();
 
   /// Appends the bytes that were read into the buffer of prepare().
   void commit(std::size_t Bytes);
 
+  /// Appends bytes that were read elsewhere.
+  void append(std::string_view Bytes);
+
+  /// Returns how many bytes should be read at once at most.
+  std::size_t readSize() const;
+
   /// Parses the buffered bytes up to the next step.
   ReadStep next();
 
@@ -48,6 +56,13 @@
   /// Returns whether bytes of a request have arrived that has not ended.
   bool hasPartialRequest() const;
 
+  /// Returns the bytes of memory that the reader takes.
+  std::size_t heldBytes() const;
+
+  /// Forgets the request that is being read, to release its memory. Nothing may
+  /// be parsed afterwards.
+  void release();
+
   /// Returns the number of bytes that were read but not yet parsed.
   std::size_t buffered() const;
 
--- a/src/libcumingauge/adapters/httpsettings.h
+++ b/src/libcumingauge/adapters/httpsettings.h
@@ -19,7 +19,10 @@
   /// Answers up to this size are passed on once they are complete, so that the
   /// call can be retried when one breaks off; 0: every answer is streamed.
   unsigned KeptAnswerBytes_ = 0;
+  /// Fewer where the process may open too few descriptors.
   unsigned MaxCallerConnections_ = 10000;
+  /// Memory of the machine. What callers may hold together follows from it.
+  unsigned MemoryMb_ = 112;
   /// Time from the first to the last byte of a request's head.
   model::milliseconds HeadTimeout_{10000};
   /// Time between two requests of a caller's connection.
@@ -46,10 +49,10 @@
 };
 BOOST_DESCRIBE_STRUCT(HttpLimits, (),
                       (HeaderBytes_, KeptBodyBytes_, KeptAnswerBytes_,
-                       MaxCallerConnections_, HeadTimeout_, IdleTimeout_,
-                       BodyTimeout_, WriteTimeout_, BackendIdleTimeout_,
-                       FreshWait_, DrainAcceptTime_, DrainIdleTime_,
-                       DrainTimeout_, RetryAfter_, TickPeriod_))
+                       MaxCallerConnections_, MemoryMb_, HeadTimeout_,
+                       IdleTimeout_, BodyTimeout_, WriteTimeout_,
+                       BackendIdleTimeout_, FreshWait_, DrainAcceptTime_,
+                       DrainIdleTime_, DrainTimeout_, RetryAfter_, TickPeriod_))
 
 /// Checks the ranges of the limits.
 /// \param Path JSON path of the limits, which precedes the key in each problem.
--- a/src/libcumingauge/adapters/httptraffic.cpp
+++ b/src/libcumingauge/adapters/httptraffic.cpp
@@ -1,9 +1,11 @@
 #include "adapters/httptraffic.h"
 #include "adapters/httpworker.h"
+#include "policy/callerconnections.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
+#include <sys/resource.h>
 #include <thread>
 
 namespace cumingauge::adapters {
@@ -16,12 +18,22 @@
 /// Delay after a failed accept, for example for lack of file descriptors.
 constexpr model::milliseconds AcceptPause{20};
 
+/// Returns how many connections of callers the descriptors of this process
+/// allow.
+unsigned mostCallerConnections() {
+  rlimit Limit{};
+  if (getrlimit(RLIMIT_NOFILE, &Limit) != 0)
+    return std::numeric_limits<unsigned>::max();
+  return policy::callerConnectionLimit(Limit.rlim_cur);
+}
+
 class HttpTrafficImpl : public HttpTraffic {
 public:
   HttpTrafficImpl(const TrafficSettings &Settings, Hooks Hooks)
       : Common_(std::make_shared<HttpWorker::SharedState>()) {
     Common_->Settings_ = Settings;
     Common_->Hooks_ = std::move(Hooks);
+    Common_->MostCallerConnections_ = mostCallerConnections();
     Common_->ShareNotice_ =
         [this](const HttpWorker &From, const std::string &Server,
                const std::string &Vm, const model::ServerNotice &Notice) {
--- a/src/libcumingauge/adapters/httpworker.cpp
+++ b/src/libcumingauge/adapters/httpworker.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr model::milliseconds BusyTickPeriod{2}; ///< while calls wait
+constexpr model::milliseconds UploadCheckPeriod{200};
 constexpr model::seconds EventWindowLength{1};
 /// Of one kind of cause, per thread.
 constexpr unsigned MaxEventsPerWindow = 20;
@@ -37,7 +38,8 @@
           Common_->Settings_.Zone_, Common_->Settings_.Threads_,
           Common_->Settings_.Seed_ + Index * SeedStep, Index)),
       ConfiguredLimits_(Common_->Settings_.Limits_), StartedAt_(now()),
-      Limits_(ConfiguredLimits_) {}
+      Limits_(ConfiguredLimits_),
+      MemoryMarks_(policy::callerMemoryMarks(Limits_.MemoryMb_)) {}
 
 HttpWorker::~HttpWorker() = default;
 
@@ -55,7 +57,10 @@
   if (Stop_ && !DrainDone_)
     return;
   const unsigned Open = ++Common_->CallerConnections_;
-  if (Open > limits().MaxCallerConnections_ + MaxConnectionsBeingRefused) {
+  const bool HasRoom =
+      Open <= limits().MaxCallerConnections_ &&
+      (Open <= Common_->MostCallerConnections_ || displaceCallerConnection());
+  if (Open > maxCallerConnections() + MaxConnectionsBeingRefused) {
     --Common_->CallerConnections_;
     return;
   }
@@ -64,7 +69,7 @@
   Sessions_.insert(Session.get());
   if (Stop_)
     Session->startDraining();
-  if (Open > limits().MaxCallerConnections_)
+  if (!HasRoom)
     return Session->refuseConnection();
   if (!waitsForFirstView())
     return Session->start();
@@ -455,6 +460,11 @@
   checkFreshViewWaits();
   releaseWaiting();
   sendProbes();
+  checkCallerMemory();
+  if (Now >= NextUploadCheck_) {
+    NextUploadCheck_ = Now + UploadCheckPeriod;
+    endStalledUploads();
+  }
   if (Now >= NextMaintenance_)
     maintainPools();
   if (Now >= NextPublish_)
--- a/src/libcumingauge/adapters/httpworker.h
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/callermemory.h"
 #include "adapters/calllog.h"
 #include "adapters/httpcall.h"
 #include "adapters/httpcallersession.h"
@@ -9,6 +10,7 @@
 #include "adapters/requestadmission.h"
 #include "adapters/stopplan.h"
 #include "policy/balancer.h"
+#include "policy/callermemory.h"
 #include "policy/loadquery.h"
 #include "traffic/routetable.h"
 #include "traffic/serverlifecycle.h"
@@ -17,6 +19,7 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <limits>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -37,6 +40,9 @@
     TrafficSettings Settings_;
     HttpTraffic::Hooks Hooks_;
     std::atomic<unsigned> CallerConnections_{0};
+    /// Connections of callers for which there are descriptors.
+    unsigned MostCallerConnections_ = std::numeric_limits<unsigned>::max();
+    CallerMemory Memory_;
     /// Applies a server's notice on all threads but this one.
     std::function<void(const HttpWorker &From, const std::string &Server,
                        const std::string &Vm, const model::ServerNotice &)>
@@ -93,6 +99,19 @@
   void recordRefusedRequest(const traffic::RequestHead &Head,
                             model::ResultCode Code, const std::string &Detail);
   void removeSession(HttpCallerSession &Session);
+  CallerMemory &callerMemory() { return Common_->Memory_; }
+  /// Makes connections of callers give way soon, if they hold too much.
+  void checkCallerMemory();
+  /// Whether a request whose head has arrived may go on.
+  bool hasMemoryForRequest() const {
+    return policy::canTakeRequest(MemoryMarks_, Common_->Memory_.held());
+  }
+  /// Whether a pipelined call may start before its turn.
+  bool hasMemoryForPipelining() const {
+    return policy::canStartPipelinedCall(MemoryMarks_, Common_->Memory_.held());
+  }
+  /// Returns a buffer whose contents last until the next read of a connection.
+  std::vector<char> &readBuffer() { return ReadBuffer_; }
   /// Records the first bytes of a caller that arrived after its connection was
   /// closed.
   /// \param Announced whether the last answer said that it closes.
@@ -235,6 +254,13 @@
   void recordInWindow(EventWindow &Window, model::EventKind Kind,
                       const std::string &Subject, model::ResultCode Reason,
                       const std::string &Detail);
+  unsigned maxCallerConnections() const;
+  void relieveCallerMemory();
+  bool displaceCallerConnection();
+  void endStalledUploads();
+  void endSession(HttpCallerSession &Session, model::ResultCode Code);
+  void recordGaveWay(const policy::CallerHolding &Holding,
+                     model::ResultCode Code);
   /// Closes idle connections and refuses requests that are read only in part.
   void refuseFurtherRequests();
   void finishDrainIfDone();
@@ -273,6 +299,11 @@
   bool RefusalLogged_ = false; ///< that no further requests are taken
   model::TimePoint NextMaintenance_;
   model::TimePoint NextPublish_;
+  model::TimePoint NextUploadCheck_;
+  policy::CallerMemoryMarks MemoryMarks_;
+  std::vector<char> ReadBuffer_;
+  bool ReliefScheduled_ = false;
+  EventWindow GaveWayLines_;
   EventWindow CallEvents_;
   EventWindow NoticeEvents_;
   std::optional<StopPlan> Stop_; ///< set when the process stops
--- a/src/libcumingauge/adapters/httpworkerservers.cpp
+++ b/src/libcumingauge/adapters/httpworkerservers.cpp
@@ -56,6 +56,7 @@
   const HttpLimits &Own = ConfiguredLimits_;
   const model::milliseconds None{0};
   Limits_ = Own;
+  MemoryMarks_ = policy::callerMemoryMarks(Limits_.MemoryMb_);
   Limits_.HeaderBytes_ =
       Callers.HeaderBytes_ > 0 ? Callers.HeaderBytes_ : Own.HeaderBytes_;
   Limits_.HeadTimeout_ =
@@ -377,6 +378,8 @@
   Stats_.Queued_ = QueuedCalls_.size();
   Stats_.CallerConnections_ = Sessions_.size();
   Stats_.BackendConnections_ = Connections;
+  Stats_.CallerMemoryBytes_ = Common_->Memory_.held();
+  Stats_.CallerMemoryBound_ = MemoryMarks_.Bound_;
   const policy::NoticeCounts Notices = policy::countNotices(*Balancer_, now());
   Stats_.AnnouncedLeaving_ = Notices.Leaving_;
   Stats_.PausedServers_ = Notices.Paused_;
--- a/src/libcumingauge/adapters/metricspage.cpp
+++ b/src/libcumingauge/adapters/metricspage.cpp
@@ -114,6 +114,16 @@
   return Family;
 }
 
+MetricFamily gaveWayFamily(const traffic::TrafficStats &Traffic) {
+  MetricFamily Family =
+      makeFamily("cumingauge_caller_connections_gave_way_total",
+                 "Connections of callers that were ended to make room",
+                 MetricType::Counter);
+  for (const auto &[Use, Count] : Traffic.GaveWay_)
+    addValue(Family, static_cast<double>(Count), {{"use", Use}});
+  return Family;
+}
+
 MetricFamily storeCallsFamily(const StoreCallCounts &Calls) {
   MetricFamily Family =
       makeFamily("cumingauge_store_calls_total",
@@ -180,6 +190,13 @@
   Out.push_back(counter("cumingauge_discarding_connections_total",
                         "Closed connections on which more bytes arrived",
                         ToDouble(Traffic.DiscardingConnections_)));
+  Out.push_back(gauge("cumingauge_caller_memory_bytes",
+                      "Memory that the connections of callers hold",
+                      ToDouble(Traffic.CallerMemoryBytes_)));
+  Out.push_back(gauge("cumingauge_caller_memory_bound_bytes",
+                      "Sum above which connections of callers give way",
+                      ToDouble(Traffic.CallerMemoryBound_)));
+  Out.push_back(gaveWayFamily(Traffic));
   Out.push_back(faultyAnswersFamily(Traffic));
 }
 
--- a/src/libcumingauge/model/resultcode.h
+++ b/src/libcumingauge/model/resultcode.h
@@ -51,6 +51,7 @@
   NotRunRetryBudget = 109,
   NotRunCallerShare = 110,
   NotRunServersPaused = 111,
+  NotRunMemory = 112,
 
   UnknownDeadline = 130,
   UnknownConnectionLost = 131,
@@ -79,7 +80,7 @@
     PeerVersionClaim, NotRunNoServer, NotRunQueueFull, NotRunDeadline,
     NotRunOverload, NotRunShed, NotRunStopping, NotRunTooManyConnections,
     NotRunControlStale, NotRunConnectFailed, NotRunRetryBudget,
-    NotRunCallerShare, NotRunServersPaused, UnknownDeadline,
+    NotRunCallerShare, NotRunServersPaused, NotRunMemory, UnknownDeadline,
     UnknownConnectionLost, UnknownAnswerBroken, UnknownAnswerMalformed,
     RequestMalformed, RequestHeadersTooLarge, RequestBodyTooLarge,
     RequestTimeout, RequestNoRoute, RequestLengthConflict,
--- /dev/null
+++ b/src/libcumingauge/policy/callerconnections.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "policy/callermemory.h"
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace cumingauge::policy {
+
+/// Returns how many connections of callers leave enough descriptors for files,
+/// backend servers, peers and the store.
+/// \param Descriptors that the process may open.
+unsigned callerConnectionLimit(std::uint64_t Descriptors);
+
+/// Chooses the connection that makes room for a new one: the one that has been
+/// idle longest, or else the oldest request that is still unfinished after a
+/// while.
+/// \returns index into \p Holdings; nothing when none gives way.
+std::optional<std::size_t>
+chooseToDisplace(const std::vector<CallerHolding> &Holdings);
+
+} // namespace cumingauge::policy
--- a/src/libcumingauge/traffic/messagehead.h
+++ b/src/libcumingauge/traffic/messagehead.h
@@ -35,6 +35,16 @@
   std::optional<model::milliseconds> Deadline_; ///< time left, sent by caller
 };
 
+/// Returns the bytes of memory that the texts of a head take.
+inline std::size_t heldBytes(const RequestHead &Head) {
+  std::size_t Sum = Head.Target_.capacity() + Head.Host_.capacity() +
+                    Head.Fields_.capacity() + Head.CallId_.capacity() +
+                    Head.Caller_.capacity();
+  for (const std::string &Value : Head.Credentials_)
+    Sum += Value.capacity();
+  return Sum;
+}
+
 /// Head of a backend server's answer.
 struct AnswerHead {
   unsigned Status_ = 0;
--- a/src/libcumingauge/traffic/trafficstats.cpp
+++ b/src/libcumingauge/traffic/trafficstats.cpp
@@ -58,6 +58,13 @@
   Sum.ColdServersClosed_ += Part.ColdServersClosed_;
   Sum.UnreadableNotices_ += Part.UnreadableNotices_;
   Sum.DiscardingConnections_ += Part.DiscardingConnections_;
+  // Every thread reports the same two values, which are those of the process.
+  Sum.CallerMemoryBytes_ =
+      std::max(Sum.CallerMemoryBytes_, Part.CallerMemoryBytes_);
+  Sum.CallerMemoryBound_ =
+      std::max(Sum.CallerMemoryBound_, Part.CallerMemoryBound_);
+  for (const auto &[Use, Count] : Part.GaveWay_)
+    Sum.GaveWay_[Use] += Count;
   for (const auto &[Key, Count] : Part.FaultyAnswers_)
     Sum.FaultyAnswers_[Key] += Count;
 }
--- a/src/libcumingauge/traffic/trafficstats.h
+++ b/src/libcumingauge/traffic/trafficstats.h
@@ -63,6 +63,10 @@
   std::uint64_t UnreadableNotices_ = 0;
   /// Connections on which bytes arrived after they were closed.
   std::uint64_t DiscardingConnections_ = 0;
+  std::uint64_t CallerMemoryBytes_ = 0; ///< held by callers' connections
+  std::uint64_t CallerMemoryBound_ = 0; ///< in bytes
+  /// Connections of callers that gave way, by what they waited for.
+  std::map<std::string, std::uint64_t> GaveWay_;
   /// Answers to calls and probes that were refused or broke off.
   std::map<AnswerFaultKey, std::uint64_t> FaultyAnswers_;
 };
