--- a/src/libcumingauge/adapters/httptraffic.cpp
+++ b/src/libcumingauge/adapters/httptraffic.cpp
@@ -1,5 +1,6 @@
 #include "adapters/httptraffic.h"
 #include "adapters/httpworker.h"
+#include "adapters/log.h"
 #include "policy/callerconnections.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -18,6 +19,9 @@
 /// Delay after a failed accept, for example for lack of file descriptors.
 constexpr model::milliseconds AcceptPause{20};
 
+/// Receive buffer of a connection once there are few again.
+constexpr unsigned LargeReceiveBytes = 65536;
+
 /// Returns how many connections of callers the descriptors of this process
 /// allow.
 unsigned mostCallerConnections() {
@@ -137,10 +141,28 @@
           if (Error)
             return retryAcceptLater();
           handOver(Next, std::move(Socket));
+          limitReceiveBuffers();
           accept();
         });
   }
 
+  /// Sets the receive buffer of the connections that are opened from now on.
+  /// The kernel cannot take back what it has offered on one that is open.
+  void limitReceiveBuffers() {
+    const auto Wanted = policy::receiveBufferBytes(Common_->CallerConnections_);
+    if (Wanted == ReceiveBufferBytes_)
+      return;
+    ReceiveBufferBytes_ = Wanted;
+    error_code Error;
+    Acceptor_->set_option(
+        boost::asio::socket_base::receive_buffer_size(
+            static_cast<int>(Wanted.value_or(LargeReceiveBytes))),
+        Error);
+    if (Error)
+      log(LogLevel::Warning, "receive buffer not set",
+          {{"reason", Error.message()}});
+  }
+
   /// Moves the connection to the thread that will serve it.
   static void handOver(HttpWorker &Worker, tcp::socket Socket) {
     const auto Handed = std::make_shared<tcp::socket>(std::move(Socket));
@@ -176,6 +198,7 @@
   std::vector<std::thread> Threads_;
   std::uint16_t Port_ = 0;
   std::size_t NextWorker_ = 0;
+  std::optional<unsigned> ReceiveBufferBytes_;
 };
 
 } // namespace
--- a/src/libcumingauge/policy/callerconnections.cpp
+++ b/src/libcumingauge/policy/callerconnections.cpp
@@ -9,6 +9,10 @@
 constexpr std::uint64_t FileDescriptors = 200;
 /// Of the descriptors that are not for files.
 constexpr double CallerShare = 0.75;
+/// Above this number of connections the kernel's buffers are kept small.
+constexpr unsigned ConnectionsWithLargeBuffers = 128;
+/// Holds most requests whole.
+constexpr unsigned SmallReceiveBytes = 16384;
 /// Longer than most requests take to arrive.
 constexpr model::seconds UnfinishedTime{1};
 
@@ -34,6 +38,12 @@
       std::max(Share, Descriptors / 2), std::numeric_limits<unsigned>::max()));
 }
 
+std::optional<unsigned> receiveBufferBytes(unsigned Open) {
+  if (Open <= ConnectionsWithLargeBuffers)
+    return std::nullopt;
+  return SmallReceiveBytes;
+}
+
 std::optional<std::size_t>
 chooseToDisplace(const std::vector<CallerHolding> &Holdings) {
   const auto Idle =
--- a/src/libcumingauge/policy/callerconnections.h
+++ b/src/libcumingauge/policy/callerconnections.h
@@ -13,6 +13,12 @@
 /// \param Descriptors that the process may open.
 unsigned callerConnectionLimit(std::uint64_t Descriptors);
 
+/// Returns how many bytes the kernel may receive ahead on a new connection, of
+/// which nothing has been read; nothing while so few are open that the kernel
+/// may decide.
+/// \param Open connections of callers.
+std::optional<unsigned> receiveBufferBytes(unsigned Open);
+
 /// Chooses the connection that makes room for a new one: the one that has been
 /// idle longest, or else the oldest request that is still unfinished after a
 /// while.
--- a/tests/policy/callermemorytest.cpp
+++ b/tests/policy/callermemorytest.cpp
@@ -130,6 +130,7 @@
 class DescriptorsForCallers : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(DescriptorsForCallers);
   CPPUNIT_TEST(leaveSomeForServersAndFiles);
+  CPPUNIT_TEST(comeWithSmallReceiveBuffersWhenThereAreMany);
   CPPUNIT_TEST(areTakenFromTheLongestIdleFirst);
   CPPUNIT_TEST(areTakenFromUnfinishedRequestsOnlyAfterAWhile);
   CPPUNIT_TEST_SUITE_END();
@@ -144,6 +145,13 @@
     CPPUNIT_ASSERT_EQUAL(2002U, callerConnectionLimit(2870));
   }
 
+  void comeWithSmallReceiveBuffersWhenThereAreMany() {
+    CPPUNIT_ASSERT(!receiveBufferBytes(50));
+    const auto Many = receiveBufferBytes(2000);
+    CPPUNIT_ASSERT(Many.has_value());
+    CPPUNIT_ASSERT(*Many * 2000 < 40 * Megabyte);
+  }
+
   void areTakenFromTheLongestIdleFirst() {
     CPPUNIT_ASSERT(chooseToDisplace({holding(CallerUse::Unfinished, 1, 90),
                                      holding(CallerUse::Idle, 1, 3),
