--- a/src/libcumingauge/adapters/httpsettings.h
+++ b/src/libcumingauge/adapters/httpsettings.h
@@ -23,6 +23,8 @@
   unsigned MaxCallerConnections_ = 10000;
   /// Memory of the machine. What callers may hold together follows from it.
   unsigned MemoryMb_ = 112;
+  /// Descriptors that the process may open, if its own limit is not lower.
+  unsigned Descriptors_ = 2870;
   /// Time from the first to the last byte of a request's head.
   model::milliseconds HeadTimeout_{10000};
   /// Time between two requests of a caller's connection.
@@ -49,8 +51,8 @@
 };
 BOOST_DESCRIBE_STRUCT(HttpLimits, (),
                       (HeaderBytes_, KeptBodyBytes_, KeptAnswerBytes_,
-                       MaxCallerConnections_, MemoryMb_, HeadTimeout_,
-                       IdleTimeout_, BodyTimeout_, WriteTimeout_,
+                       MaxCallerConnections_, MemoryMb_, Descriptors_,
+                       HeadTimeout_, IdleTimeout_, BodyTimeout_, WriteTimeout_,
                        BackendIdleTimeout_, FreshWait_, DrainAcceptTime_,
                        DrainIdleTime_, DrainTimeout_, RetryAfter_, TickPeriod_))
 
--- a/src/libcumingauge/adapters/httptraffic.cpp
+++ b/src/libcumingauge/adapters/httptraffic.cpp
@@ -2,6 +2,7 @@
 #include "adapters/httpworker.h"
 #include "adapters/log.h"
 #include "policy/callerconnections.h"
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -23,12 +24,13 @@
 constexpr unsigned LargeReceiveBytes = 65536;
 
 /// Returns how many connections of callers the descriptors of this process
-/// allow.
-unsigned mostCallerConnections() {
-  rlimit Limit{};
-  if (getrlimit(RLIMIT_NOFILE, &Limit) != 0)
-    return std::numeric_limits<unsigned>::max();
-  return policy::callerConnectionLimit(Limit.rlim_cur);
+/// allow, of which the settings and the system may each state fewer.
+unsigned mostCallerConnections(const HttpLimits &Limits) {
+  rlimit Own{};
+  if (getrlimit(RLIMIT_NOFILE, &Own) != 0)
+    Own.rlim_cur = RLIM_INFINITY;
+  return policy::callerConnectionLimit(
+      std::min<std::uint64_t>(Own.rlim_cur, Limits.Descriptors_));
 }
 
 class HttpTrafficImpl : public HttpTraffic {
@@ -37,7 +39,7 @@
       : Common_(std::make_shared<HttpWorker::SharedState>()) {
     Common_->Settings_ = Settings;
     Common_->Hooks_ = std::move(Hooks);
-    Common_->MostCallerConnections_ = mostCallerConnections();
+    Common_->MostCallerConnections_ = mostCallerConnections(Settings.Limits_);
     Common_->ShareNotice_ =
         [this](const HttpWorker &From, const std::string &Server,
                const std::string &Vm, const model::ServerNotice &Notice) {
