--- a/tests/http/properrequeststest.cpp
+++ b/tests/http/properrequeststest.cpp
@@ -36,7 +36,7 @@
   CPPUNIT_TEST(isReadInChunksAndPiecesOfAnySize);
   CPPUNIT_TEST_SUITE_END();
 
-  ScriptedServer Server_{[](const Request &) { return proved("200 OK"); }};
+  std::unique_ptr<ScriptedServer> Server_;
 
   static std::string proved(const std::string &Status) {
     return ScriptedServer::answer("done", Id + "Response-Signature: s1\r\n",
@@ -67,7 +67,7 @@
 
   std::unique_ptr<FrontEnd> start() {
     return std::make_unique<FrontEnd>(
-        std::vector<FrontEnd::Target>{{"cat-1", Server_.port()}},
+        std::vector<FrontEnd::Target>{{"cat-1", Server_->port()}},
         adapters::HttpLimits{}, 1, platform::platformDialect());
   }
 
@@ -78,6 +78,13 @@
   }
 
 public:
+  void setUp() override {
+    Server_ = std::make_unique<ScriptedServer>(
+        [](const Request &) { return proved("200 OK"); });
+  }
+
+  void tearDown() override { Server_.reset(); }
+
   void isNotDeniedByAConfigurationThatMayBeOld() {
     const auto Front = start();
     Front->setConfigurationKnown(false);
@@ -119,7 +126,7 @@
     assertAnswered(Stale, *Front,
                    request("GET", "/search/7",
                            Id + "X-A: " + std::string(1000, 'a') + "\r\n"));
-    CPPUNIT_ASSERT(Server_.requests().empty());
+    CPPUNIT_ASSERT(Server_->requests().empty());
   }
 
   void isNotDeniedByAPartOfAConfiguration() {
@@ -202,7 +209,7 @@
     const std::string LongRequest = request("GET", "/search/7", Id + Long);
     adapters::HttpLimits Limits;
     Limits.HeaderBytes_ = 1000;
-    FrontEnd Front({{"cat-1", Server_.port()}}, Limits, 1,
+    FrontEnd Front({{"cat-1", Server_->port()}}, Limits, 1,
                    platform::platformDialect(), /*HasView=*/false);
     const auto SetLimit = [&](unsigned Bytes) {
       Front.changePreset(
@@ -291,7 +298,7 @@
                                    statusOf("GET http://" + Host +
                                             "/search/7 HTTP/1.1\r\nHost: " +
                                             Host + "\r\n" + Id + "\r\n"));
-    CPPUNIT_ASSERT(Server_.requests().empty());
+    CPPUNIT_ASSERT(Server_->requests().empty());
   }
 
 private:
