Let a process start on a machine with less than 64 MB

The deploy file passes the platform's memory on; a process that gets less than 64 would have refused its settings.

--- a/src/libcumingauge/adapters/httpsettings.cpp
+++ b/src/libcumingauge/adapters/httpsettings.cpp
@@ -7,7 +7,7 @@
 constexpr unsigned MinHeaderBytes = 1024;
 constexpr unsigned MaxHeaderBytes = 1048576;
 constexpr unsigned MinDescriptors = 64;
-constexpr unsigned MinMemoryMb = 64;
+constexpr unsigned MinMemoryMb = 1;
 constexpr unsigned MaxKeptBodyBytes = 16777216;
 constexpr model::milliseconds MaxTimeout{3600000};
 
@@ -39,7 +39,7 @@
   if (Limits.MaxCallerConnections_ == 0)
     Found.push_back({Path + "/maxCallerConnections", "must be at least 1"});
   if (Limits.MemoryMb_ < MinMemoryMb)
-    Found.push_back({Path + "/memoryMb", "must be at least 64 MB"});
+    Found.push_back({Path + "/memoryMb", "must be at least 1 MB"});
   if (Limits.Descriptors_ < MinDescriptors)
     Found.push_back({Path + "/descriptors", "must be at least 64"});
   checkTimeout(Limits.HeadTimeout_, Path + "/headTimeoutMs", Found);
