--- a/src/libcumingauge/adapters/httpcallermemory.cpp
+++ b/src/libcumingauge/adapters/httpcallermemory.cpp
@@ -1,4 +1,4 @@
-// What a caller's connection holds, and how it gives way.
+// What a caller's connection holds, and how it is evicted.
 #include "adapters/httpcall.h"
 #include "adapters/httpcallersession.h"
 #include "adapters/httpworker.h"
@@ -73,7 +73,7 @@
     WriteBuffer_ = std::string();
 }
 
-void HttpCallerSession::giveWay(ResultCode Code) {
+void HttpCallerSession::evict(ResultCode Code) {
   switch (use()) {
   case CallerUse::Idle:
     return close();
--- a/src/libcumingauge/adapters/httpcallersession.h
+++ b/src/libcumingauge/adapters/httpcallersession.h
@@ -56,7 +56,7 @@
 
   /// Ends the connection to make room. A request that no server has seen is
   /// refused with \p Code.
-  void giveWay(model::ResultCode Code);
+  void evict(model::ResultCode Code);
 
   /// Returns the call whose caller has sent nothing of its upload for this
   /// time; null without one.
--- a/src/libcumingauge/adapters/httpworker.h
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -100,7 +100,7 @@
                             model::ResultCode Code, const std::string &Detail);
   void removeSession(HttpCallerSession &Session);
   CallerMemory &callerMemory() { return Common_->Memory_; }
-  /// Makes connections of callers give way soon, if they hold too much.
+  /// Evicts connections of callers soon, if they hold too much.
   void checkCallerMemory();
   /// Whether a request whose head has arrived may go on.
   bool hasMemoryForRequest() const {
@@ -259,8 +259,8 @@
   bool displaceCallerConnection();
   void endStalledUploads();
   void endSession(HttpCallerSession &Session, model::ResultCode Code);
-  void recordGaveWay(const policy::CallerHolding &Holding,
-                     model::ResultCode Code);
+  void recordEviction(const policy::CallerHolding &Holding,
+                      model::ResultCode Code);
   /// Closes idle connections and refuses requests that are read only in part.
   void refuseFurtherRequests();
   void finishDrainIfDone();
@@ -303,7 +303,7 @@
   policy::CallerMemoryMarks MemoryMarks_;
   std::vector<char> ReadBuffer_;
   bool ReliefScheduled_ = false;
-  EventWindow GaveWayLines_;
+  EventWindow EvictionLines_;
   EventWindow CallEvents_;
   EventWindow NoticeEvents_;
   std::optional<StopPlan> Stop_; ///< set when the process stops
--- a/src/libcumingauge/adapters/httpworkermemory.cpp
+++ b/src/libcumingauge/adapters/httpworkermemory.cpp
@@ -1,4 +1,4 @@
-// What callers' connections hold, and which of them give way.
+// What callers' connections hold, and which of them are evicted.
 #include "adapters/httpworker.h"
 #include "adapters/log.h"
 #include "policy/callerconnections.h"
@@ -47,13 +47,13 @@
   for (const HttpCallerSession *Session : Open)
     Holdings.push_back(Session->holding());
   for (const std::size_t Index :
-       policy::chooseToGiveWay(MemoryMarks_, Common_->Memory_.held(), Holdings))
+       policy::chooseEvictions(MemoryMarks_, Common_->Memory_.held(), Holdings))
     if (Sessions_.count(Open[Index]) > 0)
       endSession(*Open[Index], ResultCode::NotRunMemory);
 }
 
 /// Ends a connection so that a new one has a descriptor. Returns false when
-/// none gives way.
+/// none can be closed.
 bool HttpWorker::displaceCallerConnection() {
   const std::vector<HttpCallerSession *> Open(Sessions_.begin(),
                                               Sessions_.end());
@@ -68,8 +68,8 @@
 }
 
 void HttpWorker::endSession(HttpCallerSession &Session, ResultCode Code) {
-  recordGaveWay(Session.holding(), Code);
-  Session.giveWay(Code);
+  recordEviction(Session.holding(), Code);
+  Session.evict(Code);
 }
 
 /// Gives up uploads that hold servers' places although their callers send
@@ -107,23 +107,23 @@
   }
 }
 
-void HttpWorker::recordGaveWay(const policy::CallerHolding &Holding,
-                               ResultCode Code) {
+void HttpWorker::recordEviction(const policy::CallerHolding &Holding,
+                                ResultCode Code) {
   const std::string Use = nameOfUse(Holding.Use_);
   {
     const std::lock_guard<std::mutex> Lock(PublishedMutex_);
-    ++Stats_.GaveWay_[Use];
+    ++Stats_.Evicted_[Use];
   }
   const model::TimePoint Now = now();
-  if (Now - GaveWayLines_.Start_ >= LineWindow) {
-    GaveWayLines_.Start_ = Now;
-    GaveWayLines_.Events_ = 0;
+  if (Now - EvictionLines_.Start_ >= LineWindow) {
+    EvictionLines_.Start_ = Now;
+    EvictionLines_.Events_ = 0;
   }
-  if (++GaveWayLines_.Events_ > MaxLinesPerWindow) {
-    ++GaveWayLines_.Dropped_;
+  if (++EvictionLines_.Events_ > MaxLinesPerWindow) {
+    ++EvictionLines_.Dropped_;
     return;
   }
-  log(LogLevel::Warning, "caller connection gave way",
+  log(LogLevel::Warning, "caller connection evicted",
       {{"use", Use},
        {"code", static_cast<int>(Code)},
        {"bytes", Holding.Bytes_},
@@ -133,7 +133,7 @@
        {"heldBytes", Common_->Memory_.held()},
        {"boundBytes", MemoryMarks_.Bound_},
        {"connections", Common_->CallerConnections_.load()},
-       {"leftOut", std::exchange(GaveWayLines_.Dropped_, 0)}});
+       {"leftOut", std::exchange(EvictionLines_.Dropped_, 0)}});
 }
 
 } // namespace cumingauge::adapters
--- a/src/libcumingauge/adapters/metricspage.cpp
+++ b/src/libcumingauge/adapters/metricspage.cpp
@@ -114,12 +114,12 @@
   return Family;
 }
 
-MetricFamily gaveWayFamily(const traffic::TrafficStats &Traffic) {
+MetricFamily evictionFamily(const traffic::TrafficStats &Traffic) {
   MetricFamily Family =
-      makeFamily("cumingauge_caller_connections_gave_way_total",
+      makeFamily("cumingauge_caller_connections_evicted_total",
                  "Connections of callers that were ended to make room",
                  MetricType::Counter);
-  for (const auto &[Use, Count] : Traffic.GaveWay_)
+  for (const auto &[Use, Count] : Traffic.Evicted_)
     addValue(Family, static_cast<double>(Count), {{"use", Use}});
   return Family;
 }
@@ -194,9 +194,9 @@
                       "Memory that the connections of callers hold",
                       ToDouble(Traffic.CallerMemoryBytes_)));
   Out.push_back(gauge("cumingauge_caller_memory_bound_bytes",
-                      "Sum above which connections of callers give way",
+                      "Sum above which connections of callers are evicted",
                       ToDouble(Traffic.CallerMemoryBound_)));
-  Out.push_back(gaveWayFamily(Traffic));
+  Out.push_back(evictionFamily(Traffic));
   Out.push_back(faultyAnswersFamily(Traffic));
 }
 
--- a/src/libcumingauge/policy/callerconnections.h
+++ b/src/libcumingauge/policy/callerconnections.h
@@ -22,7 +22,7 @@
 /// Chooses the connection that makes room for a new one: the one that has been
 /// idle longest, or else the oldest request that is still unfinished after a
 /// while.
-/// \returns index into \p Holdings; nothing when none gives way.
+/// \returns index into \p Holdings; nothing when none can be closed.
 std::optional<std::size_t>
 chooseToDisplace(const std::vector<CallerHolding> &Holdings);
 
--- a/src/libcumingauge/policy/callermemory.cpp
+++ b/src/libcumingauge/policy/callermemory.cpp
@@ -59,7 +59,7 @@
 }
 
 std::vector<std::size_t>
-chooseToGiveWay(const CallerMemoryMarks &Marks, std::uint64_t Held,
+chooseEvictions(const CallerMemoryMarks &Marks, std::uint64_t Held,
                 const std::vector<CallerHolding> &Holdings) {
   std::vector<std::size_t> Out;
   if (Held <= Marks.Bound_)
--- a/src/libcumingauge/policy/callermemory.h
+++ b/src/libcumingauge/policy/callermemory.h
@@ -7,14 +7,14 @@
 #include <vector>
 
 /// Bounds what the connections of all callers of a process hold together, and
-/// decides which of them give way.
+/// decides which of them are evicted.
 namespace cumingauge::policy {
 
 /// Marks of the sum over all connections of callers, in bytes.
 struct CallerMemoryMarks {
   std::uint64_t Pipelining_ = 0; ///< above, no call starts before its turn
   std::uint64_t Relieved_ = 0;   ///< to which the sum falls when it is relieved
-  std::uint64_t Bound_ = 0;      ///< above, connections give way
+  std::uint64_t Bound_ = 0;      ///< above, connections are evicted
   std::uint64_t Full_ = 0;       ///< above, every further request is refused
 };
 BOOST_DESCRIBE_STRUCT(CallerMemoryMarks, (),
@@ -49,15 +49,15 @@
 /// Whether a request whose head has arrived may go on.
 bool canTakeRequest(const CallerMemoryMarks &Marks, std::uint64_t Held);
 
-/// Chooses the connections that give way so that the sum falls to the relieved
+/// Chooses the connections to evict so that the sum falls to the relieved
 /// mark. Requests that no server has seen come first, as their refusal is
 /// certain to be true; then answers that are not read, then uploads. Among
-/// these, the one goes first that has held most for longest. Running calls give
-/// way only above the full mark, and only down to it.
+/// these, the one goes first that has held most for longest. Running calls
+/// are evicted only above the full mark, and only down to it.
 /// \param Held sum over all connections of the process.
 /// \returns indices into \p Holdings; empty up to the bound.
 std::vector<std::size_t>
-chooseToGiveWay(const CallerMemoryMarks &Marks, std::uint64_t Held,
+chooseEvictions(const CallerMemoryMarks &Marks, std::uint64_t Held,
                 const std::vector<CallerHolding> &Holdings);
 
 } // namespace cumingauge::policy
--- a/src/libcumingauge/traffic/trafficstats.cpp
+++ b/src/libcumingauge/traffic/trafficstats.cpp
@@ -63,8 +63,8 @@
       std::max(Sum.CallerMemoryBytes_, Part.CallerMemoryBytes_);
   Sum.CallerMemoryBound_ =
       std::max(Sum.CallerMemoryBound_, Part.CallerMemoryBound_);
-  for (const auto &[Use, Count] : Part.GaveWay_)
-    Sum.GaveWay_[Use] += Count;
+  for (const auto &[Use, Count] : Part.Evicted_)
+    Sum.Evicted_[Use] += Count;
   for (const auto &[Key, Count] : Part.FaultyAnswers_)
     Sum.FaultyAnswers_[Key] += Count;
 }
--- a/src/libcumingauge/traffic/trafficstats.h
+++ b/src/libcumingauge/traffic/trafficstats.h
@@ -65,8 +65,8 @@
   std::uint64_t DiscardingConnections_ = 0;
   std::uint64_t CallerMemoryBytes_ = 0; ///< held by callers' connections
   std::uint64_t CallerMemoryBound_ = 0; ///< in bytes
-  /// Connections of callers that gave way, by what they waited for.
-  std::map<std::string, std::uint64_t> GaveWay_;
+  /// Connections of callers that were evicted, by what they waited for.
+  std::map<std::string, std::uint64_t> Evicted_;
   /// Answers to calls and probes that were refused or broke off.
   std::map<AnswerFaultKey, std::uint64_t> FaultyAnswers_;
 };
--- a/tests/http/callermemorytest.cpp
+++ b/tests/http/callermemorytest.cpp
@@ -66,7 +66,7 @@
           "ea60\r\n" + std::string(BodyBytes, 'z') + "\r\n");
     }
     CPPUNIT_ASSERT(
-        eventually([&] { return gaveWay(Front, "Unfinished") > 0; }));
+        eventually([&] { return evicted(Front, "Unfinished") > 0; }));
     CPPUNIT_ASSERT(eventually([&] {
       return Front.traffic().stats().CallerMemoryBytes_ <= Marks.Bound_;
     }));
@@ -143,7 +143,7 @@
       Crowd.emplace_back(Front->port());
     CPPUNIT_ASSERT_EQUAL(
         200U, Crowd.back().call(request("GET", "/search/7")).Status_);
-    CPPUNIT_ASSERT_EQUAL(std::uint64_t(8), gaveWay(*Front, "Idle"));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(8), evicted(*Front, "Idle"));
     CPPUNIT_ASSERT(Crowd.front().read().Closed_);
   }
 
@@ -158,7 +158,7 @@
       Crowd.emplace_back(Front.port());
       Crowd.back().send(BulkHead + std::string(150000, 'z'));
     }
-    CPPUNIT_ASSERT(eventually([&] { return gaveWay(Front, "Upload") == 3; }));
+    CPPUNIT_ASSERT(eventually([&] { return evicted(Front, "Upload") == 3; }));
     CPPUNIT_ASSERT(eventually([&] { return Server.ended() == 3; }));
     Crowd.front().send(std::string(50000, 'z'));
     Crowd.back().send(std::string(50000, 'z'));
@@ -186,8 +186,8 @@
   }
 
 private:
-  static std::uint64_t gaveWay(FrontEnd &Front, const std::string &Use) {
-    const auto Counts = Front.traffic().stats().GaveWay_;
+  static std::uint64_t evicted(FrontEnd &Front, const std::string &Use) {
+    const auto Counts = Front.traffic().stats().Evicted_;
     const auto Found = Counts.find(Use);
     return Found == Counts.end() ? 0 : Found->second;
   }
--- a/tests/policy/callermemorytest.cpp
+++ b/tests/policy/callermemorytest.cpp
@@ -36,9 +36,9 @@
 class MemoryOfCallers : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(MemoryOfCallers);
   CPPUNIT_TEST(leavesRoomForTheProgramOnMachinesOfAllSizes);
-  CPPUNIT_TEST(makesNobodyGiveWayUpToTheBound);
-  CPPUNIT_TEST(makesRequestsGiveWayFirstThatNoServerHasSeen);
-  CPPUNIT_TEST(makesThoseGiveWayThatHoldMostForLongest);
+  CPPUNIT_TEST(evictsNobodyUpToTheBound);
+  CPPUNIT_TEST(evictsRequestsFirstThatNoServerHasSeen);
+  CPPUNIT_TEST(evictsThoseThatHoldMostForLongest);
   CPPUNIT_TEST(fallsToItsMarkWhereverItCan);
   CPPUNIT_TEST(keepsSmallRequestsInAReserveAboveTheBound);
   CPPUNIT_TEST_SUITE_END();
@@ -55,15 +55,15 @@
     }
   }
 
-  void makesNobodyGiveWayUpToTheBound() {
+  void evictsNobodyUpToTheBound() {
     const CallerMemoryMarks Marks = callerMemoryMarks(112);
     CPPUNIT_ASSERT(
-        chooseToGiveWay(Marks, Marks.Bound_,
+        chooseEvictions(Marks, Marks.Bound_,
                         {holding(CallerUse::Unfinished, 60 * Kilobyte, 100)})
             .empty());
   }
 
-  void makesRequestsGiveWayFirstThatNoServerHasSeen() {
+  void evictsRequestsFirstThatNoServerHasSeen() {
     const CallerMemoryMarks Marks{1, 1000, 2000, 3000};
     const std::vector<CallerHolding> Holdings = {
         holding(CallerUse::Idle, 1000, 100),
@@ -71,17 +71,17 @@
         holding(CallerUse::Upload, 1000, 100),
         holding(CallerUse::Unread, 1000, 100),
         holding(CallerUse::Unfinished, 10, 1)};
-    CPPUNIT_ASSERT((chooseToGiveWay(Marks, 2001, Holdings) ==
+    CPPUNIT_ASSERT((chooseEvictions(Marks, 2001, Holdings) ==
                     std::vector<std::size_t>{4, 3}));
-    CPPUNIT_ASSERT((chooseToGiveWay(Marks, 4010, Holdings) ==
+    CPPUNIT_ASSERT((chooseEvictions(Marks, 4010, Holdings) ==
                     std::vector<std::size_t>{4, 3, 2}));
-    CPPUNIT_ASSERT((chooseToGiveWay(Marks, 6000, Holdings) ==
+    CPPUNIT_ASSERT((chooseEvictions(Marks, 6000, Holdings) ==
                     std::vector<std::size_t>{4, 3, 2, 1}));
   }
 
-  void makesThoseGiveWayThatHoldMostForLongest() {
+  void evictsThoseThatHoldMostForLongest() {
     const CallerMemoryMarks Marks{1, 1000, 2000, 3000};
-    CPPUNIT_ASSERT((chooseToGiveWay(Marks, 2100,
+    CPPUNIT_ASSERT((chooseEvictions(Marks, 2100,
                                     {holding(CallerUse::Unfinished, 100, 5),
                                      holding(CallerUse::Unfinished, 600, 2),
                                      holding(CallerUse::Unfinished, 500, 3),
@@ -95,19 +95,19 @@
           callerMemoryMarks(*rc::gen::inRange(64U, 200U));
       const std::vector<CallerHolding> Holdings = randomHoldings();
       const std::uint64_t Before = sumOf(Holdings);
-      const auto Chosen = chooseToGiveWay(Marks, Before, Holdings);
+      const auto Chosen = chooseEvictions(Marks, Before, Holdings);
       std::vector<CallerHolding> Rest = Holdings;
-      bool RunningGaveWay = false;
+      bool RunningEvicted = false;
       for (const std::size_t Index : Chosen) {
         RC_ASSERT(Rest[Index].Use_ != CallerUse::Idle);
         RC_ASSERT(Rest[Index].Use_ != CallerUse::Closing);
-        RunningGaveWay =
-            RunningGaveWay || Rest[Index].Use_ == CallerUse::Running;
+        RunningEvicted =
+            RunningEvicted || Rest[Index].Use_ == CallerUse::Running;
         Rest[Index].Bytes_ = 0;
       }
       RC_ASSERT(Before > Marks.Bound_ || Chosen.empty());
-      RC_ASSERT(!RunningGaveWay || Before > Marks.Full_);
-      // What is left above the mark cannot give way.
+      RC_ASSERT(!RunningEvicted || Before > Marks.Full_);
+      // What is left above the mark cannot be evicted.
       if (Before > Marks.Bound_ && sumOf(Rest) > Marks.Relieved_)
         for (const CallerHolding &One : Rest)
           RC_ASSERT(One.Bytes_ == 0U || (One.Use_ != CallerUse::Unfinished &&
