Split the directory links by concern

Links stay there; directoryevidence has the times, updatesender and updatereceiver the two sides of an update.

--- a/src/libcumingauge/control/configurationfeed.cpp
+++ b/src/libcumingauge/control/configurationfeed.cpp
@@ -1,7 +1,7 @@
 #include "control/configurationfeed.h"
 #include "control/corestate.h"
 #include "control/directorycalls.h"
-#include "control/directorylinks.h"
+#include "control/updatesender.h"
 #include <algorithm>
 #include <utility>
 
--- a/src/libcumingauge/control/core.cpp
+++ b/src/libcumingauge/control/core.cpp
@@ -1,12 +1,14 @@
 #include "control/core.h"
 #include "control/corestate.h"
+#include "control/directoryevidence.h"
 #include "control/directoryfollower.h"
-#include "control/directorylinks.h"
 #include "control/gossip.h"
 #include "control/heartbeats.h"
 #include "control/linkmanager.h"
 #include "control/membership.h"
 #include "control/serverreports.h"
+#include "control/updatereceiver.h"
+#include "control/updatesender.h"
 #include "control/viewpublisher.h"
 
 namespace cumingauge::control {
--- a/src/libcumingauge/control/directorycalls.cpp
+++ b/src/libcumingauge/control/directorycalls.cpp
@@ -1,5 +1,6 @@
 #include "control/directorycalls.h"
 #include "control/corestate.h"
+#include "control/directoryevidence.h"
 #include "control/directorylinks.h"
 #include <algorithm>
 #include <utility>
--- a/src/libcumingauge/control/directorypolls.cpp
+++ b/src/libcumingauge/control/directorypolls.cpp
@@ -2,9 +2,11 @@
 #include "control/configurationfeed.h"
 #include "control/corestate.h"
 #include "control/directorycalls.h"
+#include "control/directoryevidence.h"
 #include "control/directorylinks.h"
 #include "control/evacuations.h"
 #include "control/serverfeed.h"
+#include "control/updatesender.h"
 #include <algorithm>
 #include <utility>
 
--- a/src/libcumingauge/control/evacuations.cpp
+++ b/src/libcumingauge/control/evacuations.cpp
@@ -1,6 +1,6 @@
 #include "control/evacuations.h"
 #include "control/corestate.h"
-#include "control/directorylinks.h"
+#include "control/directoryevidence.h"
 #include <algorithm>
 
 namespace cumingauge::control {
--- a/src/libcumingauge/control/linkmanager.cpp
+++ b/src/libcumingauge/control/linkmanager.cpp
@@ -1,9 +1,9 @@
 #include "control/linkmanager.h"
 #include "control/corestate.h"
-#include "control/directorylinks.h"
 #include "control/heartbeats.h"
 #include "control/linkchoice.h"
 #include "control/membership.h"
+#include "control/updatereceiver.h"
 #include <algorithm>
 
 namespace cumingauge::control {
--- a/src/libcumingauge/control/serverfeed.cpp
+++ b/src/libcumingauge/control/serverfeed.cpp
@@ -2,8 +2,8 @@
 #include "control/configurationfeed.h"
 #include "control/corestate.h"
 #include "control/directorycalls.h"
-#include "control/directorylinks.h"
 #include "control/serverlist.h"
+#include "control/updatesender.h"
 #include <algorithm>
 #include <map>
 #include <string>
