--- a/src/libcumingauge/adapters/controlruntime.cpp
+++ b/src/libcumingauge/adapters/controlruntime.cpp
@@ -142,6 +142,12 @@
     Sightings_[{Sighting.Server_, Sighting.Vm_}] = std::move(Sighting);
   }
 
+  void requestCredit(std::uint64_t Request, std::string Workspace) override {
+    asio::post(Io_, [this, Request, Name = std::move(Workspace)] {
+      processInput(control::CreditWanted{Request, Name});
+    });
+  }
+
   ControlStats stats() const override {
     const std::lock_guard<std::mutex> Lock(StatsMutex_);
     return Stats_;
@@ -311,6 +317,11 @@
       Hooks_.OnSightings_(Order.Sightings_);
   }
 
+  void execute(const control::DecideCredit &Order) {
+    if (Hooks_.OnCredit_)
+      Hooks_.OnCredit_(Order.Request_, Order.Decision_);
+  }
+
   void execute(const control::RecordEvent &Order) {
     Ring_->record(Order.Kind_, Order.Subject_, Order.Version_, Order.Reason_,
                   Order.Detail_);
--- a/src/libcumingauge/adapters/controlruntime.h
+++ b/src/libcumingauge/adapters/controlruntime.h
@@ -85,6 +85,11 @@
     /// thread.
     std::function<void(const std::vector<control::ServerObservation> &)>
         OnSightings_;
+    /// Receives the answer to a request for credit; called on the control
+    /// thread.
+    std::function<void(std::uint64_t Request,
+                       const control::CreditDecision &Decision)>
+        OnCredit_;
     /// Returns the calls in flight for each server; called on the control
     /// thread.
     std::function<std::vector<model::ServerActivity>()> Activity_;
@@ -109,6 +114,11 @@
   /// the next tick. Thread-safe.
   virtual void recordSighting(control::ServerObservation Sighting) = 0;
 
+  /// Requests credit to start a call of a workspace with a quota. OnCredit_
+  /// gets the answer. Thread-safe.
+  /// \param Request number of the request, unique in the process.
+  virtual void requestCredit(std::uint64_t Request, std::string Workspace) = 0;
+
   virtual ControlStats stats() const = 0;
 
   /// Returns the port that accepts peer and operator links.
--- a/src/libcumingauge/control/core.cpp
+++ b/src/libcumingauge/control/core.cpp
@@ -141,6 +141,9 @@
   void operator()(const ServerReportReceived &Input) const {
     handleServerReport(State_, Input.Observation_);
   }
+  void operator()(const CreditWanted &Input) const {
+    emitCommand(State_, DecideCredit{Input.Request_, {}});
+  }
   void operator()(const Stopping & /*Input*/) const {
     record(State_, EventKind::ProcessStopping, State_.Members_.Self_);
     announceLeave(State_);
--- a/src/libcumingauge/control/core.h
+++ b/src/libcumingauge/control/core.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/creditdecision.h"
 #include "control/directoryera.h"
 #include "control/freshness.h"
 #include "control/peermessage.h"
@@ -95,12 +96,18 @@
 struct ServerReportReceived {
   ServerObservation Observation_;
 };
+/// A call of a workspace with a quota is to be started. Answered by exactly one
+/// DecideCredit with the same number.
+struct CreditWanted {
+  std::uint64_t Request_ = 0; ///< chosen by the runtime, unique in the process
+  std::string Workspace_;
+};
 struct Stopping {}; ///< the process shuts down and announces it to the fleet
 
-using CoreInput =
-    std::variant<Started, Ticked, StoreResponseReceived,
-                 DirectoryResponseReceived, LinkOpened, LinkClosed, LinkFailed,
-                 PeerMessageReceived, ServerReportReceived, Stopping>;
+using CoreInput = std::variant<Started, Ticked, StoreResponseReceived,
+                               DirectoryResponseReceived, LinkOpened,
+                               LinkClosed, LinkFailed, PeerMessageReceived,
+                               ServerReportReceived, CreditWanted, Stopping>;
 
 // Commands.
 struct CallStore {
@@ -143,10 +150,15 @@
   LinkId Link_ = 0;
   PeerMessage Request_; ///< StatusRequest or TimelineRequest
 };
+/// Answers a CreditWanted input.
+struct DecideCredit {
+  std::uint64_t Request_ = 0;
+  CreditDecision Decision_;
+};
 
-using CoreCommand =
-    std::variant<CallStore, CallDirectory, OpenLink, CloseLink, SendPeer,
-                 PublishView, PublishObservations, RecordEvent, AnswerOperator>;
+using CoreCommand = std::variant<CallStore, CallDirectory, OpenLink, CloseLink,
+                                 SendPeer, PublishView, PublishObservations,
+                                 RecordEvent, AnswerOperator, DecideCredit>;
 
 struct CoreState;
 
--- a/src/libcumingauge/model/workspace.h
+++ b/src/libcumingauge/model/workspace.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "model/callquota.h"
 #include "model/describe.h"
 #include "model/problem.h"
 #include "model/shared.h"
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,8 +17,10 @@
   /// First 128 bits of the SHA-256 digest of each of its keys, in lowercase
   /// hexadecimal.
   std::vector<std::string> KeyDigests_;
+  /// Bound on the calls that the whole fleet starts for it; absent: none.
+  std::optional<CallQuota> Quota_;
 };
-BOOST_DESCRIBE_STRUCT(Workspace, (), (Name_, KeyDigests_))
+BOOST_DESCRIBE_STRUCT(Workspace, (), (Name_, KeyDigests_, Quota_))
 
 using Workspaces = Shared<std::vector<Workspace>>;
 
