Buckets, claims and requests for the credit of quotas

Callers of a workspace get more than its quota, as nothing counts the calls of the whole fleet. First the decisions without network and clock: the token bucket of one part, who may issue a part and until when, and which part a request goes to. Nothing calls them yet.

--- /dev/null
+++ b/src/libcumingauge/control/creditasker.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "control/core.h"
+#include "control/creditbucket.h"
+#include <array>
+#include <bitset>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Requests of this process for credit: which part each goes to, and when it is
+/// given up. Without network and clock.
+namespace cumingauge::control {
+
+/// Time from sending a request in which its answer counts. Credit that arrives
+/// later is lost: the call would start outside the window of its grant.
+constexpr model::milliseconds CreditTimeout{300};
+
+using PartSet = std::bitset<CreditParts>;
+
+/// A call that waits for credit.
+struct CreditWant {
+  std::string Workspace_;
+  model::TimePoint WantedAt_;
+  /// The part that is asked now; absent: none yet.
+  std::optional<unsigned> Part_;
+  model::TimePoint AskedAt_; ///< when Part_ was chosen
+  /// Number of the message to Part_ that carries the request; 0: not sent.
+  std::uint64_t Message_ = 0;
+  PartSet Tried_;
+  unsigned Refusals_ = 0;
+  unsigned Failures_ = 0;             ///< parts that did not answer
+  model::milliseconds RetryAfter_{0}; ///< shortest of the refusals
+};
+
+/// Where the next request of a workspace goes.
+struct CreditTurn {
+  unsigned Next_ = 0;
+  std::array<model::TimePoint, CreditParts> EmptyUntil_;
+};
+
+/// A message with requests that has not been answered.
+struct CreditBatch {
+  LinkId Link_ = 0;
+  model::TimePoint SentAt_;
+  std::vector<std::uint64_t> Requests_; ///< their numbers
+};
+
+struct CreditAsker {
+  std::map<std::uint64_t, CreditWant> Wants_; ///< by number of the request
+  std::map<std::uint64_t, CreditBatch> Sent_; ///< by number of the message
+  std::uint64_t LastMessage_ = 0;
+  std::map<std::string, CreditTurn> Turns_; ///< by workspace
+  /// Parts that have not answered are asked last until then.
+  std::array<model::TimePoint, CreditParts> AvoidUntil_;
+};
+
+/// Chooses the part to ask for a call. Returns false when none of the usable
+/// parts is left.
+/// \param Start part that is asked first for a workspace that is new.
+bool choosePart(CreditAsker &Asker, CreditWant &Want, const PartSet &Usable,
+                unsigned Start, model::TimePoint Now);
+
+/// Applies the answer of the part that is asked. Returns the decision on the
+/// call; nothing when another part is to be asked.
+std::optional<CreditDecision> applyCreditAnswer(CreditAsker &Asker,
+                                                CreditWant &Want,
+                                                const CreditDecision &Answer,
+                                                model::TimePoint Now);
+
+/// Records that the part that is asked gives no answer. Returns as
+/// applyCreditAnswer does.
+std::optional<CreditDecision>
+applyCreditFailure(CreditAsker &Asker, CreditWant &Want, model::TimePoint Now);
+
+/// Returns the decision on a call for which no part is left to be asked.
+CreditDecision concludeWant(const CreditWant &Want);
+
+/// Returns whether the time for the present step of a call is over.
+bool isOverdue(const CreditWant &Want, model::TimePoint Now);
+
+} // namespace cumingauge::control
--- /dev/null
+++ b/tests/control/creditaskertest.cpp
@@ -0,0 +1,100 @@
+#include "control/creditasker.h"
+#include <cppunit/extensions/HelperMacros.h>
+#include <set>
+
+using namespace cumingauge;
+using namespace cumingauge::control;
+using model::milliseconds;
+using model::seconds;
+using model::TimePoint;
+
+namespace {
+
+constexpr TimePoint Start{seconds(1000)};
+constexpr CreditDecision Granted{CreditAnswer::Granted, milliseconds(0)};
+
+CreditDecision refused(int Ms) {
+  return {CreditAnswer::Refused, milliseconds(Ms)};
+}
+
+CreditWant want(const std::string &Workspace) {
+  CreditWant Out;
+  Out.Workspace_ = Workspace;
+  Out.WantedAt_ = Start;
+  return Out;
+}
+
+class RequestForCredit : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RequestForCredit);
+  CPPUNIT_TEST(goesToThePartsInTurn);
+  CPPUNIT_TEST(goesToThreePartsUntilItIsRefused);
+  CPPUNIT_TEST(leavesOutPartsThatAreEmptyOrSilent);
+  CPPUNIT_TEST(goesToOneOtherPartWithoutAnAnswer);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void goesToThePartsInTurn() {
+    std::set<unsigned> Asked;
+    for (unsigned I = 0; I < CreditParts; ++I)
+      Asked.insert(ask(want("a")));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{CreditParts}, Asked.size());
+  }
+
+  void goesToThreePartsUntilItIsRefused() {
+    CreditWant Want = want("a");
+    for (const int RetryAfter : {500, 300}) {
+      ask(Want);
+      CPPUNIT_ASSERT(
+          !applyCreditAnswer(Asker_, Want, refused(RetryAfter), Start));
+    }
+    ask(Want);
+    const auto Out = applyCreditAnswer(Asker_, Want, refused(400), Start);
+    CPPUNIT_ASSERT(Out->Answer_ == CreditAnswer::Refused);
+    CPPUNIT_ASSERT(Out->RetryAfter_ == milliseconds(300));
+  }
+
+  void leavesOutPartsThatAreEmptyOrSilent() {
+    CreditWant Empty = want("a");
+    const unsigned EmptyPart = ask(Empty);
+    applyCreditAnswer(Asker_, Empty, refused(1000), Start);
+    CreditWant Silent = want("a");
+    const unsigned SilentPart = ask(Silent);
+    applyCreditFailure(Asker_, Silent, Start);
+    for (unsigned I = 0; I < 20; ++I) {
+      CreditWant Want = want("a");
+      const unsigned Asked = ask(Want);
+      CPPUNIT_ASSERT(Asked != EmptyPart && Asked != SilentPart);
+      CPPUNIT_ASSERT(applyCreditAnswer(Asker_, Want, Granted, Start));
+    }
+    std::set<unsigned> Later;
+    for (unsigned I = 0; I < CreditParts; ++I)
+      Later.insert(ask(want("a"), Start + seconds(1)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{CreditParts}, Later.size());
+  }
+
+  void goesToOneOtherPartWithoutAnAnswer() {
+    CreditWant Want = want("a");
+    const unsigned First = ask(Want);
+    CPPUNIT_ASSERT(!isOverdue(Want, Start + CreditTimeout));
+    CPPUNIT_ASSERT(isOverdue(Want, Start + CreditTimeout + milliseconds(1)));
+    CPPUNIT_ASSERT(!applyCreditFailure(Asker_, Want, Start));
+    CPPUNIT_ASSERT(ask(Want) != First);
+    CPPUNIT_ASSERT(applyCreditFailure(Asker_, Want, Start)->Answer_ ==
+                   CreditAnswer::Unknown);
+  }
+
+private:
+  unsigned ask(CreditWant &&Want, TimePoint Now = Start) {
+    return ask(Want, Now);
+  }
+  unsigned ask(CreditWant &Want, TimePoint Now = Start) {
+    CPPUNIT_ASSERT(choosePart(Asker_, Want, PartSet().set(), 4, Now));
+    return *Want.Part_;
+  }
+
+  CreditAsker Asker_;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestForCredit);
+
+} // namespace
