Directory: read the claims of credit, write one under a condition

Who issues the credit of a part of the quotas stands in the directory. A claim is written only over the revision that its writer has read; a conflict returns the entry as it is. A claim that cannot be read keeps its revision, so that it can be replaced.

directoryclienttest covers the write, the conflict and odd entries. Its list of operations and the fake directory of tests/control have the new operation.

--- a/src/libcumingauge/platform/directoryclient.cpp
+++ b/src/libcumingauge/platform/directoryclient.cpp
@@ -2,6 +2,7 @@
 #include "adapters/httpclient.h"
 #include "codec/base64.h"
 #include "codec/describedjson.h"
+#include "platform/claimentry.h"
 #include "platform/configurationdocument.h"
 #include "platform/jsonfields.h"
 #include "platform/serverentry.h"
@@ -28,6 +29,7 @@
 constexpr unsigned HttpOk = 200;
 constexpr unsigned HttpNotFound = 404;
 constexpr unsigned HttpGone = 410;
+constexpr unsigned HttpPreconditionFailed = 412;
 constexpr unsigned HttpTooManyRequests = 429;
 constexpr unsigned HttpInternalError = 500;
 
@@ -37,6 +39,8 @@
     return wirenames::OperatorPrefix;
   case DirectoryTopic::Servers:
     return wirenames::ServersPrefix;
+  case DirectoryTopic::CreditClaims:
+    return wirenames::CreditClaimsPrefix;
   case DirectoryTopic::Members:
     break;
   }
@@ -103,6 +107,13 @@
     Out.ContentType_ = "application/json";
     Out.NewConnection_ = true;
     break;
+  case DirectoryOperation::Claim:
+    // May be sent twice: its condition holds only once.
+    Out.Method_ = "POST";
+    Out.Target_ = wirenames::Transaction;
+    Out.Body_ = claimBody(Request.Claim_);
+    Out.ContentType_ = "application/json";
+    break;
   case DirectoryOperation::Ping:
     Out.Target_ = std::string(wirenames::ReadKey) + wirenames::AbsentKey +
                   wirenames::AllowStale;
@@ -111,13 +122,6 @@
   return Out;
 }
 
-/// Returns the decoded value of an item; nothing when the item was deleted or
-/// its value is not valid base64.
-std::optional<std::string> valueOf(const Json &Item) {
-  const auto Text = textField(Item, "value");
-  return Text ? codec::decodeBase64(*Text) : std::nullopt;
-}
-
 bool isDeletion(const Json &Item) {
   const Json *Deleted = findField(Item, "deleted");
   return Deleted && Deleted->is_boolean() && Deleted->get<bool>();
@@ -138,6 +142,8 @@
       return addZone(Key, !isDeletion(Item));
     if (isDeletion(Item))
       return addDeletion(Key);
+    if (Request_.Topic_ == DirectoryTopic::CreditClaims)
+      return addClaim(Item, Key);
     const auto Value = valueOf(Item);
     if (!Value) {
       addUnreadable(Key);
@@ -145,6 +151,8 @@
     }
     Revision_ = countField(Item, "revision").value_or(0);
     switch (Request_.Topic_) {
+    case DirectoryTopic::CreditClaims:
+      return; // handled above
     case DirectoryTopic::Configuration:
       return addConfiguration(Key, *Value);
     case DirectoryTopic::Servers:
@@ -206,6 +214,14 @@
     Out_.Members_.push_back(std::move(Read));
   }
 
+  void addClaim(const Json &Item, const std::string &Key) {
+    const auto Read = readClaim(Item);
+    if (!Read || !Read->IsReadable_)
+      addUnreadable(Key);
+    if (Read)
+      Out_.Claims_.push_back(*Read);
+  }
+
   const DirectoryRequest &Request_;
   const model::Preset &Base_;
   DirectoryResponse &Out_;
@@ -259,6 +275,34 @@
   return Out;
 }
 
+DirectoryResponse readClaimed(const std::string &Body) {
+  const auto Revision = countField(parseDocument(Body), "revision");
+  if (!Revision)
+    return errorResponse(ResultCode::StoreAnswerInvalid);
+  DirectoryResponse Out;
+  Out.Revision_ = *Revision;
+  return Out;
+}
+
+/// Reads the entry that a claim has met.
+DirectoryResponse readConflict(const DirectoryRequest &Request,
+                               const model::Preset &Base,
+                               const std::string &Body) {
+  const Json Document = parseDocument(Body);
+  const Json *Items = findField(Document, "items");
+  if (!Items || !Items->is_array())
+    return errorResponse(ResultCode::StoreAnswerInvalid);
+  DirectoryResponse Out;
+  Out.IsConflict_ = true;
+  DirectoryRequest OfClaims = Request;
+  OfClaims.Topic_ = DirectoryTopic::CreditClaims;
+  ResponseReader Reader(OfClaims, Base, Out);
+  for (const Json &Item : *Items)
+    if (countField(Item, "revision").value_or(0) > 0)
+      Reader.add(Item);
+  return Out;
+}
+
 /// Returns the era in a header field; 0 when it is absent or no number.
 std::uint64_t readEra(const std::string &Field) {
   std::uint64_t Out = 0;
@@ -270,11 +314,17 @@
 DirectoryResponse readResponse(const DirectoryRequest &Request,
                                const model::Preset &Base,
                                const HttpClientAnswer &Answer) {
-  const bool IsWrite = Request.Operation_ == DirectoryOperation::Announce;
+  const bool IsClaim = Request.Operation_ == DirectoryOperation::Claim;
+  const bool IsWrite =
+      IsClaim || Request.Operation_ == DirectoryOperation::Announce;
   if (!Answer.Answered_)
     return errorResponse(IsWrite && Answer.MayHaveSent_
                              ? ResultCode::StoreTimeout
                              : ResultCode::StoreUnavailable);
+  if (IsClaim && Answer.Status_ == HttpOk)
+    return readClaimed(Answer.Body_);
+  if (IsClaim && Answer.Status_ == HttpPreconditionFailed)
+    return readConflict(Request, Base, Answer.Body_);
   if (Answer.Status_ == HttpOk)
     return IsWrite ? DirectoryResponse()
                    : readItems(Request, Base, Answer.Body_);
--- a/src/libcumingauge/platform/wirenames.h
+++ b/src/libcumingauge/platform/wirenames.h
@@ -35,6 +35,8 @@
 constexpr const char *EvacuationPrefix = "op/evacuate/";
 constexpr const char *ServersPrefix = "servers/";
 constexpr const char *MembersPrefix = "cumingauge/members/";
+/// Followed by the number of a part.
+constexpr const char *CreditClaimsPrefix = "cumingauge/credit/";
 /// Never written: reading an absent key is the cheapest read.
 constexpr const char *AbsentKey = "cumingauge/absent";
 
--- a/src/libcumingauge/ports/directory.h
+++ b/src/libcumingauge/ports/directory.h
@@ -6,6 +6,7 @@
 #include "model/problem.h"
 #include "model/resultcode.h"
 #include "model/time.h"
+#include "ports/creditclaim.h"
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -19,9 +20,10 @@
 
 /// The lists in a directory: the operators' configuration with the zones that
 /// they have evacuated, the backend servers that have registered themselves,
-/// and the entry processes.
-enum class DirectoryTopic { Configuration, Servers, Members };
-BOOST_DESCRIBE_ENUM(DirectoryTopic, Configuration, Servers, Members)
+/// the entry processes, and which of these issue the credit of quotas.
+enum class DirectoryTopic { Configuration, Servers, Members, CreditClaims };
+BOOST_DESCRIBE_ENUM(DirectoryTopic, Configuration, Servers, Members,
+                    CreditClaims)
 
 /// Operations of a directory.
 enum class DirectoryOperation {
@@ -29,11 +31,13 @@
   Watch,    ///< long poll for changes after revision After_, for up to Wait_
   Poll,     ///< returns the changes after revision After_ at once, if any
   Announce, ///< registers Self_ among the members
+  Claim,    ///< writes Claim_ if its entry is still at Claim_.Revision_
   /// Cheap check whether the directory can be reached. Its response may be
   /// outdated and confirms nothing.
   Ping
 };
-BOOST_DESCRIBE_ENUM(DirectoryOperation, Read, Watch, Poll, Announce, Ping)
+BOOST_DESCRIBE_ENUM(DirectoryOperation, Read, Watch, Poll, Announce, Claim,
+                    Ping)
 
 /// A request to a directory.
 struct DirectoryRequest {
@@ -43,6 +47,7 @@
   std::uint64_t After_ = 0; ///< Watch, Poll: the last revision already seen
   model::milliseconds Wait_{0};
   model::Member Self_;
+  ListedClaim Claim_;
 };
 
 /// A backend server as registered in a directory.
@@ -78,7 +83,8 @@
 };
 
 /// Response to a request. Code_ is Ok, StoreUnavailable, StoreTimeout (an
-/// Announce may have taken effect), StoreRateLimited or StoreAnswerInvalid.
+/// Announce or Claim may have taken effect), StoreRateLimited or
+/// StoreAnswerInvalid.
 struct DirectoryResponse {
   model::ResultCode Code_ = model::ResultCode::Ok;
   std::uint64_t Revision_ = 0; ///< the response covers all changes up to it
@@ -87,12 +93,17 @@
   std::uint64_t Era_ = 0;
   /// Watch: the changes after After_ are no longer available; use Read.
   bool IsCompacted_ = false;
+  /// Claim: the entry was at another revision, and nothing was written. Claims_
+  /// has the entry as it is.
+  bool IsConflict_ = false;
   std::string Next_; ///< Read: token of the next page; empty: last page
   std::optional<ListedConfiguration> Configuration_; ///< present if it is new
   /// Topic Configuration: the evacuated zones, or the changes of a watch.
   std::vector<ZoneRequest> Zones_;
   std::vector<ServerEntry> Servers_; ///< in the order of their changes
   std::vector<model::Member> Members_;
+  /// Claims that exist, also those that cannot be read.
+  std::vector<ListedClaim> Claims_;
   model::Problems Unreadable_; ///< entries left out, with the reason
 };
 
--- a/tests/control/directoryfleet.cpp
+++ b/tests/control/directoryfleet.cpp
@@ -418,6 +418,7 @@
     if (Asked.Topic_ == DirectoryTopic::Servers && PageSize_ > 0)
       cutPage(Answer, Asked.Page_);
     break;
+  case DirectoryOperation::Claim:
   case DirectoryOperation::Ping:
     break;
   }
--- a/tests/platform/directoryclienttest.cpp
+++ b/tests/platform/directoryclienttest.cpp
@@ -20,6 +20,7 @@
       : Server_(Io_, [this, Answer](
                          const std::shared_ptr<emulator::HttpExchange> &Call) {
           LastTarget_ = Call->Request_.Target_;
+          LastBody_ = Call->Request_.Body_;
           Call->Answer_(Answer);
         }) {
     platform::PlatformSettings Settings;
@@ -36,6 +37,7 @@
     Request.Operation_ = Operation;
     Request.Topic_ = Topic;
     Request.Page_ = Page;
+    Request.Claim_ = {3, {"front-1", 8, "10.1.0.9", 7280, 4}, 12};
     std::optional<DirectoryResponse> Out;
     Client_.Execute_(Request,
                      [&](const DirectoryResponse &Read) { Out = Read; });
@@ -48,8 +50,10 @@
 
   /// Returns the target of the last request.
   const std::string &lastTarget() const { return LastTarget_; }
+  const std::string &lastBody() const { return LastBody_; }
 
 private:
+  std::string LastBody_;
   std::string LastTarget_;
   boost::asio::io_context Io_{1};
   emulator::HttpServer Server_;
@@ -143,6 +147,9 @@
   CPPUNIT_TEST(pollsWithTheShortestWatch);
   CPPUNIT_TEST(readsEvacuatedZonesBesideTheConfiguration);
   CPPUNIT_TEST(readsTheEndOfAnEvacuation);
+  CPPUNIT_TEST(writesAClaimUnderTheConditionOfItsRevision);
+  CPPUNIT_TEST(readsTheClaimThatAnotherProcessHasWritten);
+  CPPUNIT_TEST(readsClaimsBesideAnOddOne);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -151,7 +158,7 @@
       for (const auto Operation :
            {DirectoryOperation::Read, DirectoryOperation::Watch,
             DirectoryOperation::Poll, DirectoryOperation::Announce,
-            DirectoryOperation::Ping})
+            DirectoryOperation::Claim, DirectoryOperation::Ping})
         CPPUNIT_ASSERT_EQUAL_MESSAGE(
             std::to_string(Status), std::uint64_t(7),
             CannedStore(answer(Status, "7")).call(Operation).Era_);
@@ -265,6 +272,71 @@
         (Read.Zones_ == std::vector<ports::ZoneRequest>{{"milano-a", false}}));
     CPPUNIT_ASSERT(!Read.Configuration_);
   }
+
+  void writesAClaimUnderTheConditionOfItsRevision() {
+    CannedStore Store(claimAnswer(200, R"({"revision":13})"));
+    const auto Written = Store.call(DirectoryOperation::Claim);
+    CPPUNIT_ASSERT(Written.Code_ == model::ResultCode::Ok);
+    CPPUNIT_ASSERT(!Written.IsConflict_);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(13), Written.Revision_);
+    CPPUNIT_ASSERT_EQUAL(std::string("/kv-txn"), Store.lastTarget());
+    const Json Body = Json::parse(Store.lastBody());
+    const Json Condition{{"key", "cumingauge/credit/3"}, {"revision", 12}};
+    CPPUNIT_ASSERT(Body["expected-revision"] == Json::array({Condition}));
+    CPPUNIT_ASSERT(Body["puts"][0]["key"] == "cumingauge/credit/3");
+    CPPUNIT_ASSERT(Json::parse(*codec::decodeBase64(
+                       Body["puts"][0]["value"].get<std::string>())) == Claim);
+  }
+
+  void readsTheClaimThatAnotherProcessHasWritten() {
+    const Json Items =
+        Json::array({item("cumingauge/credit/3", base64Of(Claim))});
+    CannedStore Store(claimAnswer(412, Json{{"items", Items}}.dump()));
+    const auto Read = Store.call(DirectoryOperation::Claim);
+    CPPUNIT_ASSERT(Read.Code_ == model::ResultCode::Ok && Read.IsConflict_);
+    const ports::ListedClaim Expected{
+        3, {"front-1", 8, "10.1.0.9", 7280, 4}, 90};
+    CPPUNIT_ASSERT(Read.Claims_ == std::vector<ports::ListedClaim>{Expected});
+    for (const char *Absent : {R"({"items":[]})",
+                               R"({"items":[{"key":"cumingauge/credit/3",
+                                  "revision":0}]})"})
+      CPPUNIT_ASSERT(CannedStore(claimAnswer(412, Absent))
+                         .call(DirectoryOperation::Claim)
+                         .Claims_.empty());
+  }
+
+  /// Guards against a part whose odd claim cannot be replaced, or is taken for
+  /// one that its issuer has given up.
+  void readsClaimsBesideAnOddOne() {
+    for (const std::string &Odd : oddValues()) {
+      CannedStore Store(
+          listOf("items", {item("cumingauge/credit/0", Odd),
+                           item("cumingauge/credit/3", base64Of(Claim)),
+                           item("cumingauge/credit/x", base64Of(Claim))}));
+      const auto Read = Store.call(DirectoryOperation::Read,
+                                   ports::DirectoryTopic::CreditClaims);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(2), Read.Claims_.size());
+      CPPUNIT_ASSERT(!Read.Claims_[0].IsReadable_);
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(90), Read.Claims_[0].Revision_);
+      CPPUNIT_ASSERT(Read.Claims_[1].IsReadable_);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(2), Read.Unreadable_.size());
+    }
+  }
+
+private:
+  static emulator::HttpAnswer claimAnswer(unsigned Status,
+                                          const std::string &Body) {
+    emulator::HttpAnswer Out;
+    Out.Status_ = Status;
+    Out.Body_ = Body;
+    return Out;
+  }
+
+  const Json Claim{{"process", "front-1"},
+                   {"incarnation", 8},
+                   {"host", "10.1.0.9"},
+                   {"port", 7280},
+                   {"number", 4}};
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(DirectoryClientTest);
 
