Result codes for calls refused by the quota of their workspace

113 NotRunQuota is answered with 429, 114 NotRunCreditUnknown with 503: the first is the caller's to mend, the second is not. Both promise that the call did not run. Nothing returns them yet.

--- a/src/libcumingauge/adapters/httpcalleranswers.cpp
+++ b/src/libcumingauge/adapters/httpcalleranswers.cpp
@@ -41,6 +41,8 @@
     return "Payload Too Large";
   case 417:
     return "Expectation Failed";
+  case 429:
+    return "Too Many Requests";
   case 431:
     return "Request Header Fields Too Large";
   case 502:
--- a/src/libcumingauge/model/resultcode.cpp
+++ b/src/libcumingauge/model/resultcode.cpp
@@ -42,6 +42,8 @@
     return 404;
   case ResultCode::RequestExpectationUnknown:
     return 417;
+  case ResultCode::NotRunQuota:
+    return 429;
   default:
     return isNotRun(Code) ? 503 : 500;
   }
