Read the quotas of workspaces

The rate and the burst of a tenant in the platform's configuration become the quota of its workspace, also in the presets of our own store. They are not applied yet.

A rate that cannot be read sets no limit, as is the case with the other limits of a configuration, and an unreadable burst counts as 0; the place is logged and the configuration counts as incomplete. The other choice, to refuse the workspace's calls, would turn a slip in one number into an outage of that customer.

--- a/src/libcumingauge/model/workspace.cpp
+++ b/src/libcumingauge/model/workspace.cpp
@@ -1,5 +1,6 @@
 #include "model/workspace.h"
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <string_view>
 
@@ -14,6 +15,17 @@
          Text.find_first_not_of("0123456789abcdef") == std::string::npos;
 }
 
+/// Whether a number of calls is finite and not negative.
+bool isCallCount(double Value) { return std::isfinite(Value) && Value >= 0; }
+
+void checkQuota(const CallQuota &Value, const std::string &Path,
+                Problems &Found) {
+  if (!isCallCount(Value.RequestsPerSecond_))
+    Found.push_back({Path + "/requestsPerSecond", "must be 0 or more"});
+  if (!isCallCount(Value.Burst_))
+    Found.push_back({Path + "/burst", "must be 0 or more"});
+}
+
 } // namespace
 
 bool isWorkspaceName(const std::string &Name) {
@@ -33,6 +45,8 @@
       Found.push_back({OwnPath + "/name", "must be visible ASCII characters"});
     if (!Names.insert(Values[I].Name_).second)
       Found.push_back({OwnPath + "/name", "is used by an earlier workspace"});
+    if (Values[I].Quota_)
+      checkQuota(*Values[I].Quota_, OwnPath + "/quota", Found);
     for (const std::string &Digest : Values[I].KeyDigests_) {
       if (!isDigest(Digest))
         Found.push_back({OwnPath + "/keyDigests",
--- a/src/libcumingauge/platform/configurationdocument.cpp
+++ b/src/libcumingauge/platform/configurationdocument.cpp
@@ -125,6 +125,32 @@
         BodyBytes > 0 ? BodyBytes : std::numeric_limits<std::uint64_t>::max();
 }
 
+/// Reads a number of 0 or more. Without one, 0 is returned; another value is a
+/// problem.
+double readRate(const Json &Object, const char *Name, const std::string &Path,
+                model::Problems &Found) {
+  const Json *Listed = findField(Object, Name);
+  if (!Listed)
+    return 0;
+  const double Rate = numberField(Object, Name).value_or(-1);
+  if (Rate >= 0)
+    return Rate;
+  Found.push_back(
+      {Path + "/" + Name, "must be a number of 0 or more; it is taken as 0"});
+  return 0;
+}
+
+/// Reads the quota of a workspace. A rate that is 0, absent or unreadable is no
+/// limit: a mistake in one number must not refuse all calls of a workspace.
+std::optional<model::CallQuota>
+readQuota(const Json &Tenant, const std::string &Path, model::Problems &Found) {
+  const model::CallQuota Read{readRate(Tenant, "requests-per-s", Path, Found),
+                              readRate(Tenant, "burst", Path, Found)};
+  if (Read.RequestsPerSecond_ > 0)
+    return Read;
+  return std::nullopt;
+}
+
 /// Reads the workspaces of a configuration one after the other.
 class WorkspaceReader {
 public:
@@ -145,6 +171,7 @@
       addKeys(*Keys, Path, Read);
     else
       Found_.push_back({Path, "api-keys is missing or has the wrong type"});
+    Read.Quota_ = readQuota(Tenant, Path, Found_);
     Workspaces_.push_back(std::move(Read));
   }
 
--- a/tests/platform/configurationdocumenttest.cpp
+++ b/tests/platform/configurationdocumenttest.cpp
@@ -50,6 +50,8 @@
   CPPUNIT_TEST(keepsDigestsOfTheKeysOfWorkspaces);
   CPPUNIT_TEST(requiresAKeyOnAllRoutesButPublicOnes);
   CPPUNIT_TEST(skipsOnlyTheWorkspacesAndKeysThatCannotBeRead);
+  CPPUNIT_TEST(hasTheQuotasOfItsWorkspaces);
+  CPPUNIT_TEST(keepsAWorkspaceWhoseQuotaCannotBeRead);
   CPPUNIT_TEST(letsNobodyInWhenItsWorkspacesCannotBeRead);
   CPPUNIT_TEST(fitsIntoAPeerMessageWhenItIsFullOfKeys);
   CPPUNIT_TEST(skipsOnlyTheRoutesThatCannotBeRead);
@@ -166,6 +168,45 @@
     CPPUNIT_ASSERT(model::checkPreset(Preset, "").empty());
   }
 
+  void hasTheQuotasOfItsWorkspaces() {
+    Json Document = makeValidDocument();
+    const auto WithRates = [](const char *Name, const Json &Rates) {
+      Json Out = {{"name", Name}, {"api-keys", Json::array()}};
+      Out.update(Rates);
+      return Out;
+    };
+    Document["tenants"] = {
+        WithRates("a", {{"requests-per-s", 294}, {"burst", 30}}),
+        WithRates("b", {{"requests-per-s", 0.5}}),
+        WithRates("c", {{"requests-per-s", 0}, {"burst", 30}}),
+        WithRates("d", Json::object())};
+    const auto Read = read(Document)->Preset_.Workspaces_;
+    CPPUNIT_ASSERT((model::CallQuota{294, 30} == Read->at(0).Quota_.value()));
+    CPPUNIT_ASSERT((model::CallQuota{0.5, 0} == Read->at(1).Quota_.value()));
+    CPPUNIT_ASSERT(!Read->at(2).Quota_ && !Read->at(3).Quota_);
+    CPPUNIT_ASSERT(Found_.empty());
+  }
+
+  void keepsAWorkspaceWhoseQuotaCannotBeRead() {
+    Json Document = makeValidDocument();
+    Document["tenants"] = {{{"name", "north"}, {"api-keys", {"k1"}}}};
+    for (const Json &Rate : {Json("294"), Json(-1), Json(nullptr)}) {
+      Document["tenants"][0]["requests-per-s"] = Rate;
+      Document["tenants"][0]["burst"] = 30;
+      Found_.clear();
+      const auto Read = read(Document)->Preset_.Workspaces_;
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), Read->at(0).KeyDigests_.size());
+      CPPUNIT_ASSERT(!Read->at(0).Quota_);
+      CPPUNIT_ASSERT_EQUAL(
+          std::string("configuration/tenants/0/requests-per-s"),
+          Found_.at(0).Path_);
+    }
+    Document["tenants"][0]["requests-per-s"] = 294;
+    Document["tenants"][0]["burst"] = "30";
+    CPPUNIT_ASSERT((model::CallQuota{294, 0} ==
+                    read(Document)->Preset_.Workspaces_->at(0).Quota_.value()));
+  }
+
   void letsNobodyInWhenItsWorkspacesCannotBeRead() {
     for (const Json &Tenants : {Json("north"), Json(nullptr), Json::object()}) {
       Json Document = makeValidDocument();
--- a/tests/traffic/workspacekeystest.cpp
+++ b/tests/traffic/workspacekeystest.cpp
@@ -2,7 +2,9 @@
 #include "codec/keydigest.h"
 #include "model/preset.h"
 #include <algorithm>
+#include <cmath>
 #include <cppunit/extensions/HelperMacros.h>
+#include <limits>
 #include <numeric>
 #include <rapidcheck.h>
 
@@ -98,6 +100,14 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), CountProblems({{"a", {}}, {"a", {}}}));
     CPPUNIT_ASSERT_EQUAL(std::size_t(1),
                          CountProblems({{"a", {Digest}}, {"b", {Digest}}}));
+    const auto CountQuotaProblems = [&](double Rate, double Burst) {
+      return CountProblems({{"a", {}, model::CallQuota{Rate, Burst}}});
+    };
+    const double Infinite = std::numeric_limits<double>::infinity();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), CountQuotaProblems(0.5, 0));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), CountQuotaProblems(-1, 0));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2),
+                         CountQuotaProblems(Infinite, std::nan("")));
   }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(KeysOfWorkspaces);
