Ask for the server again when a call is about to be sent

The check at that point asked only whether the view is fresh and what the server had announced itself, not what the view says; and a view that is published waits in the thread's queue behind other work.

The traffic thread now takes the newest published view when the first bytes are about to leave, and asks whether the server takes calls of that service and whether the configuration admits the call as before (route, service, key). If not, the attempt ends as Withdrawn: no retry token, nothing counted against the server or towards the limit on attempts, and the call is admitted and placed again, eight times at most. The check is on the only way to a server, so that it holds for retries, hedges, uploads and pipelined calls. Calls that wait for a connection to a server that leaves are placed again at once, from the event loop. cumingauge_withdrawn_attempts_total counts them; the call log names the end.

The two lists of attempt ends in tests/policy have the new end, so that the budget properties hold for it too.

--- a/src/libcumingauge/adapters/httpcall.cpp
+++ b/src/libcumingauge/adapters/httpcall.cpp
@@ -92,6 +92,13 @@
   setTimer();
 }
 
+void HttpCall::setAdmission(RequestAdmission Admission) {
+  Facts_.Route_ = *Admission.Route_;
+  Request_.Route_ = std::move(Admission.Route_);
+  Request_.Identity_ = std::move(Admission.Identity_);
+  Request_.ConfigVersion_ = Admission.ConfigVersion_;
+}
+
 void HttpCall::onCallerLeft() { apply(traffic::CallerLeft{}); }
 
 void HttpCall::giveUpRequest(model::ResultCode Reason) {
@@ -167,15 +174,14 @@
 void HttpCall::onConnection(AttemptNumber Number,
                             std::shared_ptr<HttpConnection> Connection) {
   attempt(Number).Ticket_ = HttpPool::NoTicket;
+  // The choice may be outdated: the call has waited for the connection.
+  if (!Worker_.maySend(*this, attempt(Number).Server_)) {
+    if (Connection)
+      Connection->retire();
+    return onFailure(Number, AttemptState::Withdrawn);
+  }
   if (!Connection)
     return onFailure(Number, AttemptState::NotSent);
-  // While this call waited for the connection, the control view may have become
-  // stale, for example when the process was paused, or the server may have
-  // announced that it wants no calls.
-  if (!Worker_.isFresh() || !Worker_.isOpen(attempt(Number).Server_)) {
-    Connection->retire();
-    return onFailure(Number, AttemptState::NotSent);
-  }
   attempt(Number).Trace_.LocalPort_ = Connection->localPort();
   attempt(Number).Connection_ = std::move(Connection);
   apply(traffic::ConnectionReady{Number});
@@ -423,6 +429,7 @@
   Attempt &EndedAttempt = attempt(Action.Attempt_);
   EndedAttempt.Trace_.TookMs_ =
       millisBetween(EndedAttempt.Dispatched_, Worker_.now());
+  Facts_.Withdrawn_ += Action.End_ == policy::AttemptEnd::Withdrawn;
   EndedAttempt.Trace_.End_ = boost::describe::enum_to_string(Action.End_, "");
   Worker_.recordAttemptEnd(Facts_, Action.Server_, Action.End_,
                            EndedAttempt.Dispatched_);
--- a/src/libcumingauge/adapters/httpcall.h
+++ b/src/libcumingauge/adapters/httpcall.h
@@ -4,6 +4,7 @@
 #include "adapters/callermemory.h"
 #include "adapters/httpcallrequest.h"
 #include "adapters/httppool.h"
+#include "adapters/requestadmission.h"
 #include "model/attempttrace.h"
 #include "policy/balancer.h"
 #include "traffic/calllifecycle.h"
@@ -32,11 +33,10 @@
   /// Applies the balancer's decision on this call.
   void decide(const policy::Decision &Decision);
 
-  /// Replaces the caller's identity, when the configuration has changed since
-  /// the request was read. To be called before the call is placed.
-  void setIdentity(traffic::CallerIdentity Identity) {
-    Request_.Identity_ = std::move(Identity);
-  }
+  /// Replaces the route and the caller's identity, when the configuration has
+  /// changed since the request was read. To be called before the call is
+  /// placed.
+  void setAdmission(RequestAdmission Admission);
 
   void onCallerLeft();
 
@@ -56,6 +56,9 @@
   bool isPipelined() const { return Request_.Pipelined_; }
   const std::string &callId() const { return Request_.Head_.CallId_; }
   const std::string &workspace() const { return Request_.Identity_.Workspace_; }
+  const traffic::CallerIdentity &identity() const { return Request_.Identity_; }
+  /// Returns the version of the configuration that admitted the call.
+  std::uint64_t configVersion() const { return Request_.ConfigVersion_; }
   const traffic::RequestHead &head() const { return Request_.Head_; }
   std::vector<model::AttemptTrace> traces() const;
   /// Returns the bytes of memory that the request and its answers take.
--- a/src/libcumingauge/adapters/httpcallersession.cpp
+++ b/src/libcumingauge/adapters/httpcallersession.cpp
@@ -207,6 +207,7 @@
   }
   Incoming_->Route_ = Admission.Route_;
   Incoming_->Identity_ = Admission.Identity_;
+  Incoming_->ConfigVersion_ = Admission.ConfigVersion_;
   MaxBodyBytes_ = Admission.Route_->MaxBodyBytes_;
   if (Head.Length_ > MaxBodyBytes_) {
     refuseRequest(ResultCode::RequestBodyTooLarge);
@@ -309,6 +310,7 @@
   Incoming.Pipelined_ = true;
   Incoming.Route_ = Admission.Route_;
   Incoming.Identity_ = Admission.Identity_;
+  Incoming.ConfigVersion_ = Admission.ConfigVersion_;
   HttpCallRequest Request =
       completeRequest(std::move(Incoming), /*Complete=*/true);
   PipelinedCall Started;
--- a/src/libcumingauge/adapters/httpcallrequest.h
+++ b/src/libcumingauge/adapters/httpcallrequest.h
@@ -4,6 +4,7 @@
 #include "model/time.h"
 #include "traffic/messagehead.h"
 #include "traffic/workspacekeys.h"
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -17,6 +18,7 @@
   bool BodyComplete_ = true; ///< false: the rest is requested piece by piece
   std::string Caller_;       ///< whose quota the call uses
   traffic::CallerIdentity Identity_;
+  std::uint64_t ConfigVersion_ = 0; ///< configuration that admitted it
   bool Pipelined_ = false; ///< arrived while an earlier call was unanswered
   model::TimePoint Arrived_;
   model::TimePoint Deadline_;
--- a/src/libcumingauge/adapters/httppool.cpp
+++ b/src/libcumingauge/adapters/httppool.cpp
@@ -1,5 +1,6 @@
 #include "adapters/httppool.h"
 #include <algorithm>
+#include <boost/asio/post.hpp>
 
 namespace cumingauge::adapters {
 
@@ -59,6 +60,16 @@
     Connection->retire();
 }
 
+void HttpPool::dismissWaiters() {
+  if (Waiters_.empty())
+    return;
+  const Ticket Last = LastTicket_;
+  boost::asio::post(Io_, [Self = shared_from_this(), Last] {
+    while (!Self->Waiters_.empty() && Self->Waiters_.front().Ticket_ <= Last)
+      Self->serveWaiter(Self->Waiters_.begin(), nullptr);
+  });
+}
+
 void HttpPool::maintain(model::TimePoint Now, model::milliseconds IdleTimeout) {
   while (!Idle_.empty() && (isNearTimeout(*Idle_.front()) ||
                             (Idle_.size() > Share_.Warm_ &&
--- a/src/libcumingauge/adapters/httppool.h
+++ b/src/libcumingauge/adapters/httppool.h
@@ -41,6 +41,10 @@
 
   void closeIdle();
 
+  /// Ends the waiting leases soon, without a connection. Their handlers run
+  /// from the event loop, not within this function.
+  void dismissWaiters();
+
   /// Opens warm connections and closes those that were idle for too long. To be
   /// called about once a second.
   /// \param IdleTimeout of connections beyond the warm ones.
--- a/src/libcumingauge/adapters/httpworker.cpp
+++ b/src/libcumingauge/adapters/httpworker.cpp
@@ -108,15 +108,14 @@
       View_ ? model::presetInForce(*View_->Config_) : nullptr;
   if (!Preset)
     return {nullptr, ResultCode::NotRunControlStale, {}};
-  const std::string_view Path =
-      std::string_view(Head.Target_).substr(0, Head.Target_.find('?'));
-  auto Route = Routes_.choose(Head.Host_, Path);
+  auto Route = Routes_.choose(Head.Host_, traffic::pathOf(Head));
   if (!Route)
     return {nullptr, ResultCode::RequestNoRoute, {}};
   auto Identity = identify(Head, *Route);
   if (Identity.Reason_ != ResultCode::Ok)
     return {nullptr, Identity.Reason_, {}};
-  return {std::move(Route), ResultCode::Ok, std::move(Identity)};
+  return {std::move(Route), ResultCode::Ok, std::move(Identity),
+          View_->Config_->Version_};
 }
 
 traffic::CallerIdentity HttpWorker::identify(const traffic::RequestHead &Head,
@@ -212,7 +211,8 @@
 void HttpWorker::admit(const std::shared_ptr<HttpCall> &Call) {
   const model::TimePoint Now = now();
   if (Common_->Hooks_.IsFresh_(Now)) {
-    if (!queryLoad(Call, policy::LoadQueryRound::OwnZone))
+    if (renewAdmission(*Call) &&
+        !queryLoad(Call, policy::LoadQueryRound::OwnZone))
       choose(Call);
     return;
   }
@@ -290,12 +290,8 @@
 }
 
 void HttpWorker::placeAfterWait(const std::shared_ptr<HttpCall> &Call) {
-  auto Identity = identify(Call->head(), Call->facts().Route_);
-  if (Identity.Reason_ != ResultCode::Ok)
-    return Call->decide(
-        {policy::Verdict::Refuse, policy::NoServer, Identity.Reason_});
-  Call->setIdentity(std::move(Identity));
-  choose(Call);
+  if (renewAdmission(*Call))
+    choose(Call);
 }
 
 void HttpWorker::recordCallStart() {
@@ -381,11 +377,17 @@
   policy::endAttempt(*Balancer_, Facts, Handle, End, Now - Dispatched, Now);
   applyServerEvent(Handle, server(Handle), traffic::ServerCallEnded{});
   scheduleRelease();
+  if (End != policy::AttemptEnd::Withdrawn)
+    return;
+  const std::lock_guard<std::mutex> Lock(PublishedMutex_);
+  ++Stats_.Withdrawn_;
 }
 
 bool HttpWorker::tryRetry(const HttpCall &Call, policy::AttemptEnd End) {
   if (!policy::tryRetry(*Balancer_, Call.facts(), End, now()))
     return false;
+  if (End == policy::AttemptEnd::Withdrawn)
+    return true;
   {
     const std::lock_guard<std::mutex> Lock(PublishedMutex_);
     ++Stats_.Retries_;
--- a/src/libcumingauge/adapters/httpworker.h
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -159,8 +159,10 @@
   /// \param Call empty when it was the answer to a probe.
   void recordAnswerFault(policy::ServerHandle Server, model::AnswerFault Fault,
                          unsigned Status, const std::string &Call);
-  /// Whether a server has not announced that it wants no calls.
-  bool isOpen(policy::ServerHandle Server) const;
+  /// Applies the newest published view and returns whether a call may go to a
+  /// server by it: the server takes calls of that service, and the call is
+  /// admitted as before. To be asked when the first bytes are about to leave.
+  bool maySend(const HttpCall &Call, policy::ServerHandle Server);
   /// Name that a request carries to identify the server it is meant for.
   const std::string &serverName(policy::ServerHandle Server) const;
   /// Reports once that a server is draining, for the other processes.
@@ -199,6 +201,8 @@
   /// from the seed.
   double rotationStart() const;
   void applyLimits(const model::CallerLimits &Callers);
+  /// Applies the newest published view unless that has been done.
+  void takeNewestView();
   void handleView(const std::shared_ptr<const model::ControlView> &View);
   void updateServer(policy::ServerHandle Handle, Server &Entry);
   bool isListed(policy::ServerHandle Handle) const;
@@ -206,8 +210,14 @@
                         const traffic::ServerEvent &Event);
   /// Dispatches, queues or refuses a call as the balancer decides.
   void choose(const std::shared_ptr<HttpCall> &Call);
-  /// Places a call that has waited for a fresh view, unless its key has been
-  /// withdrawn.
+  /// Returns whether the present configuration handles a call in the same way
+  /// as the one that admitted it.
+  bool isAdmittedAsBefore(const HttpCall &Call) const;
+  /// Admits a call again if the configuration handles it in another way now.
+  /// \returns false when it was refused.
+  bool renewAdmission(HttpCall &Call);
+  /// Places a call that has waited for a fresh view, unless it is not admitted
+  /// any more.
   void placeAfterWait(const std::shared_ptr<HttpCall> &Call);
   /// Determines the workspace of a request from the keys in force.
   traffic::CallerIdentity identify(const traffic::RequestHead &Head,
@@ -276,6 +286,9 @@
   boost::asio::steady_timer TickTimer_;
   std::shared_ptr<policy::BalancerState> Balancer_;
   std::shared_ptr<const model::ControlView> View_;
+  std::mutex NewestViewMutex_; ///< guards NewestView_
+  /// Published and not yet applied; null: none.
+  std::shared_ptr<const model::ControlView> NewestView_;
   HttpLimits ConfiguredLimits_; ///< from the settings
   model::TimePoint StartedAt_;
   /// ConfiguredLimits_ with the overrides of the preset in force.
--- a/src/libcumingauge/adapters/httpworkerservers.cpp
+++ b/src/libcumingauge/adapters/httpworkerservers.cpp
@@ -17,7 +17,21 @@
 } // namespace
 
 void HttpWorker::applyView(std::shared_ptr<const model::ControlView> View) {
-  boost::asio::post(Io_, [this, View = std::move(View)] { handleView(View); });
+  {
+    const std::lock_guard<std::mutex> Lock(NewestViewMutex_);
+    NewestView_ = std::move(View);
+  }
+  boost::asio::post(Io_, [this] { takeNewestView(); });
+}
+
+void HttpWorker::takeNewestView() {
+  std::shared_ptr<const model::ControlView> View;
+  {
+    const std::lock_guard<std::mutex> Lock(NewestViewMutex_);
+    View = std::exchange(NewestView_, nullptr);
+  }
+  if (View)
+    handleView(View);
 }
 
 void HttpWorker::handleView(
@@ -118,6 +132,7 @@
   for (const traffic::ServerAction Action : Entry.Life_.process(Event)) {
     if (Action == traffic::ServerAction::CloseIdle) {
       Entry.Pool_->closeIdle();
+      Entry.Pool_->dismissWaiters();
       continue;
     }
     const model::BackendServer &Known = policy::serverOf(*Balancer_, Handle);
@@ -322,10 +337,6 @@
     scheduleRelease();
 }
 
-bool HttpWorker::isOpen(policy::ServerHandle Server) const {
-  return policy::isOpen(*Balancer_, Server, now());
-}
-
 model::AttemptTrace HttpWorker::traceOf(policy::ServerHandle Handle) const {
   return policy::traceOf(*Balancer_, Handle, now());
 }
--- a/src/libcumingauge/adapters/metricspage.cpp
+++ b/src/libcumingauge/adapters/metricspage.cpp
@@ -160,6 +160,9 @@
   Out.push_back(counter("cumingauge_hedges_total",
                         "Attempts sent beside a running one",
                         ToDouble(Traffic.Hedges_)));
+  Out.push_back(counter("cumingauge_withdrawn_attempts_total",
+                        "Attempts withdrawn before a byte was sent",
+                        ToDouble(Traffic.Withdrawn_)));
   Out.push_back(counter("cumingauge_probes_total",
                         "Probes sent to backend servers",
                         ToDouble(Traffic.ProbesSent_)));
--- a/src/libcumingauge/adapters/requestadmission.h
+++ b/src/libcumingauge/adapters/requestadmission.h
@@ -3,6 +3,7 @@
 #include "model/resultcode.h"
 #include "model/route.h"
 #include "traffic/workspacekeys.h"
+#include <cstdint>
 #include <memory>
 
 namespace cumingauge::adapters {
@@ -12,6 +13,7 @@
   std::shared_ptr<const model::Route> Route_; ///< null: refused
   model::ResultCode Reason_ = model::ResultCode::Ok;
   traffic::CallerIdentity Identity_;
+  std::uint64_t ConfigVersion_ = 0; ///< configuration that admits it
 };
 
 } // namespace cumingauge::adapters
--- a/src/libcumingauge/policy/balancer.cpp
+++ b/src/libcumingauge/policy/balancer.cpp
@@ -32,6 +32,22 @@
                                       : State.Preset_.Retry_.MaxAttempts_;
 }
 
+/// Withdrawn attempts of one call after which it is not placed again.
+constexpr unsigned MaxWithdrawn = 8;
+
+/// Returns whether an attempt that ended like this leaves room for another one.
+bool hasAttemptsLeft(const BalancerState &State, const CallFacts &Call,
+                     AttemptEnd End) {
+  if (End == AttemptEnd::Withdrawn)
+    return Call.Withdrawn_ < MaxWithdrawn;
+  return Call.Attempts_ - Call.Withdrawn_ < attemptLimit(State, Call);
+}
+
+/// Returns whether nothing of the call has left this process.
+bool isUnsent(AttemptEnd End) {
+  return End == AttemptEnd::ConnectFailed || End == AttemptEnd::Withdrawn;
+}
+
 Decision refuse(model::ResultCode Reason) {
   return {Verdict::Refuse, NoServer, Reason};
 }
@@ -159,14 +175,14 @@
               model::TimePoint Now) {
   ServiceRecord *Service = findService(State, Call.Route_.Service_);
   const bool Allowed = Service && isRetrySafe(Call, End) &&
-                       (!Call.Nested_ || End == AttemptEnd::ConnectFailed) &&
-                       Call.Attempts_ < attemptLimit(State, Call) &&
+                       (!Call.Nested_ || isUnsent(End)) &&
+                       hasAttemptsLeft(State, Call, End) &&
                        Now + minExpectedTime(*Service, Call) < Call.Deadline_;
   if (!Allowed) {
     count(State.Reasons_, ChoiceReason::RetryNotAllowed);
     return false;
   }
-  if (End == AttemptEnd::ConnectFailed) {
+  if (isUnsent(End)) {
     count(State.Reasons_, ChoiceReason::RetryFree);
     return true;
   }
--- a/src/libcumingauge/policy/balancer.h
+++ b/src/libcumingauge/policy/balancer.h
@@ -36,6 +36,7 @@
   model::TimePoint Arrived_;
   model::TimePoint Deadline_;
   unsigned Attempts_ = 0;           ///< attempts made so far
+  unsigned Withdrawn_ = 0;          ///< of these, withdrawn before a byte left
   std::vector<ServerHandle> Tried_; ///< servers of these attempts
   bool Nested_ = false; ///< carries the attempt mark of an upper layer
 };
@@ -66,9 +67,10 @@
   Broken,        ///< bytes were sent, but no complete response came
   TimedOut,      ///< the deadline passed or the attempt stalled
   Cancelled, ///< the caller disconnected or another attempt was answered first
+  Withdrawn, ///< no byte was sent, as the call may not go there any more
 };
 BOOST_DESCRIBE_ENUM(AttemptEnd, Answered, AnsweredError, Shed, Draining,
-                    ConnectFailed, Broken, TimedOut, Cancelled)
+                    ConnectFailed, Broken, TimedOut, Cancelled, Withdrawn)
 
 /// A probe that should be sent now.
 struct DueProbe {
@@ -121,8 +123,8 @@
                   const model::LoadReport &Report, model::TimePoint Now);
 
 /// Takes a token from the retry budget for a further attempt after one that
-/// ended without a response for the caller. After ConnectFailed no token is
-/// needed.
+/// ended without a response for the caller. After ConnectFailed and Withdrawn
+/// no token is needed; the latter does not count towards the limit on attempts.
 /// \returns whether the further attempt is allowed; never true for a route that
 /// is not idempotent, unless \p End means that the call did not run.
 bool tryRetry(BalancerState &State, const CallFacts &Call, AttemptEnd End,
--- a/src/libcumingauge/policy/notices.cpp
+++ b/src/libcumingauge/policy/notices.cpp
@@ -28,6 +28,12 @@
   return isOpen(Record, Now) && !isClosedByCold(State, Record, Now);
 }
 
+bool takesCalls(const BalancerState &State, ServerHandle Server,
+                model::TimePoint Now) {
+  const ServerRecord &Record = State.Servers_.at(Server);
+  return Record.Present_ && !Record.Leaving_ && isOpen(State, Server, Now);
+}
+
 bool hasAnnouncedLeaving(const BalancerState &State, ServerHandle Server) {
   return State.Servers_.at(Server).AnnouncedLeaving_;
 }
--- a/src/libcumingauge/policy/notices.h
+++ b/src/libcumingauge/policy/notices.h
@@ -17,6 +17,11 @@
 bool isOpen(const BalancerState &State, ServerHandle Server,
             model::TimePoint Now);
 
+/// Returns whether a server may get calls by the present view and by its own
+/// notices.
+bool takesCalls(const BalancerState &State, ServerHandle Server,
+                model::TimePoint Now);
+
 /// Returns whether the server has announced that it leaves.
 bool hasAnnouncedLeaving(const BalancerState &State, ServerHandle Server);
 
--- a/src/libcumingauge/policy/retry.cpp
+++ b/src/libcumingauge/policy/retry.cpp
@@ -4,7 +4,7 @@
 
 bool didNotRun(AttemptEnd End) {
   return End == AttemptEnd::Shed || End == AttemptEnd::Draining ||
-         End == AttemptEnd::ConnectFailed;
+         End == AttemptEnd::ConnectFailed || End == AttemptEnd::Withdrawn;
 }
 
 bool isRetrySafe(const CallFacts &Call, AttemptEnd End) {
--- a/src/libcumingauge/traffic/calllifecycle.cpp
+++ b/src/libcumingauge/traffic/calllifecycle.cpp
@@ -84,6 +84,8 @@
   switch (Event.Fate_) {
   case AttemptState::NotSent:
     return AttemptEnd::ConnectFailed;
+  case AttemptState::Withdrawn:
+    return AttemptEnd::Withdrawn;
   case AttemptState::DeclaredNotRun:
     return Event.Draining_ ? AttemptEnd::Draining : AttemptEnd::Shed;
   case AttemptState::ServerError:
--- a/src/libcumingauge/traffic/messagehead.h
+++ b/src/libcumingauge/traffic/messagehead.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// Heads of HTTP messages as they are passed on: the end-to-end fields as one
@@ -35,6 +36,11 @@
   std::optional<model::milliseconds> Deadline_; ///< time left, sent by caller
 };
 
+/// Returns the path of a request, without its query.
+inline std::string_view pathOf(const RequestHead &Head) {
+  return std::string_view(Head.Target_).substr(0, Head.Target_.find('?'));
+}
+
 /// Returns the bytes of memory that the texts of a head take.
 inline std::size_t heldBytes(const RequestHead &Head) {
   std::size_t Sum = Head.Target_.capacity() + Head.Host_.capacity() +
--- a/src/libcumingauge/traffic/outcomes.cpp
+++ b/src/libcumingauge/traffic/outcomes.cpp
@@ -31,12 +31,14 @@
 
 bool mayHaveRun(AttemptState State) {
   return State != AttemptState::Connecting && State != AttemptState::NotSent &&
+         State != AttemptState::Withdrawn &&
          State != AttemptState::DeclaredNotRun;
 }
 
 bool canRetry(const CallRules &Rules, AttemptState State) {
   switch (State) {
   case AttemptState::NotSent:
+  case AttemptState::Withdrawn:
     return true;
   case AttemptState::DeclaredNotRun:
     return Rules.Replayable_;
--- a/src/libcumingauge/traffic/outcomes.h
+++ b/src/libcumingauge/traffic/outcomes.h
@@ -15,6 +15,7 @@
   Sent,           ///< bytes may have been sent; no answer yet
   Forwarding,     ///< its answer is being passed on to the caller
   NotSent,        ///< ended before any byte was sent
+  Withdrawn,      ///< the same, since the call may not go there any more
   DeclaredNotRun, ///< the server stated that it did not run the call
   Lost,           ///< sent, but the connection ended too early
   Malformed,      ///< sent, but the answer could not be parsed
@@ -23,8 +24,8 @@
   Answered,       ///< complete answer
 };
 BOOST_DESCRIBE_ENUM(AttemptState, Connecting, Sent, Forwarding, NotSent,
-                    DeclaredNotRun, Lost, Malformed, Abandoned, ServerError,
-                    Answered)
+                    Withdrawn, DeclaredNotRun, Lost, Malformed, Abandoned,
+                    ServerError, Answered)
 
 /// Returns whether an attempt in this state can still deliver an answer.
 bool isLive(AttemptState State);
--- a/src/libcumingauge/traffic/trafficstats.cpp
+++ b/src/libcumingauge/traffic/trafficstats.cpp
@@ -48,6 +48,7 @@
   Sum.Attempts_ += Part.Attempts_;
   Sum.Retries_ += Part.Retries_;
   Sum.Hedges_ += Part.Hedges_;
+  Sum.Withdrawn_ += Part.Withdrawn_;
   Sum.ProbesSent_ += Part.ProbesSent_;
   Sum.ProbesFailed_ += Part.ProbesFailed_;
   Sum.StoppingCalls_ += Part.StoppingCalls_;
--- a/src/libcumingauge/traffic/trafficstats.h
+++ b/src/libcumingauge/traffic/trafficstats.h
@@ -48,6 +48,9 @@
   std::uint64_t Attempts_ = 0;
   std::uint64_t Retries_ = 0;
   std::uint64_t Hedges_ = 0;
+  /// Attempts that ended before a byte left, as the call may not go there any
+  /// more.
+  std::uint64_t Withdrawn_ = 0;
   std::uint64_t ProbesSent_ = 0;
   std::uint64_t ProbesFailed_ = 0;
   std::uint64_t StoppingCalls_ = 0; ///< ended calls that arrived in a stop
--- a/src/libcumingauge/traffic/workspacekeys.h
+++ b/src/libcumingauge/traffic/workspacekeys.h
@@ -3,12 +3,16 @@
 #include "model/resultcode.h"
 #include "model/workspace.h"
 #include "traffic/messagehead.h"
+#include <boost/describe.hpp>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 
 namespace cumingauge::traffic {
 
+using boost::describe::operators::operator==;
+using boost::describe::operators::operator!=;
+
 /// The keys of a preset's workspaces. Only digests are kept and compared, so
 /// that neither memory nor the time of a look-up tells a key.
 class WorkspaceKeys {
@@ -41,6 +45,8 @@
   /// on.
   bool PassesCredentials_ = false;
 };
+BOOST_DESCRIBE_STRUCT(CallerIdentity, (),
+                      (Reason_, Workspace_, PassesCredentials_))
 
 /// Determines the workspace of a request from its credentials.
 /// \param Scheme authentication scheme of credentials with a key.
--- a/tests/http/workspacekeystest.cpp
+++ b/tests/http/workspacekeystest.cpp
@@ -82,6 +82,7 @@
   CPPUNIT_TEST(isTakenAndRefusedAsTheConfigurationChanges);
   CPPUNIT_TEST(isNotCalledUnknownWhileTheConfigurationMayBeOld);
   CPPUNIT_TEST(isCheckedAgainAfterAWaitForAFreshView);
+  CPPUNIT_TEST(isCheckedAgainAfterAWaitForAConnection);
   CPPUNIT_TEST(staysHereWhenWorkspacesComeIntoForceDuringAWait);
   CPPUNIT_TEST(isAFieldLikeAnyOtherWithoutWorkspaces);
   CPPUNIT_TEST_SUITE_END();
@@ -330,6 +331,29 @@
     CPPUNIT_ASSERT(Server.requests().empty());
   }
 
+  void isCheckedAgainAfterAWaitForAConnection() {
+    Gate Answering;
+    ScriptedServer Server([&](const Request &Seen) {
+      Answering.pass();
+      return answerTo(Seen);
+    });
+    const auto Front = start({{"cat-1", Server.port()}});
+    Front->changePreset(
+        [](model::Preset &Preset) { Preset.Servers_.MaxConnections_ = 1; });
+    RawCaller Before(Front->port());
+    Before.send(search(NorthKey));
+    CPPUNIT_ASSERT(eventually([&] { return Server.requests().size() == 1; }));
+    RawCaller Waiting(Front->port());
+    Waiting.send(search(NorthKey));
+    CPPUNIT_ASSERT(
+        eventually([&] { return Front->traffic().stats().Attempts_ == 2; }));
+    Document_["tenants"][0]["api-keys"] = {"north-key-2"};
+    apply(*Front);
+    Answering.open();
+    CPPUNIT_ASSERT_EQUAL(401U, Waiting.read().Status_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), Server.requests().size());
+  }
+
   void staysHereWhenWorkspacesComeIntoForceDuringAWait() {
     ScriptedServer Server([](const Request &Seen) { return answerTo(Seen); });
     const Json Workspaces = Document_["tenants"];
--- a/tests/policy/budgetstest.cpp
+++ b/tests/policy/budgetstest.cpp
@@ -38,7 +38,7 @@
 const std::vector<AttemptEnd> AllEnds = {
     AttemptEnd::Answered, AttemptEnd::AnsweredError, AttemptEnd::Shed,
     AttemptEnd::Draining, AttemptEnd::ConnectFailed, AttemptEnd::Broken,
-    AttemptEnd::TimedOut, AttemptEnd::Cancelled};
+    AttemptEnd::TimedOut, AttemptEnd::Cancelled,     AttemptEnd::Withdrawn};
 
 /// Processes of a fleet that probe one service.
 struct ProbingFleet {
@@ -149,7 +149,8 @@
         Call.Attempts_ = 1;
         endAttempt(*State, Call, Made.Server_, End, model::milliseconds(1),
                    Now);
-        const bool IsFree = End == AttemptEnd::ConnectFailed;
+        const bool IsFree =
+            End == AttemptEnd::ConnectFailed || End == AttemptEnd::Withdrawn;
         Retries.step(0, tryRetry(*State, Call, End, Now) && !IsFree);
       }
       RC_ASSERT(Retries.isWithinBudgetOverAnyInterval());
--- a/tests/policy/retrysafetytest.cpp
+++ b/tests/policy/retrysafetytest.cpp
@@ -13,7 +13,8 @@
     AttemptEnd::TimedOut, AttemptEnd::Cancelled};
 
 const std::vector<AttemptEnd> EndsWithoutRun = {
-    AttemptEnd::Shed, AttemptEnd::Draining, AttemptEnd::ConnectFailed};
+    AttemptEnd::Shed, AttemptEnd::Draining, AttemptEnd::ConnectFailed,
+    AttemptEnd::Withdrawn};
 
 class RunningAtMostOnce : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(RunningAtMostOnce);
@@ -23,6 +24,7 @@
   CPPUNIT_TEST(retriesAnIdempotentCallThatBroke);
   CPPUNIT_TEST(neverRetriesAfterAnAnswerOrADisconnect);
   CPPUNIT_TEST(stopsAtTheAttemptLimitAndTheDeadline);
+  CPPUNIT_TEST(doesNotCountWithdrawnAttemptsTowardsTheLimit);
   CPPUNIT_TEST_SUITE_END();
 
   /// Returns a balancer with full retry and hedge budgets and known latencies.
@@ -103,6 +105,19 @@
     Call.Attempts_ = 3;
     CPPUNIT_ASSERT(!tryRetry(*State, Call, AttemptEnd::Shed, at(10)));
   }
+
+  void doesNotCountWithdrawnAttemptsTowardsTheLimit() {
+    const auto State = balancerWithFullBudgets(1);
+    CallFacts Call = sentCall(*State, searchRoute());
+    Call.Attempts_ = 4;
+    Call.Withdrawn_ = 2;
+    CPPUNIT_ASSERT(tryRetry(*State, Call, AttemptEnd::Withdrawn, at(10)));
+    CPPUNIT_ASSERT(tryRetry(*State, Call, AttemptEnd::Shed, at(10)));
+    Call.Withdrawn_ = 1;
+    CPPUNIT_ASSERT(!tryRetry(*State, Call, AttemptEnd::Shed, at(10)));
+    Call.Attempts_ = Call.Withdrawn_ = 100;
+    CPPUNIT_ASSERT(!tryRetry(*State, Call, AttemptEnd::Withdrawn, at(10)));
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(RunningAtMostOnce);
 
