Log who confirmed the configuration by which a request is refused

The lines 'request refused' show configAgeMs, but not whose word the age is, so that a false age could not be traced to a call or to a peer. The line has configSource now (a peer's process, or 'directory' for a call of the process itself), and ChangeApplied tells in its detail from whom a version came.

--- a/src/cumingauged/entryprocess.cpp
+++ b/src/cumingauged/entryprocess.cpp
@@ -63,6 +63,10 @@
     const auto *Control = StartedControl_.load();
     return Control ? Control->configuration() : model::ConfigurationKnowledge();
   };
+  Hooks.ConfigurationSource_ = [this] {
+    const auto *Control = StartedControl_.load();
+    return Control ? Control->configurationSource() : std::string();
+  };
   Hooks.ReportObservation_ = [this](control::ServerObservation Sighting) {
     if (auto *Control = StartedControl_.load())
       Control->recordSighting(std::move(Sighting));
--- a/src/libcumingauge/adapters/calllog.cpp
+++ b/src/libcumingauge/adapters/calllog.cpp
@@ -67,6 +67,7 @@
        {"configVersion", Record.ConfigVersion_},
        {"acceptedVersion", Record.AcceptedVersion_},
        {"configAgeMs", Record.ConfigAge_.count()},
+       {"configSource", Record.ConfigSource_},
        {"leftOut", std::exchange(Refusals_.Suppressed_, 0)}});
 }
 
--- a/src/libcumingauge/adapters/calllog.h
+++ b/src/libcumingauge/adapters/calllog.h
@@ -23,6 +23,8 @@
   std::uint64_t AcceptedVersion_ = 0; ///< newest one of the process
   /// Time since that version was last confirmed to be the newest; -1: never.
   model::milliseconds ConfigAge_{-1};
+  /// Who confirmed it last: a peer's process, "directory", or empty.
+  std::string ConfigSource_;
 };
 
 /// Values that are logged for a call that has ended.
--- a/src/libcumingauge/adapters/controlruntime.cpp
+++ b/src/libcumingauge/adapters/controlruntime.cpp
@@ -137,6 +137,11 @@
             model::TimePoint(model::TimePoint::duration(KnownUntil))};
   }
 
+  std::string configurationSource() const override {
+    const std::lock_guard<std::mutex> Lock(SourceMutex_);
+    return Source_;
+  }
+
   void recordSighting(control::ServerObservation Sighting) override {
     const std::lock_guard<std::mutex> Lock(SightingsMutex_);
     Sightings_[{Sighting.Server_, Sighting.Vm_}] = std::move(Sighting);
@@ -263,6 +268,11 @@
                        std::memory_order_relaxed);
     KnownUntil_.store(Known.KnownUntil_.time_since_epoch().count(),
                       std::memory_order_release);
+    std::string Source = control::configurationSource(*Core_);
+    if (Source == Source_) // only this thread changes it
+      return;
+    const std::lock_guard<std::mutex> Lock(SourceMutex_);
+    Source_ = std::move(Source);
   }
 
   void countStoreCall(const std::string &OperationName,
@@ -404,6 +414,8 @@
   std::atomic<std::uint64_t> AcceptedVersion_{0};
   std::atomic<model::TimePoint::rep> ConfirmedAt_{0};
   std::atomic<model::TimePoint::rep> KnownUntil_{0};
+  mutable std::mutex SourceMutex_;
+  std::string Source_; ///< what configurationSource() returns
   mutable std::mutex StatsMutex_;
   ControlStats Stats_;
 };
--- a/src/libcumingauge/adapters/controlruntime.h
+++ b/src/libcumingauge/adapters/controlruntime.h
@@ -105,6 +105,10 @@
   /// newest one. Thread-safe, lock-free.
   virtual model::ConfigurationKnowledge configuration() const = 0;
 
+  /// Returns who has confirmed the configuration last; see
+  /// control::configurationSource. Thread-safe.
+  virtual std::string configurationSource() const = 0;
+
   /// Stores the state that a backend server has reported, to be processed at
   /// the next tick. Thread-safe.
   virtual void recordSighting(control::ServerObservation Sighting) = 0;
--- a/src/libcumingauge/adapters/httptraffic.h
+++ b/src/libcumingauge/adapters/httptraffic.h
@@ -23,6 +23,8 @@
     std::function<bool(model::TimePoint)> IsFresh_;
     /// What the process knows about whether its configuration is the newest.
     std::function<model::ConfigurationKnowledge()> Configuration_;
+    /// Names who has confirmed that configuration last; may be unset.
+    std::function<std::string()> ConfigurationSource_;
     /// Passes a backend server's load report on to the control thread.
     std::function<void(control::ServerObservation)> ReportObservation_;
     ports::EventSink Events_;
--- a/src/libcumingauge/adapters/httpworker.cpp
+++ b/src/libcumingauge/adapters/httpworker.cpp
@@ -160,6 +160,8 @@
   if (Known.ConfirmedAt_ != model::TimePoint())
     Record.ConfigAge_ = std::chrono::duration_cast<model::milliseconds>(
         Now - Known.ConfirmedAt_);
+  if (Common_->Hooks_.ConfigurationSource_)
+    Record.ConfigSource_ = Common_->Hooks_.ConfigurationSource_();
   CallLog_.recordRefusedRequest(Record, Now);
   const std::lock_guard<std::mutex> Lock(PublishedMutex_);
   traffic::recordCall(Stats_.Routes_[""], Code, model::Duration(0));
--- a/src/libcumingauge/control/configurationfeed.cpp
+++ b/src/libcumingauge/control/configurationfeed.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+/// Source of a configuration that a call of this process returned.
+constexpr const char *OwnCall = "directory";
+
 /// Adds a page to the read that is under way.
 /// \returns true when it was the last one.
 bool addPage(CoreState &State, const ports::DirectoryResponse &Response) {
@@ -49,7 +52,7 @@
   if (applyZoneRequests(State, Read.Zones_, revisionNow(State, Read.Revision_)))
     rebuildState(State, *State.Log_.State_);
   if (Read.Configuration_)
-    applyConfiguration(State, *Read.Configuration_);
+    applyConfiguration(State, *Read.Configuration_, OwnCall);
   sendDirectoryUpdates(State);
 }
 
@@ -98,11 +101,12 @@
                        revisionNow(State, Response.Revision_)))
     rebuildState(State, *State.Log_.State_);
   if (Response.Configuration_)
-    applyConfiguration(State, *Response.Configuration_);
+    applyConfiguration(State, *Response.Configuration_, OwnCall);
 }
 
 void applyConfiguration(CoreState &State,
-                        const ports::ListedConfiguration &Read) {
+                        const ports::ListedConfiguration &Read,
+                        const std::string &Source) {
   const std::uint64_t Own = versionOf(State);
   if (Read.Version_ < Own)
     return record(State, EventKind::Alarm, "configuration", Read.Version_,
@@ -115,7 +119,8 @@
   Next.PresetInForce_ = Read.Preset_.Name_;
   Next.Presets_ = {{Read.Preset_.Name_, Read.Preset_}};
   rebuildState(State, std::move(Next));
-  record(State, EventKind::ChangeApplied, Read.Preset_.Name_, Read.Version_);
+  record(State, EventKind::ChangeApplied, Read.Preset_.Name_, Read.Version_,
+         ResultCode::Ok, "from " + Source);
 }
 
 void rebuildState(CoreState &State, model::ConfigState Next) {
--- a/src/libcumingauge/control/configurationfeed.h
+++ b/src/libcumingauge/control/configurationfeed.h
@@ -2,6 +2,7 @@
 
 #include "model/configstate.h"
 #include "ports/directory.h"
+#include <string>
 
 /// Follows the operators' configuration and the zones that they evacuate in the
 /// directory.
@@ -25,8 +26,10 @@
 
 /// Applies a configuration that a call or a peer has reported. An older version
 /// than the one in use is ignored with an alarm.
+/// \param Source the peer's process, or "directory" for a call of this process.
 void applyConfiguration(CoreState &State,
-                        const ports::ListedConfiguration &Read);
+                        const ports::ListedConfiguration &Read,
+                        const std::string &Source);
 
 /// Replaces the configuration in use by \p Next with the servers that the
 /// directory lists.
--- a/src/libcumingauge/control/core.cpp
+++ b/src/libcumingauge/control/core.cpp
@@ -201,6 +201,11 @@
           ConfirmedAt + State.Settings_.LeavingBound_};
 }
 
+std::string configurationSource(const CoreState &State) {
+  return State.Settings_.FollowsDirectory_ ? configurationConfirmedBy(State)
+                                           : std::string();
+}
+
 const DirectoryEra &directoryEra(const CoreState &State) {
   return State.Directory_.Era_;
 }
--- a/src/libcumingauge/control/core.h
+++ b/src/libcumingauge/control/core.h
@@ -171,6 +171,10 @@
 model::ConfigurationKnowledge
 configurationKnowledge(const CoreState &State, const FreshnessLimits &Limits);
 
+/// Returns who has confirmed last that the configuration is the newest one: see
+/// configurationConfirmedBy. Empty without a directory.
+std::string configurationSource(const CoreState &State);
+
 /// Returns what this process has seen of the directory's eras.
 const DirectoryEra &directoryEra(const CoreState &State);
 
--- a/src/libcumingauge/control/directoryevidence.cpp
+++ b/src/libcumingauge/control/directoryevidence.cpp
@@ -23,6 +23,14 @@
                   Feed.PeerConfirmedAt_.value_or(Feed.ConfirmedAt_));
 }
 
+std::string configurationConfirmedBy(const CoreState &State) {
+  const DirectoryFeed &Feed = State.Directory_.Configuration_;
+  if (confirmedAt(Feed) == model::TimePoint())
+    return "";
+  return confirmedAt(Feed) == Feed.ConfirmedAt_ ? "directory"
+                                                : Feed.PeerProcess_;
+}
+
 bool isDirectoryRead(const CoreState &State) {
   return State.Directory_.Servers_.Read_ &&
          State.Directory_.Configuration_.Read_;
--- a/src/libcumingauge/control/directoryevidence.h
+++ b/src/libcumingauge/control/directoryevidence.h
@@ -2,6 +2,7 @@
 
 #include "control/directoryfeed.h"
 #include "model/time.h"
+#include <string>
 
 /// What this process knows about how recent its view of the directory is.
 namespace cumingauge::control {
@@ -22,6 +23,11 @@
 /// known to be complete, by calls of this process or of a peer.
 model::TimePoint directoryConfirmedAt(const CoreState &State);
 
+/// Returns who has confirmed the configuration last: the name of a peer's
+/// process, "directory" for a call of this process, or an empty text before the
+/// first confirmation.
+std::string configurationConfirmedBy(const CoreState &State);
+
 /// Returns whether the configuration and the list of servers were both read, by
 /// this process or by a peer.
 bool isDirectoryRead(const CoreState &State);
--- a/src/libcumingauge/control/directoryfeed.h
+++ b/src/libcumingauge/control/directoryfeed.h
@@ -4,6 +4,7 @@
 #include "model/time.h"
 #include <cstdint>
 #include <optional>
+#include <string>
 
 namespace cumingauge::control {
 
@@ -37,6 +38,7 @@
   model::TimePoint ConfirmedAt_;
   /// The same for calls of a peer.
   std::optional<model::TimePoint> PeerConfirmedAt_;
+  std::string PeerProcess_; ///< the peer that has set PeerConfirmedAt_
 };
 
 } // namespace cumingauge::control
--- a/src/libcumingauge/control/updatereceiver.cpp
+++ b/src/libcumingauge/control/updatereceiver.cpp
@@ -48,11 +48,14 @@
 /// Records that a peer has confirmed a topic. The topic is to be read as a
 /// whole when the peer's updates end: a watch from an old revision may miss
 /// changes that the directory no longer stores.
-void recordUpdate(CoreState &State, DirectoryFeed &Feed, std::uint32_t AgeMs) {
+void recordUpdate(CoreState &State, const Link &From, DirectoryFeed &Feed,
+                  std::uint32_t AgeMs) {
   const model::TimePoint ConfirmedAt = State.Now_ - model::milliseconds(AgeMs);
   Feed.Read_ = true;
-  Feed.PeerConfirmedAt_ =
-      std::max(Feed.PeerConfirmedAt_.value_or(ConfirmedAt), ConfirmedAt);
+  if (!Feed.PeerConfirmedAt_ || ConfirmedAt > *Feed.PeerConfirmedAt_) {
+    Feed.PeerConfirmedAt_ = ConfirmedAt;
+    Feed.PeerProcess_ = From.Peer_.Process_;
+  }
   if (Feed.Call_ == 0)
     Feed.Revision_ = 0;
 }
@@ -126,9 +129,10 @@
     rebuildState(State, *State.Log_.State_);
   if (Message.Version_ >= versionOf(State)) {
     if (HasNewestZones)
-      recordUpdate(State, Follower.Configuration_, Message.VersionAgeMs_);
+      recordUpdate(State, From, Follower.Configuration_, Message.VersionAgeMs_);
     if (Message.Preset_)
-      applyConfiguration(State, {Message.Version_, *Message.Preset_});
+      applyConfiguration(State, {Message.Version_, *Message.Preset_},
+                         From.Peer_.Process_);
   }
   if (IsOfPresentEra && Revision >= Follower.KnownRevision_) {
     recordReportedDepartures(State, Message);
@@ -139,7 +143,7 @@
     if (Message.Complete_ == false)
       awaitWholeList(Follower);
     if (!Follower.AwaitsWholeList_)
-      recordUpdate(State, Follower.Servers_, Message.AgeMs_);
+      recordUpdate(State, From, Follower.Servers_, Message.AgeMs_);
   }
   subscribeToReaders(State);
   const bool IsChanged = Follower.KnownRevision_ != FormerRevision ||
--- a/tests/control/configurationknowledgetest.cpp
+++ b/tests/control/configurationknowledgetest.cpp
@@ -1,4 +1,5 @@
 #include "control/directoryfleet.h"
+#include "control/directoryprocess.h"
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace cumingauge;
@@ -24,6 +25,7 @@
   CPPUNIT_TEST(isUnknownWhileTheDirectoryIsAway);
   CPPUNIT_TEST(isNotKnownFromAPeerThatIsBehind);
   CPPUNIT_TEST(isUnknownAfterAPauseUntilItIsConfirmed);
+  CPPUNIT_TEST(isToldWithItsSource);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -93,6 +95,19 @@
     CPPUNIT_ASSERT(Fleet.knowsNewest(Some));
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), Fleet.versionAt(Some));
   }
+
+  /// Guards against a log that shows an age without whose word it is.
+  void isToldWithItsSource() {
+    DirectoryProcess Alone = makeSettledProcess();
+    CPPUNIT_ASSERT_EQUAL(std::string("directory"), Alone.source());
+    const auto Applied = Alone.events(model::EventKind::ChangeApplied);
+    CPPUNIT_ASSERT_EQUAL(std::string("from directory"), Applied.at(0).Detail_);
+    DirectoryFleet Fleet(ThreeZones);
+    settle(Fleet);
+    // The readers of its zone have the numbers 3 and 12 there.
+    const std::string Source = Fleet.sourceAt(Some);
+    CPPUNIT_ASSERT(Source == "front-1-3" || Source == "front-1-12");
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(NewestConfiguration);
 
--- a/tests/control/directoryfleet.h
+++ b/tests/control/directoryfleet.h
@@ -105,6 +105,10 @@
   /// Returns whether a process knows that its configuration is the newest one.
   bool knowsNewest(unsigned Number) const;
   unsigned countKnowingNewest() const;
+  /// Returns who has told a process last that its configuration is the newest.
+  std::string sourceAt(unsigned Number) const {
+    return configurationSource(*Cores_.at(Number));
+  }
 
   /// Takes a copy of the directory's content.
   void copyDirectory() { Copy_ = Stored_; }
--- a/tests/control/directoryprocess.h
+++ b/tests/control/directoryprocess.h
@@ -49,6 +49,7 @@
 
   const DirectoryEra &era() const { return directoryEra(*Core_); }
   model::TimePoint now() const { return Now_; }
+  std::string source() const { return configurationSource(*Core_); }
   model::TimePoint confirmedAt() const { return lastExchange(*Core_); }
   unsigned calls() const { return static_cast<unsigned>(Calls_.size()); }
   const model::ControlView *view() const { return View_.get(); }
