Tell when the directory was confirmed as an answer, not as an age

An update told its age as of its sending, and the receiver subtracted it from the time of reading, so the time in queues and on the link was lost.

A subscription now carries the sender's time and is sent again on the open link once in a leaving bound. An update returns that time, and counts confirmations from the receipt of the subscription; the receiver counts them from its sending, which can only make data look older. No clock is compared with another. An update without such an echo confirms nothing. The peer protocol is version 5.

The stand-in fleet keeps messages for a paused process and gives uplinks a bandwidth; it counts after each step whether a process claims to know the newest version at a time at which a newer one was written.

--- a/src/libcumingauge/adapters/peerhandshake.h
+++ b/src/libcumingauge/adapters/peerhandshake.h
@@ -16,8 +16,8 @@
 /// never change within a version. Two sides use the highest version that both
 /// support, so a fleet is upgraded with builds that support the old and the new
 /// version.
-constexpr std::uint32_t LowestPeerProtocol = 4;
-constexpr std::uint32_t HighestPeerProtocol = 4;
+constexpr std::uint32_t LowestPeerProtocol = 5;
+constexpr std::uint32_t HighestPeerProtocol = 5;
 
 /// Shortest allowed shared key, in bytes.
 constexpr std::size_t MinKeyBytes = 16;
--- a/src/libcumingauge/control/directorylinks.cpp
+++ b/src/libcumingauge/control/directorylinks.cpp
@@ -111,7 +111,7 @@
 bool isReader(const CoreState &State) {
   return std::any_of(State.Links_.Links_.begin(), State.Links_.Links_.end(),
                      [](const auto &Entry) {
-                       return Entry.second.KnownRevision_.has_value();
+                       return Entry.second.Subscriber_.has_value();
                      });
 }
 
--- a/src/libcumingauge/control/linktable.h
+++ b/src/libcumingauge/control/linktable.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "control/core.h"
-#include "control/directoryrevision.h"
+#include "control/subscriber.h"
 #include "model/time.h"
 #include <cstdint>
 #include <deque>
@@ -55,20 +55,15 @@
   std::optional<model::TimePoint> DigestDiffersSince_;
   std::optional<model::TimePoint> StateSentAt_;
   std::optional<model::TimePoint> UnwantedSince_;
-  /// Revision of the server list that the peer has; set when it has
-  /// subscribed to updates.
-  std::optional<DirectoryRevision> KnownRevision_;
-  /// Number of the last change of a server that the peer has from this process.
-  std::uint64_t SentChange_ = 0;
-  /// Version of the configuration that the peer has.
-  std::uint64_t KnownVersion_ = 0;
+  /// Set when the peer has subscribed to directory updates.
+  std::optional<Subscriber> Subscriber_;
   /// When this process subscribed to the peer's directory updates.
   std::optional<model::TimePoint> SubscribedAt_;
+  /// When it last sent the subscription, which is also a question for the age
+  /// of what the peer knows.
+  std::optional<model::TimePoint> AskedAt_;
+  std::uint64_t ReceivedUpdate_ = 0; ///< number of the last update; 0: none
   bool HasNotRead_ = false; ///< the peer has said that it has no list yet
-  /// When the topics of the last directory update that was sent had been
-  /// confirmed; the older one of the two.
-  model::TimePoint ConfirmedAt_;
-  model::TimePoint UpdatedAt_; ///< when the last directory update was sent
   StateAssembly Assembly_;
 };
 
--- a/src/libcumingauge/control/peermessage.h
+++ b/src/libcumingauge/control/peermessage.h
@@ -111,14 +111,20 @@
                       (Name_, Server_, Leaving_, WasLeaving_))
 
 /// Subscribes to the directory: requests the configuration after a version, the
-/// changes of the server list after a revision, and updates from then on.
+/// changes of the server list after a revision, and updates from then on. Sent
+/// again on the same link, it tells what the sender has now, and renews Asked_.
 struct DirectorySubscription {
   static constexpr const char *Kind = "directoryInterest";
   std::uint64_t Revision_ = 0;
   std::uint64_t Version_ = 0;
   std::optional<std::uint64_t> Era_; ///< of Revision_; absent: unknown
+  /// When it was sent, by the sender's clock. Only the sender can interpret it.
+  std::uint64_t Asked_ = 0;
+  /// Number of the last update received on this link; 0: none.
+  std::uint64_t Received_ = 0;
 };
-BOOST_DESCRIBE_STRUCT(DirectorySubscription, (), (Revision_, Version_, Era_))
+BOOST_DESCRIBE_STRUCT(DirectorySubscription, (),
+                      (Revision_, Version_, Era_, Asked_, Received_))
 
 /// Response to DirectorySubscription of a process that has just started and has
 /// no list itself. The updates follow once it has.
@@ -129,15 +135,25 @@
 
 /// Changes in the directory. Also sent without changes, to show up to which
 /// revision and how recently the sender has confirmed its data.
+///
+/// Times count from the moment at which the sender received the subscription
+/// that Asked_ names, in ms rounded down. The receiver counts them from the
+/// moment at which it sent that subscription. So the time that an update is on
+/// its way changes nothing, and no clock is compared with another; the time
+/// that the subscription was on its way makes the data look older.
 struct DirectoryUpdate {
   static constexpr const char *Kind = "directoryNews";
+  std::uint64_t Number_ = 0; ///< counts the updates on this link, from 1
+  /// Asked_ of the last subscription received on this link. Without it the
+  /// update confirms nothing.
+  std::optional<std::uint64_t> Asked_;
   std::uint64_t After_ = 0; ///< Servers_ holds the changes after this revision
-  std::uint64_t Revision_ = 0; ///< up to this revision
-  std::uint32_t AgeMs_ = 0;    ///< time since the sender confirmed Revision_
+  std::uint64_t Revision_ = 0;   ///< up to this revision
+  std::int32_t ConfirmedMs_ = 0; ///< when the sender confirmed Revision_
   std::vector<ServerListChange> Servers_;
   std::uint64_t Version_ = 0; ///< of the configuration
-  /// Time since Version_ was confirmed as the newest.
-  std::uint32_t VersionAgeMs_ = 0;
+  /// When Version_ was confirmed as the newest.
+  std::int32_t VersionConfirmedMs_ = 0;
   /// Set when Version_ is new to the peer.
   std::optional<model::Preset> Preset_;
   /// True when Servers_ is the whole list; After_ then has no meaning. False
@@ -150,9 +166,9 @@
   std::uint64_t ZonesRevision_ = 0;
 };
 BOOST_DESCRIBE_STRUCT(DirectoryUpdate, (),
-                      (After_, Revision_, AgeMs_, Servers_, Version_,
-                       VersionAgeMs_, Preset_, Complete_, Era_, EvacuatedZones_,
-                       ZonesRevision_))
+                      (Number_, Asked_, After_, Revision_, ConfirmedMs_,
+                       Servers_, Version_, VersionConfirmedMs_, Preset_,
+                       Complete_, Era_, EvacuatedZones_, ZonesRevision_))
 
 /// Sent by an operator: requests the status of this process.
 struct StatusRequest {
--- a/src/libcumingauge/control/updatereceiver.cpp
+++ b/src/libcumingauge/control/updatereceiver.cpp
@@ -12,15 +12,50 @@
 
 namespace {
 
-/// Fraction of the leaving bound after which a starting process that still lacks
-/// the whole list subscribes to its second reader too.
+/// Fraction of the leaving bound after which a starting process that still
+/// lacks the whole list subscribes to its second reader too.
 constexpr double SecondReaderFraction = 0.1;
 
-DirectorySubscription ownSubscription(const CoreState &State) {
-  const DirectoryRevision Known = State.Directory_.KnownRevision_;
-  if (State.Directory_.AwaitsWholeList_)
-    return {0, versionOf(State), Known.Era_};
-  return {Known.Number_, versionOf(State), Known.Era_};
+/// Fraction of the leaving bound after which a subscription is sent again. The
+/// time that it takes to the peer makes all data look older until then.
+constexpr double RenewalFraction = 1.0;
+
+std::uint64_t countOf(model::TimePoint Time) {
+  return static_cast<std::uint64_t>(Time.time_since_epoch().count());
+}
+
+/// Sends a subscription with what this process has.
+void subscribe(CoreState &State, Link &To) {
+  const DirectoryFollower &Follower = State.Directory_;
+  DirectorySubscription Out;
+  if (!Follower.AwaitsWholeList_)
+    Out.Revision_ = Follower.KnownRevision_.Number_;
+  Out.Version_ = versionOf(State);
+  Out.Era_ = Follower.KnownRevision_.Era_;
+  Out.Asked_ = countOf(State.Now_);
+  Out.Received_ = To.ReceivedUpdate_;
+  To.AskedAt_ = State.Now_;
+  send(State, To, Out);
+}
+
+void renewSubscription(CoreState &State, Link &To) {
+  if (!To.AskedAt_ || State.Now_ - *To.AskedAt_ >=
+                          fractionOfLeavingBound(State, RenewalFraction))
+    subscribe(State, To);
+}
+
+/// Returns a time that an update tells by the clock of this process, or nothing
+/// when the update answers no subscription of it.
+std::optional<model::TimePoint> ownTime(const CoreState &State,
+                                        const Link &From,
+                                        const DirectoryUpdate &Message,
+                                        std::int32_t OffsetMs) {
+  if (!Message.Asked_ || !From.AskedAt_ ||
+      *Message.Asked_ > countOf(*From.AskedAt_))
+    return std::nullopt;
+  const model::TimePoint Asked{
+      model::TimePoint::duration(static_cast<std::int64_t>(*Message.Asked_))};
+  return std::min(State.Now_, Asked + model::milliseconds(OffsetMs));
 }
 
 std::vector<ports::ServerEntry> entriesOf(const DirectoryUpdate &Message) {
@@ -45,19 +80,19 @@
                              *Update.WasLeaving_);
 }
 
-/// Records that a peer has confirmed a topic. The topic is to be read as a
-/// whole when the peer's updates end: a watch from an old revision may miss
-/// changes that the directory no longer stores.
-void recordUpdate(CoreState &State, const Link &From, DirectoryFeed &Feed,
-                  std::uint32_t AgeMs) {
-  const model::TimePoint ConfirmedAt = State.Now_ - model::milliseconds(AgeMs);
+/// Records that a peer has told a topic and when it was confirmed. The topic is
+/// to be read as a whole when the peer's updates end: a watch from an old
+/// revision may miss changes that the directory no longer stores.
+void recordUpdate(const Link &From, DirectoryFeed &Feed,
+                  std::optional<model::TimePoint> ConfirmedAt) {
   Feed.Read_ = true;
-  if (!Feed.PeerConfirmedAt_ || ConfirmedAt > *Feed.PeerConfirmedAt_) {
-    Feed.PeerConfirmedAt_ = ConfirmedAt;
-    Feed.PeerProcess_ = From.Peer_.Process_;
-  }
   if (Feed.Call_ == 0)
     Feed.Revision_ = 0;
+  if (!ConfirmedAt ||
+      (Feed.PeerConfirmedAt_ && *Feed.PeerConfirmedAt_ >= *ConfirmedAt))
+    return;
+  Feed.PeerConfirmedAt_ = ConfirmedAt;
+  Feed.PeerProcess_ = From.Peer_.Process_;
 }
 
 /// Records that removals may be missing until the whole list has arrived. If it
@@ -88,7 +123,7 @@
         State.Now_ - *LastSubscription < Pause)
       return;
     Value.SubscribedAt_ = LastSubscription = State.Now_;
-    send(State, Value, ownSubscription(State));
+    subscribe(State, Value);
   }
 }
 
@@ -102,6 +137,7 @@
 void handleDirectoryUpdate(CoreState &State, Link &From,
                            const DirectoryUpdate &Message) {
   From.HasNotRead_ = false;
+  From.ReceivedUpdate_ = Message.Number_;
   DirectoryFollower &Follower = State.Directory_;
   const bool IsComplete = Message.Complete_.value_or(false);
   const std::uint64_t Era = Message.Era_.value_or(0);
@@ -112,7 +148,7 @@
   const bool LacksPreset =
       Message.Version_ > versionOf(State) && !Message.Preset_;
   if (LacksChanges || LacksPreset)
-    return send(State, From, ownSubscription(State));
+    return subscribe(State, From);
   const DirectoryRevision FormerRevision = Follower.KnownRevision_;
   const std::uint64_t FormerVersion = versionOf(State);
   const bool AwaitedWholeList = Follower.AwaitsWholeList_;
@@ -129,7 +165,8 @@
     rebuildState(State, *State.Log_.State_);
   if (Message.Version_ >= versionOf(State)) {
     if (HasNewestZones)
-      recordUpdate(State, From, Follower.Configuration_, Message.VersionAgeMs_);
+      recordUpdate(From, Follower.Configuration_,
+                   ownTime(State, From, Message, Message.VersionConfirmedMs_));
     if (Message.Preset_)
       applyConfiguration(State, {Message.Version_, *Message.Preset_},
                          From.Peer_.Process_);
@@ -143,8 +180,10 @@
     if (Message.Complete_ == false)
       awaitWholeList(Follower);
     if (!Follower.AwaitsWholeList_)
-      recordUpdate(State, From, Follower.Servers_, Message.AgeMs_);
+      recordUpdate(From, Follower.Servers_,
+                   ownTime(State, From, Message, Message.ConfirmedMs_));
   }
+  renewSubscription(State, From);
   subscribeToReaders(State);
   const bool IsChanged = Follower.KnownRevision_ != FormerRevision ||
                          versionOf(State) != FormerVersion || ZonesChanged ||
--- a/src/libcumingauge/control/updatesender.cpp
+++ b/src/libcumingauge/control/updatesender.cpp
@@ -5,6 +5,7 @@
 #include "control/directoryfollower.h"
 #include "control/directorylinks.h"
 #include <algorithm>
+#include <limits>
 
 namespace cumingauge::control {
 
@@ -19,12 +20,15 @@
 /// last one that it has sent is older than this.
 constexpr double RelayFraction = 0.25;
 
-/// Returns the time in ms since a topic was last confirmed.
-std::uint32_t ageMs(const CoreState &State, const DirectoryFeed &Feed) {
-  return static_cast<std::uint32_t>(
-      std::chrono::duration_cast<model::milliseconds>(State.Now_ -
-                                                      confirmedAt(Feed))
-          .count());
+/// Returns when a topic was confirmed, in ms since the peer's subscription was
+/// received.
+std::int32_t confirmedMs(const Subscriber &To, const DirectoryFeed &Feed) {
+  using Limits = std::numeric_limits<std::int32_t>;
+  const auto Offset =
+      std::chrono::floor<model::milliseconds>(confirmedAt(Feed) - To.AskedAt_)
+          .count();
+  return static_cast<std::int32_t>(
+      std::clamp<std::int64_t>(Offset, Limits::min(), Limits::max()));
 }
 
 ServerListChange changeOf(const CoreState &State, const std::string &Name) {
@@ -39,24 +43,36 @@
   return Out;
 }
 
+bool isNew(const Subscriber &To, const ServerChange &Change) {
+  return Change.Revision_ > To.KnownRevision_ ||
+         Change.Number_ > To.SentChange_;
+}
+
+/// Returns the preset in force, or null when the peer has it.
+const model::Preset *newPreset(const CoreState &State, const Subscriber &To) {
+  return versionOf(State) > To.KnownVersion_
+             ? model::presetInForce(*State.Log_.State_)
+             : nullptr;
+}
+
 /// What an update has of the server list.
 enum class UpdateContent { Changes, WholeList };
 
-DirectoryUpdate makeUpdate(const CoreState &State, const Link &To,
+DirectoryUpdate makeUpdate(const CoreState &State, const Subscriber &To,
                            UpdateContent Content) {
   const DirectoryFollower &Follower = State.Directory_;
-  const DirectoryRevision Known = *To.KnownRevision_;
+  const DirectoryRevision Known = To.KnownRevision_;
   DirectoryUpdate Out;
+  Out.Asked_ = To.Asked_;
   Out.After_ = Known.Number_;
   Out.Era_ = Follower.KnownRevision_.Era_;
   Out.Revision_ = Follower.KnownRevision_.Number_;
-  Out.AgeMs_ = ageMs(State, Follower.Servers_);
+  Out.ConfirmedMs_ = confirmedMs(To, Follower.Servers_);
   Out.Version_ = versionOf(State);
-  Out.VersionAgeMs_ = ageMs(State, Follower.Configuration_);
+  Out.VersionConfirmedMs_ = confirmedMs(To, Follower.Configuration_);
   Out.EvacuatedZones_ = Follower.Evacuations_.Requested_;
   Out.ZonesRevision_ = Follower.Evacuations_.Revision_.Number_;
-  if (const model::Preset *Preset = model::presetInForce(*State.Log_.State_);
-      Preset && Out.Version_ > To.KnownVersion_)
+  if (const model::Preset *Preset = newPreset(State, To))
     Out.Preset_ = *Preset;
   if (Content == UpdateContent::WholeList) {
     Out.Complete_ = true;
@@ -65,7 +81,7 @@
     return Out;
   }
   for (const auto &[Name, Change] : Follower.Changes_)
-    if (Change.Revision_ > Known || Change.Number_ > To.SentChange_)
+    if (isNew(To, Change))
       Out.Servers_.push_back(changeOf(State, Name));
   return Out;
 }
@@ -78,29 +94,67 @@
          Known.Era_ < Follower.KnownRevision_.Era_;
 }
 
-void sendUpdate(CoreState &State, Link &To) {
+/// Returns whether only the whole list shows a peer all removals before it was
+/// read.
+bool needsWholeList(const DirectoryFollower &Follower,
+                    DirectoryRevision Known) {
+  return lacksHistory(Follower, Known) || Known < Follower.ChangesSince_;
+}
+
+/// Returns whether this process knows something that a peer has not been sent.
+bool hasNews(const CoreState &State, const Subscriber &To) {
+  const DirectoryFollower &Follower = State.Directory_;
+  return needsWholeList(Follower, To.KnownRevision_) || newPreset(State, To) ||
+         std::any_of(
+             Follower.Changes_.begin(), Follower.Changes_.end(),
+             [&](const auto &Entry) { return isNew(To, Entry.second); });
+}
+
+void sendNumbered(CoreState &State, Link &To, DirectoryUpdate Message) {
+  Message.Number_ = ++To.Subscriber_->SentNumber_;
+  send(State, To, std::move(Message));
+}
+
+void sendUpdate(CoreState &State, Link &Link) {
   const DirectoryFollower &Follower = State.Directory_;
   if (Follower.AwaitsWholeList_)
     return;
-  const DirectoryRevision Known = *To.KnownRevision_;
+  Subscriber &To = *Link.Subscriber_;
   To.UpdatedAt_ = State.Now_;
   To.ConfirmedAt_ = directoryConfirmedAt(State);
-  // Only the whole list shows all removals before it was read, only the changes
-  // say which servers have registered again.
-  const bool NeedsWholeList =
-      lacksHistory(Follower, Known) || Known < Follower.ChangesSince_;
-  if (!lacksHistory(Follower, Known)) {
+  // The whole list does not say which servers have registered again.
+  const bool NeedsWholeList = needsWholeList(Follower, To.KnownRevision_);
+  if (!lacksHistory(Follower, To.KnownRevision_)) {
     DirectoryUpdate Changes = makeUpdate(State, To, UpdateContent::Changes);
     if (NeedsWholeList)
       Changes.Complete_ = false;
-    send(State, To, std::move(Changes));
+    sendNumbered(State, Link, std::move(Changes));
     To.KnownVersion_ = versionOf(State);
   }
   if (NeedsWholeList)
-    send(State, To, makeUpdate(State, To, UpdateContent::WholeList));
-  To.KnownRevision_ = State.Directory_.KnownRevision_;
+    sendNumbered(State, Link, makeUpdate(State, To, UpdateContent::WholeList));
+  To.KnownRevision_ = Follower.KnownRevision_;
   To.KnownVersion_ = versionOf(State);
-  To.SentChange_ = State.Directory_.LastChange_;
+  To.SentChange_ = Follower.LastChange_;
+}
+
+/// Records a subscription of a peer.
+void recordSubscription(CoreState &State, Link &From,
+                        const DirectorySubscription &Message) {
+  if (!From.Subscriber_) {
+    From.Subscriber_.emplace();
+    From.Subscriber_->SentChange_ = State.Directory_.LastChange_;
+  }
+  Subscriber &To = *From.Subscriber_;
+  To.Asked_ = Message.Asked_;
+  To.AskedAt_ = State.Now_;
+  From.HasNotRead_ = Message.Revision_ == 0 && Message.Version_ == 0;
+  // One that was sent before the last update arrived does not tell what the
+  // peer has with it.
+  if (Message.Received_ != To.SentNumber_)
+    return;
+  To.KnownRevision_ = {Message.Era_.value_or(0), Message.Revision_};
+  To.KnownVersion_ = Message.Version_;
 }
 
 /// Makes the next calls due at once. Other processes rely on this one from now
@@ -118,15 +172,12 @@
                                  const DirectorySubscription &Message) {
   if (!isReader(State))
     callNowAsReader(State);
-  From.KnownRevision_ =
-      DirectoryRevision{Message.Era_.value_or(0), Message.Revision_};
-  From.KnownVersion_ = Message.Version_;
-  From.HasNotRead_ = Message.Revision_ == 0 && Message.Version_ == 0;
-  From.SentChange_ = State.Directory_.LastChange_;
-  if (isDirectoryRead(State))
+  const bool IsFirst = !From.Subscriber_;
+  recordSubscription(State, From, Message);
+  if (!isDirectoryRead(State))
+    return send(State, From, DirectoryNotRead{});
+  if (IsFirst || hasNews(State, *From.Subscriber_))
     sendUpdate(State, From);
-  else
-    send(State, From, DirectoryNotRead{});
 }
 
 void relayUpdate(CoreState &State, bool IsChanged) {
@@ -137,8 +188,8 @@
   // Without a newer confirmation nothing is sent, so that old updates do not
   // circulate between processes that subscribe to each other.
   for (auto &[Id, To] : State.Links_.Links_)
-    if (To.KnownRevision_ &&
-        (IsChanged || Confirmed - To.ConfirmedAt_ >= Pause))
+    if (To.Subscriber_ &&
+        (IsChanged || Confirmed - To.Subscriber_->ConfirmedAt_ >= Pause))
       sendUpdate(State, To);
 }
 
@@ -146,7 +197,7 @@
   if (!isDirectoryRead(State))
     return;
   for (auto &[Id, To] : State.Links_.Links_)
-    if (To.KnownRevision_)
+    if (To.Subscriber_)
       sendUpdate(State, To);
 }
 
@@ -155,7 +206,7 @@
     return;
   const model::Duration Pause = fractionOfLeavingBound(State, UpdateFraction);
   for (auto &[Id, To] : State.Links_.Links_)
-    if (To.KnownRevision_ && State.Now_ - To.UpdatedAt_ >= Pause)
+    if (To.Subscriber_ && State.Now_ - To.Subscriber_->UpdatedAt_ >= Pause)
       sendUpdate(State, To);
 }
 
--- a/tests/control/directoryfleet.cpp
+++ b/tests/control/directoryfleet.cpp
@@ -4,19 +4,8 @@
 
 namespace cumingauge::control::fakes {
 
-using ports::DirectoryOperation;
 using ports::DirectoryTopic;
 
-namespace {
-
-ports::DirectoryResponse unavailable() {
-  ports::DirectoryResponse Out;
-  Out.Code_ = model::ResultCode::StoreUnavailable;
-  return Out;
-}
-
-} // namespace
-
 ports::ServerEntry listed(const std::string &Name, bool Leaving) {
   ports::ListedServer Listed;
   Listed.Server_.Name_ = Name;
@@ -62,6 +51,8 @@
   const model::TimePoint End = Now_ + Time;
   while (Now_ < End) {
     Now_ += model::milliseconds(50);
+    deliverKept();
+    deliverTravelled();
     deliverDelayed();
     for (unsigned I = 0; I < size(); ++I)
       if (!Dead_.count(I))
@@ -137,6 +128,7 @@
   ++Stored_.Revision_;
   Stored_.ConfigRevision_ = Stored_.Revision_;
   Stored_.ConfigVersion_ = Version;
+  ConfigWrittenAt_[Version] = Now_;
   answerWatches();
 }
 
@@ -164,7 +156,7 @@
     return;
   const auto Dropped = std::exchange(Watches_, {});
   for (const Watch &Asked : Dropped)
-    answer(Asked.Process_, Asked.Call_, unavailable());
+    answer(Asked.Process_, Asked.Call_, failure());
 }
 
 void DirectoryFleet::restoreFromCopy() {
@@ -191,6 +183,12 @@
   return versionAt(Number) == Known.Version_ && Now_ < Known.KnownUntil_;
 }
 
+bool DirectoryFleet::claimsTooMuch(unsigned Number) const {
+  const auto Known = configurationKnowledge(*Cores_[Number], {});
+  const auto Next = ConfigWrittenAt_.upper_bound(Known.Version_);
+  return Next != ConfigWrittenAt_.end() && Known.ConfirmedAt_ > Next->second;
+}
+
 unsigned DirectoryFleet::countKnowingNewest() const {
   unsigned Out = 0;
   for (unsigned I = 0; I < size(); ++I)
@@ -206,33 +204,6 @@
   return Stored_.Announced_.count(memberOf(Number).Process_) > 0;
 }
 
-void DirectoryFleet::kill(unsigned Number) {
-  Dead_.insert(Number);
-  // A new start gives out the ids of its calls again.
-  const auto IsOfProcess = [&](const auto &Call) {
-    return Call.Process_ == Number;
-  };
-  Watches_.erase(std::remove_if(Watches_.begin(), Watches_.end(), IsOfProcess),
-                 Watches_.end());
-  Delayed_.erase(std::remove_if(Delayed_.begin(), Delayed_.end(), IsOfProcess),
-                 Delayed_.end());
-  std::vector<std::pair<LinkId, unsigned>> Closed;
-  for (auto It = Links_.begin(); It != Links_.end();) {
-    const auto [From, To] = It->second;
-    if (From != Number && To != Number) {
-      ++It;
-      continue;
-    }
-    Closed.emplace_back(It->first, From == Number ? To : From);
-    It = Links_.erase(It);
-  }
-  if (!ResetsLinks_)
-    return;
-  for (const auto &[Id, Peer] : Closed)
-    if (!Dead_.count(Peer))
-      feed(Peer, LinkClosed{Id});
-}
-
 bool DirectoryFleet::isLeaving(unsigned Number, const std::string &Name) const {
   const auto View = Views_.find(Number);
   return View != Views_.end() && View->second->LeavingServers_.count(Name) > 0;
@@ -302,9 +273,13 @@
   while (!Inputs_.empty()) {
     const auto [To, Next] = std::move(Inputs_.front());
     Inputs_.pop_front();
+    if (Paused_.count(To) && !std::holds_alternative<Ticked>(Next))
+      Kept_[To].push_back(Next);
     if (Paused_.count(To) || Dead_.count(To))
       continue;
-    for (const CoreCommand &Command : step(*Cores_[To], Next, Now_))
+    const std::vector<CoreCommand> Commands = step(*Cores_[To], Next, Now_);
+    FalseClaims_ += claimsTooMuch(To) ? 1 : 0;
+    for (const CoreCommand &Command : Commands)
       std::visit([&, To = To](const auto &What) { execute(To, What); },
                  Command);
   }
@@ -344,150 +319,4 @@
   Views_[Number] = Command.View_;
 }
 
-void DirectoryFleet::execute(unsigned Number, const OpenLink &Command) {
-  for (unsigned To = 0; To < size(); ++To) {
-    if (memberOf(To).Host_ != Command.Host_)
-      continue;
-    if (Dead_.count(To) || RefusesLinks_)
-      return feed(Number, LinkFailed{Command.Host_, Command.Port_});
-    const LinkId Id = ++LastLink_;
-    Links_[Id] = {Number, To};
-    feed(To, LinkOpened{Id, memberOf(Number), false, false});
-    feed(Number, LinkOpened{Id, memberOf(To), false, true});
-  }
-}
-
-void DirectoryFleet::execute(unsigned Number, const SendPeer &Command) {
-  const auto Found = Links_.find(Command.Link_);
-  if (Found == Links_.end())
-    return;
-  const auto [From, To] = Found->second;
-  feed(Number == From ? To : From,
-       PeerMessageReceived{Command.Link_, *Command.Message_});
-}
-
-void DirectoryFleet::execute(unsigned Number, const CloseLink &Command) {
-  const auto Found = Links_.find(Command.Link_);
-  if (Found == Links_.end())
-    return;
-  const auto [From, To] = Found->second;
-  Links_.erase(Found);
-  feed(Number == From ? To : From, LinkClosed{Command.Link_});
-  feed(Number, LinkClosed{Command.Link_});
-}
-
-void DirectoryFleet::execute(unsigned Number, const CallDirectory &Command) {
-  const ports::DirectoryRequest &Asked = Command.Request_;
-  if (Cut_.count(Number))
-    return answer(Number, Command.Call_, unavailable());
-  if (Asked.Operation_ == DirectoryOperation::Ping)
-    ++Pings_;
-  else if (Asked.Operation_ == DirectoryOperation::Poll)
-    ++Polls_;
-  else
-    ++Calls_[Number];
-  if (Away_)
-    return answer(Number, Command.Call_, unavailable());
-  ports::DirectoryResponse Answer;
-  Answer.Revision_ = Stored_.Revision_;
-  switch (Asked.Operation_) {
-  case DirectoryOperation::Poll:
-    if (isCompacted(Asked.After_))
-      Answer = compacted();
-    else
-      fill(Answer, Asked.Topic_, Asked.After_);
-    break;
-  case DirectoryOperation::Watch:
-    if (isCompacted(Asked.After_)) {
-      Answer = compacted();
-      break;
-    }
-    Watches_.push_back({Number, Asked.Topic_, Command.Call_, Asked.After_,
-                        Now_ + Asked.Wait_});
-    return answerWatches();
-  case DirectoryOperation::Announce:
-    Stored_.Announced_[Asked.Self_.Process_] = Asked.Self_;
-    break;
-  case DirectoryOperation::Read:
-    if (Asked.Topic_ == DirectoryTopic::Members &&
-        std::exchange(RestoresDuringRead_, false)) {
-      restoreFromCopy();
-      Answer.Revision_ = Stored_.Revision_;
-    }
-    fill(Answer, Asked.Topic_, 0);
-    if (Asked.Topic_ == DirectoryTopic::Servers && PageSize_ > 0)
-      cutPage(Answer, Asked.Page_);
-    break;
-  case DirectoryOperation::Ping:
-    break;
-  }
-  answer(Number, Command.Call_, Answer);
-}
-
-/// Adds the content of a topic, or what has changed in it after a revision.
-void DirectoryFleet::fill(ports::DirectoryResponse &Answer,
-                          DirectoryTopic Topic, std::uint64_t After) const {
-  if (Topic == DirectoryTopic::Configuration &&
-      Stored_.ConfigRevision_ > After) {
-    Answer.Configuration_.emplace();
-    Answer.Configuration_->Version_ = Stored_.ConfigVersion_;
-    Answer.Configuration_->Preset_.Name_ =
-        "version " + std::to_string(Stored_.ConfigVersion_);
-  }
-  if (Topic == DirectoryTopic::Configuration && After == 0)
-    for (const std::string &Zone : Stored_.EvacuatedZones_)
-      Answer.Zones_.push_back({Zone, true});
-  if (Topic == DirectoryTopic::Configuration && After > 0)
-    for (const auto &[Revision, Request] : Stored_.ZoneLog_)
-      if (Revision > After)
-        Answer.Zones_.push_back(Request);
-  if (Topic == DirectoryTopic::Servers && After == 0)
-    for (const auto &Entry : Stored_.Entries_)
-      Answer.Servers_.push_back(Entry.second);
-  if (Topic == DirectoryTopic::Servers && After > 0)
-    for (const auto &[Revision, Entry] : Stored_.Log_)
-      if (Revision > After)
-        Answer.Servers_.push_back(Entry);
-  if (Topic == DirectoryTopic::Members)
-    for (const auto &Entry : Stored_.Announced_)
-      Answer.Members_.push_back(Entry.second);
-}
-
-void DirectoryFleet::cutPage(ports::DirectoryResponse &Answer,
-                             const std::string &After) const {
-  std::vector<ports::ServerEntry> Rest;
-  for (const ports::ServerEntry &Entry : Answer.Servers_)
-    if (Entry.Name_ > After)
-      Rest.push_back(Entry);
-  if (Rest.size() > PageSize_) {
-    Rest.resize(PageSize_);
-    Answer.Next_ = Rest.back().Name_;
-  }
-  Answer.Servers_ = std::move(Rest);
-}
-
-void DirectoryFleet::answerWatches() {
-  if (Away_)
-    return;
-  for (std::size_t I = 0; I < Watches_.size();) {
-    const Watch Asked = Watches_[I];
-    ports::DirectoryResponse Answer;
-    Answer.Revision_ = Stored_.Revision_;
-    if (isCompacted(Asked.After_))
-      Answer = compacted();
-    else
-      fill(Answer, Asked.Topic_, Asked.After_);
-    const bool HasNews = Answer.IsCompacted_ || Answer.Configuration_ ||
-                         !Answer.Zones_.empty() || !Answer.Servers_.empty();
-    !Answer.Servers_.empty();
-    if (!HasNews || !isReachable(Asked.Process_)) {
-      ++I;
-      continue;
-    }
-    Watches_.erase(Watches_.begin() + static_cast<std::ptrdiff_t>(I));
-    answer(Asked.Process_, Asked.Call_, Answer);
-    I = 0;
-  }
-}
-
 } // namespace cumingauge::control::fakes
--- a/tests/control/directoryfleet.h
+++ b/tests/control/directoryfleet.h
@@ -122,9 +122,17 @@
   void restoreDuringNextMembersRead() { RestoresDuringRead_ = true; }
 
   /// Stops a process without closing its links, or lets it go on. What its
-  /// peers send meanwhile is lost; responses of the directory wait for it.
+  /// peers send meanwhile waits for it, as do responses of the directory.
   void pause(unsigned Number, bool Paused);
 
+  /// Limits what a process can send to its peers; the rest waits, in the order
+  /// in which it was sent.
+  void setUplink(unsigned Number, unsigned BytesPerSecond);
+
+  /// Returns after how many steps a process believed its configuration to have
+  /// been the newest one at a time at which a newer one was written already.
+  unsigned falseClaims() const { return FalseClaims_; }
+
   /// Removes a process from the member list without telling it.
   void withdraw(unsigned Number);
   bool isAnnounced(unsigned Number) const;
@@ -176,6 +184,19 @@
     DirectoryResponseReceived Received_;
   };
 
+  struct Uplink {
+    unsigned BytesPerSecond_ = 0;
+    model::TimePoint FreeAt_;
+  };
+
+  /// A message on its way over a limited uplink.
+  struct TravellingMessage {
+    model::TimePoint At_;
+    unsigned Receiver_;
+    PeerMessageReceived Received_;
+  };
+
+  bool claimsTooMuch(unsigned Number) const;
   CoreSettings settingsOf(unsigned Number, bool FirstStart) const;
   model::Member memberOf(unsigned Number) const;
   bool isReachable(unsigned Number) const;
@@ -197,6 +218,8 @@
                const std::string &After) const;
   void answerWatches();
   void deliverDelayed();
+  void deliverTravelled();
+  void deliverKept();
 
   const DirectoryFleetSize Size_;
   model::TimePoint Now_{model::seconds(1000)};
@@ -215,6 +238,10 @@
   std::set<unsigned> Dead_;
   std::set<unsigned> Cut_;
   std::set<unsigned> Paused_;
+  std::map<unsigned, std::vector<CoreInput>> Kept_; ///< for paused processes
+  std::map<unsigned, Uplink> Uplinks_;
+  std::vector<TravellingMessage> Travelling_;
+  std::map<std::uint64_t, model::TimePoint> ConfigWrittenAt_; ///< by version
   bool RestoresDuringRead_ = false;
   bool Away_ = false;
   bool ResetsLinks_ = false;
@@ -224,6 +251,7 @@
   std::map<unsigned, unsigned> Lost_;
   unsigned Pings_ = 0;
   unsigned Polls_ = 0;
+  unsigned FalseClaims_ = 0;
 };
 
 } // namespace cumingauge::control::fakes
--- a/tests/control/directoryrelaytest.cpp
+++ b/tests/control/directoryrelaytest.cpp
@@ -302,13 +302,14 @@
     Old.Version_ = 1;
     Old.Preset_.emplace();
     Old.Complete_ = true;
-    Old.AgeMs_ = Old.VersionAgeMs_ = 5000;
+    Old.Asked_ = static_cast<std::uint64_t>(Now.time_since_epoch().count());
+    Old.ConfirmedMs_ = Old.VersionConfirmedMs_ = -5000;
     CPPUNIT_ASSERT_EQUAL(
         std::size_t(1),
         sentOn(FromSubscriber,
                step(*Core, PeerMessageReceived{ToReader, Old}, Now)));
     // The same again, as from a process to which the subscriber passed it on.
-    Old.AgeMs_ = Old.VersionAgeMs_ = 4999;
+    Old.ConfirmedMs_ = Old.VersionConfirmedMs_ = -4999;
     CPPUNIT_ASSERT_EQUAL(
         std::size_t(0),
         sentOn(FromSubscriber,
