Take the servers of an update whose preset is missing

An update that names a newer version without its preset was dropped as a whole, servers included, and the subscription repeated. Now its configuration confirms nothing, the rest is taken, and the preset is asked for. A preset that cannot be read still closes the link. handleDirectoryUpdate is split by topic.

That such an update confirmed too much was not found.

--- a/src/libcumingauge/control/updatereceiver.cpp
+++ b/src/libcumingauge/control/updatereceiver.cpp
@@ -104,6 +104,56 @@
   Follower.Servers_.Revision_ = 0;
 }
 
+/// What became of the evacuated zones in an update.
+enum class ZonesTaken { Outdated, Unchanged, Changed };
+
+ZonesTaken takeZones(CoreState &State, const DirectoryUpdate &Message,
+                     bool IsOfPresentEra) {
+  const DirectoryRevision Revision{Message.Era_.value_or(0),
+                                   Message.ZonesRevision_};
+  if (!IsOfPresentEra || Revision < State.Directory_.Evacuations_.Revision_)
+    return ZonesTaken::Outdated;
+  if (!applyZoneRequests(State, Message.EvacuatedZones_, Revision))
+    return ZonesTaken::Unchanged;
+  rebuildState(State, *State.Log_.State_);
+  return ZonesTaken::Changed;
+}
+
+/// Applies the configuration of an update. An older version than the one in
+/// use, or one without its preset, confirms nothing, and neither do outdated
+/// zones.
+void takeConfiguration(CoreState &State, const Link &From,
+                       const DirectoryUpdate &Message, ZonesTaken Zones) {
+  const std::uint64_t Own = versionOf(State);
+  if (Message.Version_ < Own || (Message.Version_ > Own && !Message.Preset_))
+    return;
+  if (Zones != ZonesTaken::Outdated)
+    recordUpdate(From, State.Directory_.Configuration_,
+                 ownTime(State, From, Message, Message.VersionConfirmedMs_));
+  if (Message.Preset_)
+    applyConfiguration(State, {Message.Version_, *Message.Preset_},
+                       From.Peer_.Process_);
+}
+
+/// Applies the servers of an update, unless newer ones are known.
+void takeServers(CoreState &State, const Link &From,
+                 const DirectoryUpdate &Message) {
+  DirectoryFollower &Follower = State.Directory_;
+  const DirectoryRevision Revision{Message.Era_.value_or(0), Message.Revision_};
+  if (Revision < Follower.KnownRevision_)
+    return;
+  recordReportedDepartures(State, Message);
+  if (Message.Complete_.value_or(false))
+    applyCompleteList(State, entriesOf(Message), Revision);
+  else
+    applyServerChanges(State, entriesOf(Message), Revision);
+  if (Message.Complete_ == false)
+    awaitWholeList(Follower);
+  if (!Follower.AwaitsWholeList_)
+    recordUpdate(From, Follower.Servers_,
+                 ownTime(State, From, Message, Message.ConfirmedMs_));
+}
+
 } // namespace
 
 void subscribeToReaders(CoreState &State) {
@@ -142,51 +192,26 @@
   const bool IsComplete = Message.Complete_.value_or(false);
   const std::uint64_t Era = Message.Era_.value_or(0);
   const DirectoryRevision After{Era, Message.After_};
-  const DirectoryRevision Revision{Era, Message.Revision_};
   const bool LacksChanges = !IsComplete && (After > Follower.KnownRevision_ ||
                                             !Follower.Servers_.Read_);
-  const bool LacksPreset =
-      Message.Version_ > versionOf(State) && !Message.Preset_;
-  if (LacksChanges || LacksPreset)
+  if (LacksChanges)
     return subscribe(State, From);
   const DirectoryRevision FormerRevision = Follower.KnownRevision_;
   const std::uint64_t FormerVersion = versionOf(State);
   const bool AwaitedWholeList = Follower.AwaitsWholeList_;
-  const bool IsOfPresentEra = observePeerEra(State, Revision);
-  // A reader with an older version, revision or era than this process confirms
-  // nothing.
-  const DirectoryRevision ZonesRevision{Era, Message.ZonesRevision_};
-  const bool HasNewestZones =
-      IsOfPresentEra && ZonesRevision >= Follower.Evacuations_.Revision_;
-  const bool ZonesChanged =
-      HasNewestZones &&
-      applyZoneRequests(State, Message.EvacuatedZones_, ZonesRevision);
-  if (ZonesChanged)
-    rebuildState(State, *State.Log_.State_);
-  if (Message.Version_ >= versionOf(State)) {
-    if (HasNewestZones)
-      recordUpdate(From, Follower.Configuration_,
-                   ownTime(State, From, Message, Message.VersionConfirmedMs_));
-    if (Message.Preset_)
-      applyConfiguration(State, {Message.Version_, *Message.Preset_},
-                         From.Peer_.Process_);
-  }
-  if (IsOfPresentEra && Revision >= Follower.KnownRevision_) {
-    recordReportedDepartures(State, Message);
-    if (IsComplete)
-      applyCompleteList(State, entriesOf(Message), Revision);
-    else
-      applyServerChanges(State, entriesOf(Message), Revision);
-    if (Message.Complete_ == false)
-      awaitWholeList(Follower);
-    if (!Follower.AwaitsWholeList_)
-      recordUpdate(From, Follower.Servers_,
-                   ownTime(State, From, Message, Message.ConfirmedMs_));
-  }
-  renewSubscription(State, From);
+  const bool IsOfPresentEra = observePeerEra(State, {Era, Message.Revision_});
+  const ZonesTaken Zones = takeZones(State, Message, IsOfPresentEra);
+  takeConfiguration(State, From, Message, Zones);
+  if (IsOfPresentEra)
+    takeServers(State, From, Message);
+  if (Message.Version_ > versionOf(State))
+    subscribe(State, From); // the preset is missing
+  else
+    renewSubscription(State, From);
   subscribeToReaders(State);
   const bool IsChanged = Follower.KnownRevision_ != FormerRevision ||
-                         versionOf(State) != FormerVersion || ZonesChanged ||
+                         versionOf(State) != FormerVersion ||
+                         Zones == ZonesTaken::Changed ||
                          (AwaitedWholeList && IsComplete);
   relayUpdate(State, IsChanged);
 }
--- a/tests/control/directoryprocess.cpp
+++ b/tests/control/directoryprocess.cpp
@@ -18,13 +18,15 @@
 }
 
 void DirectoryProcess::feed(const CoreInput &Input) {
-  for (const CoreCommand &Command : step(*Core_, Input, Now_))
+  for (const CoreCommand &Command : step(*Core_, Input, Now_)) {
+    Commands_.push_back(Command);
     if (const auto *Call = std::get_if<CallDirectory>(&Command))
       Calls_.push_back(*Call);
     else if (const auto *View = std::get_if<PublishView>(&Command))
       View_ = View->View_;
     else if (const auto *Event = std::get_if<RecordEvent>(&Command))
       Events_.push_back(*Event);
+  }
 }
 
 void DirectoryProcess::wait(model::milliseconds Time) {
--- a/tests/control/directoryprocess.h
+++ b/tests/control/directoryprocess.h
@@ -4,6 +4,7 @@
 #include "control/directoryfleet.h"
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cumingauge::control::fakes {
@@ -44,12 +45,20 @@
   /// changed.
   void answerChecks();
 
+  /// Returns the commands of the steps since the last call.
+  std::vector<CoreCommand> takeCommands() {
+    return std::exchange(Commands_, {});
+  }
+
   /// Returns the events of a kind.
   std::vector<RecordEvent> events(model::EventKind Kind) const;
 
   const DirectoryEra &era() const { return directoryEra(*Core_); }
   model::TimePoint now() const { return Now_; }
   std::string source() const { return configurationSource(*Core_); }
+  model::ConfigurationKnowledge configuration() const {
+    return configurationKnowledge(*Core_, {});
+  }
   model::TimePoint confirmedAt() const { return lastExchange(*Core_); }
   unsigned calls() const { return static_cast<unsigned>(Calls_.size()); }
   const model::ControlView *view() const { return View_.get(); }
@@ -71,6 +80,7 @@
   std::set<StoreCallId> Answered_;
   std::shared_ptr<const model::ControlView> View_;
   std::vector<RecordEvent> Events_;
+  std::vector<CoreCommand> Commands_;
 };
 
 // Responses of the directory.
