Grant the calls of workspaces with a quota by issuers of credit

Callers of a workspace got more than its quota: nothing counted the calls of the whole fleet. Now a process requests credit for each call from the issuer of a part of the quota, which the claims in the directory name, and the issuers answer from their buckets.

The new messages are in the generators of the codec's tests.

--- a/src/libcumingauge/control/core.cpp
+++ b/src/libcumingauge/control/core.cpp
@@ -1,5 +1,6 @@
 #include "control/core.h"
 #include "control/corestate.h"
+#include "control/credit.h"
 #include "control/directoryfollower.h"
 #include "control/directorylinks.h"
 #include "control/gossip.h"
@@ -96,6 +97,14 @@
     if (!From_.Operator_)
       handleDirectoryUpdate(State_, From_, Message);
   }
+  void operator()(const CreditRequest &Message) const {
+    if (!From_.Operator_)
+      handleCreditRequest(State_, From_, Message);
+  }
+  void operator()(const CreditReply &Message) const {
+    if (!From_.Operator_)
+      handleCreditReply(State_, Message);
+  }
   void operator()(const StatusReply & /*Message*/) const {}
   void operator()(const TimelineReply & /*Message*/) const {}
 };
@@ -121,15 +130,18 @@
   }
   void operator()(const LinkOpened &Input) const {
     handleLinkOpened(State_, Input);
+    advanceCredit(State_);
   }
   void operator()(const LinkClosed &Input) const {
     handleLinkClosed(State_, Input);
+    advanceCredit(State_);
   }
   void operator()(const LinkFailed &Input) const {
     handleLinkFailed(State_, Input);
     // When the whole fleet starts at once many peers do not listen yet.
     if (State_.Settings_.FollowsDirectory_ && !State_.Directory_.Servers_.Read_)
       followDirectory(State_);
+    advanceCredit(State_);
   }
   void operator()(const PeerMessageReceived &Input) const {
     Link *From = findLink(State_.Links_, Input.Link_);
@@ -142,18 +154,21 @@
     handleServerReport(State_, Input.Observation_);
   }
   void operator()(const CreditWanted &Input) const {
-    emitCommand(State_, DecideCredit{Input.Request_, {}});
+    handleCreditWanted(State_, Input);
   }
   void operator()(const Stopping & /*Input*/) const {
     record(State_, EventKind::ProcessStopping, State_.Members_.Self_);
     announceLeave(State_);
+    endCredit(State_);
   }
 
   void tick() const {
     if (!State_.StartedAt_ || State_.IsStopping_)
       return;
-    if (State_.Settings_.FollowsDirectory_)
-      return followDirectory(State_);
+    if (State_.Settings_.FollowsDirectory_) {
+      followDirectory(State_);
+      return followCredit(State_);
+    }
     maintainLinks(State_);
     sendDueHeartbeats(State_);
     detectFailures(State_);
--- a/src/libcumingauge/control/corestate.h
+++ b/src/libcumingauge/control/corestate.h
@@ -2,6 +2,7 @@
 
 #include "control/changelog.h"
 #include "control/core.h"
+#include "control/creditstate.h"
 #include "control/directoryfollower.h"
 #include "control/leavingtable.h"
 #include "control/linktable.h"
@@ -35,6 +36,7 @@
   std::optional<model::TimePoint> FirstStateAt_;
   StoreFollower Follower_;
   DirectoryFollower Directory_;
+  CreditState Credit_;
   SnapshotWriter Snapshots_;
   VmList Vms_;
   MemberTable Members_;
--- a/src/libcumingauge/control/directoryfollower.cpp
+++ b/src/libcumingauge/control/directoryfollower.cpp
@@ -1,6 +1,7 @@
 #include "control/directoryfollower.h"
 #include "control/configurationfeed.h"
 #include "control/corestate.h"
+#include "control/credit.h"
 #include "control/directorycalls.h"
 #include "control/directorylinks.h"
 #include "control/directorypolls.h"
@@ -80,6 +81,8 @@
     recordUnreadable(State, Taken.Unreadable_);
   if (handlePollResponse(State, Call, Taken))
     return followDirectory(State);
+  if (handleCreditResponse(State, Call, Taken))
+    return;
   for (DirectoryFeed *Feed : {&Follower.Configuration_, &Follower.Servers_,
                               &Follower.Members_, &Follower.Ping_}) {
     if (!isResponseTo(*Feed, Call))
--- a/src/libcumingauge/control/directorylinks.cpp
+++ b/src/libcumingauge/control/directorylinks.cpp
@@ -89,7 +89,7 @@
 /// has answered that it has none, as when the whole fleet starts at once.
 bool haveNotRead(const CoreState &State, const MemberRefs &Readers) {
   return std::all_of(Readers.begin(), Readers.end(), [&](const Member *Reader) {
-    const Link *Known = findLinkTo(State.Links_, Reader->Process_);
+    const Link *Known = findReaderLinkTo(State.Links_, Reader->Process_);
     return Known && Known->HasNotRead_;
   });
 }
@@ -247,7 +247,7 @@
 void dropSilentLinks(CoreState &State) {
   std::vector<LinkId> Silent;
   for (const auto &[Id, Value] : State.Links_.Links_)
-    if (Value.Outbound_ && !Value.Operator_ &&
+    if (Value.Outbound_ && !Value.Operator_ && !Value.IsForCredit_ &&
         State.Now_ - Value.LastReceivedAt_ >= SilentLinkTimeout)
       Silent.push_back(Id);
   for (const LinkId Id : Silent) {
@@ -269,7 +269,7 @@
   const MemberRefs Wanted = wantedReaders(State);
   std::vector<LinkId> Unwanted;
   for (const auto &[Id, Value] : State.Links_.Links_)
-    if (Value.Outbound_ && !Value.Operator_ &&
+    if (Value.Outbound_ && !Value.Operator_ && !Value.IsForCredit_ &&
         !contains(Wanted, Value.Peer_.Process_))
       Unwanted.push_back(Id);
   for (const LinkId Id : Unwanted)
@@ -285,8 +285,12 @@
   const MemberRefs Wanted = wantedReaders(State);
   if (!isListRead(State))
     State.Directory_.HasStartLinks_ = true;
+  for (auto &[Id, Value] : State.Links_.Links_)
+    if (Value.IsForCredit_ && Value.Outbound_ &&
+        contains(Wanted, Value.Peer_.Process_))
+      Value.IsForCredit_ = false;
   for (const Member *Reader : Wanted)
-    if (!findLinkTo(State.Links_, Reader->Process_))
+    if (!findReaderLinkTo(State.Links_, Reader->Process_))
       openLink(State, addressOf(*Reader));
   closeUnwantedLinks(State, Wanted);
 }
@@ -316,7 +320,9 @@
 bool hasReaders(const CoreState &State) {
   return std::any_of(State.Links_.Links_.begin(), State.Links_.Links_.end(),
                      [](const auto &Entry) {
-                       return Entry.second.Outbound_ && !Entry.second.Operator_;
+                       return Entry.second.Outbound_ &&
+                              !Entry.second.Operator_ &&
+                              !Entry.second.IsForCredit_;
                      });
 }
 
@@ -376,7 +382,7 @@
           std::max(LastSubscription.value_or(*Value.SubscribedAt_),
                    *Value.SubscribedAt_);
   for (auto &[Id, Value] : State.Links_.Links_) {
-    if (!Value.Outbound_ || Value.SubscribedAt_)
+    if (!Value.Outbound_ || Value.SubscribedAt_ || Value.IsForCredit_)
       continue;
     if (!isListRead(State) && LastSubscription &&
         State.Now_ - *LastSubscription < Pause)
--- a/src/libcumingauge/control/linkmanager.cpp
+++ b/src/libcumingauge/control/linkmanager.cpp
@@ -1,5 +1,6 @@
 #include "control/linkmanager.h"
 #include "control/corestate.h"
+#include "control/credit.h"
 #include "control/directorylinks.h"
 #include "control/heartbeats.h"
 #include "control/linkchoice.h"
@@ -118,13 +119,13 @@
 bool isDuplicate(const CoreState &State, const Link &Opened) {
   if (!Opened.Outbound_ || State.Members_.Self_ < Opened.Peer_.Process_)
     return false;
-  return std::any_of(State.Links_.Links_.begin(), State.Links_.Links_.end(),
-                     [&](const auto &Entry) {
-                       return Entry.first != Opened.Id_ &&
-                              !Entry.second.Operator_ &&
-                              Entry.second.Peer_.Process_ ==
-                                  Opened.Peer_.Process_;
-                     });
+  return std::any_of(
+      State.Links_.Links_.begin(), State.Links_.Links_.end(),
+      [&](const auto &Entry) {
+        return Entry.first != Opened.Id_ && !Entry.second.Operator_ &&
+               Entry.second.IsForCredit_ == Opened.IsForCredit_ &&
+               Entry.second.Peer_.Process_ == Opened.Peer_.Process_;
+      });
 }
 
 /// Returns whether this process follows a directory and has no list of it yet.
@@ -160,7 +161,7 @@
         std::any_of(Wanted.begin(), Wanted.end(), [&](const Member *Peer) {
           return Peer->Process_ == Process;
         });
-    if (IsWanted || !Value.Outbound_ || Value.Operator_) {
+    if (IsWanted || !Value.Outbound_ || Value.Operator_ || Value.IsForCredit_) {
       Value.UnwantedSince_.reset();
       continue;
     }
@@ -193,11 +194,14 @@
   if (Input.Operator_)
     return;
   Opened.Outbound_ = Input.Outbound_;
+  Opened.IsForCredit_ =
+      Input.Outbound_ && isAskedForCredit(State, addressOf(Input.Peer_));
   if (Input.Outbound_)
     State.Links_.Opening_.erase(addressOf(Input.Peer_));
   const bool IsSelf = Input.Peer_.Process_ == State.Members_.Self_;
-  const std::size_t MaxLinks =
-      State.Settings_.FollowsDirectory_ ? MaxReaderLinks : MaxPeerLinks;
+  const std::size_t MaxLinks = State.Settings_.FollowsDirectory_
+                                   ? MaxReaderLinks + countExpectedAskers(State)
+                                   : MaxPeerLinks;
   const bool IsTooMany =
       !Opened.Outbound_ && State.Links_.Links_.size() > MaxLinks;
   if (IsTooMany && !State.Settings_.FollowsDirectory_) {
--- a/src/libcumingauge/control/linktable.cpp
+++ b/src/libcumingauge/control/linktable.cpp
@@ -36,4 +36,13 @@
   return nullptr;
 }
 
+const Link *findReaderLinkTo(const LinkTable &Table,
+                             const std::string &Process) {
+  for (const auto &[Id, Value] : Table.Links_)
+    if (!Value.Operator_ && !Value.IsForCredit_ &&
+        Value.Peer_.Process_ == Process)
+      return &Value;
+  return nullptr;
+}
+
 } // namespace cumingauge::control
--- a/src/libcumingauge/control/linktable.h
+++ b/src/libcumingauge/control/linktable.h
@@ -40,6 +40,8 @@
   model::Member Peer_;
   bool Operator_ = false;
   bool Outbound_ = false; ///< opened by this process
+  /// Used to request credit; no subscription to the directory.
+  bool IsForCredit_ = false;
   model::TimePoint OpenedAt_;
   model::TimePoint LastReceivedAt_;
   /// Highest version that the peer has reported.
@@ -111,4 +113,9 @@
 /// Returns an open link to the process of this name, or null.
 const Link *findLinkTo(const LinkTable &Table, const std::string &Process);
 
+/// Returns an open link to the process of this name that is not for credit
+/// only, or null.
+const Link *findReaderLinkTo(const LinkTable &Table,
+                             const std::string &Process);
+
 } // namespace cumingauge::control
--- a/src/libcumingauge/control/peermessage.h
+++ b/src/libcumingauge/control/peermessage.h
@@ -154,6 +154,33 @@
                        VersionAgeMs_, Preset_, Complete_, Era_, EvacuatedZones_,
                        ZonesRevision_))
 
+/// Requests credit for calls from the issuer of a part of their quotas.
+struct CreditRequest {
+  static constexpr const char *Kind = "creditRequest";
+  std::uint64_t Number_ = 0; ///< unique in the sending process
+  std::uint32_t Part_ = 0;
+  std::vector<std::string> Workspaces_; ///< of each call
+};
+BOOST_DESCRIBE_STRUCT(CreditRequest, (), (Number_, Part_, Workspaces_))
+
+/// Answer to the request for one call. Neither granted nor with a time: the
+/// issuer knows no quota of the workspace.
+struct CreditGrant {
+  bool Granted_ = false;
+  std::optional<std::uint32_t> RetryAfterMs_; ///< set when refused
+};
+BOOST_DESCRIBE_STRUCT(CreditGrant, (), (Granted_, RetryAfterMs_))
+
+/// Response to CreditRequest.
+struct CreditReply {
+  static constexpr const char *Kind = "creditReply";
+  std::uint64_t Number_ = 0;
+  /// For each call in the order of the request; empty: the sender does not
+  /// issue the credit of this part.
+  std::vector<CreditGrant> Answers_;
+};
+BOOST_DESCRIBE_STRUCT(CreditReply, (), (Number_, Answers_))
+
 /// Sent by an operator: requests the status of this process.
 struct StatusRequest {
   static constexpr const char *Kind = "statusRequest";
@@ -189,6 +216,6 @@
     std::variant<Heartbeat, Entries, EntriesRequest, StateChunk, MemberUpdate,
                  ServerReports, StatusRequest, StatusReply, TimelineRequest,
                  TimelineReply, DirectorySubscription, DirectoryNotRead,
-                 DirectoryUpdate>;
+                 DirectoryUpdate, CreditRequest, CreditReply>;
 
 } // namespace cumingauge::control
--- a/src/libcumingauge/model/event.h
+++ b/src/libcumingauge/model/event.h
@@ -29,10 +29,12 @@
   ServerLeaving,
   ServerEjected,
   ServerGone,
-  ServerPaused,   ///< it wants no calls for a time
-  ServerResumed,  ///< its pause has ended
-  ServersChanged, ///< several at once; Detail_ names them
-  ServersRead,    ///< this process read the whole list from the directory
+  ServerPaused,     ///< it wants no calls for a time
+  ServerResumed,    ///< its pause has ended
+  ServersChanged,   ///< several at once; Detail_ names them
+  ServersRead,      ///< this process read the whole list from the directory
+  CreditIssueBegan, ///< this process issues the credit of a part of quotas
+  CreditIssueEnded, ///< it no longer does
   ServerLastCallEnded,
   ZoneEvacuated, ///< the servers of a zone get no new work from now on
   ZoneReturned,  ///< they get work again
@@ -53,11 +55,11 @@
                     MemberJoined, MemberSuspected, MemberDead, MemberReturned,
                     ServerCold, ServerReady, ServerLeaving, ServerEjected,
                     ServerGone, ServerPaused, ServerResumed, ServersChanged,
-                    ServersRead, ServerLastCallEnded, ZoneEvacuated,
-                    ZoneReturned, CallRetried, CallHedged, CallRefused,
-                    BudgetSpent, PauseFound, StoreAway, StoreBack,
-                    StoreRestored, ProcessStarted, ProcessReady,
-                    ProcessStopping, Alarm)
+                    ServersRead, CreditIssueBegan, CreditIssueEnded,
+                    ServerLastCallEnded, ZoneEvacuated, ZoneReturned,
+                    CallRetried, CallHedged, CallRefused, BudgetSpent,
+                    PauseFound, StoreAway, StoreBack, StoreRestored,
+                    ProcessStarted, ProcessReady, ProcessStopping, Alarm)
 
 /// One event on the timeline, as recorded by one process.
 struct Event {
--- a/tests/peer/generators.h
+++ b/tests/peer/generators.h
@@ -94,6 +94,18 @@
                      control::MemberUpdate Out;
                      Out.Members_ = std::move(Members);
                      return Out;
+                   }),
+      rc::gen::map(rc::gen::container<std::vector<std::string>>(anyText()),
+                   [](std::vector<std::string> Workspaces) -> PeerMessage {
+                     return control::CreditRequest{8, 2, std::move(Workspaces)};
+                   }),
+      rc::gen::map(rc::gen::container<std::vector<std::uint32_t>>(
+                       rc::gen::arbitrary<std::uint32_t>()),
+                   [](const std::vector<std::uint32_t> &Times) -> PeerMessage {
+                     control::CreditReply Out{8, {{true, {}}, {false, {}}}};
+                     for (const std::uint32_t Time : Times)
+                       Out.Answers_.push_back({false, Time});
+                     return Out;
                    }));
 }
 
