Refuse a call only when no part may have credit left

A call below the quota of its workspace was refused when three parts happened to be empty while others were not.

--- a/src/libcumingauge/control/credit.cpp
+++ b/src/libcumingauge/control/credit.cpp
@@ -127,9 +127,9 @@
   while (true) {
     if (!Want.Part_ && !choosePart(Asker, Want, usableParts(State),
                                    State.Random_(CreditParts), State.Now_)) {
-      wantClaims(State);
       if (Want.Tried_.any() || isOverdue(Want, State.Now_))
         return concludeWant(Want);
+      wantClaims(State);
       return std::nullopt;
     }
     std::optional<CreditDecision> Out;
--- a/src/libcumingauge/control/creditasker.h
+++ b/src/libcumingauge/control/creditasker.h
@@ -58,7 +58,7 @@
 };
 
 /// Chooses the part to ask for a call. Returns false when none of the usable
-/// parts is left.
+/// parts is left, or only ones that are known to be empty after some refusals.
 /// \param Start part that is asked first for a workspace that is new.
 bool choosePart(CreditAsker &Asker, CreditWant &Want, const PartSet &Usable,
                 unsigned Start, model::TimePoint Now);
