Wait for the claim time after a restore of the directory

A restore brought back the claim of a former issuer. That process renewed it at once, while the issuer that had replaced it and could not reach the directory still issued: two issuers of one part. A claim by the process itself now counts as its own only while it has a tenure, and where the directory has eras, an earlier incarnation's claim is replaced as that of any other process.

The property test restores the store, delays its responses and holds the answers of issuers, and has a quota with a small burst.

--- a/src/libcumingauge/control/creditcalls.cpp
+++ b/src/libcumingauge/control/creditcalls.cpp
@@ -58,6 +58,7 @@
   // A directory without eras loses nothing, so what is absent never was.
   Out.IsAbsentNew_ =
       Era.Number_ == 0 || (State.Settings_.IsFirstStart_ && Era.Restores_ == 0);
+  Out.IsFormerSelfLatest_ = Era.Number_ == 0;
   if (!isCandidate(State, Part))
     Out.Delay_ = jittered(State, OtherDelay);
   else if (*State.Credit_.Ranks_[Part] > 0)
--- a/src/libcumingauge/control/creditclaim.cpp
+++ b/src/libcumingauge/control/creditclaim.cpp
@@ -30,11 +30,11 @@
                         const ClaimPolicy &Policy) {
   const ListedClaim &Known = *Part.Known_;
   const bool IsAbsent = Known.Revision_ == 0;
-  if (!IsAbsent && isOfFormerSelf(Known.Claim_, Self))
+  if (!IsAbsent && Policy.IsFormerSelfLatest_ &&
+      isOfFormerSelf(Known.Claim_, Self))
     return Part.SeenAt_;
-  const bool IsFree = IsAbsent
-                          ? Policy.IsAbsentNew_
-                          : Known.IsReadable_ && Known.Claim_.Process_.empty();
+  const bool IsGivenUp = Known.IsReadable_ && Known.Claim_.Process_.empty();
+  const bool IsFree = IsAbsent ? Policy.IsAbsentNew_ : IsGivenUp;
   return Part.SeenAt_ + Policy.Delay_ +
          (IsFree ? model::Duration::zero() : model::Duration(ClaimTime));
 }
@@ -91,7 +91,8 @@
     return false;
   if (Part.Write_)
     return Now - Part.Write_->SentAt_ >= ResendClaimAfter;
-  if (isOwnClaim(Part.Known_->Claim_, Self))
+  // Without a tenure the claim is an old one that a restore has brought back.
+  if (Part.Tenure_ && isOwnClaim(Part.Known_->Claim_, Self))
     return Now >= Part.RenewAt_;
   return Now - Part.ReadAt_ <= MaxReadAge &&
          Now >= replaceableAt(Part, Self, Policy);
--- a/src/libcumingauge/control/creditclaim.h
+++ b/src/libcumingauge/control/creditclaim.h
@@ -54,6 +54,10 @@
   model::Duration Delay_{0};
   /// Whether a part without a claim has never had an issuer.
   bool IsAbsentNew_ = false;
+  /// Whether a claim by an earlier incarnation of this process is the latest
+  /// one. After a restore of the directory another process may have replaced
+  /// it.
+  bool IsFormerSelfLatest_ = true;
 };
 
 /// Returns whether this process may issue credit of the part.
--- a/tests/control/creditclaimtest.cpp
+++ b/tests/control/creditclaimtest.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 constexpr TimePoint Start{seconds(1000)};
-constexpr ClaimPolicy NewFleet{model::Duration(0), true};
-constexpr ClaimPolicy OldFleet{model::Duration(0), false};
+constexpr ClaimPolicy NewFleet{model::Duration(0), true, true};
+constexpr ClaimPolicy OldFleet{model::Duration(0), false, true};
 
 model::Member member(const std::string &Name, std::uint64_t Incarnation = 1) {
   model::Member Out;
@@ -106,8 +106,8 @@
     Next.read(at(Claim, 5), Start + milliseconds(7900));
     CPPUNIT_ASSERT(!Next.isDue(Start + milliseconds(7999)));
     CPPUNIT_ASSERT(Next.isDue(Start + milliseconds(8000)));
-    CPPUNIT_ASSERT(
-        !Next.isDue(Start + milliseconds(8000), {milliseconds(300), false}));
+    CPPUNIT_ASSERT(!Next.isDue(Start + milliseconds(8000),
+                               {milliseconds(300), false, true}));
     CPPUNIT_ASSERT_MESSAGE("the last read is too old",
                            !Next.isDue(Start + seconds(30)));
     Next.read(at(Claim, 6), Start + milliseconds(7950));
@@ -129,6 +129,10 @@
     Claimer Restarted(member("a", 2));
     Restarted.read(Claim, Start + seconds(1));
     CPPUNIT_ASSERT(Restarted.isDue(Start + seconds(1)));
+    CPPUNIT_ASSERT_MESSAGE(
+        "the claim may be from a copy",
+        !Restarted.isDue(Start + seconds(1),
+                         {model::Duration(0), false, false}));
     Claimer Moved(member("a", 2));
     Moved.Self_.Port_ = 7001;
     Moved.read(Claim, Start + seconds(1));
--- a/tests/control/quotafleet.cpp
+++ b/tests/control/quotafleet.cpp
@@ -39,8 +39,10 @@
 
 } // namespace
 
-QuotaFleet::QuotaFleet(unsigned Processes, std::uint64_t Seed, Quotas Limits)
-    : Limits_(Limits), Random_(Seed), Processes_(Processes), Factors_{1} {
+QuotaFleet::QuotaFleet(unsigned Processes, std::uint64_t Seed, Quotas Limits,
+                       std::uint64_t Era)
+    : Limits_(Limits), Random_(Seed), Processes_(Processes),
+      Era_(Era), Factors_{1} {
   for (unsigned I = 0; I < Processes; ++I) {
     Processes_[I].ClockRate_ =
         1 + ClockError * (static_cast<double>(draw(2001)) - 1000) / 1000;
@@ -49,7 +51,7 @@
 }
 
 model::CallQuota QuotaFleet::quotaOf(unsigned Workspace, double Factor) {
-  constexpr model::CallQuota Quotas[Workspaces] = {{2, 4}, {20, 10}, {80, 120}};
+  constexpr model::CallQuota Quotas[Workspaces] = {{2, 4}, {20, 60}, {80, 5}};
   return {Quotas[Workspace].RequestsPerSecond_ * Factor,
           Quotas[Workspace].Burst_ * Factor};
 }
@@ -157,6 +159,18 @@
   Processes_[Number].IsCutFromStore_ = IsCut;
 }
 
+void QuotaFleet::slowStore(unsigned Number, milliseconds Time) {
+  Processes_[Number].StoreDelay_ = Time;
+}
+
+void QuotaFleet::restoreStore(milliseconds Age) {
+  const auto Later = Copies_.upper_bound(Now_ - Age);
+  Stored_ = Later == Copies_.begin() ? Content() : std::prev(Later)->second;
+  Copies_.erase(Later, Copies_.end());
+  ConfigurationRevision_ = ++Stored_.Revision_;
+  ++Era_;
+}
+
 bool QuotaFleet::isCut(const OpenedLink &Link) const {
   return Processes_[Link.From_].IsCutFromPeers_ ||
          Processes_[Link.To_].IsCutFromPeers_;
@@ -245,6 +259,8 @@
     Used.LastArrival_ = std::max(Used.LastArrival_, Now_ + Delay);
     Delay = Used.LastArrival_ - Now_;
   }
+  if (std::holds_alternative<CreditReply>(*Command.Message_))
+    Delay = std::max(Delay, HeldUntil_ - Now_);
   // What is sent into a cut arrives after it or never.
   if (isCut(Used))
     Delay += milliseconds(draw(10000));
@@ -281,7 +297,8 @@
       if (Processes_[Number].Incarnation_ == Incarnation)
         arriveAtStore(Number, Incarnation, Command);
     });
-  const ports::DirectoryResponse Response = answer(Asked);
+  ports::DirectoryResponse Response = answer(Asked);
+  Response.Era_ = Era_;
   const bool IsLost = Store_ == StoreFault::Silent ||
                       Processes_[Number].IsCutFromStore_ ||
                       (Store_ == StoreFault::LosesResponses && draw(2) == 0);
@@ -291,7 +308,9 @@
            DirectoryResponseReceived{Command.Call_,
                                      failed(model::ResultCode::StoreTimeout)});
     });
-  after(delay(), [=, this] {
+  const auto MostSlow =
+      static_cast<std::uint32_t>(Processes_[Number].StoreDelay_.count());
+  after(delay() + milliseconds(draw(MostSlow + 1)), [=, this] {
     feed(Number, Incarnation,
          DirectoryResponseReceived{Command.Call_, Response});
   });
@@ -306,26 +325,27 @@
 QuotaFleet::answer(const ports::DirectoryRequest &Asked) {
   ports::DirectoryResponse Out;
   if (Asked.Operation_ == DirectoryOperation::Claim) {
-    ports::ListedClaim &Stored = Claims_[Asked.Claim_.Part_];
+    ports::ListedClaim &Stored = Stored_.Claims_[Asked.Claim_.Part_];
     if (Stored.Revision_ != Asked.Claim_.Revision_) {
       Out.IsConflict_ = true;
       Out.Claims_.push_back(Stored);
       return Out;
     }
     Stored = Asked.Claim_;
-    Out.Revision_ = Stored.Revision_ = ++Revision_;
+    Out.Revision_ = Stored.Revision_ = ++Stored_.Revision_;
+    Copies_[Now_] = Stored_;
     return Out;
   }
   if (Asked.Operation_ == DirectoryOperation::Announce) {
     Members_[Asked.Self_.Process_] = Asked.Self_;
-    ++Revision_;
+    ++Stored_.Revision_;
   }
-  Out.Revision_ = Revision_;
+  Out.Revision_ = Stored_.Revision_;
   if (Asked.Topic_ == DirectoryTopic::Members)
     for (const auto &Entry : Members_)
       Out.Members_.push_back(Entry.second);
   if (Asked.Topic_ == DirectoryTopic::CreditClaims)
-    for (const auto &Entry : Claims_)
+    for (const auto &Entry : Stored_.Claims_)
       if (Entry.second.Revision_ > 0)
         Out.Claims_.push_back(Entry.second);
   const bool IsRead = Asked.Operation_ == DirectoryOperation::Read;
@@ -346,7 +366,7 @@
 
 void QuotaFleet::configure(double Factor) {
   Factors_.push_back(Factor);
-  ConfigurationRevision_ = ++Revision_;
+  ConfigurationRevision_ = ++Stored_.Revision_;
 }
 
 void QuotaFleet::call(unsigned Workspace) {
--- a/tests/control/quotafleet.h
+++ b/tests/control/quotafleet.h
@@ -26,8 +26,9 @@
 
   enum class Quotas { With, Without };
 
+  /// \param Era of the store; 0: it has none and is never restored.
   QuotaFleet(unsigned Processes, std::uint64_t Seed,
-             Quotas Limits = Quotas::With);
+             Quotas Limits = Quotas::With, std::uint64_t Era = 0);
 
   unsigned size() const { return static_cast<unsigned>(Processes_.size()); }
   model::TimePoint now() const { return Now_; }
@@ -44,6 +45,13 @@
   void cutFromStore(unsigned Process, bool IsCut);
   enum class StoreFault { None, Silent, Unavailable, LosesResponses };
   void setStore(StoreFault Fault) { Store_ = Fault; }
+  /// Delays the responses of the store to a process by up to a time.
+  void slowStore(unsigned Process, model::milliseconds Time);
+  /// Restores the store from a copy that was taken a time ago. Its revisions
+  /// are given out again, and a new era begins.
+  void restoreStore(model::milliseconds Age);
+  /// Holds the answers of issuers up until then.
+  void holdReplies(model::milliseconds Time) { HeldUntil_ = Now_ + Time; }
   /// Makes messages about credit be lost, late or doubled, in percent.
   void setCreditFaults(unsigned Percent) { CreditFaults_ = Percent; }
   /// Accepts a configuration in which all quotas are multiplied.
@@ -84,8 +92,14 @@
     model::TimePoint PausedUntil_;
     bool IsCutFromPeers_ = false;
     bool IsCutFromStore_ = false;
+    model::milliseconds StoreDelay_{0};
     double Factor_ = 0; ///< of the configuration in force
   };
+  /// What the store loses when it is restored.
+  struct Content {
+    std::uint64_t Revision_ = 10;
+    std::map<unsigned, ports::ListedClaim> Claims_;
+  };
   struct Event {
     model::TimePoint At_;
     std::uint64_t Order_;
@@ -134,8 +148,10 @@
 
   StoreFault Store_ = StoreFault::None;
   unsigned CreditFaults_ = 0;
-  std::uint64_t Revision_ = 10;
-  std::map<unsigned, ports::ListedClaim> Claims_;
+  Content Stored_;
+  std::map<model::TimePoint, Content> Copies_; ///< after each claim
+  std::uint64_t Era_ = 0;
+  model::TimePoint HeldUntil_;
   std::map<std::string, model::Member> Members_;
   std::uint64_t ConfigurationRevision_ = 10;
   std::vector<double> Factors_; ///< of each version, from 1
--- a/tests/control/quotapropertytest.cpp
+++ b/tests/control/quotapropertytest.cpp
@@ -69,8 +69,9 @@
 public:
   explicit Run(std::uint64_t Seed)
       : Name_("seed " + std::to_string(Seed)),
-        Fleet_(4 + static_cast<unsigned>(Seed % 5), Seed),
-        HasFaults_(Seed % 4 != 0) {}
+        Fleet_(4 + static_cast<unsigned>(Seed % 5), Seed,
+               QuotaFleet::Quotas::With, Seed % 3 == 0 ? 1 : 0),
+        HasFaults_(Seed % 4 != 0), HasEras_(Seed % 3 == 0) {}
 
   void play() {
     Fleet_.run(seconds(10));
@@ -84,7 +85,7 @@
     Fleet_.setCreditFaults(0);
     Fleet_.configure(1);
     Demand_ = 0.5;
-    serve(seconds(25));
+    serve(seconds(40));
     checkService();
     checkBounds();
   }
@@ -94,7 +95,7 @@
   void disturb() {
     const unsigned Process = Fleet_.draw(Fleet_.size());
     const milliseconds Time(200 + Fleet_.draw(12000));
-    switch (Fleet_.draw(9)) {
+    switch (Fleet_.draw(12)) {
     case 0:
       return Fleet_.restart(Process, milliseconds(50 + Fleet_.draw(10000)));
     case 1:
@@ -117,6 +118,20 @@
       for (unsigned I = 0; I < Fleet_.size(); ++I)
         Fleet_.restart(I, milliseconds(50 + Fleet_.draw(500)));
       return;
+    case 7:
+      Fleet_.slowStore(Process, milliseconds(7500));
+      return Fleet_.after(Time, [this, Process] {
+        Fleet_.slowStore(Process, milliseconds(0));
+        Fleet_.cutFromStore(Process, true);
+        Fleet_.after(milliseconds(Fleet_.draw(12000)),
+                     [this, Process] { Fleet_.cutFromStore(Process, false); });
+      });
+    case 8:
+      return Fleet_.holdReplies(milliseconds(Fleet_.draw(4500)));
+    case 9:
+      if (HasEras_)
+        Fleet_.restoreStore(milliseconds(Fleet_.draw(20000)));
+      return;
     default:
       return Fleet_.configure(std::array{0.5, 1.0, 2.0}[Fleet_.draw(3)]);
     }
@@ -191,6 +206,7 @@
   std::string Name_;
   QuotaFleet Fleet_;
   bool HasFaults_;
+  bool HasEras_; ///< the store has eras and is restored from copies
   double Demand_ = 0;
   std::array<double, QuotaFleet::Workspaces> Allowed_{};
 };
