Look for the issuers of all parts while credit is requested

A process that had read the claims when a part had none, as after a restore, never asked that part later, since it read the claims again only when none was left to ask. A sixth of the quota lay idle for its callers. Now any part without a known issuer makes it read the claims, at most once per second and only while calls want credit.

--- a/src/libcumingauge/control/credit.cpp
+++ b/src/libcumingauge/control/credit.cpp
@@ -98,6 +98,15 @@
   return applyCreditFailure(State.Credit_.Asker_, Want, State.Now_);
 }
 
+/// Chooses the part to ask next; see choosePart.
+bool chooseNextPart(CoreState &State, CreditWant &Want) {
+  const PartSet Usable = usableParts(State);
+  if (!Usable.all())
+    wantClaims(State);
+  return choosePart(State.Credit_.Asker_, Want, Usable,
+                    State.Random_(CreditParts), State.Now_);
+}
+
 /// Opens a link to the issuer of a part unless there is one. Returns false when
 /// it cannot be reached.
 bool prepareLink(CoreState &State, unsigned Part) {
@@ -125,11 +134,9 @@
     if (const auto Out = fail(State, Want))
       return Out;
   while (true) {
-    if (!Want.Part_ && !choosePart(Asker, Want, usableParts(State),
-                                   State.Random_(CreditParts), State.Now_)) {
+    if (!Want.Part_ && !chooseNextPart(State, Want)) {
       if (Want.Tried_.any() || isOverdue(Want, State.Now_))
         return concludeWant(Want);
-      wantClaims(State);
       return std::nullopt;
     }
     std::optional<CreditDecision> Out;
--- a/tests/control/quotafleet.cpp
+++ b/tests/control/quotafleet.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr milliseconds TickPeriod{100};
+constexpr milliseconds TickPeriod{200};
 constexpr model::seconds ConnectTimeout{1};
 /// Time after which the client of the store gives up a call.
 constexpr model::seconds AnswerTimeout{2};
--- a/tests/control/quotapropertytest.cpp
+++ b/tests/control/quotapropertytest.cpp
@@ -198,9 +198,12 @@
                    (Quota.RequestsPerSecond_ * 5 + Quota.Burst_) * 1.1 + 20);
     // The bound of the design note, over all windows.
     const double Rate = Quota.RequestsPerSecond_ * (1 + QuotaFleet::ClockError);
-    CPPUNIT_ASSERT_LESSEQUAL(Quota.Burst_ + 2 * CreditParts + 0.31 * Rate +
-                                 1e-6,
-                             largestExcess(Starts, Rate));
+    const double Bound = Quota.Burst_ + 2 * CreditParts + 0.31 * Rate + 1e-6;
+    const double Excess = largestExcess(Starts, Rate);
+    CPPUNIT_ASSERT_MESSAGE(Name_ + ": " + std::to_string(Excess) +
+                               " calls beyond the rate, of " +
+                               std::to_string(Bound),
+                           Excess <= Bound);
   }
 
   std::string Name_;
@@ -220,6 +223,7 @@
 class QuotaOfTheFleet : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(QuotaOfTheFleet);
   CPPUNIT_TEST(holdsThroughFaultsInEveryWindow);
+  CPPUNIT_TEST(losesNothingWhileTheStoreIsSilentFor4500Ms);
   CPPUNIT_TEST(costsNothingWithoutQuotas);
   CPPUNIT_TEST(opensLinksOnlyWhileTheyAreUsed);
   CPPUNIT_TEST_SUITE_END();
@@ -228,11 +232,30 @@
   /// QUOTA_SEEDS runs other numbers of seeds from QUOTA_FIRST_SEED on.
   void holdsThroughFaultsInEveryWindow() {
     const std::uint64_t First = numberFrom("QUOTA_FIRST_SEED", 1);
-    const std::uint64_t Count = numberFrom("QUOTA_SEEDS", 12);
+    const std::uint64_t Count = numberFrom("QUOTA_SEEDS", 40);
     for (std::uint64_t Seed = First; Seed < First + Count; ++Seed)
       Run(Seed).play();
   }
 
+  void losesNothingWhileTheStoreIsSilentFor4500Ms() {
+    QuotaFleet Fleet(6, 1);
+    Fleet.run(seconds(10));
+    for (unsigned Silence = 0; Silence < 100; ++Silence) {
+      Fleet.setStore(QuotaFleet::StoreFault::Silent);
+      Fleet.after(milliseconds(4500),
+                  [&] { Fleet.setStore(QuotaFleet::StoreFault::None); });
+      const TimePoint End =
+          Fleet.now() + milliseconds(11000 + Fleet.draw(2000));
+      while (Fleet.now() < End) {
+        Fleet.call(2);
+        Fleet.run(milliseconds(50));
+        for (unsigned Part = 0; Part < CreditParts; ++Part)
+          CPPUNIT_ASSERT_EQUAL(1U, Fleet.issuers(Part));
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(0U, Fleet.refused() + Fleet.unknown());
+  }
+
   void costsNothingWithoutQuotas() {
     QuotaFleet Fleet(4, 1, QuotaFleet::Quotas::Without);
     Fleet.run(seconds(30));
