--- a/src/libcumingauge/control/updatereceiver.cpp
+++ b/src/libcumingauge/control/updatereceiver.cpp
@@ -167,7 +167,7 @@
           std::max(LastSubscription.value_or(*Value.SubscribedAt_),
                    *Value.SubscribedAt_);
   for (auto &[Id, Value] : State.Links_.Links_) {
-    if (!Value.Outbound_ || Value.SubscribedAt_)
+    if (!Value.Outbound_ || Value.SubscribedAt_ || Value.IsForCredit_)
       continue;
     if (!isDirectoryRead(State) && LastSubscription &&
         State.Now_ - *LastSubscription < Pause)
