Put the own view in force before peers are told

A step that applied a configuration handed its messages to the links before its own view to the traffic threads, and each message with a long preset takes time to encode: the process that told all others was the last to use the version. step() now moves the view before the first message to a peer; the order of all other commands is the same.

UpdateOfAReader::isInForceHereBeforeItIsPassedOn failed before.

--- a/src/libcumingauge/control/core.cpp
+++ b/src/libcumingauge/control/core.cpp
@@ -10,6 +10,8 @@
 #include "control/updatereceiver.h"
 #include "control/updatesender.h"
 #include "control/viewpublisher.h"
+#include <algorithm>
+#include <iterator>
 
 namespace cumingauge::control {
 
@@ -51,6 +53,19 @@
   State.LastStep_ = State.Now_;
 }
 
+/// Moves a view that was published at the end of a step before the messages to
+/// peers: encoding many of them takes long.
+void publishBeforeSending(std::vector<CoreCommand> &Commands) {
+  if (Commands.empty() || !std::holds_alternative<PublishView>(Commands.back()))
+    return;
+  const auto FirstSent = std::find_if(
+      Commands.begin(), Commands.end(), [](const CoreCommand &Command) {
+        return std::holds_alternative<SendPeer>(Command);
+      });
+  if (FirstSent != Commands.end())
+    std::rotate(FirstSent, std::prev(Commands.end()), Commands.end());
+}
+
 /// Handles the messages that a peer or an operator may send.
 struct PeerMessageHandler {
   CoreState &State_;
@@ -182,6 +197,7 @@
   advanceTime(State, Now);
   std::visit(InputHandler{State}, Input);
   publishView(State);
+  publishBeforeSending(State.Commands_);
   return std::exchange(State.Commands_, {});
 }
 
--- a/tests/control/updatetest.cpp
+++ b/tests/control/updatetest.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr LinkId ToReader = 1;
+constexpr LinkId FromSubscriber = 2;
 
 model::Member memberNamed(const std::string &Process) {
   model::Member Out;
@@ -58,6 +59,7 @@
   CPPUNIT_TEST(isAsOldAsTheQuestionHoweverLateItComes);
   CPPUNIT_TEST(confirmsNothingWithoutAQuestion);
   CPPUNIT_TEST(confirmsNoConfigurationWithoutItsPreset);
+  CPPUNIT_TEST(isInForceHereBeforeItIsPassedOn);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -101,6 +103,29 @@
     const auto Sent = takeSent<DirectorySubscription>(Process, ToReader);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), Sent.at(0).Version_);
   }
+
+  void isInForceHereBeforeItIsPassedOn() {
+    DirectoryProcess Process = makeSubscribed();
+    DirectoryUpdate Next = answerTo(Process);
+    Process.feed(
+        LinkOpened{FromSubscriber, memberNamed("other"), false, false});
+    receive(Process, FromSubscriber, DirectorySubscription{});
+    Process.takeCommands();
+    Next.Version_ = 6;
+    Next.Preset_.emplace();
+    receive(Process, ToReader, Next);
+    const std::vector<CoreCommand> Commands = Process.takeCommands();
+    const auto Published = std::find_if(
+        Commands.begin(), Commands.end(), [](const CoreCommand &Command) {
+          return std::holds_alternative<PublishView>(Command);
+        });
+    const auto Sent = std::find_if(
+        Commands.begin(), Commands.end(), [](const CoreCommand &Command) {
+          return std::holds_alternative<SendPeer>(Command);
+        });
+    CPPUNIT_ASSERT(Sent != Commands.end());
+    CPPUNIT_ASSERT(Published < Sent);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(UpdateOfAReader);
 
