Open no connection for calls that are about to be dismissed

When a server leaves, its idle connections are closed and the calls that wait for one are placed again from the event loop. In between, the end of a connection made the pool open a new one to the leaving server for these calls. Found by reading; nothing was sent on it. The pool opens none until the waiting calls are dismissed.

There is no test of its own: such a connection carries no request.

--- a/src/libcumingauge/adapters/httppool.cpp
+++ b/src/libcumingauge/adapters/httppool.cpp
@@ -63,10 +63,13 @@
 void HttpPool::dismissWaiters() {
   if (Waiters_.empty())
     return;
+  IsDismissing_ = true;
   const Ticket Last = LastTicket_;
   boost::asio::post(Io_, [Self = shared_from_this(), Last] {
     while (!Self->Waiters_.empty() && Self->Waiters_.front().Ticket_ <= Last)
       Self->serveWaiter(Self->Waiters_.begin(), nullptr);
+    Self->IsDismissing_ = false;
+    Self->openForWaiters();
   });
 }
 
@@ -151,6 +154,8 @@
 }
 
 void HttpPool::openForWaiters() {
+  if (IsDismissing_)
+    return;
   while (Connecting_ < Waiters_.size() && All_.size() < Share_.Limit_)
     open();
   // The waiting calls have failed on all idle connections.
--- a/src/libcumingauge/adapters/httppool.h
+++ b/src/libcumingauge/adapters/httppool.h
@@ -80,6 +80,7 @@
   std::vector<std::shared_ptr<HttpConnection>> Idle_;
   std::deque<Waiter> Waiters_;
   unsigned Connecting_ = 0;
+  bool IsDismissing_ = false; ///< no connection is opened for the waiters
   Ticket LastTicket_ = NoTicket;
 };
 
--- a/src/libcumingauge/adapters/httpworkerservers.cpp
+++ b/src/libcumingauge/adapters/httpworkerservers.cpp
@@ -131,8 +131,8 @@
                                   const traffic::ServerEvent &Event) {
   for (const traffic::ServerAction Action : Entry.Life_.process(Event)) {
     if (Action == traffic::ServerAction::CloseIdle) {
-      Entry.Pool_->closeIdle();
       Entry.Pool_->dismissWaiters();
+      Entry.Pool_->closeIdle();
       continue;
     }
     const model::BackendServer &Known = policy::serverOf(*Balancer_, Handle);
