Mark servers that a reader keeps in its updates

ServerListChange has MissingMs_: the directory does not list the server, the sender keeps it. A receiver takes no server into use by such an entry. It keeps one that it lists itself and that is not leaving; one that it does not list counts as removed. It dates the absence by its own clock, passes the mark on, and on a read of its own gives such a server no second time to register again. A process that has no list yet takes the entries as they are. Whole lists and lists of changes alike.

The time that an update is on its way is not in MissingMs_. It makes the date later by as much, which matters only within the receiver's own 2.2 s after a read of its own; no server is added or revived by it.

--- a/src/libcumingauge/control/directoryfollower.h
+++ b/src/libcumingauge/control/directoryfollower.h
@@ -50,6 +50,9 @@
   DirectoryRevision KnownBefore_;
   /// Backend servers by name, as the directory lists them.
   std::map<std::string, ports::ListedServer> Listed_;
+  /// Servers in Listed_ that the directory does not list, as it was down, and
+  /// that may register again: when they were found missing.
+  std::map<std::string, model::TimePoint> MissingSince_;
   DepartureTable Departures_;
   EvacuationTable Evacuations_;
   /// The read of the configuration that is under way, after its first page.
--- a/src/libcumingauge/control/directorylinks.cpp
+++ b/src/libcumingauge/control/directorylinks.cpp
@@ -6,6 +6,7 @@
 #include "control/linkmanager.h"
 #include "control/readerchoice.h"
 #include "control/serverfeed.h"
+#include "control/serverlist.h"
 #include <algorithm>
 
 namespace cumingauge::control {
@@ -96,12 +97,13 @@
 
 ServerListChange changeOf(const CoreState &State, const std::string &Name) {
   const DirectoryFollower &Follower = State.Directory_;
-  ServerListChange Out{Name, std::nullopt, false, std::nullopt};
+  ServerListChange Out{Name, std::nullopt, false, std::nullopt, std::nullopt};
   const auto Listed = Follower.Listed_.find(Name);
   if (Listed != Follower.Listed_.end()) {
     Out.Server_ = Listed->second.Server_;
     Out.Leaving_ = Listed->second.Leaving_;
     Out.WasLeaving_ = wasLeaving(State, Listed->second);
+    Out.MissingMs_ = missingMs(State, Name);
   }
   return Out;
 }
@@ -177,7 +179,8 @@
   return {Known.Number_, versionOf(State), Known.Era_};
 }
 
-std::vector<ports::ServerEntry> entriesOf(const DirectoryUpdate &Message) {
+std::vector<ports::ServerEntry> entriesOf(const CoreState &State,
+                                          const DirectoryUpdate &Message) {
   std::vector<ports::ServerEntry> Out;
   for (const ServerListChange &Update : Message.Servers_) {
     ports::ServerEntry Entry{Update.Name_, std::nullopt, Message.Revision_};
@@ -185,6 +188,9 @@
       Entry.Listed_ = ports::ListedServer{*Update.Server_, Update.Leaving_};
     Entry.Departed_ = Update.WasLeaving_.has_value();
     Entry.IsFromPeer_ = true;
+    if (Update.MissingMs_)
+      Entry.MissingSince_ =
+          State.Now_ - model::milliseconds(*Update.MissingMs_);
     Out.push_back(std::move(Entry));
   }
   return Out;
@@ -445,9 +451,9 @@
   if (IsOfPresentEra && Revision >= Follower.KnownRevision_) {
     recordReportedDepartures(State, Message);
     if (IsComplete)
-      applyCompleteList(State, entriesOf(Message), Revision);
+      applyCompleteList(State, entriesOf(State, Message), Revision);
     else
-      applyServerChanges(State, entriesOf(Message), Revision);
+      applyServerChanges(State, entriesOf(State, Message), Revision);
     if (Message.Complete_ == false)
       awaitWholeList(Follower);
     if (!Follower.AwaitsWholeList_)
--- a/src/libcumingauge/control/peermessage.h
+++ b/src/libcumingauge/control/peermessage.h
@@ -106,9 +106,12 @@
   /// Set when the server departed before the directory was restored from a
   /// copy, which lists it as ready: whether it was leaving; else just removed.
   std::optional<bool> WasLeaving_;
+  /// Set when the directory does not list the server and the sender keeps it,
+  /// as it may register again: time since it was found missing.
+  std::optional<std::uint32_t> MissingMs_;
 };
 BOOST_DESCRIBE_STRUCT(ServerListChange, (),
-                      (Name_, Server_, Leaving_, WasLeaving_))
+                      (Name_, Server_, Leaving_, WasLeaving_, MissingMs_))
 
 /// Subscribes to the directory: requests the configuration after a version, the
 /// changes of the server list after a revision, and updates from then on.
--- a/src/libcumingauge/control/serverfeed.cpp
+++ b/src/libcumingauge/control/serverfeed.cpp
@@ -157,7 +157,10 @@
   advanceKnownRevision(State, Revision);
   if (Follower.Servers_.Revision_ > 0)
     Follower.Servers_.Revision_ = Follower.KnownRevision_.Number_;
-  if (applyServerEntries(State, Entries))
+  std::vector<ports::ServerEntry> Taken;
+  for (const ports::ServerEntry &Entry : Entries)
+    Taken.push_back(entryToTake(State, Entry));
+  if (applyServerEntries(State, Taken))
     rebuildState(State, *State.Log_.State_);
 }
 
@@ -165,9 +168,11 @@
                        const std::vector<ports::ServerEntry> &Entries,
                        DirectoryRevision Revision) {
   std::map<std::string, ports::ServerEntry> Read;
-  for (const ports::ServerEntry &Entry : Entries)
+  for (const ports::ServerEntry &Told : Entries) {
+    const ports::ServerEntry Entry = entryToTake(State, Told);
     if (Entry.Listed_)
       Read[Entry.Name_] = Entry;
+  }
   // The peer has kept the servers that may still register again.
   takeServerList(State, Read, Revision, MissingServers::Remove);
   rebuildState(State, *State.Log_.State_);
--- a/src/libcumingauge/control/serverlist.cpp
+++ b/src/libcumingauge/control/serverlist.cpp
@@ -96,12 +96,27 @@
     ++Read.Server_.ColdSpell_;
 }
 
+/// Records that a server is kept although the directory does not list it. Of
+/// two times at which it was found missing the earlier one counts.
+void recordMissing(CoreState &State, const std::string &Name,
+                   model::TimePoint Since) {
+  const auto Added = State.Directory_.MissingSince_.try_emplace(Name, Since);
+  Added.first->second = std::min(Added.first->second, Since);
+}
+
 /// Applies an entry without recording its revision for the peers.
 /// \returns true when it changed what is known of the server.
 bool updateListed(CoreState &State, const ports::ServerEntry &Entry,
                   Differences &Found) {
   auto &Listed = State.Directory_.Listed_;
   const auto Known = Listed.find(Entry.Name_);
+  if (Entry.MissingSince_)
+    recordMissing(State, Entry.Name_, *Entry.MissingSince_);
+  else
+    State.Directory_.MissingSince_.erase(Entry.Name_);
+  // Nothing is known of the server that is newer than its listing here.
+  if (Entry.MissingSince_ && Known != Listed.end())
+    return false;
   if (!Entry.Listed_) {
     if (Known == Listed.end())
       return false;
@@ -163,6 +178,17 @@
          isDeparted(State, *Entry.Listed_);
 }
 
+/// Returns whether a server that a whole read lacks may still register again.
+/// One that was leaving has left.
+bool mayRegisterAgain(const CoreState &State, const std::string &Name) {
+  const DirectoryFollower &Follower = State.Directory_;
+  const auto Since = Follower.MissingSince_.find(Name);
+  const bool IsOverdue = Since != Follower.MissingSince_.end() &&
+                         State.Now_ - Since->second >= ReregistrationTime;
+  return isOutageJustOver(State) && !IsOverdue &&
+         !Follower.Listed_.at(Name).Leaving_;
+}
+
 bool canBeNewOutage(const CoreState &State) {
   const auto &Back = State.Directory_.OutageEndedAt_;
   return !Back || State.Now_ - *Back >= OutageWindow;
@@ -180,7 +206,7 @@
   Differences Found;
   bool Changed = false;
   for (const ports::ServerEntry &Entry : Entries) {
-    if (Entry.Listed_ && !Entry.Departed_)
+    if (Entry.Listed_ && !Entry.Departed_ && !Entry.MissingSince_)
       Changed = recordRenewal(State, *Entry.Listed_) || Changed;
     Changed = applyServerEntry(State, Entry, Found) || Changed;
   }
@@ -200,22 +226,50 @@
     if (Read.count(Entry.first) == 0)
       Missing.push_back(Entry.first);
   Differences Found;
-  // A missing server that was leaving is removed at once.
   for (const std::string &Name : Missing)
-    if (!MayKeep || !isOutageJustOver(State) || Follower.Listed_[Name].Leaving_)
+    if (MayKeep && mayRegisterAgain(State, Name))
+      recordMissing(State, Name, State.Now_);
+    else
       applyServerEntry(State, {Name, std::nullopt, 0}, Found);
   for (const auto &[Name, Entry] : Read) {
     // The entries in a peer's list have no revisions of their own.
     if (MayKeep && isWrittenInEra(Follower, Entry))
       recordRenewal(State, *Entry.Listed_);
     // The known start may still register again.
-    if (MayKeep && isOutageJustOver(State) && isReplacedStart(State, Entry))
+    if (MayKeep && isReplacedStart(State, Entry) && isOutageJustOver(State)) {
+      recordMissing(State, Name, State.Now_);
       continue;
+    }
     applyServerEntry(State, Entry, Found);
   }
   recordDifferences(State, Found);
 }
 
+ports::ServerEntry entryToTake(const CoreState &State,
+                               const ports::ServerEntry &Entry) {
+  const DirectoryFollower &Follower = State.Directory_;
+  if (!Entry.MissingSince_ || !Follower.Servers_.Read_)
+    return Entry;
+  const auto Known = Follower.Listed_.find(Entry.Name_);
+  const bool IsKept = Known != Follower.Listed_.end() &&
+                      !Known->second.Leaving_ &&
+                      Known->second.Server_.Vm_ == Entry.Listed_->Server_.Vm_;
+  return IsKept
+             ? Entry
+             : ports::ServerEntry{Entry.Name_, std::nullopt, Entry.Revision_};
+}
+
+std::optional<std::uint32_t> missingMs(const CoreState &State,
+                                       const std::string &Name) {
+  const auto Since = State.Directory_.MissingSince_.find(Name);
+  if (Since == State.Directory_.MissingSince_.end())
+    return std::nullopt;
+  return static_cast<std::uint32_t>(
+      std::chrono::duration_cast<model::milliseconds>(State.Now_ -
+                                                      Since->second)
+          .count());
+}
+
 void advanceKnownRevision(CoreState &State, DirectoryRevision Revision) {
   DirectoryFollower &Follower = State.Directory_;
   Follower.KnownRevision_ = std::max(Follower.KnownRevision_, Revision);
--- a/src/libcumingauge/control/serverlist.h
+++ b/src/libcumingauge/control/serverlist.h
@@ -5,6 +5,7 @@
 #include "ports/directory.h"
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,17 @@
                      const std::map<std::string, ports::ServerEntry> &Read,
                      MissingServers Rule);
 
+/// Returns the entry of a peer's update as this process takes it. A server that
+/// the peer keeps although the directory does not list it counts as removed,
+/// unless this process keeps it too or has no list yet.
+ports::ServerEntry entryToTake(const CoreState &State,
+                               const ports::ServerEntry &Entry);
+
+/// Returns the time in ms since a server that is kept was found missing in the
+/// directory; nothing for others.
+std::optional<std::uint32_t> missingMs(const CoreState &State,
+                                       const std::string &Name);
+
 /// Adds a page to a read of the list.
 /// \returns true when the list is complete.
 bool addServerPage(ServerListRead &Read,
--- a/src/libcumingauge/ports/directory.h
+++ b/src/libcumingauge/ports/directory.h
@@ -62,6 +62,9 @@
   /// The entry is from a copy of the directory; the server has departed since.
   bool Departed_ = false;
   bool IsFromPeer_ = false; ///< a peer has passed it on
+  /// Set when the directory does not list the server and a peer keeps it, as it
+  /// may register again: when it was found missing.
+  std::optional<model::TimePoint> MissingSince_;
 };
 
 /// Whether operators request that an availability zone is evacuated.
--- a/tests/control/directoryprocess.cpp
+++ b/tests/control/directoryprocess.cpp
@@ -25,6 +25,9 @@
       View_ = View->View_;
     else if (const auto *Event = std::get_if<RecordEvent>(&Command))
       Events_.push_back(*Event);
+    else if (const auto *Sent = std::get_if<SendPeer>(&Command))
+      if (const auto *News = std::get_if<DirectoryUpdate>(Sent->Message_.get()))
+        Updates_.push_back(*News);
 }
 
 void DirectoryProcess::wait(model::milliseconds Time) {
--- a/tests/control/directoryprocess.h
+++ b/tests/control/directoryprocess.h
@@ -47,6 +47,9 @@
   /// Returns the events of a kind.
   std::vector<RecordEvent> events(model::EventKind Kind) const;
 
+  /// Returns the updates that were sent to peers.
+  const std::vector<DirectoryUpdate> &updates() const { return Updates_; }
+
   const DirectoryEra &era() const { return directoryEra(*Core_); }
   model::TimePoint now() const { return Now_; }
   model::TimePoint confirmedAt() const { return lastExchange(*Core_); }
@@ -70,6 +73,7 @@
   std::set<StoreCallId> Answered_;
   std::shared_ptr<const model::ControlView> View_;
   std::vector<RecordEvent> Events_;
+  std::vector<DirectoryUpdate> Updates_;
 };
 
 // Responses of the directory.
