--- a/src/libcumingauge/control/peermessage.h
+++ b/src/libcumingauge/control/peermessage.h
@@ -106,9 +106,13 @@
   /// Set when the server departed before the directory was restored from a
   /// copy, which lists it as ready: whether it was leaving; else just removed.
   std::optional<bool> WasLeaving_;
+  /// Set when the directory does not list the server and the sender keeps it,
+  /// as it may register again: when it was found missing, in ms since the
+  /// sender received the receiver's subscription.
+  std::optional<std::int32_t> MissingMs_;
 };
 BOOST_DESCRIBE_STRUCT(ServerListChange, (),
-                      (Name_, Server_, Leaving_, WasLeaving_))
+                      (Name_, Server_, Leaving_, WasLeaving_, MissingMs_))
 
 /// Subscribes to the directory: requests the configuration after a version, the
 /// changes of the server list after a revision, and updates from then on. Sent
--- a/src/libcumingauge/control/serverlist.h
+++ b/src/libcumingauge/control/serverlist.h
@@ -33,6 +33,12 @@
                      const std::map<std::string, ports::ServerEntry> &Read,
                      MissingServers Rule);
 
+/// Returns the entry of a peer's update as this process takes it. A server that
+/// the peer keeps although the directory does not list it counts as removed,
+/// unless this process keeps it too or has no list yet.
+ports::ServerEntry entryToTake(const CoreState &State,
+                               const ports::ServerEntry &Entry);
+
 /// Adds a page to a read of the list.
 /// \returns true when the list is complete.
 bool addServerPage(ServerListRead &Read,
--- a/src/libcumingauge/control/updatereceiver.cpp
+++ b/src/libcumingauge/control/updatereceiver.cpp
@@ -58,7 +58,9 @@
   return std::min(State.Now_, Asked + model::milliseconds(OffsetMs));
 }
 
-std::vector<ports::ServerEntry> entriesOf(const DirectoryUpdate &Message) {
+std::vector<ports::ServerEntry> entriesOf(const CoreState &State,
+                                          const Link &From,
+                                          const DirectoryUpdate &Message) {
   std::vector<ports::ServerEntry> Out;
   for (const ServerListChange &Update : Message.Servers_) {
     ports::ServerEntry Entry{Update.Name_, std::nullopt, Message.Revision_};
@@ -66,6 +68,9 @@
       Entry.Listed_ = ports::ListedServer{*Update.Server_, Update.Leaving_};
     Entry.Departed_ = Update.WasLeaving_.has_value();
     Entry.IsFromPeer_ = true;
+    if (Update.MissingMs_)
+      Entry.MissingSince_ = ownTime(State, From, Message, *Update.MissingMs_)
+                                .value_or(State.Now_);
     Out.push_back(std::move(Entry));
   }
   return Out;
@@ -144,9 +149,9 @@
     return;
   recordReportedDepartures(State, Message);
   if (Message.Complete_.value_or(false))
-    applyCompleteList(State, entriesOf(Message), Revision);
+    applyCompleteList(State, entriesOf(State, From, Message), Revision);
   else
-    applyServerChanges(State, entriesOf(Message), Revision);
+    applyServerChanges(State, entriesOf(State, From, Message), Revision);
   if (Message.Complete_ == false)
     awaitWholeList(Follower);
   if (!Follower.AwaitsWholeList_)
--- a/src/libcumingauge/control/updatesender.cpp
+++ b/src/libcumingauge/control/updatesender.cpp
@@ -20,25 +20,28 @@
 /// last one that it has sent is older than this.
 constexpr double RelayFraction = 0.25;
 
-/// Returns when a topic was confirmed, in ms since the peer's subscription was
-/// received.
-std::int32_t confirmedMs(const Subscriber &To, const DirectoryFeed &Feed) {
+/// Returns a time in ms since the peer's subscription was received.
+std::int32_t offsetMs(const Subscriber &To, model::TimePoint Time) {
   using Limits = std::numeric_limits<std::int32_t>;
   const auto Offset =
-      std::chrono::floor<model::milliseconds>(confirmedAt(Feed) - To.AskedAt_)
-          .count();
+      std::chrono::floor<model::milliseconds>(Time - To.AskedAt_).count();
   return static_cast<std::int32_t>(
       std::clamp<std::int64_t>(Offset, Limits::min(), Limits::max()));
 }
 
-ServerListChange changeOf(const CoreState &State, const std::string &Name) {
+ServerListChange changeOf(const CoreState &State, const Subscriber &To,
+                          const std::string &Name) {
   const DirectoryFollower &Follower = State.Directory_;
-  ServerListChange Out{Name, std::nullopt, false, std::nullopt};
+  ServerListChange Out;
+  Out.Name_ = Name;
   const auto Listed = Follower.Listed_.find(Name);
   if (Listed != Follower.Listed_.end()) {
     Out.Server_ = Listed->second.Server_;
     Out.Leaving_ = Listed->second.Leaving_;
     Out.WasLeaving_ = wasLeaving(State, Listed->second);
+    if (const auto Since = Follower.MissingSince_.find(Name);
+        Since != Follower.MissingSince_.end())
+      Out.MissingMs_ = offsetMs(To, Since->second);
   }
   return Out;
 }
@@ -67,9 +70,9 @@
   Out.After_ = Known.Number_;
   Out.Era_ = Follower.KnownRevision_.Era_;
   Out.Revision_ = Follower.KnownRevision_.Number_;
-  Out.ConfirmedMs_ = confirmedMs(To, Follower.Servers_);
+  Out.ConfirmedMs_ = offsetMs(To, confirmedAt(Follower.Servers_));
   Out.Version_ = versionOf(State);
-  Out.VersionConfirmedMs_ = confirmedMs(To, Follower.Configuration_);
+  Out.VersionConfirmedMs_ = offsetMs(To, confirmedAt(Follower.Configuration_));
   Out.EvacuatedZones_ = Follower.Evacuations_.Requested_;
   Out.ZonesRevision_ = Follower.Evacuations_.Revision_.Number_;
   if (const model::Preset *Preset = newPreset(State, To))
@@ -77,12 +80,12 @@
   if (Content == UpdateContent::WholeList) {
     Out.Complete_ = true;
     for (const auto &Entry : Follower.Listed_)
-      Out.Servers_.push_back(changeOf(State, Entry.first));
+      Out.Servers_.push_back(changeOf(State, To, Entry.first));
     return Out;
   }
   for (const auto &[Name, Change] : Follower.Changes_)
     if (isNew(To, Change))
-      Out.Servers_.push_back(changeOf(State, Name));
+      Out.Servers_.push_back(changeOf(State, To, Name));
   return Out;
 }
 
