--- a/src/libcumingauge/adapters/httpcall.cpp
+++ b/src/libcumingauge/adapters/httpcall.cpp
@@ -294,33 +294,6 @@
     Connection->resume();
 }
 
-/// Whether the answer is buffered until it is whole instead of streamed.
-bool HttpCall::canKeepAnswer(const traffic::AnswerHead &Head) const {
-  return Head.Length_ <= Worker_.limits().KeptAnswerBytes_ &&
-         Worker_.limits().KeptAnswerBytes_ > 0;
-}
-
-/// Starts streaming an answer that has grown too long to be buffered.
-void HttpCall::streamKeptAnswer(AttemptNumber Number) {
-  apply(traffic::AnswerStarted{Number});
-  const auto Connection = attempt(Number).Connection_;
-  if (Forwarding_ != Number || !Connection)
-    return;
-  const auto Body = takeKeptAnswer(Number);
-  Caller_->forwardBody(*Body, /*Last=*/false,
-                       [Connection, Body] { Connection->resume(); });
-}
-
-/// Takes over the buffered body, which must outlive the call while it is being
-/// written.
-std::shared_ptr<const std::string>
-HttpCall::takeKeptAnswer(AttemptNumber Number) {
-  const auto Taken = std::make_shared<const std::string>(
-      std::exchange(attempt(Number).KeptAnswer_, {}));
-  updateMemory();
-  return Taken;
-}
-
 /// Whether the call is tried again after a buffered answer with status 500 or
 /// more, since another server may succeed. Spends the retry budget if so.
 bool HttpCall::shouldRetryServerError(const traffic::AnswerHead &Head) {
@@ -330,21 +303,6 @@
          Worker_.tryRetry(*this, policy::AttemptEnd::AnsweredError);
 }
 
-/// Forwards a buffered answer that is now whole, or retries the call.
-void HttpCall::finishKeptAnswer(AttemptNumber Number) {
-  if (shouldRetryServerError(attempt(Number).Connection_->head())) {
-    attempt(Number).KeptAnswer_.clear();
-    RetryGranted_ = true;
-    return onFailure(Number, AttemptState::ServerError);
-  }
-  apply(traffic::AnswerStarted{Number});
-  if (Forwarding_ != Number)
-    return;
-  AnswerForwarded_ = true;
-  const auto Body = takeKeptAnswer(Number);
-  Caller_->forwardBody(*Body, /*Last=*/true, [Body] {});
-}
-
 void HttpCall::onEnd(AttemptNumber Number) {
   if (Forwarding_ != Number) {
     finishKeptAnswer(Number);
--- /dev/null
+++ b/src/libcumingauge/adapters/httpworkerrecords.cpp
@@ -0,0 +1,117 @@
+// The part of HttpWorker that counts and logs calls and reports events.
+#include "adapters/httpworker.h"
+
+namespace cumingauge::adapters {
+
+using model::ResultCode;
+
+namespace {
+
+constexpr model::seconds EventWindowLength{1};
+/// Of one kind of cause, per thread.
+constexpr unsigned MaxEventsPerWindow = 20;
+
+} // namespace
+
+void HttpWorker::recordCallStart() {
+  const std::lock_guard<std::mutex> Lock(PublishedMutex_);
+  ++Stats_.InFlight_;
+}
+
+void HttpWorker::recordCallEnd(const HttpCall &Call, ResultCode Code) {
+  const policy::CallFacts &Facts = Call.facts();
+  const bool ArrivedInStop = timeSinceStop(Facts).has_value();
+  {
+    const std::lock_guard<std::mutex> Lock(PublishedMutex_);
+    --Stats_.InFlight_;
+    Stats_.StoppingCalls_ += ArrivedInStop ? 1 : 0;
+    traffic::recordCall(Stats_.Routes_[Facts.Route_.Name_], Code,
+                        now() - Facts.Arrived_);
+  }
+  CallLog_.recordCall(recordOf(Call, Code), now());
+  if (model::isNotRun(Code))
+    recordEvent(model::EventKind::CallRefused, Call.callId(), Code,
+                "route " + Facts.Route_.Name_);
+}
+
+std::optional<model::milliseconds>
+HttpWorker::timeSinceStop(const policy::CallFacts &Facts) const {
+  if (!Stop_ || Facts.Arrived_ < Stop_->StartedAt_)
+    return std::nullopt;
+  return std::chrono::duration_cast<model::milliseconds>(Facts.Arrived_ -
+                                                         Stop_->StartedAt_);
+}
+
+void HttpWorker::recordAbandonedCall(const HttpCall &Call) {
+  {
+    const std::lock_guard<std::mutex> Lock(PublishedMutex_);
+    ++Stats_.AbandonedCalls_;
+  }
+  CallRecord Record = recordOf(Call, ResultCode::InternalError);
+  Record.Abandoned_ = true;
+  CallLog_.recordCall(Record, now());
+}
+
+void HttpWorker::recordDiscardedBytes(const std::string &Peer,
+                                      std::size_t Bytes, bool Announced) {
+  {
+    const std::lock_guard<std::mutex> Lock(PublishedMutex_);
+    ++Stats_.DiscardingConnections_;
+  }
+  CallLog_.recordDiscardedBytes(Peer, Bytes, Announced, now());
+}
+
+CallRecord HttpWorker::recordOf(const HttpCall &Call, ResultCode Code) const {
+  const policy::CallFacts &Facts = Call.facts();
+  CallRecord Record;
+  Record.Call_ = Call.callId();
+  Record.Route_ = Facts.Route_.Name_;
+  Record.Service_ = Facts.Route_.Service_;
+  Record.Workspace_ = Call.workspace();
+  Record.Code_ = Code;
+  Record.Took_ =
+      std::chrono::duration_cast<model::milliseconds>(now() - Facts.Arrived_);
+  Record.Allowed_ = std::chrono::duration_cast<model::milliseconds>(
+      Facts.Deadline_ - Facts.Arrived_);
+  const model::milliseconds Objective = Facts.Route_.Objective_;
+  Record.Late_ = Objective > model::milliseconds(0) && Record.Took_ > Objective;
+  Record.Stopping_ = timeSinceStop(Facts);
+  Record.Pipelined_ = Call.isPipelined();
+  Record.ConfigVersion_ = View_ ? View_->Config_->Version_ : 0;
+  Record.Attempts_ = Call.traces();
+  return Record;
+}
+
+void HttpWorker::recordEvent(model::EventKind Kind, const std::string &Subject,
+                             ResultCode Reason, const std::string &Detail) {
+  recordInWindow(CallEvents_, Kind, Subject, Reason, Detail);
+}
+
+void HttpWorker::recordNoticeEvent(model::EventKind Kind,
+                                   const model::BackendServer &Server,
+                                   const std::string &Detail) {
+  recordInWindow(NoticeEvents_, Kind, Server.Name_, ResultCode::Ok,
+                 "vm " + Server.Vm_ + Detail);
+}
+
+void HttpWorker::recordInWindow(EventWindow &Window, model::EventKind Kind,
+                                const std::string &Subject, ResultCode Reason,
+                                const std::string &Detail) {
+  const model::TimePoint Now = now();
+  if (Now - Window.Start_ >= EventWindowLength) {
+    Window.Start_ = Now;
+    Window.Events_ = 0;
+  }
+  if (++Window.Events_ > MaxEventsPerWindow) {
+    ++Window.Dropped_;
+    return;
+  }
+  const std::string OmittedNote =
+      Window.Dropped_ == 0
+          ? ""
+          : ", " + std::to_string(Window.Dropped_) + " earlier events omitted";
+  Window.Dropped_ = 0;
+  Common_->Hooks_.Events_(Kind, Subject, 0, Reason, Detail + OmittedNote);
+}
+
+} // namespace cumingauge::adapters
