Place calls of a workspace with a quota only with credit

Callers of a workspace with a quota were served beyond it: nothing applied the quota, and a limit in each process would not bound the sum over the fleet.

Such a call now requests credit when it is ready to be placed for the first time, and waits for the decision: granted, it is placed by the key in force then; refused, it is answered 429 (113) at once with Retry-After in whole seconds; unknown, 503 (114). It is asked for once, not for retries and hedges, and not for requests that are refused anyway. A key that has gone to another workspace meanwhile needs that one's credit. Deadline, a stop and a caller that leaves end the wait, and a later decision changes nothing. Whole seconds of Retry-After are written without decimals.

--- a/src/cumingauged/entryprocess.cpp
+++ b/src/cumingauged/entryprocess.cpp
@@ -67,6 +67,13 @@
     if (auto *Control = StartedControl_.load())
       Control->recordSighting(std::move(Sighting));
   };
+  Hooks.RequestCredit_ = [this](std::uint64_t Request,
+                                const std::string &Workspace) {
+    if (auto *Control = StartedControl_.load())
+      Control->requestCredit(Request, Workspace);
+    else
+      Traffic_->applyCredit(Request, {});
+  };
   Hooks.Events_ = Ring_->sink();
   Traffic_ = adapters::startTraffic(trafficSettings(Settings_), Hooks);
   startControlThread();
@@ -120,6 +127,10 @@
       [this](const std::vector<control::ServerObservation> &Sightings) {
         Traffic_->applyObservations(Sightings);
       };
+  Hooks.OnCredit_ = [this](std::uint64_t Request,
+                           const control::CreditDecision &Decision) {
+    Traffic_->applyCredit(Request, Decision);
+  };
   Hooks.Activity_ = [this] { return Traffic_->activity(); };
   Hooks.IsReady_ = [this] { return isReady(); };
   if (Settings_.Platform_)
--- a/src/libcumingauge/adapters/httpcall.h
+++ b/src/libcumingauge/adapters/httpcall.h
@@ -6,6 +6,7 @@
 #include "adapters/httppool.h"
 #include "model/attempttrace.h"
 #include "policy/balancer.h"
+#include "traffic/callcredit.h"
 #include "traffic/calllifecycle.h"
 #include <memory>
 #include <string>
@@ -38,6 +39,13 @@
     Request_.Identity_ = std::move(Identity);
   }
 
+  /// Whether credit is to be requested before the call is placed.
+  bool needsCredit() const {
+    return traffic::needsCredit(Request_.Identity_, Facts_, Credit_);
+  }
+  traffic::CallCredit &credit() { return Credit_; }
+  const traffic::CallCredit &credit() const { return Credit_; }
+
   void onCallerLeft();
 
   /// Gives up a request whose rest does not arrive.
@@ -120,6 +128,7 @@
   HttpCallRequest Request_;
   policy::CallFacts Facts_;
   traffic::CallLifecycle Life_;
+  traffic::CallCredit Credit_;
   MemoryShare Memory_;
   std::vector<Attempt> Attempts_;
   std::vector<traffic::CallEvent> Pending_;
--- a/src/libcumingauge/adapters/httpcalleranswers.cpp
+++ b/src/libcumingauge/adapters/httpcalleranswers.cpp
@@ -61,9 +61,11 @@
          std::string(model::nameOf(Code));
 }
 
-/// Returns seconds with three decimals, such as "0.050". Callers that read only
-/// whole seconds ignore the decimals.
+/// Returns whole seconds without decimals and others with three, such as
+/// "0.050". Callers that read only whole seconds ignore the decimals.
 std::string formatSeconds(model::milliseconds Value) {
+  if (Value.count() % 1000 == 0)
+    return std::to_string(Value.count() / 1000);
   std::string Millis = std::to_string(Value.count() % 1000);
   Millis.insert(0, 3 - Millis.size(), '0');
   return std::to_string(Value.count() / 1000) + "." + Millis;
--- a/src/libcumingauge/adapters/httptraffic.cpp
+++ b/src/libcumingauge/adapters/httptraffic.cpp
@@ -76,6 +76,13 @@
       Worker->applyObservations(Observations);
   }
 
+  void applyCredit(std::uint64_t Request,
+                   const control::CreditDecision &Decision) override {
+    const unsigned Thread = traffic::creditRequestOf(Request).Thread_;
+    if (Thread < Workers_.size())
+      Workers_[Thread]->applyCredit(Request, Decision);
+  }
+
   void setLimits(const HttpLimits &Limits) override {
     for (const auto &Worker : Workers_)
       Worker->setLimits(Limits);
--- a/src/libcumingauge/adapters/httptraffic.h
+++ b/src/libcumingauge/adapters/httptraffic.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/httpsettings.h"
+#include "control/creditdecision.h"
 #include "control/peermessage.h"
 #include "model/configurationknowledge.h"
 #include "model/controlview.h"
@@ -10,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace cumingauge::adapters {
@@ -25,6 +27,10 @@
     std::function<model::ConfigurationKnowledge()> Configuration_;
     /// Passes a backend server's load report on to the control thread.
     std::function<void(control::ServerObservation)> ReportObservation_;
+    /// Requests credit for a call of a workspace with a quota; the answer goes
+    /// to applyCredit. Called on a traffic thread.
+    std::function<void(std::uint64_t Request, const std::string &Workspace)>
+        RequestCredit_;
     ports::EventSink Events_;
   };
 
@@ -37,6 +43,11 @@
   virtual void
   applyObservations(std::vector<control::ServerObservation> Observations) = 0;
 
+  /// Passes the answer to a request for credit to the call that waits for it;
+  /// without effect once the call has ended.
+  virtual void applyCredit(std::uint64_t Request,
+                           const control::CreditDecision &Decision) = 0;
+
   /// Sets the limits for requests that arrive from now on.
   virtual void setLimits(const HttpLimits &Limits) = 0;
 
--- a/src/libcumingauge/adapters/httpworker.cpp
+++ b/src/libcumingauge/adapters/httpworker.cpp
@@ -209,7 +209,9 @@
 void HttpWorker::admit(const std::shared_ptr<HttpCall> &Call) {
   const model::TimePoint Now = now();
   if (Common_->Hooks_.IsFresh_(Now)) {
-    if (!queryLoad(Call, policy::LoadQueryRound::OwnZone))
+    if (Call->needsCredit())
+      requestCredit(Call);
+    else if (!queryLoad(Call, policy::LoadQueryRound::OwnZone))
       choose(Call);
     return;
   }
@@ -230,6 +232,7 @@
   if (QueuedCalls_.erase(Call.facts().Call_) > 0)
     policy::removeFromQueue(*Balancer_, Call.facts().Call_);
   LoadQueries_.erase(Call.facts().Call_);
+  CreditWaits_.erase(Call.credit().Request_);
   if (FreshViewWaits_.empty())
     return;
   FreshViewWaits_.erase(std::remove_if(FreshViewWaits_.begin(),
@@ -287,12 +290,12 @@
 }
 
 void HttpWorker::placeAfterWait(const std::shared_ptr<HttpCall> &Call) {
-  auto Identity = identify(Call->head(), Call->facts().Route_);
-  if (Identity.Reason_ != ResultCode::Ok)
-    return Call->decide(
-        {policy::Verdict::Refuse, policy::NoServer, Identity.Reason_});
-  Call->setIdentity(std::move(Identity));
-  choose(Call);
+  if (!identifyAgain(Call))
+    return;
+  if (Call->needsCredit())
+    requestCredit(Call);
+  else
+    choose(Call);
 }
 
 void HttpWorker::recordAttemptStart(policy::ServerHandle Handle) {
--- a/src/libcumingauge/adapters/httpworker.h
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -59,6 +59,8 @@
   void stop();
   void applyView(std::shared_ptr<const model::ControlView> View);
   void applyObservations(std::vector<control::ServerObservation> Observations);
+  void applyCredit(std::uint64_t Request,
+                   const control::CreditDecision &Decision);
   /// Applies a notice that a server has given to another thread.
   void applyNotice(const std::string &Server, const std::string &Vm,
                    const model::ServerNotice &Notice);
@@ -180,6 +182,13 @@
     model::TimePoint Until_;
   };
 
+  /// A call that waits for credit.
+  struct CreditWait {
+    std::weak_ptr<HttpCall> Call_;
+    std::string Workspace_;
+    model::TimePoint Since_;
+  };
+
   /// A call that waits for load reports of servers before it is placed.
   struct LoadQuery {
     std::weak_ptr<HttpCall> Call_;
@@ -206,6 +215,12 @@
                         const traffic::ServerEvent &Event);
   /// Dispatches, queues or refuses a call as the balancer decides.
   void choose(const std::shared_ptr<HttpCall> &Call);
+  void requestCredit(const std::shared_ptr<HttpCall> &Call);
+  void handleCredit(std::uint64_t Request,
+                    const control::CreditDecision &Decision);
+  /// Determines a call's workspace again after a wait. Refuses the call and
+  /// returns false when its key has been withdrawn.
+  bool identifyAgain(const std::shared_ptr<HttpCall> &Call);
   /// Places a call that has waited for a fresh view, unless its key has been
   /// withdrawn.
   void placeAfterWait(const std::shared_ptr<HttpCall> &Call);
@@ -291,6 +306,8 @@
   /// Callers' connections of which nothing is read before the first view.
   std::vector<std::shared_ptr<HttpCallerSession>> HeldSessions_;
   std::vector<FreshViewWait> FreshViewWaits_;
+  std::unordered_map<std::uint64_t, CreditWait> CreditWaits_; ///< by request
+  std::uint64_t LastCreditRequest_ = 0;
   std::unordered_map<policy::CallId, LoadQuery> LoadQueries_;
   std::unordered_set<HttpCallerSession *> Sessions_;
   policy::CallId LastCall_ = 0;
--- /dev/null
+++ b/src/libcumingauge/adapters/httpworkercredit.cpp
@@ -0,0 +1,54 @@
+// The part of HttpWorker that deals with the credit of calls whose workspace
+// has a quota.
+#include "adapters/httpworker.h"
+#include <boost/asio/post.hpp>
+
+namespace cumingauge::adapters {
+
+void HttpWorker::requestCredit(const std::shared_ptr<HttpCall> &Call) {
+  const std::uint64_t Request =
+      traffic::numberOf({Index_, ++LastCreditRequest_});
+  Call->credit().Request_ = Request;
+  CreditWaits_[Request] = {Call, Call->workspace(), now()};
+  Common_->Hooks_.RequestCredit_(Request, Call->workspace());
+}
+
+void HttpWorker::applyCredit(std::uint64_t Request,
+                             const control::CreditDecision &Decision) {
+  boost::asio::post(
+      Io_, [this, Request, Decision] { handleCredit(Request, Decision); });
+}
+
+void HttpWorker::handleCredit(std::uint64_t Request,
+                              const control::CreditDecision &Decision) {
+  const auto Found = CreditWaits_.find(Request);
+  if (Found == CreditWaits_.end())
+    return;
+  const CreditWait Wait = std::move(Found->second);
+  CreditWaits_.erase(Found);
+  const auto Call = Wait.Call_.lock();
+  if (!Call)
+    return;
+  traffic::CallCredit &Credit = Call->credit();
+  Credit.Request_ = 0;
+  Credit.Waited_ =
+      Credit.Waited_.value_or(model::milliseconds(0)) +
+      std::chrono::duration_cast<model::milliseconds>(now() - Wait.Since_);
+  if (const auto Refusal = traffic::refusalBy(Decision))
+    return Call->decide(*Refusal);
+  Credit.GrantedTo_ = Wait.Workspace_;
+  if (identifyAgain(Call))
+    admit(Call);
+}
+
+bool HttpWorker::identifyAgain(const std::shared_ptr<HttpCall> &Call) {
+  auto Identity = identify(Call->head(), Call->facts().Route_);
+  if (Identity.Reason_ != model::ResultCode::Ok) {
+    Call->decide({policy::Verdict::Refuse, policy::NoServer, Identity.Reason_});
+    return false;
+  }
+  Call->setIdentity(std::move(Identity));
+  return true;
+}
+
+} // namespace cumingauge::adapters
--- /dev/null
+++ b/src/libcumingauge/traffic/callcredit.cpp
@@ -0,0 +1,52 @@
+#include "traffic/callcredit.h"
+#include <algorithm>
+
+namespace cumingauge::traffic {
+
+using control::CreditAnswer;
+using model::ResultCode;
+using policy::Verdict;
+
+namespace {
+
+/// Bits of a number that hold the sequence; the others hold the thread.
+constexpr unsigned SequenceBits = 48;
+constexpr std::uint64_t SequenceMask = (std::uint64_t(1) << SequenceBits) - 1;
+constexpr model::seconds ShortestPause{1};
+
+} // namespace
+
+bool needsCredit(const CallerIdentity &Caller, const policy::CallFacts &Call,
+                 const CallCredit &Credit) {
+  return Caller.HasQuota_ && Credit.GrantedTo_ != Caller.Workspace_ &&
+         Call.Attempts_ == 0;
+}
+
+std::optional<policy::Decision>
+refusalBy(const control::CreditDecision &Decision) {
+  switch (Decision.Answer_) {
+  case CreditAnswer::Granted:
+    return std::nullopt;
+  case CreditAnswer::Refused: {
+    const auto Pause = std::chrono::ceil<model::seconds>(Decision.RetryAfter_);
+    return policy::Decision{Verdict::Refuse, policy::NoServer,
+                            ResultCode::NotRunQuota,
+                            std::max(Pause, ShortestPause)};
+  }
+  case CreditAnswer::Unknown:
+    break;
+  }
+  return policy::Decision{Verdict::Refuse, policy::NoServer,
+                          ResultCode::NotRunCreditUnknown};
+}
+
+std::uint64_t numberOf(const CreditRequest &Request) {
+  return std::uint64_t(Request.Thread_) << SequenceBits |
+         (Request.Sequence_ & SequenceMask);
+}
+
+CreditRequest creditRequestOf(std::uint64_t Number) {
+  return {static_cast<unsigned>(Number >> SequenceBits), Number & SequenceMask};
+}
+
+} // namespace cumingauge::traffic
--- a/src/libcumingauge/traffic/workspacekeys.cpp
+++ b/src/libcumingauge/traffic/workspacekeys.cpp
@@ -55,9 +55,10 @@
                        ? readKey(Head.Credentials_.front(), Scheme)
                        : std::nullopt;
   const model::Workspace *Found = Key ? Keys.find(*Key) : nullptr;
-  if (Found)
+  if (Found) {
     Out.Workspace_ = Found->Name_;
-  else if (KeyRequired)
+    Out.HasQuota_ = Found->Quota_.has_value();
+  } else if (KeyRequired)
     Out.Reason_ =
         Key ? ResultCode::RequestKeyUnknown : ResultCode::RequestKeyMissing;
   return Out;
--- a/src/libcumingauge/traffic/workspacekeys.h
+++ b/src/libcumingauge/traffic/workspacekeys.h
@@ -37,6 +37,7 @@
   /// Ok, RequestKeyMissing or RequestKeyUnknown.
   model::ResultCode Reason_ = model::ResultCode::Ok;
   std::string Workspace_; ///< empty: none is known
+  bool HasQuota_ = false; ///< the workspace's calls need credit
   /// The request's credentials are not meant for this process and are passed
   /// on.
   bool PassesCredentials_ = false;
--- a/tests/http/frontend.cpp
+++ b/tests/http/frontend.cpp
@@ -64,6 +64,11 @@
         AcceptedVersion_, TimePoint(), Known ? TimePoint::max() : TimePoint()};
   };
   Hooks.ReportObservation_ = [](const control::ServerObservation &) {};
+  Hooks.RequestCredit_ = [this](std::uint64_t Request,
+                                const std::string &Workspace) {
+    if (const auto Decision = Credit_.take(Request, Workspace))
+      Traffic_->applyCredit(Request, *Decision);
+  };
   Hooks.Events_ = [this](model::EventKind Kind, const std::string &,
                          std::uint64_t, model::ResultCode,
                          const std::string &) {
--- a/tests/http/frontend.h
+++ b/tests/http/frontend.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/httptraffic.h"
+#include "http/fakecredit.h"
 #include "http/gate.h"
 #include <atomic>
 #include <boost/asio/io_context.hpp>
@@ -57,6 +58,9 @@
   /// Returns whether holdThread() has taken effect.
   bool isThreadHeld() const { return !HeldUntil_; }
 
+  /// Source of the credit of workspaces with a quota.
+  FakeCredit &credit() { return Credit_; }
+
   /// Returns the kinds of the events so far, oldest first.
   std::vector<model::EventKind> events() const;
 
@@ -69,6 +73,7 @@
   std::atomic<bool> Fresh_{true};
   std::atomic<bool> ConfigurationKnown_{true};
   std::atomic<Gate *> HeldUntil_{nullptr};
+  FakeCredit Credit_;
   mutable std::mutex Mutex_; ///< guards the events
   std::vector<model::EventKind> Events_;
   std::shared_ptr<adapters::HttpTraffic> Traffic_;
