Metrics and log fields of credit

Whether credit is refused, unknown or late could not be told from the metrics. There are counters of the answers, a histogram of the wait, the calls that wait now and the grants that came too late; lines of calls have creditMs.

--- a/src/libcumingauge/adapters/calllog.cpp
+++ b/src/libcumingauge/adapters/calllog.cpp
@@ -11,8 +11,8 @@
 /// One in this many ordinary calls is logged.
 constexpr std::uint64_t SampleInterval = 64;
 constexpr unsigned FirstServerError = 500;
-/// Logged as stoppingMs for a call that arrived before the process stopped.
-constexpr model::milliseconds NotStopping{-1};
+/// Logged for a time that does not apply to a call.
+constexpr model::milliseconds NoTime{-1};
 
 /// Returns whether a call succeeded in time, in one attempt, without an error
 /// of the server, and not while this process stops.
@@ -46,7 +46,8 @@
        {"tookMs", Record.Took_.count()},
        {"allowedMs", Record.Allowed_.count()},
        {"late", Record.Late_ ? 1 : 0},
-       {"stoppingMs", Record.Stopping_.value_or(NotStopping).count()},
+       {"stoppingMs", Record.Stopping_.value_or(NoTime).count()},
+       {"creditMs", Record.CreditWait_.value_or(NoTime).count()},
        {"pipelined", Record.Pipelined_ ? 1 : 0},
        {"configVersion", Record.ConfigVersion_},
        {"leftOut", std::exchange(Calls_.Suppressed_, 0)},
--- a/src/libcumingauge/adapters/calllog.h
+++ b/src/libcumingauge/adapters/calllog.h
@@ -38,6 +38,8 @@
   /// Time from the start of this process's stop to the arrival of the call;
   /// absent when the call arrived before.
   std::optional<model::milliseconds> Stopping_;
+  /// Time that the call waited for credit; absent when it got no answer.
+  std::optional<model::milliseconds> CreditWait_;
   bool Pipelined_ = false; ///< arrived while an earlier call was unanswered
   bool Abandoned_ = false; ///< not answered when the process ended
   std::uint64_t ConfigVersion_ = 0;
--- a/src/libcumingauge/adapters/httpworker.h
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -218,6 +218,7 @@
   void requestCredit(const std::shared_ptr<HttpCall> &Call);
   void handleCredit(std::uint64_t Request,
                     const control::CreditDecision &Decision);
+  CreditWait takeCreditWait(std::uint64_t Request);
   /// Determines a call's workspace again after a wait. Refuses the call and
   /// returns false when its key has been withdrawn.
   bool identifyAgain(const std::shared_ptr<HttpCall> &Call);
--- a/src/libcumingauge/adapters/httpworkercredit.cpp
+++ b/src/libcumingauge/adapters/httpworkercredit.cpp
@@ -21,19 +21,20 @@
 
 void HttpWorker::handleCredit(std::uint64_t Request,
                               const control::CreditDecision &Decision) {
-  const auto Found = CreditWaits_.find(Request);
-  if (Found == CreditWaits_.end())
-    return;
-  const CreditWait Wait = std::move(Found->second);
-  CreditWaits_.erase(Found);
+  const CreditWait Wait = takeCreditWait(Request);
   const auto Call = Wait.Call_.lock();
+  const model::Duration Waited = now() - Wait.Since_;
+  {
+    const std::lock_guard<std::mutex> Lock(PublishedMutex_);
+    traffic::recordCredit(Stats_.Credit_, Decision.Answer_,
+                          Call ? std::optional(Waited) : std::nullopt);
+  }
   if (!Call)
     return;
   traffic::CallCredit &Credit = Call->credit();
   Credit.Request_ = 0;
-  Credit.Waited_ =
-      Credit.Waited_.value_or(model::milliseconds(0)) +
-      std::chrono::duration_cast<model::milliseconds>(now() - Wait.Since_);
+  Credit.Waited_ = Credit.Waited_.value_or(model::milliseconds(0)) +
+                   std::chrono::duration_cast<model::milliseconds>(Waited);
   if (const auto Refusal = traffic::refusalBy(Decision))
     return Call->decide(*Refusal);
   Credit.GrantedTo_ = Wait.Workspace_;
@@ -41,6 +42,16 @@
     admit(Call);
 }
 
+/// Returns an empty one when its call has ended.
+HttpWorker::CreditWait HttpWorker::takeCreditWait(std::uint64_t Request) {
+  const auto Found = CreditWaits_.find(Request);
+  if (Found == CreditWaits_.end())
+    return {};
+  CreditWait Out = std::move(Found->second);
+  CreditWaits_.erase(Found);
+  return Out;
+}
+
 bool HttpWorker::identifyAgain(const std::shared_ptr<HttpCall> &Call) {
   auto Identity = identify(Call->head(), Call->facts().Route_);
   if (Identity.Reason_ != model::ResultCode::Ok) {
--- a/src/libcumingauge/adapters/httpworkerrecords.cpp
+++ b/src/libcumingauge/adapters/httpworkerrecords.cpp
@@ -1,5 +1,7 @@
 // The part of HttpWorker that counts and logs calls and reports events.
 #include "adapters/httpworker.h"
+#include "policy/coldservers.h"
+#include "policy/notices.h"
 
 namespace cumingauge::adapters {
 
@@ -77,6 +79,7 @@
   Record.Late_ = Objective > model::milliseconds(0) && Record.Took_ > Objective;
   Record.Stopping_ = timeSinceStop(Facts);
   Record.Pipelined_ = Call.isPipelined();
+  Record.CreditWait_ = Call.credit().Waited_;
   Record.ConfigVersion_ = View_ ? View_->Config_->Version_ : 0;
   Record.Attempts_ = Call.traces();
   return Record;
@@ -114,4 +117,43 @@
   Common_->Hooks_.Events_(Kind, Subject, 0, Reason, Detail + OmittedNote);
 }
 
+void HttpWorker::publishStats() {
+  NextPublish_ = now() + limits().TickPeriod_;
+  std::vector<model::ServerActivity> Activity = policy::activity(*Balancer_);
+  std::uint64_t Connections = 0;
+  for (model::ServerActivity &Server : Activity) {
+    const auto Handle =
+        policy::findServer(*Balancer_, Server.Server_, Server.Vm_);
+    const auto Found = Handle ? Servers_.find(*Handle) : Servers_.end();
+    if (Found == Servers_.end())
+      continue;
+    Server.Connections_ = Found->second.Pool_->connections();
+    Connections += Server.Connections_;
+  }
+  const std::lock_guard<std::mutex> Lock(PublishedMutex_);
+  Activity_ = std::move(Activity);
+  Stats_.Queued_ = QueuedCalls_.size();
+  Stats_.Credit_.Waiting_ = CreditWaits_.size();
+  Stats_.CallerConnections_ = Sessions_.size();
+  Stats_.BackendConnections_ = Connections;
+  Stats_.CallerMemoryBytes_ = Common_->Memory_.held();
+  Stats_.CallerMemoryBound_ = MemoryMarks_.Bound_;
+  const policy::NoticeCounts Notices = policy::countNotices(*Balancer_, now());
+  Stats_.AnnouncedLeaving_ = Notices.Leaving_;
+  Stats_.PausedServers_ = Notices.Paused_;
+  const policy::ColdCounts Cold = policy::countCold(*Balancer_, now());
+  Stats_.ColdServers_ = Cold.Limited_;
+  Stats_.ColdServersClosed_ = Cold.Closed_;
+}
+
+std::vector<model::ServerActivity> HttpWorker::activity() const {
+  const std::lock_guard<std::mutex> Lock(PublishedMutex_);
+  return Activity_;
+}
+
+traffic::TrafficStats HttpWorker::stats() const {
+  const std::lock_guard<std::mutex> Lock(PublishedMutex_);
+  return Stats_;
+}
+
 } // namespace cumingauge::adapters
--- a/src/libcumingauge/adapters/httpworkerservers.cpp
+++ b/src/libcumingauge/adapters/httpworkerservers.cpp
@@ -360,42 +360,4 @@
   });
 }
 
-void HttpWorker::publishStats() {
-  NextPublish_ = now() + limits().TickPeriod_;
-  std::vector<model::ServerActivity> Activity = policy::activity(*Balancer_);
-  std::uint64_t Connections = 0;
-  for (model::ServerActivity &Server : Activity) {
-    const auto Handle =
-        policy::findServer(*Balancer_, Server.Server_, Server.Vm_);
-    const auto Found = Handle ? Servers_.find(*Handle) : Servers_.end();
-    if (Found == Servers_.end())
-      continue;
-    Server.Connections_ = Found->second.Pool_->connections();
-    Connections += Server.Connections_;
-  }
-  const std::lock_guard<std::mutex> Lock(PublishedMutex_);
-  Activity_ = std::move(Activity);
-  Stats_.Queued_ = QueuedCalls_.size();
-  Stats_.CallerConnections_ = Sessions_.size();
-  Stats_.BackendConnections_ = Connections;
-  Stats_.CallerMemoryBytes_ = Common_->Memory_.held();
-  Stats_.CallerMemoryBound_ = MemoryMarks_.Bound_;
-  const policy::NoticeCounts Notices = policy::countNotices(*Balancer_, now());
-  Stats_.AnnouncedLeaving_ = Notices.Leaving_;
-  Stats_.PausedServers_ = Notices.Paused_;
-  const policy::ColdCounts Cold = policy::countCold(*Balancer_, now());
-  Stats_.ColdServers_ = Cold.Limited_;
-  Stats_.ColdServersClosed_ = Cold.Closed_;
-}
-
-std::vector<model::ServerActivity> HttpWorker::activity() const {
-  const std::lock_guard<std::mutex> Lock(PublishedMutex_);
-  return Activity_;
-}
-
-traffic::TrafficStats HttpWorker::stats() const {
-  const std::lock_guard<std::mutex> Lock(PublishedMutex_);
-  return Stats_;
-}
-
 } // namespace cumingauge::adapters
--- a/src/libcumingauge/adapters/metricspage.cpp
+++ b/src/libcumingauge/adapters/metricspage.cpp
@@ -68,11 +68,11 @@
   return Family;
 }
 
-ClientMetric::Histogram latencyHistogram(const traffic::RouteStats &Stats) {
+ClientMetric::Histogram latencyHistogram(const traffic::LatencyHistogram &Of) {
   ClientMetric::Histogram Out;
   std::uint64_t Cumulative = 0;
-  for (std::size_t I = 0; I < Stats.Latencies_.size(); ++I) {
-    Cumulative += Stats.Latencies_[I];
+  for (std::size_t I = 0; I < Of.Buckets_.size(); ++I) {
+    Cumulative += Of.Buckets_[I];
     const bool IsLast = I == traffic::LatencyBucketBounds.size();
     const double Bound =
         IsLast ? std::numeric_limits<double>::infinity()
@@ -84,8 +84,7 @@
     Out.bucket.push_back(Bucket);
   }
   Out.sample_count = Cumulative;
-  Out.sample_sum =
-      static_cast<double>(Stats.LatencySumMicros_) / MicrosPerSecond;
+  Out.sample_sum = static_cast<double>(Of.SumMicros_) / MicrosPerSecond;
   return Out;
 }
 
@@ -96,12 +95,48 @@
   for (const auto &[Route, Stats] : Traffic.Routes_) {
     ClientMetric Metric;
     Metric.label = {{"route", Route}};
-    Metric.histogram = latencyHistogram(Stats);
+    Metric.histogram = latencyHistogram(Stats.Latencies_);
     Family.metric.push_back(std::move(Metric));
   }
   return Family;
 }
 
+/// Label of an answer to a request for credit.
+const char *labelOf(control::CreditAnswer Answer) {
+  switch (Answer) {
+  case control::CreditAnswer::Granted:
+    return "granted";
+  case control::CreditAnswer::Refused:
+    return "refused";
+  case control::CreditAnswer::Unknown:
+    break;
+  }
+  return "unknown";
+}
+
+void addCredit(const traffic::CreditStats &Credit,
+               std::vector<MetricFamily> &Out) {
+  MetricFamily Answers = makeFamily(
+      "cumingauge_credit_answers_total",
+      "Answers to requests for the credit of a call", MetricType::Counter);
+  for (const auto &[Answer, Count] : Credit.Answers_)
+    addValue(Answers, static_cast<double>(Count),
+             {{"answer", labelOf(Answer)}});
+  Out.push_back(std::move(Answers));
+  MetricFamily Waits =
+      makeFamily("cumingauge_credit_wait_seconds",
+                 "Time that calls waited for credit", MetricType::Histogram);
+  Waits.metric.emplace_back();
+  Waits.metric.back().histogram = latencyHistogram(Credit.Waits_);
+  Out.push_back(std::move(Waits));
+  Out.push_back(gauge("cumingauge_calls_waiting_for_credit",
+                      "Calls that wait for credit",
+                      static_cast<double>(Credit.Waiting_)));
+  Out.push_back(counter("cumingauge_unused_credit_total",
+                        "Credit granted to calls that had ended",
+                        static_cast<double>(Credit.UnusedGrants_)));
+}
+
 MetricFamily faultyAnswersFamily(const traffic::TrafficStats &Traffic) {
   MetricFamily Family = makeFamily(
       "cumingauge_faulty_answers_total",
@@ -198,6 +233,7 @@
                       ToDouble(Traffic.CallerMemoryBound_)));
   Out.push_back(evictionFamily(Traffic));
   Out.push_back(faultyAnswersFamily(Traffic));
+  addCredit(Traffic.Credit_, Out);
 }
 
 void addControl(const ControlStats &Control, std::vector<MetricFamily> &Out) {
--- a/src/libcumingauge/traffic/trafficstats.cpp
+++ b/src/libcumingauge/traffic/trafficstats.cpp
@@ -15,12 +15,16 @@
 void recordCall(RouteStats &Stats, model::ResultCode Code,
                 model::Duration Latency) {
   ++Stats.Calls_[Code];
-  const auto Bound = std::lower_bound(LatencyBucketBounds.begin(),
-                                      LatencyBucketBounds.end(), Latency);
-  ++Stats.Latencies_[static_cast<std::size_t>(Bound -
-                                              LatencyBucketBounds.begin())];
-  Stats.LatencySumMicros_ += static_cast<std::uint64_t>(
-      std::chrono::duration_cast<model::microseconds>(Latency).count());
+  record(Stats.Latencies_, Latency);
+}
+
+void recordCredit(CreditStats &Stats, control::CreditAnswer Answer,
+                  std::optional<model::Duration> Waited) {
+  ++Stats.Answers_[Answer];
+  if (Waited)
+    record(Stats.Waits_, *Waited);
+  else if (Answer == control::CreditAnswer::Granted)
+    ++Stats.UnusedGrants_;
 }
 
 void recordFaultyAnswer(TrafficStats &Stats, std::string_view Server,
@@ -37,9 +41,7 @@
     RouteStats &Total = Sum.Routes_[Name];
     for (const auto &[Code, Count] : Route.Calls_)
       Total.Calls_[Code] += Count;
-    for (std::size_t I = 0; I < Route.Latencies_.size(); ++I)
-      Total.Latencies_[I] += Route.Latencies_[I];
-    Total.LatencySumMicros_ += Route.LatencySumMicros_;
+    add(Total.Latencies_, Route.Latencies_);
   }
   Sum.InFlight_ += Part.InFlight_;
   Sum.Queued_ += Part.Queued_;
@@ -67,6 +69,11 @@
     Sum.Evicted_[Use] += Count;
   for (const auto &[Key, Count] : Part.FaultyAnswers_)
     Sum.FaultyAnswers_[Key] += Count;
+  for (const auto &[Answer, Count] : Part.Credit_.Answers_)
+    Sum.Credit_.Answers_[Answer] += Count;
+  add(Sum.Credit_.Waits_, Part.Credit_.Waits_);
+  Sum.Credit_.UnusedGrants_ += Part.Credit_.UnusedGrants_;
+  Sum.Credit_.Waiting_ += Part.Credit_.Waiting_;
 }
 
 } // namespace cumingauge::traffic
--- a/src/libcumingauge/traffic/trafficstats.h
+++ b/src/libcumingauge/traffic/trafficstats.h
@@ -1,36 +1,33 @@
 #pragma once
 
+#include "control/creditdecision.h"
 #include "model/answerfault.h"
 #include "model/resultcode.h"
 #include "model/time.h"
-#include <array>
+#include "traffic/latencyhistogram.h"
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 
 namespace cumingauge::traffic {
 
-/// Upper bounds of the latency histogram's buckets. One more bucket counts the
-/// calls above the last bound.
-constexpr std::array<model::microseconds, 18> LatencyBucketBounds = {
-    model::microseconds(100),     model::microseconds(200),
-    model::microseconds(320),     model::microseconds(500),
-    model::microseconds(1000),    model::microseconds(2000),
-    model::microseconds(4000),    model::microseconds(7000),
-    model::microseconds(10000),   model::microseconds(20000),
-    model::microseconds(40000),   model::microseconds(70000),
-    model::microseconds(100000),  model::microseconds(200000),
-    model::microseconds(500000),  model::microseconds(1000000),
-    model::microseconds(5000000), model::microseconds(30000000)};
-
 /// Counters of the calls of one route. Latencies run from the arrival of the
 /// call to the end of its answer.
 struct RouteStats {
   std::map<model::ResultCode, std::uint64_t> Calls_;
-  std::array<std::uint64_t, LatencyBucketBounds.size() + 1> Latencies_{};
-  std::uint64_t LatencySumMicros_ = 0;
+  LatencyHistogram Latencies_;
+};
+
+/// Counters of the credit of calls whose workspace has a quota.
+struct CreditStats {
+  std::map<control::CreditAnswer, std::uint64_t> Answers_;
+  /// Time from request to answer, without answers to calls that had ended.
+  LatencyHistogram Waits_;
+  std::uint64_t UnusedGrants_ = 0; ///< that came when their calls had ended
+  std::uint64_t Waiting_ = 0;      ///< calls that wait now
 };
 
 /// Server and fault whose faulty answers are counted together.
@@ -69,6 +66,7 @@
   std::map<std::string, std::uint64_t> Evicted_;
   /// Answers to calls and probes that were refused or broke off.
   std::map<AnswerFaultKey, std::uint64_t> FaultyAnswers_;
+  CreditStats Credit_;
 };
 
 /// Counts one call that has ended.
@@ -76,6 +74,11 @@
 void recordCall(RouteStats &Stats, model::ResultCode Code,
                 model::Duration Latency);
 
+/// Counts the answer to a request for credit.
+/// \param Waited since the request; absent: the call has ended meanwhile.
+void recordCredit(CreditStats &Stats, control::CreditAnswer Answer,
+                  std::optional<model::Duration> Waited);
+
 /// Counts one faulty answer. Those of servers beyond the first few hundred are
 /// counted together, as of the server "other".
 void recordFaultyAnswer(TrafficStats &Stats, std::string_view Server,
--- a/tests/docs/metrictabletest.cpp
+++ b/tests/docs/metrictabletest.cpp
@@ -49,6 +49,11 @@
     adapters::MetricsInput Input;
     traffic::recordCall(Input.Traffic_.Routes_["search"],
                         model::ResultCode::NotRunShed, model::milliseconds(3));
+    traffic::recordCredit(Input.Traffic_.Credit_,
+                          control::CreditAnswer::Refused,
+                          model::milliseconds(3));
+    traffic::recordCredit(Input.Traffic_.Credit_,
+                          control::CreditAnswer::Granted, std::nullopt);
     const std::string Page = adapters::renderMetrics(Input);
     const auto ExpectLine = [&](const char *Line) {
       CPPUNIT_ASSERT_MESSAGE(Page, Page.find(Line) != std::string::npos);
@@ -61,6 +66,11 @@
                "le=\"0.004\"} 1");
     ExpectLine("cumingauge_call_duration_seconds_bucket{route=\"search\","
                "le=\"+Inf\"} 1");
+    ExpectLine("cumingauge_credit_answers_total{answer=\"granted\"} 1");
+    ExpectLine("cumingauge_credit_answers_total{answer=\"refused\"} 1");
+    ExpectLine("cumingauge_credit_wait_seconds_bucket{le=\"0.002\"} 0");
+    ExpectLine("cumingauge_credit_wait_seconds_bucket{le=\"0.004\"} 1");
+    ExpectLine("cumingauge_unused_credit_total 1");
   }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(TheMetricsPage);
--- a/tests/http/quotatest.cpp
+++ b/tests/http/quotatest.cpp
@@ -74,6 +74,20 @@
         Front_->credit().requests().at(Request).Number_, Decision);
   }
 
+  /// Returns whether so many calls come to wait for credit.
+  bool eventuallyWaiting(std::uint64_t Calls) {
+    return eventually(
+        [&] { return Front_->traffic().stats().Credit_.Waiting_ == Calls; });
+  }
+
+  /// Returns the answers so far: granted, refused and unknown.
+  std::string answers() {
+    auto Answers = Front_->traffic().stats().Credit_.Answers_;
+    return std::to_string(Answers[CreditAnswer::Granted]) + " " +
+           std::to_string(Answers[CreditAnswer::Refused]) + " " +
+           std::to_string(Answers[CreditAnswer::Unknown]);
+  }
+
   static std::string refusedWith(const RawCaller::Answer &Answer) {
     CPPUNIT_ASSERT(Answer.Whole_);
     return std::to_string(Answer.Status_) + " " + Answer.ResultCode_;
@@ -166,6 +180,7 @@
       Waiting.push_back(std::make_unique<RawCaller>(Front_->port()));
       sendWaiting(*Waiting.back(), search(I % 2 == 0 ? NorthKey : SouthKey));
     }
+    CPPUNIT_ASSERT(eventuallyWaiting(Callers));
     std::set<std::uint64_t> Numbers;
     for (std::size_t I = Callers; I-- > 0;) {
       const auto Asked = Front_->credit().requests().at(I);
@@ -179,6 +194,8 @@
       CPPUNIT_ASSERT_EQUAL(I % 2 == 0 ? 200U : 429U,
                            Waiting[I]->read().Status_);
     CPPUNIT_ASSERT_EQUAL(Callers / 2, served());
+    CPPUNIT_ASSERT(eventuallyWaiting(0));
+    CPPUNIT_ASSERT_EQUAL(std::string("8 8 0"), answers());
   }
 
   void doesNotExtendTheDeadlineOfACall() {
@@ -186,6 +203,7 @@
     sendWaiting(Caller, search(NorthKey + "X-Deadline-Ms: 50\r\n"));
     CPPUNIT_ASSERT_EQUAL(std::string("503 102 NotRunDeadline"),
                          refusedWith(Caller.read()));
+    CPPUNIT_ASSERT(eventuallyWaiting(0));
     decide(0, Granted);
     Front_->credit().setDecision(Granted);
     CPPUNIT_ASSERT_EQUAL(200U, Caller.call(search(NorthKey)).Status_);
@@ -198,7 +216,10 @@
     Caller.disconnect();
     CPPUNIT_ASSERT(
         eventually([&] { return Front_->traffic().stats().InFlight_ == 0; }));
+    CPPUNIT_ASSERT(eventuallyWaiting(0));
     decide(0, Granted);
+    CPPUNIT_ASSERT(eventually(
+        [&] { return Front_->traffic().stats().Credit_.UnusedGrants_ == 1; }));
     Front_->credit().setDecision(Granted);
     CPPUNIT_ASSERT_EQUAL(200U, call(search(NorthKey)).Status_);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), served());
