Spend no credit on calls that are refused anyway

A call of a workspace with a quota used credit up although there was no server for it or no place in the queue: with both servers leaving, one request was refused and one credit asked for. The quota then refused calls that could have been served.

policy::refuseInAdvance tells such calls before credit is asked for. The parts of admit() and enqueue() that it needs are functions of their own; their decisions and their order stay. A property checks that what it refuses, admit() refuses for the same reason. Calls that are refused by the servers' load still lose their credit: that is known only after load queries, which come after the wait.

--- a/src/libcumingauge/adapters/httpworker.h
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -215,6 +215,7 @@
                         const traffic::ServerEvent &Event);
   /// Dispatches, queues or refuses a call as the balancer decides.
   void choose(const std::shared_ptr<HttpCall> &Call);
+  /// Requests credit for a call, unless it is refused anyway.
   void requestCredit(const std::shared_ptr<HttpCall> &Call);
   void handleCredit(std::uint64_t Request,
                     const control::CreditDecision &Decision);
--- a/src/libcumingauge/adapters/httpworkercredit.cpp
+++ b/src/libcumingauge/adapters/httpworkercredit.cpp
@@ -6,6 +6,9 @@
 namespace cumingauge::adapters {
 
 void HttpWorker::requestCredit(const std::shared_ptr<HttpCall> &Call) {
+  if (const auto Refusal =
+          policy::refuseInAdvance(*Balancer_, Call->facts(), now()))
+    return Call->decide(*Refusal);
   const std::uint64_t Request =
       traffic::numberOf({Index_, ++LastCreditRequest_});
   Call->credit().Request_ = Request;
--- a/src/libcumingauge/policy/admission.cpp
+++ b/src/libcumingauge/policy/admission.cpp
@@ -79,19 +79,22 @@
   return Wait + Needed > TimeLeft || Wait > MaxWaitFraction * TimeLeft;
 }
 
-/// Makes room in the queue by refusing a call of a lower priority class;
-/// returns false when there is none.
-bool evictLowerPriority(BalancerState &State, ServiceRecord &Service,
+unsigned queueLimit(const BalancerState &State) {
+  return std::max(State.Preset_.Queue_.MaxQueued_ / State.Threads_, 1u);
+}
+
+/// Makes room in the queue by refusing a call of a lower priority class, if
+/// there is one.
+void evictLowerPriority(BalancerState &State, ServiceRecord &Service,
                         const CallFacts &Call) {
   const std::optional<CallFacts> Last =
       takeLastOfLowerClass(Service.Queue_, classOf(Call));
   if (!Last)
-    return false;
+    return;
   --State.Queued_;
   count(State.Reasons_, ChoiceReason::QueueEvicted);
   State.Evicted_.push_back(
       {Last->Call_, refuse(model::ResultCode::NotRunQueueFull)});
-  return true;
 }
 
 /// Refuses the queued calls that could not be answered before their deadline.
@@ -233,17 +236,27 @@
   return Made.Server_;
 }
 
-Decision enqueue(BalancerState &State, ServiceRecord &Service,
-                 const CallFacts &Call, model::TimePoint Now) {
-  const model::QueueLimits &Limits = State.Preset_.Queue_;
-  const unsigned QueueLimit = std::max(Limits.MaxQueued_ / State.Threads_, 1u);
+std::optional<Decision> refuseToQueue(const BalancerState &State,
+                                      const ServiceRecord &Service,
+                                      const CallFacts &Call,
+                                      model::TimePoint Now) {
+  const unsigned Limit = queueLimit(State);
   if (wouldMissDeadline(State, Service, Call, Now))
     return refuse(model::ResultCode::NotRunOverload);
   if (queuedBy(Service.Queue_, Call.Caller_) >=
-      Limits.MaxCallerShare_ * QueueLimit)
+      State.Preset_.Queue_.MaxCallerShare_ * Limit)
     return refuse(model::ResultCode::NotRunCallerShare);
-  if (State.Queued_ >= QueueLimit && !evictLowerPriority(State, Service, Call))
+  if (State.Queued_ >= Limit && !hasLowerClass(Service.Queue_, classOf(Call)))
     return refuse(model::ResultCode::NotRunQueueFull);
+  return std::nullopt;
+}
+
+Decision enqueue(BalancerState &State, ServiceRecord &Service,
+                 const CallFacts &Call, model::TimePoint Now) {
+  if (const auto Refusal = refuseToQueue(State, Service, Call, Now))
+    return *Refusal;
+  if (State.Queued_ >= queueLimit(State))
+    evictLowerPriority(State, Service, Call);
   push(Service.Queue_, Call);
   ++State.Queued_;
   return {Verdict::Wait, NoServer, model::ResultCode::Ok};
--- a/src/libcumingauge/policy/admission.h
+++ b/src/libcumingauge/policy/admission.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "policy/balancerstate.h"
+#include <optional>
 
 /// Admission control: decides whether a call is dispatched at once, queued or
 /// refused.
@@ -23,6 +24,13 @@
                             const ServiceRecord &Service, const CallFacts &Call,
                             model::TimePoint Now);
 
+/// Returns the refusal of a call that must wait but cannot be served in time,
+/// or finds the queue full of calls that it may not displace.
+std::optional<Decision> refuseToQueue(const BalancerState &State,
+                                      const ServiceRecord &Service,
+                                      const CallFacts &Call,
+                                      model::TimePoint Now);
+
 /// Queues the call, or refuses it when it cannot be served in time or the queue
 /// is full.
 Decision enqueue(BalancerState &State, ServiceRecord &Service,
--- a/src/libcumingauge/policy/admissionqueue.cpp
+++ b/src/libcumingauge/policy/admissionqueue.cpp
@@ -149,6 +149,13 @@
   return false;
 }
 
+bool hasLowerClass(const AdmissionQueue &Queue, unsigned Class) {
+  for (unsigned Index = Class + 1; Index < PriorityClasses; ++Index)
+    if (Queue.Classes_[Index].Size_ > 0)
+      return true;
+  return false;
+}
+
 std::optional<CallFacts> takeLastOfLowerClass(AdmissionQueue &Queue,
                                               unsigned Class) {
   for (unsigned Index = PriorityClasses; --Index > Class;) {
--- a/src/libcumingauge/policy/admissionqueue.h
+++ b/src/libcumingauge/policy/admissionqueue.h
@@ -73,6 +73,9 @@
 std::vector<CallFacts> takeOverdue(AdmissionQueue &Queue, model::TimePoint Now,
                                    const MinDuration &MinTime);
 
+/// Returns whether a call waits in a class below \p Class.
+bool hasLowerClass(const AdmissionQueue &Queue, unsigned Class);
+
 /// Removes and returns the call that would be served last in the lowest class
 /// below \p Class, to make room; nothing when there is none.
 std::optional<CallFacts> takeLastOfLowerClass(AdmissionQueue &Queue,
--- a/src/libcumingauge/policy/balancer.cpp
+++ b/src/libcumingauge/policy/balancer.cpp
@@ -54,6 +54,23 @@
          Now + minExpectedTime(Service, Call) >= Call.Deadline_;
 }
 
+/// Returns the refusal of a call for which there is no time or no server,
+/// whatever the load is.
+std::optional<Decision> refuseUnservable(BalancerState &State,
+                                         const ServiceRecord *Service,
+                                         const CallFacts &Call,
+                                         model::TimePoint Now) {
+  if (Now >= Call.Deadline_)
+    return refuse(model::ResultCode::NotRunDeadline);
+  if (!Service)
+    return refuse(model::ResultCode::NotRunNoServer);
+  if (Service->Members_.empty())
+    return refuseWithoutServer(State, *Service, Now);
+  if (!hasHomeServer(State, *Service, Call.Route_))
+    return refuse(model::ResultCode::NotRunNoServer);
+  return std::nullopt;
+}
+
 /// Removes an attempt from the in-flight counts of its service and server.
 void recordAttemptEnd(ServiceRecord &Service, ServerRecord &Server,
                       const CallFacts &Call, model::TimePoint Sent) {
@@ -89,15 +106,9 @@
 
 Decision admit(BalancerState &State, const CallFacts &Call,
                model::TimePoint Now) {
-  if (Now >= Call.Deadline_)
-    return refuse(model::ResultCode::NotRunDeadline);
   ServiceRecord *Service = findService(State, Call.Route_.Service_);
-  if (!Service)
-    return refuse(model::ResultCode::NotRunNoServer);
-  if (Service->Members_.empty())
-    return refuseWithoutServer(State, *Service, Now);
-  if (!hasHomeServer(State, *Service, Call.Route_))
-    return refuse(model::ResultCode::NotRunNoServer);
+  if (const auto Refusal = refuseUnservable(State, Service, Call, Now))
+    return *Refusal;
   depositBudgets(*Service, Call, State.Preset_);
   if (hasWaitedTooLong(*Service, Call, Now))
     return refuse(model::ResultCode::NotRunDeadline);
@@ -118,6 +129,20 @@
   return Made;
 }
 
+std::optional<Decision> refuseInAdvance(BalancerState &State,
+                                        const CallFacts &Call,
+                                        model::TimePoint Now) {
+  ServiceRecord *Service = findService(State, Call.Route_.Service_);
+  if (auto Refusal = refuseUnservable(State, Service, Call, Now))
+    return Refusal;
+  if (!hasCallsAhead(Service->Queue_, Call))
+    return std::nullopt;
+  auto Refusal = refuseToQueue(State, *Service, Call, Now);
+  if (Refusal)
+    depositBudgets(*Service, Call, State.Preset_);
+  return Refusal;
+}
+
 void removeFromQueue(BalancerState &State, CallId Call) {
   for (ServiceRecord &Service : State.Services_) {
     if (!removeCall(Service.Queue_, Call))
--- a/src/libcumingauge/policy/balancer.h
+++ b/src/libcumingauge/policy/balancer.h
@@ -102,6 +102,13 @@
 Decision admit(BalancerState &State, const CallFacts &Call,
                model::TimePoint Now);
 
+/// Returns the refusal of a call for which there is no time, no server or no
+/// place in the queue now, before anything is spent on it. Such a call counts
+/// for the budgets as a refused one; any other must be admitted later.
+std::optional<Decision> refuseInAdvance(BalancerState &State,
+                                        const CallFacts &Call,
+                                        model::TimePoint Now);
+
 /// Removes a waiting call from the queue, because its caller has disconnected.
 void removeFromQueue(BalancerState &State, CallId Call);
 
--- a/tests/http/quotatest.cpp
+++ b/tests/http/quotatest.cpp
@@ -160,6 +160,9 @@
     CPPUNIT_ASSERT_EQUAL(401U, call(search("")).Status_);
     CPPUNIT_ASSERT_EQUAL(
         400U, call(search(NorthKey + "Content-Length: x\r\n")).Status_);
+    Front_->markLeaving({"cat-1", "cat-2"});
+    CPPUNIT_ASSERT_EQUAL(std::string("503 100 NotRunNoServer"),
+                         refusedWith(call(search(NorthKey))));
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), asked());
   }
 
--- a/tests/policy/queuetest.cpp
+++ b/tests/policy/queuetest.cpp
@@ -1,4 +1,5 @@
 #include "policy/admissionqueue.h"
+#include "policy/balancerstate.h"
 #include "policy/fleet.h"
 #include <cppunit/extensions/HelperMacros.h>
 #include <map>
@@ -50,6 +51,7 @@
   CPPUNIT_TEST(refusesCallsThatWouldWaitTooLong);
   CPPUNIT_TEST(limitsTheQueueShareOfACaller);
   CPPUNIT_TEST(evictsAPatientCallForAnUrgentOne);
+  CPPUNIT_TEST(refusesInAdvanceOnlyWhatIsRefusedAnyway);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -209,6 +211,30 @@
                    model::ResultCode::NotRunQueueFull);
   }
 
+  void refusesInAdvanceOnlyWhatIsRefusedAnyway() {
+    CPPUNIT_ASSERT(rc::check([] {
+      model::Preset Preset = presetWith(model::PickMethod::ExpectedWait);
+      Preset.Queue_.MaxQueued_ = *rc::gen::inRange(1u, 8u);
+      const auto State = oneBusyServer(Preset);
+      for (const CallFacts &Call : randomCalls()) {
+        const unsigned QueuedBefore = State->Queued_;
+        const auto Refusal = refuseInAdvance(*State, Call, at(0));
+        RC_ASSERT(State->Queued_ == QueuedBefore);
+        const Decision Made = admit(*State, Call, at(0));
+        RC_ASSERT(!Refusal || Made.Verdict_ == Verdict::Refuse);
+        RC_ASSERT(!Refusal || Made.Reason_ == Refusal->Reason_);
+      }
+    }));
+    model::Preset Preset = presetWith(model::PickMethod::ExpectedWait);
+    Preset.Queue_.MaxQueued_ = 1;
+    const auto State = oneBusyServer(Preset);
+    const CallFacts Second = callAt(2, at(0), searchRoute(), "other");
+    CPPUNIT_ASSERT(!refuseInAdvance(*State, Second, at(0)));
+    admit(*State, callAt(1, at(0)), at(0));
+    CPPUNIT_ASSERT(refuseInAdvance(*State, Second, at(0))->Reason_ ==
+                   model::ResultCode::NotRunQueueFull);
+  }
+
 private:
   /// Returns a balancer with one server whose only slot is busy. A call takes
   /// 10 ms.
