--- a/src/libcumingauge/adapters/httpworker.h
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -59,6 +59,8 @@
   void stop();
   void applyView(std::shared_ptr<const model::ControlView> View);
   void applyObservations(std::vector<control::ServerObservation> Observations);
+  void applyCredit(std::uint64_t Request,
+                   const control::CreditDecision &Decision);
   /// Applies a notice that a server has given to another thread.
   void applyNotice(const std::string &Server, const std::string &Vm,
                    const model::ServerNotice &Notice);
@@ -182,6 +184,13 @@
     model::TimePoint Until_;
   };
 
+  /// A call that waits for credit.
+  struct CreditWait {
+    std::weak_ptr<HttpCall> Call_;
+    std::string Workspace_;
+    model::TimePoint Since_;
+  };
+
   /// A call that waits for load reports of servers before it is placed.
   struct LoadQuery {
     std::weak_ptr<HttpCall> Call_;
@@ -210,6 +219,11 @@
                         const traffic::ServerEvent &Event);
   /// Dispatches, queues or refuses a call as the balancer decides.
   void choose(const std::shared_ptr<HttpCall> &Call);
+  /// Requests credit for a call, unless it is refused anyway.
+  void requestCredit(const std::shared_ptr<HttpCall> &Call);
+  void handleCredit(std::uint64_t Request,
+                    const control::CreditDecision &Decision);
+  CreditWait takeCreditWait(std::uint64_t Request);
   /// Returns whether the present configuration handles a call in the same way
   /// as the one that admitted it.
   bool isAdmittedAsBefore(const HttpCall &Call) const;
@@ -304,6 +318,8 @@
   /// Callers' connections of which nothing is read before the first view.
   std::vector<std::shared_ptr<HttpCallerSession>> HeldSessions_;
   std::vector<FreshViewWait> FreshViewWaits_;
+  std::unordered_map<std::uint64_t, CreditWait> CreditWaits_; ///< by request
+  std::uint64_t LastCreditRequest_ = 0;
   std::unordered_map<policy::CallId, LoadQuery> LoadQueries_;
   std::unordered_set<HttpCallerSession *> Sessions_;
   policy::CallId LastCall_ = 0;
--- a/src/libcumingauge/traffic/workspacekeys.h
+++ b/src/libcumingauge/traffic/workspacekeys.h
@@ -41,12 +41,13 @@
   /// Ok, RequestKeyMissing or RequestKeyUnknown.
   model::ResultCode Reason_ = model::ResultCode::Ok;
   std::string Workspace_; ///< empty: none is known
+  bool HasQuota_ = false; ///< the workspace's calls need credit
   /// The request's credentials are not meant for this process and are passed
   /// on.
   bool PassesCredentials_ = false;
 };
 BOOST_DESCRIBE_STRUCT(CallerIdentity, (),
-                      (Reason_, Workspace_, PassesCredentials_))
+                      (Reason_, Workspace_, HasQuota_, PassesCredentials_))
 
 /// Determines the workspace of a request from its credentials.
 /// \param Scheme authentication scheme of credentials with a key.
