--- a/tests/control/quotafleet.h
+++ b/tests/control/quotafleet.h
@@ -58,8 +58,11 @@
   void configure(double Factor);
 
   // Callers.
+  /// Makes callers that are refused return a number of times when they are
+  /// told to.
+  void returnWhenTold(unsigned Times) { Returns_ = Times; }
   /// Requests credit for a call at a process that runs.
-  void call(unsigned Workspace);
+  void call(unsigned Workspace) { call(Workspace, Returns_); }
   static model::CallQuota quotaOf(unsigned Workspace, double Factor = 1);
 
   // Observations.
@@ -95,6 +98,11 @@
     model::milliseconds StoreDelay_{0};
     double Factor_ = 0; ///< of the configuration in force
   };
+  struct WaitingCall {
+    unsigned Process_;
+    unsigned Workspace_;
+    unsigned Returns_;
+  };
   /// What the store loses when it is restored.
   struct Content {
     std::uint64_t Revision_ = 10;
@@ -114,6 +122,8 @@
     model::TimePoint LastArrival_;
   };
 
+  void call(unsigned Workspace, unsigned Returns);
+  static std::string nameOf(unsigned Workspace);
   model::TimePoint ownTime(const Process &Of) const;
   model::Member memberOf(unsigned Number) const;
   void start(unsigned Number, bool IsFirst);
@@ -157,7 +167,8 @@
   std::vector<double> Factors_; ///< of each version, from 1
 
   std::uint64_t LastRequest_ = 0;
-  std::map<std::uint64_t, std::pair<unsigned, unsigned>> Waiting_;
+  unsigned Returns_ = 0;
+  std::map<std::uint64_t, WaitingCall> Waiting_;
   std::vector<CallStart> Starts_;
   unsigned Refused_ = 0;
   unsigned Unknown_ = 0;
--- a/tests/control/quotapropertytest.cpp
+++ b/tests/control/quotapropertytest.cpp
@@ -224,6 +224,8 @@
   CPPUNIT_TEST_SUITE(QuotaOfTheFleet);
   CPPUNIT_TEST(holdsThroughFaultsInEveryWindow);
   CPPUNIT_TEST(losesNothingWhileTheStoreIsSilentFor4500Ms);
+  CPPUNIT_TEST(isUsedUpWhenCallersReturnAsTold);
+  CPPUNIT_TEST(isServedWhenMostMembersAreGoneForGood);
   CPPUNIT_TEST(costsNothingWithoutQuotas);
   CPPUNIT_TEST(opensLinksOnlyWhileTheyAreUsed);
   CPPUNIT_TEST_SUITE_END();
@@ -256,6 +258,34 @@
     CPPUNIT_ASSERT_EQUAL(0U, Fleet.refused() + Fleet.unknown());
   }
 
+  void isUsedUpWhenCallersReturnAsTold() {
+    QuotaFleet Fleet(8, 1);
+    Fleet.returnWhenTold(3);
+    Fleet.run(seconds(10));
+    for (unsigned I = 0; I < 1200; ++I) {
+      for (unsigned Call = 0; Call < 12; ++Call)
+        Fleet.call(2);
+      Fleet.run(milliseconds(50));
+    }
+    const double Most = QuotaFleet::quotaOf(2).RequestsPerSecond_ * 60;
+    CPPUNIT_ASSERT(Fleet.granted() > 0.95 * Most);
+  }
+
+  void isServedWhenMostMembersAreGoneForGood() {
+    for (std::uint64_t Seed = 1; Seed <= 5; ++Seed) {
+      QuotaFleet Fleet(8, Seed);
+      Fleet.run(seconds(10));
+      for (unsigned Gone = 0; Gone < 6; ++Gone)
+        Fleet.restart(Gone, std::chrono::hours(1));
+      for (unsigned I = 0; I < 300; ++I) {
+        Fleet.call(1);
+        Fleet.run(milliseconds(50));
+      }
+      for (unsigned Part = 0; Part < CreditParts; ++Part)
+        CPPUNIT_ASSERT_EQUAL(1U, Fleet.issuers(Part));
+    }
+  }
+
   void costsNothingWithoutQuotas() {
     QuotaFleet Fleet(4, 1, QuotaFleet::Quotas::Without);
     Fleet.run(seconds(30));
--- a/tests/platform/directoryclienttest.cpp
+++ b/tests/platform/directoryclienttest.cpp
@@ -285,12 +285,12 @@
     CPPUNIT_ASSERT(Body["expected-revision"] == Json::array({Condition}));
     CPPUNIT_ASSERT(Body["puts"][0]["key"] == "cumingauge/credit/3");
     CPPUNIT_ASSERT(Json::parse(*codec::decodeBase64(
-                       Body["puts"][0]["value"].get<std::string>())) == Claim);
+                       Body["puts"][0]["value"].get<std::string>())) == Claim_);
   }
 
   void readsTheClaimThatAnotherProcessHasWritten() {
     const Json Items =
-        Json::array({item("cumingauge/credit/3", base64Of(Claim))});
+        Json::array({item("cumingauge/credit/3", base64Of(Claim_))});
     CannedStore Store(claimAnswer(412, Json{{"items", Items}}.dump()));
     const auto Read = Store.call(DirectoryOperation::Claim);
     CPPUNIT_ASSERT(Read.Code_ == model::ResultCode::Ok && Read.IsConflict_);
@@ -311,8 +311,8 @@
     for (const std::string &Odd : oddValues()) {
       CannedStore Store(
           listOf("items", {item("cumingauge/credit/0", Odd),
-                           item("cumingauge/credit/3", base64Of(Claim)),
-                           item("cumingauge/credit/x", base64Of(Claim))}));
+                           item("cumingauge/credit/3", base64Of(Claim_)),
+                           item("cumingauge/credit/x", base64Of(Claim_))}));
       const auto Read = Store.call(DirectoryOperation::Read,
                                    ports::DirectoryTopic::CreditClaims);
       CPPUNIT_ASSERT_EQUAL(std::size_t(2), Read.Claims_.size());
@@ -332,11 +332,11 @@
     return Out;
   }
 
-  const Json Claim{{"process", "front-1"},
-                   {"incarnation", 8},
-                   {"host", "10.1.0.9"},
-                   {"port", 7280},
-                   {"number", 4}};
+  const Json Claim_{{"process", "front-1"},
+                    {"incarnation", 8},
+                    {"host", "10.1.0.9"},
+                    {"port", 7280},
+                    {"number", 4}};
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(DirectoryClientTest);
 
