--- a/tests/control/quotapropertytest.cpp
+++ b/tests/control/quotapropertytest.cpp
@@ -294,18 +294,18 @@
       CPPUNIT_ASSERT_EQUAL(0U, Fleet.issuers(Part));
   }
 
-  /// The links of a process to its readers stay as they are beside those to
-  /// issuers.
+  /// More processes than one accepts as subscribers request credit of an
+  /// issuer. The links of a process to its readers stay as they are.
   void opensLinksOnlyWhileTheyAreUsed() {
-    QuotaFleet Fleet(40, 1);
+    QuotaFleet Fleet(140, 1);
     Fleet.run(seconds(20));
     const std::size_t Links = Fleet.links();
     const unsigned Subscriptions = Fleet.subscriptions();
-    for (unsigned I = 0; I < 500; ++I) {
+    for (unsigned I = 0; I < 1500; ++I) {
       Fleet.call(2);
       Fleet.run(milliseconds(100));
     }
-    CPPUNIT_ASSERT_EQUAL(500U, Fleet.granted());
+    CPPUNIT_ASSERT_EQUAL(1500U, Fleet.granted());
     CPPUNIT_ASSERT(Fleet.links() > Links);
     Fleet.run(seconds(70));
     CPPUNIT_ASSERT_EQUAL(Links, Fleet.links());
