--- a/src/libcumingauge/control/linkmanager.cpp
+++ b/src/libcumingauge/control/linkmanager.cpp
@@ -1,10 +1,10 @@
 #include "control/linkmanager.h"
 #include "control/corestate.h"
 #include "control/credit.h"
-#include "control/directorylinks.h"
 #include "control/heartbeats.h"
 #include "control/linkchoice.h"
 #include "control/membership.h"
+#include "control/updatereceiver.h"
 #include <algorithm>
 
 namespace cumingauge::control {
