Read the claims of credit more rarely

Every process read the claims when it started, and again once per second while an issuer did not answer.

--- a/src/libcumingauge/control/credit.cpp
+++ b/src/libcumingauge/control/credit.cpp
@@ -36,14 +36,17 @@
   return Found == State.Credit_.Quotas_.end() ? nullptr : &Found->second;
 }
 
-/// Returns the claim of another process for a part, or null.
+/// Returns the claim of another process for a part, or null. While none is
+/// known, that is the process which claims it first in a new fleet.
 const ports::CreditClaim *issuerOf(const CoreState &State, unsigned Part) {
   const auto &Known = State.Credit_.Parts_[Part].Known_;
-  const bool IsIssued =
-      Known && Known->Revision_ > 0 && Known->IsReadable_ &&
-      !Known->Claim_.Process_.empty() &&
-      Known->Claim_.Process_ != State.Settings_.Self_.Process_;
-  return IsIssued ? &Known->Claim_ : nullptr;
+  const auto &First = State.Credit_.First_[Part];
+  const ports::CreditClaim *Out = First ? &*First : nullptr;
+  if (Known && Known->Revision_ > 0)
+    Out = &Known->Claim_;
+  const bool IsOther = Out && !Out->Process_.empty() &&
+                       Out->Process_ != State.Settings_.Self_.Process_;
+  return IsOther ? Out : nullptr;
 }
 
 PartSet usableParts(const CoreState &State) {
--- a/src/libcumingauge/control/creditcalls.cpp
+++ b/src/libcumingauge/control/creditcalls.cpp
@@ -15,8 +15,10 @@
 using ports::ListedClaim;
 
 constexpr model::milliseconds ReadPeriod{1200};
+constexpr model::milliseconds SecondReadPeriod{3000};
 constexpr model::milliseconds MaxReadPeriod{5000};
 constexpr model::milliseconds ReadTimeout{1000};
+constexpr model::seconds ForgetFruitless{10};
 constexpr model::milliseconds RankPeriod{1000};
 /// Members of the first ranks of a part that read its claim without being in
 /// need of it.
@@ -39,11 +41,17 @@
   for (unsigned Part = 0; Part < CreditParts; ++Part) {
     const std::string Key = keyOf(Part);
     const std::uint64_t Own = rendezvousWeight(Key, selfOf(State).Process_);
-    const auto &Members = State.Directory_.ListedMembers_;
-    Credit.Ranks_[Part] = static_cast<unsigned>(std::count_if(
-        Members.begin(), Members.end(), [&](const model::Member &Other) {
-          return rendezvousWeight(Key, Other.Process_) > Own;
-        }));
+    std::uint64_t Largest = 0;
+    unsigned Rank = 0;
+    for (const model::Member &Other : State.Directory_.ListedMembers_) {
+      const std::uint64_t Weight = rendezvousWeight(Key, Other.Process_);
+      Rank += Weight > Own ? 1 : 0;
+      if (Weight >= Largest)
+        Credit.First_[Part] = {Other.Process_, Other.Incarnation_, Other.Host_,
+                               Other.Port_, 0};
+      Largest = std::max(Largest, Weight);
+    }
+    Credit.Ranks_[Part] = Rank;
   }
 }
 
@@ -80,7 +88,10 @@
 
 /// Returns whether this process needs to know the claims now.
 bool needsClaims(const CoreState &State) {
-  if (!State.Credit_.Read_.NextAt_ || State.Credit_.Read_.IsWanted_)
+  const ClaimsRead &Read = State.Credit_.Read_;
+  // A process that has run before may find a claim of its own.
+  const bool IsRestarted = !State.Settings_.IsFirstStart_;
+  if (Read.IsWanted_ || (!Read.NextAt_ && IsRestarted))
     return true;
   for (unsigned Part = 0; Part < CreditParts; ++Part)
     if (isCandidate(State, Part) &&
@@ -89,10 +100,22 @@
   return false;
 }
 
+bool isFirstCandidate(const CoreState &State) {
+  for (unsigned Part = 0; Part < CreditParts; ++Part)
+    if (State.Credit_.Ranks_[Part] == 0U &&
+        !mayIssue(State.Credit_.Parts_[Part], State.Now_))
+      return true;
+  return false;
+}
+
 void scheduleRead(CoreState &State) {
   ClaimsRead &Read = State.Credit_.Read_;
-  const auto Period = std::min<model::Duration>(
-      MaxReadPeriod, ReadPeriod * (1 << std::min(Read.Failures_, 3U)));
+  model::Duration Period = ReadPeriod;
+  if (!isFirstCandidate(State))
+    Period = Read.IsWanted_ ? ReadPeriod * (1 << std::min(Read.Fruitless_, 2U))
+                            : SecondReadPeriod;
+  Period = std::min<model::Duration>(
+      MaxReadPeriod, Period * (1 << std::min(Read.Failures_, 3U)));
   Read.NextAt_ = State.Now_ + jittered(State, Period);
 }
 
@@ -108,6 +131,8 @@
     return;
   DirectoryRequest Request;
   Request.Topic_ = ports::DirectoryTopic::CreditClaims;
+  if (Read.NextAt_ && State.Now_ - *Read.NextAt_ >= ForgetFruitless)
+    Read.Fruitless_ = 0;
   Read.IssuedAt_ = State.Now_;
   Read.Call_ = callDirectory(State, std::move(Request));
   scheduleRead(State);
@@ -175,6 +200,17 @@
   }
 }
 
+/// Returns the issuers of the parts, each in its present incarnation.
+std::vector<std::string> issuers(const CoreState &State) {
+  std::vector<std::string> Out;
+  for (const CreditPart &Part : State.Credit_.Parts_)
+    Out.push_back(Part.Known_
+                      ? Part.Known_->Claim_.Process_ + " " +
+                            std::to_string(Part.Known_->Claim_.Incarnation_)
+                      : "");
+  return Out;
+}
+
 void handleRead(CoreState &State, const DirectoryResponse &Response) {
   ClaimsRead &Read = State.Credit_.Read_;
   Read.Call_ = 0;
@@ -183,8 +219,11 @@
     return scheduleRead(State);
   }
   Read.Failures_ = 0;
-  Read.IsWanted_ = false;
+  const std::vector<std::string> Before = issuers(State);
   observeClaims(State, Response, 0, CreditParts, Read.IssuedAt_);
+  Read.Fruitless_ =
+      Read.IsWanted_ && issuers(State) == Before ? Read.Fruitless_ + 1 : 0;
+  Read.IsWanted_ = false;
 }
 
 void handleWrite(CoreState &State, unsigned Index,
--- a/src/libcumingauge/control/creditstate.h
+++ b/src/libcumingauge/control/creditstate.h
@@ -18,6 +18,8 @@
   std::optional<model::TimePoint> NextAt_; ///< absent: never read
   unsigned Failures_ = 0;                  ///< in a row
   bool IsWanted_ = false; ///< calls wait, and an issuer is not known
+  /// Reads in a row that were wanted and have shown no other issuer.
+  unsigned Fruitless_ = 0;
 };
 
 /// The credit of workspaces with a quota, as issued and requested by one
@@ -30,6 +32,9 @@
   /// each part; absent before the members are known.
   std::array<std::optional<unsigned>, CreditParts> Ranks_;
   std::optional<model::TimePoint> RankedAt_;
+  /// First member in the rendezvous order of each part: the issuer to ask while
+  /// no claim is known.
+  std::array<std::optional<ports::CreditClaim>, CreditParts> First_;
   std::uint64_t Era_ = 0; ///< of the directory in which the claims were read
   std::uint64_t LastNumber_ = 0; ///< of the claims that were written
   ClaimsRead Read_;
