--- a/src/libcumingauge/adapters/httpworkersending.cpp
+++ b/src/libcumingauge/adapters/httpworkersending.cpp
@@ -6,8 +6,6 @@
 
 namespace cumingauge::adapters {
 
-using model::ResultCode;
-
 namespace {
 
 /// Returns whether calls of a route may go to a service.
