Do not wait for silent issuers behind a refusal

Calls were refused late, and others ended at their deadline, while issuers had lost power: each part that did not answer was asked again once per second by all calls that came within its 300 ms, and calls that other parts had refused waited for it as well.

Now one call per second tries such a part, further calls leave a part out once an answer is 100 ms late, and a call that was refused elsewhere does not wait for it.

--- a/src/libcumingauge/control/creditasker.cpp
+++ b/src/libcumingauge/control/creditasker.cpp
@@ -10,6 +10,29 @@
 
 constexpr unsigned MaxFailures = 2;
 constexpr model::seconds AvoidTime{1};
+/// Time without an answer after which further calls go to other parts.
+constexpr model::milliseconds SlowAnswer{100};
+
+bool owesAnswer(const CreditAsker &Asker, unsigned Part, TimePoint Now) {
+  const auto &Since = Asker.OwesSince_[Part];
+  return Since && Now - *Since > SlowAnswer;
+}
+
+/// Returns whether a part is left out while others can be asked.
+bool isAvoided(const CreditAsker &Asker, unsigned Part, TimePoint Now) {
+  return Asker.AvoidUntil_[Part] > Now ||
+         (owesAnswer(Asker, Part, Now) &&
+          Now - *Asker.OwesSince_[Part] < AvoidTime);
+}
+
+/// Records that a part is asked. While it owes an answer, no other call is to
+/// wait for it.
+void recordQuestion(CreditAsker &Asker, unsigned Part, TimePoint Now) {
+  if (owesAnswer(Asker, Part, Now))
+    Asker.AvoidUntil_[Part] = Now + AvoidTime;
+  if (!Asker.OwesSince_[Part])
+    Asker.OwesSince_[Part] = Now;
+}
 
 /// Ends the question to the present part.
 void closeStep(CreditWant &Want) {
@@ -25,7 +48,7 @@
       Asker.Turns_.try_emplace(Want.Workspace_, CreditTurn{Start, {}})
           .first->second;
   const auto Rank = [&](unsigned Part) {
-    return std::make_tuple(Asker.AvoidUntil_[Part] > Now,
+    return std::make_tuple(isAvoided(Asker, Part, Now),
                            Turn.EmptyUntil_[Part] > Now,
                            (Part + CreditParts - Turn.Next_) % CreditParts);
   };
@@ -35,12 +58,14 @@
         (!Best || Rank(Part) < Rank(*Best)))
       Best = Part;
   if (!Best ||
-      (Want.Refusals_ >= MaxCreditRefusals && Turn.EmptyUntil_[*Best] > Now))
+      (Want.Refusals_ >= MaxCreditRefusals && Turn.EmptyUntil_[*Best] > Now) ||
+      (Want.Refusals_ > 0 && isAvoided(Asker, *Best, Now)))
     return false;
   Turn.Next_ = (*Best + 1) % CreditParts;
   Want.Part_ = Best;
   Want.AskedAt_ = Now;
   Want.Tried_.set(*Best);
+  recordQuestion(Asker, *Best, Now);
   return true;
 }
 
@@ -51,6 +76,7 @@
   if (Answer.Answer_ == CreditAnswer::Unknown)
     return applyCreditFailure(Asker, Want, Now);
   Asker.AvoidUntil_[*Want.Part_] = Now;
+  Asker.OwesSince_[*Want.Part_].reset();
   if (Answer.Answer_ == CreditAnswer::Granted)
     return Answer;
   Asker.Turns_[Want.Workspace_].EmptyUntil_[*Want.Part_] =
--- a/src/libcumingauge/control/creditasker.h
+++ b/src/libcumingauge/control/creditasker.h
@@ -55,11 +55,15 @@
   std::map<std::string, CreditTurn> Turns_; ///< by workspace
   /// Parts that have not answered are asked last until then.
   std::array<model::TimePoint, CreditParts> AvoidUntil_;
+  /// Since when each part owes an answer.
+  std::array<std::optional<model::TimePoint>, CreditParts> OwesSince_;
 };
 
 /// Chooses the part to ask for a call. Returns false when none of the usable
-/// parts is left, or only ones that are known to be empty after some refusals.
-/// \param Start part that is asked first for a workspace that is new.
+/// parts is left, or only ones that are known to be empty after some refusals
+/// or do not answer after the first one. Parts that have not answered are tried
+/// by one call at a time. \param Start part that is asked first for a workspace
+/// that is new.
 bool choosePart(CreditAsker &Asker, CreditWant &Want, const PartSet &Usable,
                 unsigned Start, model::TimePoint Now);
 
--- a/tests/control/creditaskertest.cpp
+++ b/tests/control/creditaskertest.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(goesToThreePartsThatAreKnownToBeEmpty);
   CPPUNIT_TEST(leavesOutPartsThatAreEmptyOrSilent);
   CPPUNIT_TEST(goesToOneOtherPartWithoutAnAnswer);
+  CPPUNIT_TEST(doesNotWaitForSilentPartsBehindOthers);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -91,6 +92,27 @@
                    CreditAnswer::Unknown);
   }
 
+  void doesNotWaitForSilentPartsBehindOthers() {
+    CreditWant First = want("a");
+    const unsigned Silent = ask(First);
+    const TimePoint Later = Start + milliseconds(150);
+    CreditWant Refused = want("a");
+    for (unsigned I = 1; I < CreditParts; ++I) {
+      CPPUNIT_ASSERT(ask(Refused, Later) != Silent);
+      applyCreditAnswer(Asker_, Refused, refused(2000), Later);
+    }
+    CPPUNIT_ASSERT(!choosePart(Asker_, Refused, PartSet().set(), 4, Later));
+    CPPUNIT_ASSERT(concludeWant(Refused).Answer_ == CreditAnswer::Refused);
+    CreditWant Probe = want("a");
+    const TimePoint Retry = Start + milliseconds(1100);
+    CPPUNIT_ASSERT_EQUAL(Silent, ask(Probe, Retry));
+    CreditWant Beside = want("a");
+    CPPUNIT_ASSERT(ask(Beside, Retry) != Silent);
+    applyCreditAnswer(Asker_, Probe, Granted, Retry);
+    CreditWant Next = want("a");
+    CPPUNIT_ASSERT_EQUAL(Silent, ask(Next, Retry));
+  }
+
 private:
   void checkRefused(CreditWant &Want, int RetryAfter) {
     CPPUNIT_ASSERT(!choosePart(Asker_, Want, PartSet().set(), 4, Start));
