--- a/src/libcumingauge/control/directorylinks.h
+++ b/src/libcumingauge/control/directorylinks.h
@@ -5,8 +5,8 @@
 /// Opens the links over which the configuration and the list of servers are
 /// distributed, so that only a few processes, the fleet readers, call the
 /// directory. The zone readers subscribe to them, and the other processes of a
-/// large availability zone to two of its readers. Updates carry the time since
-/// the directory was asked, however many processes they pass. A process whose
+/// large availability zone to two of its readers. Updates tell when the
+/// directory was asked, however many processes they pass. A process whose
 /// last update is older than a fraction of the leaving bound calls the
 /// directory itself.
 namespace cumingauge::control {
