Refuse calls at once when no issuer of credit has answered for a second

Each call was sent to two silent parts in turn, 300 ms each, although other calls had just waited there in vain.

A part that has owed an answer for a second is tried by one call per second; the others leave it out, and when that goes for all parts the answer is Unknown at once. Silence counts no longer when nobody has asked for five seconds, or when this process issues the part itself.

The test fails on the former code, which has no such answer.

--- a/src/libcumingauge/control/credit.cpp
+++ b/src/libcumingauge/control/credit.cpp
@@ -106,6 +106,9 @@
   const PartSet Usable = usableParts(State);
   if (!Usable.all())
     wantClaims(State);
+  for (unsigned Part = 0; Part < CreditParts; ++Part)
+    if (mayIssue(State.Credit_.Parts_[Part], State.Now_))
+      forgetSilence(State.Credit_.Asker_, Part);
   return choosePart(State.Credit_.Asker_, Want, Usable,
                     State.Random_(CreditParts), State.Now_);
 }
@@ -138,7 +141,8 @@
       return Out;
   while (true) {
     if (!Want.Part_ && !chooseNextPart(State, Want)) {
-      if (Want.Tried_.any() || isOverdue(Want, State.Now_))
+      if (Want.Tried_.any() || isOverdue(Want, State.Now_) ||
+          areSilent(Asker, usableParts(State), State.Now_))
         return concludeWant(Want);
       return std::nullopt;
     }
--- a/src/libcumingauge/control/creditasker.cpp
+++ b/src/libcumingauge/control/creditasker.cpp
@@ -10,6 +10,8 @@
 
 constexpr unsigned MaxFailures = 2;
 constexpr model::seconds AvoidTime{1};
+/// Time without a question after which an earlier silence counts no longer.
+constexpr model::seconds UntriedTime{5};
 /// Time without an answer after which further calls go to other parts.
 constexpr model::milliseconds SlowAnswer{100};
 
@@ -25,13 +27,24 @@
           Now - *Asker.OwesSince_[Part] < AvoidTime);
 }
 
+/// Returns whether a part has not answered for so long that a call is not to
+/// wait for it, as another one tries it.
+bool isSilent(const CreditAsker &Asker, unsigned Part, TimePoint Now) {
+  const auto &Since = Asker.OwesSince_[Part];
+  return Since && Now - *Since >= AvoidTime && Asker.AvoidUntil_[Part] > Now;
+}
+
 /// Records that a part is asked. While it owes an answer, no other call is to
 /// wait for it.
 void recordQuestion(CreditAsker &Asker, unsigned Part, TimePoint Now) {
+  auto &Since = Asker.OwesSince_[Part];
+  // It may have come back since it was last tried.
+  if (Since && Now - std::max(*Since, Asker.AvoidUntil_[Part]) >= UntriedTime)
+    Since.reset();
   if (owesAnswer(Asker, Part, Now))
     Asker.AvoidUntil_[Part] = Now + AvoidTime;
-  if (!Asker.OwesSince_[Part])
-    Asker.OwesSince_[Part] = Now;
+  if (!Since)
+    Since = Now;
 }
 
 /// Ends the question to the present part.
@@ -57,7 +70,7 @@
     if (Usable[Part] && !Want.Tried_[Part] &&
         (!Best || Rank(Part) < Rank(*Best)))
       Best = Part;
-  if (!Best ||
+  if (!Best || isSilent(Asker, *Best, Now) ||
       (Want.Refusals_ >= MaxCreditRefusals && Turn.EmptyUntil_[*Best] > Now) ||
       (Want.Refusals_ > 0 && isAvoided(Asker, *Best, Now)))
     return false;
@@ -69,6 +82,18 @@
   return true;
 }
 
+bool areSilent(const CreditAsker &Asker, const PartSet &Usable, TimePoint Now) {
+  for (unsigned Part = 0; Part < CreditParts; ++Part)
+    if (Usable[Part] && !isSilent(Asker, Part, Now))
+      return false;
+  return Usable.any();
+}
+
+void forgetSilence(CreditAsker &Asker, unsigned Part) {
+  Asker.OwesSince_[Part].reset();
+  Asker.AvoidUntil_[Part] = {};
+}
+
 std::optional<CreditDecision> applyCreditAnswer(CreditAsker &Asker,
                                                 CreditWant &Want,
                                                 const CreditDecision &Answer,
--- a/src/libcumingauge/control/creditasker.h
+++ b/src/libcumingauge/control/creditasker.h
@@ -60,13 +60,21 @@
 };
 
 /// Chooses the part to ask for a call. Returns false when none of the usable
-/// parts is left, or only ones that are known to be empty after some refusals
-/// or do not answer after the first one. Parts that have not answered are tried
-/// by one call at a time. \param Start part that is asked first for a workspace
-/// that is new.
+/// parts is left, or only ones that have been silent for long, that are known
+/// to be empty after some refusals, or do not answer after the first one. Parts
+/// that have not answered are tried by one call at a time. \param Start part
+/// that is asked first for a workspace that is new.
 bool choosePart(CreditAsker &Asker, CreditWant &Want, const PartSet &Usable,
                 unsigned Start, model::TimePoint Now);
 
+/// Returns whether none of the usable parts has answered for so long that a
+/// call is to be refused at once. One call per second still tries each.
+bool areSilent(const CreditAsker &Asker, const PartSet &Usable,
+               model::TimePoint Now);
+
+/// Records that a part can be asked again, as this process issues it now.
+void forgetSilence(CreditAsker &Asker, unsigned Part);
+
 /// Applies the answer of the part that is asked. Returns the decision on the
 /// call; nothing when another part is to be asked.
 std::optional<CreditDecision> applyCreditAnswer(CreditAsker &Asker,
--- a/tests/control/creditaskertest.cpp
+++ b/tests/control/creditaskertest.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(leavesOutPartsThatAreEmptyOrSilent);
   CPPUNIT_TEST(goesToOneOtherPartWithoutAnAnswer);
   CPPUNIT_TEST(doesNotWaitForSilentPartsBehindOthers);
+  CPPUNIT_TEST(isGivenUpAtOnceWhenNoPartHasAnsweredForLong);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -113,6 +114,33 @@
     CPPUNIT_ASSERT_EQUAL(Silent, ask(Next, Retry));
   }
 
+  void isGivenUpAtOnceWhenNoPartHasAnsweredForLong() {
+    const PartSet All = PartSet().set();
+    for (unsigned I = 0; I < CreditParts; ++I) {
+      CreditWant First = want("a");
+      ask(First);
+      applyCreditFailure(Asker_, First, Start + CreditTimeout);
+    }
+    CPPUNIT_ASSERT(!areSilent(Asker_, All, Start + milliseconds(900)));
+    const TimePoint Later = Start + milliseconds(1100);
+    CPPUNIT_ASSERT(areSilent(Asker_, All, Later));
+    CPPUNIT_ASSERT(!areSilent(Asker_, PartSet(), Later));
+    CreditWant Refused = want("a");
+    CPPUNIT_ASSERT(!choosePart(Asker_, Refused, All, 4, Later));
+    CPPUNIT_ASSERT(concludeWant(Refused).Answer_ == CreditAnswer::Unknown);
+    // One call tries each part once per second; an answer ends the silence.
+    const TimePoint Retry = Start + milliseconds(1400);
+    CreditWant Probe = want("a");
+    for (unsigned I = 0; I < CreditParts; ++I)
+      ask(Probe = want("a"), Retry);
+    CPPUNIT_ASSERT(areSilent(Asker_, All, Retry));
+    applyCreditAnswer(Asker_, Probe, Granted, Retry);
+    CPPUNIT_ASSERT(!areSilent(Asker_, All, Retry));
+    // Silence that nobody has tried for a while counts no longer.
+    ask(want("a"), Retry + seconds(60));
+    CPPUNIT_ASSERT(!areSilent(Asker_, All, Retry + seconds(60)));
+  }
+
 private:
   void checkRefused(CreditWant &Want, int RetryAfter) {
     CPPUNIT_ASSERT(!choosePart(Asker_, Want, PartSet().set(), 4, Start));
