Name the reason for each end of a caller's connection

Callers saw connections end without an answer while a whole request was read and thrown away. The log had neither the reason of the close nor the idle time nor the limit of the timer, so that an idle timeout, a stop, an eviction and a broken answer looked alike. The line on discarded bytes shared its limit with the lines on calls and could be left out.

Each end now has a reason (traffic::ConnectionEnd), which the functions that close a connection take as a parameter, and which is counted in cumingauge_caller_connections_closed_total when the end is decided. An end that no answer has announced is logged with idle time, limit of the timer and limit in force, lateness of timer and thread, unread bytes and version. The line on discarded bytes names reason, time since the close and idle time, and has a limit of its own. Late ticks of the traffic and control threads are logged with the processor time they used and the longest step of the control thread. Nothing changes in when connections are closed.

--- a/src/libcumingauge/adapters/calllog.cpp
+++ b/src/libcumingauge/adapters/calllog.cpp
@@ -29,6 +29,11 @@
   return std::string(model::nameOf(Code));
 }
 
+auto toMs(const std::optional<model::Duration> &Time) {
+  return Time ? std::chrono::duration_cast<model::milliseconds>(*Time).count()
+              : NoTime.count();
+}
+
 } // namespace
 
 void CallLog::recordCall(const CallRecord &Record, model::TimePoint Now) {
@@ -72,15 +77,40 @@
        {"leftOut", std::exchange(Refusals_.Suppressed_, 0)}});
 }
 
-void CallLog::recordDiscardedBytes(const std::string &Peer, std::size_t Bytes,
-                                   bool Announced, model::TimePoint Now) {
-  if (!admitLine(Calls_, Now))
+void CallLog::recordConnectionEnd(const ConnectionEndRecord &Record,
+                                  model::TimePoint Now) {
+  if (!admitLine(ConnectionEnds_, Now))
+    return;
+  log(LogLevel::Info, "caller connection closed",
+      {{"peer", Record.Peer_},
+       {"port", Record.Port_},
+       {"reason", boost::describe::enum_to_string(Record.End_, "")},
+       {"call", Record.Call_},
+       {"idleMs", toMs(Record.Idle_)},
+       {"limitMs", toMs(Record.Limit_)},
+       {"limitNowMs", toMs(Record.LimitNow_)},
+       {"timerLateMs", toMs(Record.TimerLate_)},
+       {"threadLateMs", toMs(Record.ThreadLate_)},
+       {"unreadBytes", Record.UnreadBytes_},
+       {"bufferedBytes", Record.BufferedBytes_},
+       {"requestsServed", Record.Requests_},
+       {"configVersion", Record.ConfigVersion_},
+       {"leftOut", std::exchange(ConnectionEnds_.Suppressed_, 0)}});
+}
+
+void CallLog::recordDiscardedBytes(const DiscardRecord &Record,
+                                   model::TimePoint Now) {
+  if (!admitLine(Discards_, Now))
     return;
   log(LogLevel::Info, "bytes discarded after close",
-      {{"peer", Peer},
-       {"bytes", Bytes},
-       {"closeAnnounced", Announced ? 1 : 0},
-       {"leftOut", std::exchange(Calls_.Suppressed_, 0)}});
+      {{"peer", Record.Peer_},
+       {"port", Record.Port_},
+       {"bytes", Record.Bytes_},
+       {"closeAnnounced", Record.Announced_ ? 1 : 0},
+       {"reason", boost::describe::enum_to_string(Record.End_, "")},
+       {"msSinceClose", toMs(Record.SinceClose_)},
+       {"idleMs", toMs(Record.Idle_)},
+       {"leftOut", std::exchange(Discards_.Suppressed_, 0)}});
 }
 
 void CallLog::recordUnreadableNotice(const std::string &Call,
--- a/src/libcumingauge/adapters/calllog.h
+++ b/src/libcumingauge/adapters/calllog.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/connectionendrecord.h"
 #include "model/answerfault.h"
 #include "model/attempttrace.h"
 #include "model/backendserver.h"
@@ -56,6 +57,8 @@
   // Together they limit the log of a thread to about 50 KB a second.
   static constexpr unsigned MaxCallLines = 100;
   static constexpr unsigned MaxRefusalLines = 20;
+  static constexpr unsigned MaxConnectionEndLines = 10;
+  static constexpr unsigned MaxDiscardLines = 10;
 
 public:
   /// Logs a call that has ended, unless it is not sampled or over the limit.
@@ -65,11 +68,14 @@
   /// a limit of their own, so that calls do not displace them.
   void recordRefusedRequest(const RefusalRecord &Record, model::TimePoint Now);
 
+  /// Logs that the process ends a connection, within a limit of its own.
+  void recordConnectionEnd(const ConnectionEndRecord &Record,
+                           model::TimePoint Now);
+
   /// Logs that bytes of a caller arrived after the connection was closed and
-  /// are discarded.
-  /// \param Announced whether the last answer said that the connection closes.
-  void recordDiscardedBytes(const std::string &Peer, std::size_t Bytes,
-                            bool Announced, model::TimePoint Now);
+  /// are discarded. The limit is its own, as a stop ends many connections at
+  /// once.
+  void recordDiscardedBytes(const DiscardRecord &Record, model::TimePoint Now);
 
   /// Logs that a server's announcement of a leave or a pause is invalid.
   /// \param Call empty when it came in the answer to a probe.
@@ -98,6 +104,8 @@
 
   LineWindow Calls_{MaxCallLines};
   LineWindow Refusals_{MaxRefusalLines};
+  LineWindow ConnectionEnds_{MaxConnectionEndLines};
+  LineWindow Discards_{MaxDiscardLines};
   std::uint64_t OrdinaryCalls_ = 0;
 };
 
--- a/src/libcumingauge/adapters/controlruntime.cpp
+++ b/src/libcumingauge/adapters/controlruntime.cpp
@@ -4,6 +4,7 @@
 #include "adapters/messageclock.h"
 #include "adapters/peerlinks.h"
 #include "adapters/storeclient.h"
+#include "adapters/tickwatch.h"
 #include "control/freshness.h"
 #include <atomic>
 #include <boost/asio/io_context.hpp>
@@ -182,8 +183,10 @@
     flushLog();
     TickTimer_.expires_after(Settings_.TickPeriod_);
     TickTimer_.async_wait([this](const boost::system::error_code &Cancelled) {
-      if (!Cancelled)
-        tick();
+      if (Cancelled)
+        return;
+      TickWatch_.recordTick(TickTimer_.expiry(), now());
+      tick();
     });
   }
 
@@ -254,10 +257,17 @@
     while (!PendingInputs_.empty()) {
       const CoreInput Next = std::move(PendingInputs_.front());
       PendingInputs_.pop_front();
-      const auto Orders = control::step(*Core_, Next, now());
+      const model::TimePoint Start = now();
+      const auto Orders = control::step(*Core_, Next, Start);
       publishKnowledge();
       for (const control::CoreCommand &Order : Orders)
         std::visit([this](const auto &Each) { execute(Each); }, Order);
+      const std::type_info &Type = std::visit(
+          [](const auto &Each) -> const std::type_info & {
+            return typeid(Each);
+          },
+          Next);
+      TickWatch_.recordStep(Type, now() - Start);
     }
     IsProcessing_ = false;
     DispatchDeadline_.store(
@@ -403,6 +413,7 @@
       Directory_; ///< Execute_ is empty without a platform directory
   PeerLinks Links_;
   asio::steady_timer TickTimer_;
+  TickWatch TickWatch_{"control"};
   std::shared_ptr<control::CoreState> Core_;
   std::thread Thread_;
 
--- a/src/libcumingauge/adapters/httpcalleranswers.cpp
+++ b/src/libcumingauge/adapters/httpcalleranswers.cpp
@@ -14,6 +14,7 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 using model::ResultCode;
+using traffic::ConnectionEnd;
 using traffic::Framing;
 
 namespace {
@@ -89,6 +90,7 @@
 /// Answers a request that is not read to its end, and closes the connection.
 void HttpCallerSession::endRequest(ResultCode Code) {
   Worker_.recordRefusedRequest(Reader_.head(), Code, Reader_.errorText());
+  IsRefused_ = true;
   KeepAlive_ = false;
   IsHeadRequest_ = Reader_.head().IsHead_;
   CallId_.clear();
@@ -200,10 +202,10 @@
   // Without chunks, the answer may end with the connection and would look
   // whole.
   if (!ChunksAllowed_)
-    return reset();
+    return reset(ConnectionEnd::AnswerBroken);
   if (hasOutput())
     write(); // the head shows that there was an answer
-  lingerClose();
+  lingerClose(ConnectionEnd::AnswerBroken);
   dropCalls();
 }
 
@@ -237,7 +239,7 @@
   if (Phase_ == Phase::Closed || Phase_ == Phase::Closing)
     return;
   if (Error)
-    return close();
+    return close(ConnectionEnd::CallerClosed);
   if (Phase_ == Phase::Call)
     TimeoutAt_ = model::TimePoint::max();
   if (Done)
@@ -262,16 +264,18 @@
   if (Phase_ != Phase::Call || !AnswerComplete_ || !HasCallEnded_ ||
       WriteInProgress_)
     return;
+  ++RequestsServed_;
   // Only an answer that said so ends the connection: the caller may have sent
   // its next request already.
   if (KeepAlive_)
     nextRequest();
   else
-    lingerClose();
+    lingerClose(IsRefused_ ? ConnectionEnd::Refused : ConnectionEnd::Announced);
 }
 
 void HttpCallerSession::nextRequest() {
   Phase_ = Phase::Head;
+  IdleSince_ = Worker_.now();
   AnswerStarted_ = false;
   AnswerComplete_ = false;
   HasCallEnded_ = false;
@@ -288,7 +292,8 @@
     advance();
 }
 
-void HttpCallerSession::lingerClose() {
+void HttpCallerSession::lingerClose(ConnectionEnd End) {
+  decideEnd(End);
   // Closing a socket with unread bytes makes the kernel reset the connection,
   // and the answer may be lost; so the rest is read until the caller closes.
   Phase_ = Phase::Closing;
@@ -304,12 +309,13 @@
 /// Closes a connection that carries no call. A request that arrives after this
 /// is not read; the connection is then closed at once, so that the caller can
 /// send the request elsewhere.
-void HttpCallerSession::closeIdle() {
+void HttpCallerSession::closeIdle(ConnectionEnd End) {
   ClosingIdle_ = true;
-  lingerClose();
+  lingerClose(End);
 }
 
-void HttpCallerSession::recordAbandonedCalls() const {
+void HttpCallerSession::recordProcessEnd() {
+  decideEnd(ConnectionEnd::ProcessEnded);
   if (Call_)
     Worker_.recordAbandonedCall(*Call_);
   for (const PipelinedCall &Waiting : PipelinedCalls_)
@@ -317,7 +323,13 @@
       Worker_.recordAbandonedCall(*Call);
 }
 
-void HttpCallerSession::close() {
+void HttpCallerSession::close(ConnectionEnd End) {
+  decideEnd(End);
+  finishClose();
+}
+
+/// Closes the socket once the reason is known.
+void HttpCallerSession::finishClose() {
   if (Phase_ == Phase::Closed)
     return;
   Phase_ = Phase::Closed;
@@ -329,10 +341,10 @@
   Worker_.removeSession(*this);
 }
 
-void HttpCallerSession::reset() {
+void HttpCallerSession::reset(ConnectionEnd End) {
   error_code Ignored;
   Socket_.set_option(boost::asio::socket_base::linger(true, 0), Ignored);
-  close();
+  close(End);
 }
 
 /// Ends the calls whose answers cannot be sent any more.
--- a/src/libcumingauge/adapters/httpcallermemory.cpp
+++ b/src/libcumingauge/adapters/httpcallermemory.cpp
@@ -7,6 +7,7 @@
 
 using model::ResultCode;
 using policy::CallerUse;
+using traffic::ConnectionEnd;
 
 namespace {
 
@@ -74,9 +75,12 @@
 }
 
 void HttpCallerSession::evict(ResultCode Code) {
+  const ConnectionEnd End = Code == ResultCode::NotRunMemory
+                                ? ConnectionEnd::Memory
+                                : ConnectionEnd::Descriptors;
   switch (use()) {
   case CallerUse::Idle:
-    return close();
+    return close(End);
   case CallerUse::Unfinished:
     return refuseRequest(Code);
   case CallerUse::Upload:
@@ -84,7 +88,7 @@
   case CallerUse::Unread:
   case CallerUse::Running:
   case CallerUse::Closing:
-    return reset();
+    return reset(End);
   }
 }
 
--- a/src/libcumingauge/adapters/httpcallersession.cpp
+++ b/src/libcumingauge/adapters/httpcallersession.cpp
@@ -11,6 +11,7 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 using model::ResultCode;
+using traffic::ConnectionEnd;
 
 namespace {
 
@@ -49,16 +50,18 @@
 HttpCallerSession::HttpCallerSession(tcp::socket Socket, HttpWorker &Worker)
     : Socket_(std::move(Socket)), Timer_(Socket_.get_executor()),
       Worker_(Worker), Reader_(Worker.limits().HeaderBytes_, Worker.dialect()),
-      Memory_(Worker.callerMemory()), WaitsSince_(Worker.now()),
-      TimeoutAt_(model::TimePoint::max()),
+      Memory_(Worker.callerMemory()), IdleSince_(Worker.now()),
+      WaitsSince_(IdleSince_), TimeoutAt_(model::TimePoint::max()),
       CallTimerAt_(model::TimePoint::max()),
       TimerSetFor_(model::TimePoint::max()) {
   error_code Ignored;
   Socket_.set_option(tcp::no_delay(true), Ignored);
   Socket_.non_blocking(true, Ignored); // for readRest()
   const auto Remote = Socket_.remote_endpoint(Ignored);
-  if (!Ignored)
+  if (!Ignored) {
     Peer_ = Remote.address().to_string();
+    PeerPort_ = Remote.port();
+  }
 }
 
 HttpCallerSession::~HttpCallerSession() = default;
@@ -88,7 +91,7 @@
     return refuseRequest(ResultCode::NotRunStopping);
   if (Phase_ == Phase::Head && !Reader_.hasPartialRequest() &&
       !WriteInProgress_)
-    closeIdle();
+    closeIdle(ConnectionEnd::Stopping);
 }
 
 // Reading.
@@ -109,7 +112,7 @@
   if (Phase_ == Phase::Closed)
     return;
   if (Error)
-    return close();
+    return close(ConnectionEnd::CallerClosed);
   const std::size_t Limit = Reader_.readSize();
   const bool IsFull = Bytes == Reader_.prepare().size();
   if (Phase_ == Phase::Closing)
@@ -152,9 +155,9 @@
 void HttpCallerSession::discard(std::size_t Bytes) {
   DiscardedBytes_ += Bytes;
   if (!std::exchange(DiscardLogged_, true))
-    Worker_.recordDiscardedBytes(Peer_, Bytes, isCloseAnnounced());
+    recordDiscardedBytes(Bytes);
   if (ClosingIdle_ || DiscardedBytes_ > MaxDiscardedBytes)
-    return close();
+    return finishClose();
   read();
 }
 
@@ -391,6 +394,7 @@
 
 void HttpCallerSession::setTimeout(model::milliseconds Timeout) {
   WaitsSince_ = Worker_.now();
+  Timeout_ = Timeout;
   TimeoutAt_ = WaitsSince_ + Timeout;
   armTimer();
 }
@@ -432,11 +436,11 @@
 void HttpCallerSession::onTimeout() {
   // Without a reset, the kernel goes on sending what it holds of the answers.
   if (Phase_ == Phase::Closing)
-    return close();
+    return finishClose();
   if (WriteInProgress_)
-    return reset();
+    return reset(ConnectionEnd::AnswerNotRead);
   if (Phase_ == Phase::Head && !Reader_.hasPartialRequest())
-    return closeIdle();
+    return closeIdle(ConnectionEnd::IdleTimeout);
   if (Phase_ == Phase::Head || Phase_ == Phase::KeptBody)
     return refuseRequest(ResultCode::RequestTimeout);
   if (PieceHandler_)
--- a/src/libcumingauge/adapters/httpcallersession.h
+++ b/src/libcumingauge/adapters/httpcallersession.h
@@ -7,6 +7,7 @@
 #include "adapters/httprequestreader.h"
 #include "model/time.h"
 #include "policy/callermemory.h"
+#include "traffic/connectionend.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
@@ -48,8 +49,9 @@
   /// arrived is refused; one whose head has not is refused once it has.
   void refuseFurtherRequests();
 
-  /// Logs the calls that are not answered when the process ends.
-  void recordAbandonedCalls() const;
+  /// Logs the calls that are not answered when the process ends, and that the
+  /// connection was open until then.
+  void recordProcessEnd();
 
   /// Returns what the connection waits for and what it holds.
   policy::CallerHolding holding() const;
@@ -118,10 +120,13 @@
   void onWritten(boost::system::error_code Error);
   void finishAnswer();
   void nextRequest();
-  void lingerClose();
-  void closeIdle();
-  void reset();
-  void close();
+  void lingerClose(traffic::ConnectionEnd End);
+  void closeIdle(traffic::ConnectionEnd End);
+  void reset(traffic::ConnectionEnd End);
+  void close(traffic::ConnectionEnd End);
+  void finishClose();
+  void decideEnd(traffic::ConnectionEnd End);
+  void recordDiscardedBytes(std::size_t Bytes);
   void dropCalls();
   policy::CallerUse use() const;
   bool isReadingPaused() const;
@@ -138,6 +143,7 @@
   RequestReader Reader_;
   MemoryShare Memory_; ///< without what the calls hold
   std::string Peer_;
+  std::uint16_t PeerPort_ = 0;
   std::shared_ptr<HttpCall> Call_;
   std::deque<PipelinedCall> PipelinedCalls_; ///< oldest first
   /// Reader step of a pipelined request that must wait until all calls before
@@ -145,11 +151,13 @@
   std::optional<ReadStep> DeferredStep_;
   std::optional<model::TimePoint> FirstArrival_;
   Phase Phase_ = Phase::Head;
-  model::TimePoint WaitsSince_;   ///< start of the current timeout
-  model::TimePoint RequestSince_; ///< first byte of the request being read
-  model::TimePoint TimeoutAt_;    ///< end of the current phase's timeout
-  model::TimePoint CallTimerAt_;  ///< when the call wants to be woken up
-  model::TimePoint TimerSetFor_;  ///< when the timer fires
+  model::TimePoint IdleSince_;     ///< end of the latest request, or the start
+  model::TimePoint WaitsSince_;    ///< start of the current timeout
+  model::milliseconds Timeout_{0}; ///< length of the current timeout
+  model::TimePoint RequestSince_;  ///< first byte of the request being read
+  model::TimePoint TimeoutAt_;     ///< end of the current phase's timeout
+  model::TimePoint CallTimerAt_;   ///< when the call wants to be woken up
+  model::TimePoint TimerSetFor_;   ///< when the timer fires
   /// Request whose body is being read.
   std::unique_ptr<HttpCallRequest> Incoming_;
   std::string CallId_;
@@ -168,6 +176,10 @@
   std::function<void()> WriteDone_; ///< called when the piece has been written
   std::size_t WrittenPieceBytes_ = 0;
   std::size_t DiscardedBytes_ = 0; ///< after the connection was closed
+  std::uint64_t RequestsServed_ = 0;
+  std::optional<traffic::ConnectionEnd> End_; ///< once it is decided
+  model::TimePoint EndedAt_;                  ///< when it was decided
+  std::optional<model::Duration> IdleAtEnd_;  ///< absent: it was not idle
   bool ReadInProgress_ = false;
   bool WriteInProgress_ = false;
   bool Advancing_ = false;
@@ -184,6 +196,7 @@
   bool HasCallEnded_ = false;
   bool Draining_ = false;
   bool ClosingIdle_ = false;   ///< closing while it carried no call
+  bool IsRefused_ = false;     ///< a request was refused before its end
   bool DiscardLogged_ = false; ///< bytes after the close were recorded
 };
 
--- a/src/libcumingauge/adapters/httptraffic.cpp
+++ b/src/libcumingauge/adapters/httptraffic.cpp
@@ -145,8 +145,11 @@
     HttpWorker &Next = *Workers_[NextWorker_++ % Workers_.size()];
     Acceptor_->async_accept(
         Next.io(), [this, &Next](error_code Error, tcp::socket Socket) {
-          if (!Acceptor_->is_open())
+          if (!Acceptor_->is_open()) {
+            if (!Error)
+              recordUnserved(Next, std::move(Socket));
             return;
+          }
           if (Error)
             return retryAcceptLater();
           handOver(Next, std::move(Socket));
@@ -180,6 +183,14 @@
     });
   }
 
+  /// Records a connection that was accepted when the acceptor was closed.
+  static void recordUnserved(HttpWorker &Worker, tcp::socket Socket) {
+    const auto Unserved = std::make_shared<tcp::socket>(std::move(Socket));
+    boost::asio::post(Worker.io(), [&Worker, Unserved] {
+      Worker.recordUnservedConnection(*Unserved);
+    });
+  }
+
   /// Closes the acceptor after the drain accept time. Until then whatever
   /// distributes connections over the processes may still choose this one.
   void closeAcceptorLater() {
--- a/src/libcumingauge/adapters/httpworker.cpp
+++ b/src/libcumingauge/adapters/httpworker.cpp
@@ -30,7 +30,7 @@
     : Common_(std::move(Common)), Index_(Index),
       CallIdPrefix_(std::to_string(wallMicros()) + "-" + std::to_string(Index) +
                     "-"),
-      TickTimer_(Io_),
+      TickTimer_(Io_), TickWatch_("traffic " + std::to_string(Index)),
       Balancer_(policy::makeBalancer(
           Common_->Settings_.Zone_, Common_->Settings_.Threads_,
           Common_->Settings_.Seed_ + Index * SeedStep, Index)),
@@ -52,14 +52,14 @@
 void HttpWorker::addCallerConnection(boost::asio::ip::tcp::socket Socket) {
   // Nothing waits for the calls of a thread that has ended its drain.
   if (Stop_ && !DrainDone_)
-    return;
+    return recordUnservedConnection(Socket);
   const unsigned Open = ++Common_->CallerConnections_;
   const bool HasRoom =
       Open <= limits().MaxCallerConnections_ &&
       (Open <= Common_->MostCallerConnections_ || displaceCallerConnection());
   if (Open > maxCallerConnections() + MaxConnectionsBeingRefused) {
     --Common_->CallerConnections_;
-    return;
+    return recordUnservedConnection(Socket);
   }
   const auto Session =
       std::make_shared<HttpCallerSession>(std::move(Socket), *this);
@@ -198,8 +198,8 @@
             .count()},
        {"connections", Sessions_.size()},
        {"calls", Stats_.InFlight_}});
-  for (const HttpCallerSession *Session : Sessions_)
-    Session->recordAbandonedCalls();
+  for (HttpCallerSession *Session : Sessions_)
+    Session->recordProcessEnd();
   const auto Done = std::move(DrainDone_);
   DrainDone_ = nullptr;
   Done();
@@ -383,8 +383,10 @@
   const bool Busy = !QueuedCalls_.empty() || !FreshViewWaits_.empty();
   TickTimer_.expires_after(Busy ? BusyTickPeriod : limits().TickPeriod_);
   TickTimer_.async_wait([this](boost::system::error_code Error) {
-    if (!Error)
-      tick();
+    if (Error)
+      return;
+    TickWatch_.recordTick(TickTimer_.expiry(), now());
+    tick();
   });
 }
 
--- a/src/libcumingauge/adapters/httpworker.h
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -9,6 +9,7 @@
 #include "adapters/httptraffic.h"
 #include "adapters/requestadmission.h"
 #include "adapters/stopplan.h"
+#include "adapters/tickwatch.h"
 #include "policy/balancer.h"
 #include "policy/callermemory.h"
 #include "policy/loadquery.h"
@@ -114,11 +115,15 @@
   }
   /// Returns a buffer whose contents last until the next read of a connection.
   std::vector<char> &readBuffer() { return ReadBuffer_; }
+  /// Counts the end of a caller's connection, and logs it when no answer has
+  /// announced it.
+  /// \param Record without the values of this thread, which are added.
+  void recordConnectionEnd(ConnectionEndRecord Record);
+  /// Records a connection that is closed before a session has started.
+  void recordUnservedConnection(const boost::asio::ip::tcp::socket &Socket);
   /// Records the first bytes of a caller that arrived after its connection was
   /// closed.
-  /// \param Announced whether the last answer said that it closes.
-  void recordDiscardedBytes(const std::string &Peer, std::size_t Bytes,
-                            bool Announced);
+  void recordDiscardedBytes(const DiscardRecord &Record);
   /// Records a call that is not answered before the process ends.
   void recordAbandonedCall(const HttpCall &Call);
 
@@ -298,6 +303,7 @@
   const std::string CallIdPrefix_;
   boost::asio::io_context Io_{1};
   boost::asio::steady_timer TickTimer_;
+  TickWatch TickWatch_;
   std::shared_ptr<policy::BalancerState> Balancer_;
   std::shared_ptr<const model::ControlView> View_;
   std::mutex NewestViewMutex_; ///< guards NewestView_
--- a/src/libcumingauge/adapters/httpworkerrecords.cpp
+++ b/src/libcumingauge/adapters/httpworkerrecords.cpp
@@ -2,6 +2,7 @@
 #include "adapters/httpworker.h"
 #include "policy/coldservers.h"
 #include "policy/notices.h"
+#include <algorithm>
 
 namespace cumingauge::adapters {
 
@@ -54,13 +55,39 @@
   CallLog_.recordCall(Record, now());
 }
 
-void HttpWorker::recordDiscardedBytes(const std::string &Peer,
-                                      std::size_t Bytes, bool Announced) {
+void HttpWorker::recordConnectionEnd(ConnectionEndRecord Record) {
+  {
+    const std::lock_guard<std::mutex> Lock(PublishedMutex_);
+    ++Stats_.ConnectionEnds_[Record.End_];
+  }
+  if (!traffic::isUnannounced(Record.End_))
+    return;
+  Record.ConfigVersion_ = View_ ? View_->Config_->Version_ : 0;
+  Record.ThreadLate_ =
+      std::max(TickWatch_.lateness(), now() - TickTimer_.expiry());
+  CallLog_.recordConnectionEnd(Record, now());
+}
+
+void HttpWorker::recordUnservedConnection(
+    const boost::asio::ip::tcp::socket &Socket) {
+  ConnectionEndRecord Record;
+  boost::system::error_code Ignored; // the peer may be gone
+  const auto Remote = Socket.remote_endpoint(Ignored);
+  if (!Ignored) {
+    Record.Peer_ = Remote.address().to_string();
+    Record.Port_ = Remote.port();
+  }
+  Record.End_ = traffic::ConnectionEnd::NotServed;
+  Record.UnreadBytes_ = Socket.available(Ignored);
+  recordConnectionEnd(std::move(Record));
+}
+
+void HttpWorker::recordDiscardedBytes(const DiscardRecord &Record) {
   {
     const std::lock_guard<std::mutex> Lock(PublishedMutex_);
     ++Stats_.DiscardingConnections_;
   }
-  CallLog_.recordDiscardedBytes(Peer, Bytes, Announced, now());
+  CallLog_.recordDiscardedBytes(Record, now());
 }
 
 CallRecord HttpWorker::recordOf(const HttpCall &Call, ResultCode Code) const {
--- a/src/libcumingauge/adapters/metricspage.cpp
+++ b/src/libcumingauge/adapters/metricspage.cpp
@@ -159,6 +159,16 @@
   return Family;
 }
 
+MetricFamily connectionEndsFamily(const traffic::TrafficStats &Traffic) {
+  MetricFamily Family = makeFamily("cumingauge_caller_connections_closed_total",
+                                   "Ended connections of callers, by reason",
+                                   MetricType::Counter);
+  for (const auto &[End, Count] : Traffic.ConnectionEnds_)
+    addValue(Family, static_cast<double>(Count),
+             {{"reason", boost::describe::enum_to_string(End, "")}});
+  return Family;
+}
+
 MetricFamily storeCallsFamily(const StoreCallCounts &Calls) {
   MetricFamily Family =
       makeFamily("cumingauge_store_calls_total",
@@ -235,6 +245,7 @@
                       "Sum above which connections of callers are evicted",
                       ToDouble(Traffic.CallerMemoryBound_)));
   Out.push_back(evictionFamily(Traffic));
+  Out.push_back(connectionEndsFamily(Traffic));
   Out.push_back(faultyAnswersFamily(Traffic));
   addCredit(Traffic.Credit_, Out);
 }
--- a/src/libcumingauge/traffic/trafficstats.cpp
+++ b/src/libcumingauge/traffic/trafficstats.cpp
@@ -68,6 +68,8 @@
       std::max(Sum.CallerMemoryBound_, Part.CallerMemoryBound_);
   for (const auto &[Use, Count] : Part.Evicted_)
     Sum.Evicted_[Use] += Count;
+  for (const auto &[End, Count] : Part.ConnectionEnds_)
+    Sum.ConnectionEnds_[End] += Count;
   for (const auto &[Key, Count] : Part.FaultyAnswers_)
     Sum.FaultyAnswers_[Key] += Count;
   for (const auto &[Answer, Count] : Part.Credit_.Answers_)
--- a/src/libcumingauge/traffic/trafficstats.h
+++ b/src/libcumingauge/traffic/trafficstats.h
@@ -4,6 +4,7 @@
 #include "model/answerfault.h"
 #include "model/resultcode.h"
 #include "model/time.h"
+#include "traffic/connectionend.h"
 #include "traffic/latencyhistogram.h"
 #include <cstdint>
 #include <map>
@@ -67,6 +68,8 @@
   std::uint64_t CallerMemoryBound_ = 0; ///< in bytes
   /// Connections of callers that were evicted, by what they waited for.
   std::map<std::string, std::uint64_t> Evicted_;
+  /// Connections of callers whose end was decided, by reason.
+  std::map<ConnectionEnd, std::uint64_t> ConnectionEnds_;
   /// Answers to calls and probes that were refused or broke off.
   std::map<AnswerFaultKey, std::uint64_t> FaultyAnswers_;
   CreditStats Credit_;
