Show requests that are cut when their connection is closed

Cause, as far as these tests show it: the idle timer, the last moment of a stop and the displacement for want of descriptors close a connection without a look at what lies unread. The reactor puts reads before timers, so that a single late turn cuts nothing; a request is cut when the thread is busy between the turn that finds the timer due and its handler, or when more connections can be read than the 128 that one turn shows. A connection that is idle keeps its old limit when the limit changes.

Change: tests only. FrontEnd can hold its thread at a refusal as well, so that a test can let bytes arrive between a turn and its handlers.

--- a/tests/http/frontend.cpp
+++ b/tests/http/frontend.cpp
@@ -59,6 +59,8 @@
   };
   Hooks.Configuration_ = [this] {
     using model::TimePoint;
+    if (Gate *Until = RefusalHeldUntil_.exchange(nullptr))
+      Until->pass();
     const bool Known = Fresh_ && ConfigurationKnown_;
     return model::ConfigurationKnowledge{
         AcceptedVersion_, TimePoint(), Known ? TimePoint::max() : TimePoint()};
--- a/tests/http/frontend.h
+++ b/tests/http/frontend.h
@@ -58,6 +58,13 @@
   /// Returns whether holdThread() has taken effect.
   bool isThreadHeld() const { return !HeldUntil_; }
 
+  /// Blocks the traffic thread that next refuses a request until the gate
+  /// opens. Independent of holdThread().
+  void holdThreadAtRefusal(Gate &Until) { RefusalHeldUntil_ = &Until; }
+
+  /// Returns whether holdThreadAtRefusal() has taken effect.
+  bool isThreadHeldAtRefusal() const { return !RefusalHeldUntil_; }
+
   /// Source of the credit of workspaces with a quota.
   FakeCredit &credit() { return Credit_; }
 
@@ -73,6 +80,7 @@
   std::atomic<bool> Fresh_{true};
   std::atomic<bool> ConfigurationKnown_{true};
   std::atomic<Gate *> HeldUntil_{nullptr};
+  std::atomic<Gate *> RefusalHeldUntil_{nullptr};
   FakeCredit Credit_;
   mutable std::mutex Mutex_; ///< guards the events
   std::vector<model::EventKind> Events_;
