--- a/tests/http/arrivedrequesttest.cpp
+++ b/tests/http/arrivedrequesttest.cpp
@@ -1,5 +1,5 @@
+#include "http/busythread.h"
 #include "http/frontend.h"
-#include "http/gate.h"
 #include "http/scriptedserver.h"
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
@@ -12,50 +12,6 @@
 
 namespace {
 
-/// Occupies the only traffic thread in two steps: with a call, and then with a
-/// refusal in the turn in which the thread sees what has become due meanwhile.
-/// What arrives in the second step is not seen before the timers are handled.
-class BusyThread {
-public:
-  explicit BusyThread(FrontEnd &Front)
-      : Front_(Front), Calling_(Front.port()), Refused_(Front.port()) {
-    Calling_.call(request("GET", "/search/calling"));
-    Refused_.call(request("GET", "/search/refused"));
-  }
-  BusyThread(const BusyThread &) = delete;
-  BusyThread &operator=(const BusyThread &) = delete;
-  ~BusyThread() { end(); }
-
-  void begin() {
-    Front_.holdThread(First_);
-    Calling_.send(request("GET", "/search/calling"));
-    CPPUNIT_ASSERT(eventually([&] { return Front_.isThreadHeld(); }));
-  }
-
-  void takeWhatIsDue() {
-    Front_.holdThreadAtRefusal(Second_);
-    Refused_.send(request("GET", "/nowhere"));
-    First_.open();
-    CPPUNIT_ASSERT(eventually([&] { return Front_.isThreadHeldAtRefusal(); }));
-  }
-
-  void end() {
-    First_.open();
-    Second_.open();
-  }
-
-private:
-  FrontEnd &Front_;
-  Gate First_;
-  Gate Second_;
-  RawCaller Calling_;
-  RawCaller Refused_;
-};
-
-bool isAnswered(const RawCaller::Answer &Answer) {
-  return Answer.Whole_ && Answer.Status_ != 0;
-}
-
 /// A whole request that has reached the process when its connection becomes due
 /// to be closed.
 class ARequestThatHasArrived : public CppUnit::TestFixture {
@@ -65,10 +21,12 @@
   CPPUNIT_TEST(isNotCutAmongMoreThanOneTurnShows);
   CPPUNIT_TEST(isNotCutByAnIdleTimerBetweenTwoPieces);
   CPPUNIT_TEST(isNotCutByTheIdleLimitBeforeARaise);
+  CPPUNIT_TEST(isNotCutByTheIdleLimitBeforeAReload);
   CPPUNIT_TEST(anIdleConnectionFollowsALoweredLimit);
   CPPUNIT_TEST(isNotCutWhenItsConnectionIsDisplaced);
   CPPUNIT_TEST(isNotCutWhenItsConnectionIsDisplacedBeforeTheFirstView);
   CPPUNIT_TEST(isNotCutByTheLastMomentOfAStopThatIsHandledLate);
+  CPPUNIT_TEST(isNotCutByAStopAmongMoreThanOneTurnShows);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -103,13 +61,10 @@
   /// Guards against requests that were sent in time and are cut because one
   /// turn of the thread shows only some of the connections that can be read.
   void isNotCutAmongMoreThanOneTurnShows() {
-    constexpr std::size_t Callers = 150;
     FrontEnd Front({{"cat-1", Server_.port()}}, idleLimit(LongerLimit), 1);
     std::deque<RawCaller> Crowd;
-    for (std::size_t I = 0; I < Callers; ++I) {
-      Crowd.emplace_back(Front.port());
-      Crowd.back().call(request("GET", "/search/1"));
-    }
+    for (std::size_t I = 0; I < Callers; ++I)
+      Crowd.emplace_back(Front.port()).call(request("GET", "/search/1"));
     BusyThread Busy(Front);
     Busy.begin();
     // Time for the thread's timer to become due before the first request.
@@ -152,6 +107,16 @@
     CPPUNIT_ASSERT(isAnswered(Caller.call(request("GET", "/search/2"))));
   }
 
+  /// Guards against the same when the settings are read again.
+  void isNotCutByTheIdleLimitBeforeAReload() {
+    FrontEnd Front({{"cat-1", Server_.port()}}, idleLimit(LongerLimit), 1);
+    RawCaller Caller(Front.port());
+    Caller.call(request("GET", "/search/1"));
+    Front.traffic().setLimits(idleLimit(milliseconds(60000)));
+    std::this_thread::sleep_for(LongerLimit + Margin);
+    CPPUNIT_ASSERT(isAnswered(Caller.call(request("GET", "/search/2"))));
+  }
+
   /// Guards against connections that stay open long beyond a lowered limit.
   void anIdleConnectionFollowsALoweredLimit() {
     FrontEnd Front({{"cat-1", Server_.port()}}, idleLimit(milliseconds(60000)),
@@ -219,7 +184,30 @@
                    std::string::npos);
   }
 
+  /// Guards against a stop that closes those idle connections of which one turn
+  /// of the thread does not show that they can be read.
+  void isNotCutByAStopAmongMoreThanOneTurnShows() {
+    adapters::HttpLimits Limits;
+    Limits.DrainIdleTime_ = milliseconds(3000);
+    FrontEnd Front({{"cat-1", Server_.port()}}, Limits, 1);
+    std::deque<RawCaller> Crowd;
+    for (std::size_t I = 0; I < Callers; ++I)
+      Crowd.emplace_back(Front.port()).call(request("GET", "/search/1"));
+    BusyThread Busy(Front);
+    Front.traffic().drain([] {});
+    Busy.begin();
+    // Time for the thread's timer to become due before the first request.
+    std::this_thread::sleep_for(Margin);
+    for (RawCaller &Caller : Crowd)
+      Caller.send(request("GET", "/search/2"));
+    std::this_thread::sleep_for(Limits.DrainIdleTime_);
+    Busy.end();
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(0), unanswered(Crowd));
+  }
+
 private:
+  /// More than the 128 events that the reactor takes from the kernel at once.
+  static constexpr std::size_t Callers = 150;
   static constexpr milliseconds IdleLimit{2000};
   static constexpr milliseconds LongerLimit{4000};
   static constexpr milliseconds Margin{500};
@@ -238,12 +226,6 @@
     return Out;
   }
 
-  static std::ptrdiff_t unanswered(std::deque<RawCaller> &Crowd) {
-    return std::count_if(Crowd.begin(), Crowd.end(), [](RawCaller &Caller) {
-      return !isAnswered(Caller.read());
-    });
-  }
-
   ScriptedServer Server_{[](const ScriptedServer::Request &) {
     return ScriptedServer::answer("found");
   }};
