--- a/tests/http/closingconnectionstest.cpp
+++ b/tests/http/closingconnectionstest.cpp
@@ -178,9 +178,12 @@
     std::deque<RawCaller> Crowd;
     for (std::size_t I = 0; I < Callers; ++I)
       Crowd.emplace_back(Front.port()).call(request("GET", "/search"));
+    BusyThread Busy(Front);
+    Busy.begin();
     Front.setFresh(false);
     for (RawCaller &Caller : Crowd)
       Caller.send(request("POST", "/licence", "", Body));
+    Busy.end();
     CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(0), unanswered(Crowd));
   }
 };
