Start the server of arrivedrequesttest.cpp with each test

closeIdleConnectionsWhenDescriptorsRunShort failed in the whole program: CppUnit makes all fixtures at the start, and the member held a server and its descriptors for each test. The server is made in setUp() now.

--- a/tests/http/arrivedrequesttest.cpp
+++ b/tests/http/arrivedrequesttest.cpp
@@ -1,9 +1,9 @@
 #include "http/busythread.h"
 #include "http/frontend.h"
 #include "http/scriptedserver.h"
-#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <deque>
+#include <memory>
 #include <thread>
 
 using namespace cumingauge;
@@ -30,9 +30,16 @@
   CPPUNIT_TEST_SUITE_END();
 
 public:
+  void setUp() override {
+    Server_ = std::make_unique<ScriptedServer>(
+        [](const auto &) { return ScriptedServer::answer("found"); });
+  }
+
+  void tearDown() override { Server_.reset(); }
+
   /// Guards against an idle timer that goes before a read that is due as well.
   void isAnsweredWhenTheThreadWakesAfterTheIdleLimit() {
-    FrontEnd Front({{"cat-1", Server_.port()}}, idleLimit(IdleLimit), 1);
+    FrontEnd Front({{"cat-1", Server_->port()}}, idleLimit(IdleLimit), 1);
     RawCaller Caller(Front.port());
     Caller.call(request("GET", "/search/1"));
     BusyThread Busy(Front);
@@ -46,7 +53,7 @@
   /// Guards against an idle timer that is due, and closes the connection
   /// without a look at what has arrived until it is handled.
   void isNotCutByAnIdleTimerThatIsHandledLate() {
-    FrontEnd Front({{"cat-1", Server_.port()}}, idleLimit(IdleLimit), 1);
+    FrontEnd Front({{"cat-1", Server_->port()}}, idleLimit(IdleLimit), 1);
     RawCaller Caller(Front.port());
     Caller.call(request("GET", "/search/1"));
     BusyThread Busy(Front);
@@ -61,7 +68,7 @@
   /// Guards against requests that were sent in time and are cut because one
   /// turn of the thread shows only some of the connections that can be read.
   void isNotCutAmongMoreThanOneTurnShows() {
-    FrontEnd Front({{"cat-1", Server_.port()}}, idleLimit(LongerLimit), 1);
+    FrontEnd Front({{"cat-1", Server_->port()}}, idleLimit(LongerLimit), 1);
     std::deque<RawCaller> Crowd;
     for (std::size_t I = 0; I < Callers; ++I)
       Crowd.emplace_back(Front.port()).call(request("GET", "/search/1"));
@@ -79,7 +86,7 @@
   /// Guards against a request of which the first piece has arrived when the
   /// idle timer is handled.
   void isNotCutByAnIdleTimerBetweenTwoPieces() {
-    FrontEnd Front({{"cat-1", Server_.port()}}, idleLimit(IdleLimit), 1);
+    FrontEnd Front({{"cat-1", Server_->port()}}, idleLimit(IdleLimit), 1);
     RawCaller Caller(Front.port());
     Caller.call(request("GET", "/search/1"));
     const std::string Whole = request("POST", "/licence", "", "body");
@@ -97,7 +104,7 @@
   /// Guards against connections that keep the idle limit with which they became
   /// idle, while callers count by the one in force.
   void isNotCutByTheIdleLimitBeforeARaise() {
-    FrontEnd Front({{"cat-1", Server_.port()}}, idleLimit(LongerLimit), 1);
+    FrontEnd Front({{"cat-1", Server_->port()}}, idleLimit(LongerLimit), 1);
     RawCaller Caller(Front.port());
     Caller.call(request("GET", "/search/1"));
     Front.changePreset([](model::Preset &Preset) {
@@ -109,7 +116,7 @@
 
   /// Guards against the same when the settings are read again.
   void isNotCutByTheIdleLimitBeforeAReload() {
-    FrontEnd Front({{"cat-1", Server_.port()}}, idleLimit(LongerLimit), 1);
+    FrontEnd Front({{"cat-1", Server_->port()}}, idleLimit(LongerLimit), 1);
     RawCaller Caller(Front.port());
     Caller.call(request("GET", "/search/1"));
     Front.traffic().setLimits(idleLimit(milliseconds(60000)));
@@ -120,7 +127,7 @@
   /// Guards against a lowered limit that cuts callers who were told a longer
   /// one, and against one that they never follow.
   void isNotCutByALowerLimitThanItsCallerWasTold() {
-    FrontEnd Front({{"cat-1", Server_.port()}}, idleLimit(milliseconds(60000)),
+    FrontEnd Front({{"cat-1", Server_->port()}}, idleLimit(milliseconds(60000)),
                    1);
     RawCaller Caller(Front.port());
     const auto Told = Caller.call(request("GET", "/search/1"));
@@ -138,7 +145,7 @@
   /// Guards against a connection that is closed to make room for another with
   /// a request unread.
   void isNotCutWhenItsConnectionIsDisplaced() {
-    FrontEnd Front({{"cat-1", Server_.port()}}, fewConnections(), 1);
+    FrontEnd Front({{"cat-1", Server_->port()}}, fewConnections(), 1);
     RawCaller Caller(Front.port());
     Caller.call(request("GET", "/search/1"));
     BusyThread Busy(Front);
@@ -158,7 +165,7 @@
   void isNotCutWhenItsConnectionIsDisplacedBeforeTheFirstView() {
     adapters::HttpLimits Limits = fewConnections();
     Limits.FreshWait_ = milliseconds(60000);
-    FrontEnd Front({{"cat-1", Server_.port()}}, Limits, 1,
+    FrontEnd Front({{"cat-1", Server_->port()}}, Limits, 1,
                    adapters::nativeDialect(), /*HasView=*/false);
     std::deque<RawCaller> Crowd;
     for (std::size_t I = 0; I <= MostConnections; ++I)
@@ -173,7 +180,7 @@
   void isNotCutByTheLastMomentOfAStopThatIsHandledLate() {
     adapters::HttpLimits Limits;
     Limits.DrainIdleTime_ = milliseconds(3000);
-    FrontEnd Front({{"cat-1", Server_.port()}}, Limits, 1);
+    FrontEnd Front({{"cat-1", Server_->port()}}, Limits, 1);
     RawCaller Caller(Front.port());
     Caller.call(request("GET", "/search/1"));
     BusyThread Busy(Front);
@@ -194,7 +201,7 @@
   void isNotCutByAStopAmongMoreThanOneTurnShows() {
     adapters::HttpLimits Limits;
     Limits.DrainIdleTime_ = milliseconds(3000);
-    FrontEnd Front({{"cat-1", Server_.port()}}, Limits, 1);
+    FrontEnd Front({{"cat-1", Server_->port()}}, Limits, 1);
     std::deque<RawCaller> Crowd;
     for (std::size_t I = 0; I < Callers; ++I)
       Crowd.emplace_back(Front.port()).call(request("GET", "/search/1"));
@@ -231,9 +238,7 @@
     return Out;
   }
 
-  ScriptedServer Server_{[](const ScriptedServer::Request &) {
-    return ScriptedServer::answer("found");
-  }};
+  std::unique_ptr<ScriptedServer> Server_;
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(ARequestThatHasArrived);
 
