Make the tests of connection ends independent of the order of threads

thatAnAnswerAnnouncesAreCountedOnce... failed in two of seven runs: it compared the counts when no connection was open, but that number is published every 10 ms and may be from before the connections were opened. It now waits for the exact counts, then for the close of the connections, and compares the counts again. The broken answer ends at a deadline of 0.5 s instead of one of 60 s, so that the test takes two seconds.

--- a/tests/http/connectionendstest.cpp
+++ b/tests/http/connectionendstest.cpp
@@ -36,7 +36,8 @@
     CPPUNIT_ASSERT(Idle.read().Closed_);
     expect(Front, ConnectionEnd::IdleTimeout, 1);
     RawCaller Cut(Front.port());
-    CPPUNIT_ASSERT(!Cut.call(request("GET", "/bulk")).Whole_);
+    CPPUNIT_ASSERT(
+        !Cut.call(request("GET", "/bulk", "X-Deadline-Ms: 500\r\n")).Whole_);
     expect(Front, ConnectionEnd::AnswerBroken, 1);
     Front.traffic().setLimits({});
     RawCaller Last(Front.port());
@@ -62,10 +63,12 @@
     RawCaller Malformed(Front.port());
     CPPUNIT_ASSERT_EQUAL(400U, Malformed.call("GET\r\n\r\n").Status_);
     Malformed.disconnect();
-    CPPUNIT_ASSERT(eventually(
-        [&] { return Front.traffic().stats().CallerConnections_ == 0; }));
     const Ends Expected = {{ConnectionEnd::Announced, 1},
                            {ConnectionEnd::Refused, 1}};
+    CPPUNIT_ASSERT(eventually(
+        [&] { return Front.traffic().stats().ConnectionEnds_ == Expected; }));
+    CPPUNIT_ASSERT(eventually(
+        [&] { return Front.traffic().stats().CallerConnections_ == 0; }));
     CPPUNIT_ASSERT(Front.traffic().stats().ConnectionEnds_ == Expected);
   }
 
