Answer running calls that are evicted for memory

What callers saw: a reset in place of an answer, also of calls that no server had seen and that could have been refused as not run.

Cause: eviction of a running call reset its connection, without a look at the states of its attempts.

Change: the call is given up as an upload is: its caller is answered by these states, with a close that is announced. Only an answer that has begun is reset.

--- a/src/libcumingauge/adapters/httpcalleranswers.cpp
+++ b/src/libcumingauge/adapters/httpcalleranswers.cpp
@@ -113,9 +113,9 @@
   endRequest(Code);
 }
 
-/// Ends a call whose request is passed on while it arrives. A server may run it
-/// already, so the states of the attempts decide whether the code is true.
-void HttpCallerSession::giveUpStreamedRequest(ResultCode Code) {
+/// Ends a call that a server may run already. The states of its attempts decide
+/// whether the code is true.
+void HttpCallerSession::giveUpCall(ResultCode Code) {
   PieceHandler_ = nullptr;
   if (const auto Call = Call_)
     Call->giveUpRequest(Code);
--- a/src/libcumingauge/adapters/httpcallermemory.cpp
+++ b/src/libcumingauge/adapters/httpcallermemory.cpp
@@ -85,9 +85,13 @@
   case CallerUse::Unfinished:
     return refuseRequest(Code);
   case CallerUse::Upload:
-    return giveUpStreamedRequest(Code);
-  case CallerUse::Unread:
+    return giveUpCall(Code);
   case CallerUse::Running:
+    if (AnswerStarted_)
+      return reset(End);
+    KeepAlive_ = false;
+    return giveUpCall(Code);
+  case CallerUse::Unread:
   case CallerUse::Closing:
     return reset(End);
   }
--- a/src/libcumingauge/adapters/httpcallersession.cpp
+++ b/src/libcumingauge/adapters/httpcallersession.cpp
@@ -447,7 +447,7 @@
   if (Phase_ == Phase::Head || Phase_ == Phase::KeptBody)
     return refuseRequest(ResultCode::RequestTimeout);
   if (PieceHandler_)
-    giveUpStreamedRequest(ResultCode::RequestTimeout);
+    giveUpCall(ResultCode::RequestTimeout);
 }
 
 } // namespace cumingauge::adapters
--- a/src/libcumingauge/adapters/httpcallersession.h
+++ b/src/libcumingauge/adapters/httpcallersession.h
@@ -115,7 +115,7 @@
   void refuseRequest(model::ResultCode Code);
   void refuseStreamedRequest(model::ResultCode Code);
   void endRequest(model::ResultCode Code);
-  void giveUpStreamedRequest(model::ResultCode Code);
+  void giveUpCall(model::ResultCode Code);
   void write();
   bool hasOutput() const { return !Outgoing_.empty() || PieceDone_; }
   void onWritten(boost::system::error_code Error);
