Serve connections that wait when a stop ends accepting

What callers saw: a reset of connections that the kernel had accepted, with requests that they had sent.

Cause: the acceptor was closed without a look at the connections that waited to be accepted, and one that was accepted in the same turn was dropped.

Change: both are handed to the traffic threads before the acceptor closes.

--- a/src/libcumingauge/adapters/httptraffic.cpp
+++ b/src/libcumingauge/adapters/httptraffic.cpp
@@ -145,14 +145,12 @@
     HttpWorker &Next = *Workers_[NextWorker_++ % Workers_.size()];
     Acceptor_->async_accept(
         Next.io(), [this, &Next](error_code Error, tcp::socket Socket) {
-          if (!Acceptor_->is_open()) {
-            if (!Error)
-              recordUnserved(Next, std::move(Socket));
+          if (!Error)
+            handOver(Next, std::move(Socket));
+          if (!Acceptor_->is_open())
             return;
-          }
           if (Error)
             return retryAcceptLater();
-          handOver(Next, std::move(Socket));
           limitReceiveBuffers();
           accept();
         });
@@ -183,25 +181,31 @@
     });
   }
 
-  /// Records a connection that was accepted when the acceptor was closed.
-  static void recordUnserved(HttpWorker &Worker, tcp::socket Socket) {
-    const auto Unserved = std::make_shared<tcp::socket>(std::move(Socket));
-    boost::asio::post(Worker.io(), [&Worker, Unserved] {
-      Worker.recordUnservedConnection(*Unserved);
-    });
-  }
-
   /// Closes the acceptor after the drain accept time. Until then whatever
   /// distributes connections over the processes may still choose this one.
   void closeAcceptorLater() {
     DrainTimer_->expires_after(Common_->Settings_.Limits_.DrainAcceptTime_);
     DrainTimer_->async_wait([this](error_code Cancelled) {
-      error_code Ignored;
       if (!Cancelled)
-        Acceptor_->close(Ignored);
+        closeAcceptor();
     });
   }
 
+  /// Takes the connections that wait to be accepted, whose callers may have
+  /// sent requests already, and closes the acceptor.
+  void closeAcceptor() {
+    error_code Error;
+    Acceptor_->non_blocking(true, Error);
+    while (!Error) {
+      HttpWorker &Next = *Workers_[NextWorker_++ % Workers_.size()];
+      tcp::socket Socket(Next.io());
+      Acceptor_->accept(Socket, Error);
+      if (!Error)
+        handOver(Next, std::move(Socket));
+    }
+    Acceptor_->close(Error);
+  }
+
   void retryAcceptLater() {
     AcceptTimer_->expires_after(AcceptPause);
     AcceptTimer_->async_wait([this](error_code Error) {
