Displace each idle connection once

What callers saw: nothing yet; a review of the close of idle connections found that descriptors could run short.

Cause: the close of an idle connection ends its read first. Until then the connection still counted as idle, so that several new ones displaced the same; and one that was refused before the first view was started with it after all, and then kept its descriptor for the idle limit.

Change: a connection counts as closing from the decision on, and only one that has not been refused is started.

--- a/src/libcumingauge/adapters/httpcallermemory.cpp
+++ b/src/libcumingauge/adapters/httpcallermemory.cpp
@@ -21,7 +21,7 @@
 } // namespace
 
 CallerUse HttpCallerSession::use() const {
-  if (Phase_ == Phase::Closing || Phase_ == Phase::Closed)
+  if (Phase_ == Phase::Closing || Phase_ == Phase::Closed || ClosingIdle_)
     return CallerUse::Closing;
   if (Phase_ == Phase::KeptBody)
     return CallerUse::Unfinished;
--- a/src/libcumingauge/adapters/httpcallersession.cpp
+++ b/src/libcumingauge/adapters/httpcallersession.cpp
@@ -67,6 +67,8 @@
 HttpCallerSession::~HttpCallerSession() = default;
 
 void HttpCallerSession::start() {
+  if (Phase_ != Phase::Head)
+    return; // refused while it was held
   setTimeout(Worker_.limits().IdleTimeout_);
   read();
   updateMemory();
