Keep a connection while its last answer is on its way

What callers saw: the beginning of an answer, and a reset. A caller that reads slowly, and sends its next request meanwhile, lost the rest of an answer that the kernel still held when the process had closed the connection: one second after an announced close, or when the connection counted as idle.

Cause: that the kernel has taken an answer was taken for its having arrived.

Change: as long as the kernel holds bytes that the caller has not acknowledged, at most for the write timeout, the connection neither counts as idle nor ends its linger. An idle time that ends meanwhile starts anew.

--- a/src/libcumingauge/adapters/httpcalleranswers.cpp
+++ b/src/libcumingauge/adapters/httpcalleranswers.cpp
@@ -19,8 +19,6 @@
 
 namespace {
 
-/// How long a connection that is closing waits for the caller to close it too.
-constexpr model::milliseconds LingerTimeout{1000};
 /// The last piece of an answer is copied behind the head, and both are sent in
 /// one write, if it has at most this many bytes.
 constexpr std::size_t MaxCopiedBytes = 16384;
@@ -300,20 +298,6 @@
     advance();
 }
 
-void HttpCallerSession::lingerClose(ConnectionEnd End) {
-  decideEnd(End);
-  // Closing a socket with unread bytes makes the kernel reset the connection,
-  // and the answer may be lost; so the rest is read until the caller closes.
-  Phase_ = Phase::Closing;
-  error_code Ignored;
-  Socket_.shutdown(tcp::socket::shutdown_send, Ignored);
-  setTimeout(LingerTimeout);
-  Incoming_.reset();
-  Reader_.release();
-  read();
-  updateMemory();
-}
-
 void HttpCallerSession::recordProcessEnd() {
   decideEnd(ConnectionEnd::ProcessEnded);
   if (Call_)
--- a/src/libcumingauge/adapters/httpcallerend.cpp
+++ b/src/libcumingauge/adapters/httpcallerend.cpp
@@ -1,13 +1,21 @@
-// How a caller's connection ends while it carries no call, and what the log and
-// the metrics say of any end.
+// How a caller's connection ends, and what the log and the metrics say of it.
 #include "adapters/httpcallersession.h"
 #include "adapters/httpworker.h"
+#include "adapters/idlesocket.h"
 
 namespace cumingauge::adapters {
 
+using boost::asio::ip::tcp;
 using boost::system::error_code;
 using traffic::ConnectionEnd;
 
+namespace {
+
+/// How long a connection that is closing waits for the caller to close it too.
+constexpr model::milliseconds LingerTimeout{1000};
+
+} // namespace
+
 /// Notes, counts and logs why the connection ends. The first reason counts.
 void HttpCallerSession::decideEnd(ConnectionEnd End) {
   if (End_)
@@ -53,6 +61,20 @@
   Worker_.recordDiscardedBytes(Record);
 }
 
+void HttpCallerSession::lingerClose(ConnectionEnd End) {
+  decideEnd(End);
+  // Closing a socket with unread bytes makes the kernel reset the connection,
+  // and the answer may be lost; so the rest is read until the caller closes.
+  Phase_ = Phase::Closing;
+  error_code Ignored;
+  Socket_.shutdown(tcp::socket::shutdown_send, Ignored);
+  setTimeout(LingerTimeout);
+  Incoming_.reset();
+  Reader_.release();
+  read();
+  updateMemory();
+}
+
 /// Closes a connection that carries no call, unless bytes of a request have
 /// arrived: these are read and answered. The pending read is ended first, as it
 /// may have taken bytes already. What arrives after the close is not read, and
@@ -69,12 +91,28 @@
 void HttpCallerSession::finishClosingIdle() {
   const ConnectionEnd End = *std::exchange(ClosingIdle_, std::nullopt);
   error_code Ignored; // the next read reports it
-  if (Socket_.available(Ignored) == 0)
+  const bool HasUnreadBytes = Socket_.available(Ignored) > 0;
+  if (!HasUnreadBytes && !isLastAnswerUnsent())
     return close(End);
-  setTimeout(Worker_.limits().HeadTimeout_);
+  setTimeout(HasUnreadBytes ? Worker_.limits().HeadTimeout_
+                            : Worker_.limits().IdleTimeout_);
   read();
 }
 
+/// Returns whether the caller still receives the answer before. A reset, which
+/// a further request would cause after the close, would cut it.
+bool HttpCallerSession::isLastAnswerUnsent() {
+  const model::TimePoint Since = End_ ? EndedAt_ : IdleSince_;
+  return Worker_.now() - Since < Worker_.limits().WriteTimeout_ &&
+         hasUnsentBytes(Socket_.native_handle());
+}
+
+void HttpCallerSession::onLingerTimeout() {
+  if (!isLastAnswerUnsent())
+    return finishClose();
+  setTimeout(LingerTimeout);
+}
+
 void HttpCallerSession::onIdleTimeout() {
   const model::milliseconds Kept =
       policy::keptIdleFor(IdleTerms_, Worker_.limits().IdleTimeout_);
--- a/src/libcumingauge/adapters/httpcallersession.h
+++ b/src/libcumingauge/adapters/httpcallersession.h
@@ -140,6 +140,8 @@
   void onTimerExpired();
   void onTimeout();
   void onIdleTimeout();
+  void onLingerTimeout();
+  bool isLastAnswerUnsent();
 
   boost::asio::ip::tcp::socket Socket_;
   boost::asio::steady_timer Timer_;
--- a/src/libcumingauge/adapters/idlesocket.cpp
+++ b/src/libcumingauge/adapters/idlesocket.cpp
@@ -1,5 +1,7 @@
 #include "adapters/idlesocket.h"
 #include <cerrno>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace cumingauge::adapters {
@@ -10,4 +12,9 @@
   return Got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+bool hasUnsentBytes(int Socket) {
+  int Bytes = 0;
+  return ::ioctl(Socket, SIOCOUTQ, &Bytes) == 0 && Bytes > 0;
+}
+
 } // namespace cumingauge::adapters
--- a/src/libcumingauge/adapters/idlesocket.h
+++ b/src/libcumingauge/adapters/idlesocket.h
@@ -7,4 +7,8 @@
 /// \param Socket native handle of the connection.
 bool isSocketStale(int Socket);
 
+/// Returns whether the kernel holds bytes that the peer has not acknowledged.
+/// \param Socket native handle of the connection.
+bool hasUnsentBytes(int Socket);
+
 } // namespace cumingauge::adapters
