Name the idle time that is told in Connection

An intermediary that passes on what Connection does not list would tell its own callers our idle time. RFC 9110 asks for the name of each such field there. Found by review; AnIdleConnectionThatIsClosed and the other tests of area http on connections pass.

--- a/src/libcumingauge/adapters/httpcalleranswers.cpp
+++ b/src/libcumingauge/adapters/httpcalleranswers.cpp
@@ -155,9 +155,11 @@
   if (!KeepAlive_)
     return appendHeader(Outgoing_, "Connection", "close");
   IdleTerms_ = policy::idleTerms(Worker_.limits().IdleTimeout_);
-  if (IdleTerms_.Told_ > model::seconds(0))
-    appendHeader(Outgoing_, "Keep-Alive",
-                 "timeout=" + std::to_string(IdleTerms_.Told_.count()));
+  if (IdleTerms_.Told_ == model::seconds(0))
+    return;
+  appendHeader(Outgoing_, "Connection", "keep-alive");
+  appendHeader(Outgoing_, "Keep-Alive",
+               "timeout=" + std::to_string(IdleTerms_.Told_.count()));
 }
 
 void HttpCallerSession::forwardHead(const traffic::AnswerHead &Head) {
