Refuse connections that reach a thread after its drain

What callers saw: a reset without an answer, while another thread of the process still worked.

Cause: a thread that had ended its drain closed such a connection unread.

Change: it is refused as not run, which the caller may send again. aConnectionAcceptedAfterItsThreadHasEndedTheDrainIsNotServed asked for the close without an answer; it asks for the refusal and the close now, and for no call at the server as before.

--- a/src/libcumingauge/adapters/httpcallersession.cpp
+++ b/src/libcumingauge/adapters/httpcallersession.cpp
@@ -74,8 +74,8 @@
   updateMemory();
 }
 
-void HttpCallerSession::refuseConnection() {
-  refuseRequest(ResultCode::NotRunTooManyConnections);
+void HttpCallerSession::refuseConnection(ResultCode Code) {
+  refuseRequest(Code);
 }
 
 void HttpCallerSession::startDraining() {
--- a/src/libcumingauge/adapters/httpcallersession.h
+++ b/src/libcumingauge/adapters/httpcallersession.h
@@ -39,8 +39,9 @@
   /// caller may have sent it, instead of from when it is read.
   void countTimeFrom(model::TimePoint Accepted) { FirstArrival_ = Accepted; }
 
-  /// Answers NotRunTooManyConnections and closes the connection.
-  void refuseConnection();
+  /// Refuses what the caller may send, before it is read, and closes the
+  /// connection.
+  void refuseConnection(model::ResultCode Code);
 
   /// Makes the next answer announce that the connection closes, and limits the
   /// time of the calls to what is left of the process.
--- a/src/libcumingauge/adapters/httpworker.cpp
+++ b/src/libcumingauge/adapters/httpworker.cpp
@@ -50,9 +50,6 @@
 // Callers' sessions.
 
 void HttpWorker::addCallerConnection(boost::asio::ip::tcp::socket Socket) {
-  // Nothing waits for the calls of a thread that has ended its drain.
-  if (Stop_ && !DrainDone_)
-    return recordUnservedConnection(Socket);
   const unsigned Open = ++Common_->CallerConnections_;
   const bool HasRoom =
       Open <= limits().MaxCallerConnections_ &&
@@ -66,8 +63,11 @@
   Sessions_.insert(Session.get());
   if (Stop_)
     Session->startDraining();
+  // Nothing waits for the calls of a thread that has ended its drain.
+  if (Stop_ && !DrainDone_)
+    return Session->refuseConnection(ResultCode::NotRunStopping);
   if (!HasRoom)
-    return Session->refuseConnection();
+    return Session->refuseConnection(ResultCode::NotRunTooManyConnections);
   if (!waitsForFirstView())
     return Session->start();
   Session->countTimeFrom(now());
--- a/tests/http/stoppingtest.cpp
+++ b/tests/http/stoppingtest.cpp
@@ -263,6 +263,8 @@
     CPPUNIT_ASSERT_EQUAL(200U, Answer.Status_);
     CPPUNIT_ASSERT(HasEnded);
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), Lost);
+    CPPUNIT_ASSERT_EQUAL(std::string("105 NotRunStopping"),
+                         Later.read().ResultCode_);
     CPPUNIT_ASSERT(Later.read().Closed_);
   }
 
