--- a/tests/http/closingconnectionstest.cpp
+++ b/tests/http/closingconnectionstest.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(isAnsweredWhenItIsAcceptedAtTheEndOfAStop);
   CPPUNIT_TEST(isAnsweredWhenItIsHandedToAThreadThatHasDrained);
   CPPUNIT_TEST(isAnsweredWhenItsWaitingCallIsEvictedForMemory);
+  CPPUNIT_TEST(hasReadAndAnsweredAllThatWasSentWhileReadingPaused);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -186,6 +187,31 @@
     Busy.end();
     CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(0), unanswered(Crowd));
   }
+
+  /// Guards against a connection that is not read on after a pause, and is
+  /// closed as idle with requests unread.
+  void hasReadAndAnsweredAllThatWasSentWhileReadingPaused() {
+    constexpr int Pairs = 200;
+    Gate Working;
+    ScriptedServer Server([&](const Request &) {
+      Working.pass();
+      return ScriptedServer::answer("found");
+    });
+    adapters::HttpLimits Limits;
+    Limits.IdleTimeout_ = milliseconds(3000);
+    FrontEnd Front({{"cat-1", Server.port()}}, Limits, 1);
+    RawCaller Caller(Front.port());
+    const std::string Field = "X-Filler: " + std::string(100, 'f') + "\r\n";
+    std::string All;
+    for (int I = 0; I < Pairs; ++I)
+      All += request("GET", "/search", Field) +
+             request("POST", "/licence", Field, "body");
+    Caller.send(All);
+    CPPUNIT_ASSERT(eventually([&] { return !Server.requests().empty(); }));
+    Working.open();
+    for (int I = 0; I < 2 * Pairs; ++I)
+      CPPUNIT_ASSERT_EQUAL(200U, Caller.read().Status_);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(AClosingConnection);
 
