Wait until connections are idle before the idle limit changes

isNotCutByTheIdleLimitBeforeARaise passed once of eight runs at a load of 22: the new limit was in force before the thread had seen its answer written. A later call on another connection orders the two.

--- a/tests/http/arrivedrequesttest.cpp
+++ b/tests/http/arrivedrequesttest.cpp
@@ -107,6 +107,7 @@
     FrontEnd Front({{"cat-1", Server_->port()}}, idleLimit(LongerLimit), 1);
     RawCaller Caller(Front.port());
     Caller.call(request("GET", "/search/1"));
+    awaitIdle(Front);
     Front.changePreset([](model::Preset &Preset) {
       Preset.Callers_.IdleTimeout_ = milliseconds(60000);
     });
@@ -119,6 +120,7 @@
     FrontEnd Front({{"cat-1", Server_->port()}}, idleLimit(LongerLimit), 1);
     RawCaller Caller(Front.port());
     Caller.call(request("GET", "/search/1"));
+    awaitIdle(Front);
     Front.traffic().setLimits(idleLimit(milliseconds(60000)));
     std::this_thread::sleep_for(LongerLimit + Margin);
     CPPUNIT_ASSERT(isAnswered(Caller.call(request("GET", "/search/2"))));
@@ -133,6 +135,7 @@
     const auto Told = Caller.call(request("GET", "/search/1"));
     CPPUNIT_ASSERT(Told.Head_.find("Keep-Alive: timeout=48") !=
                    std::string::npos);
+    awaitIdle(Front);
     Front.changePreset([](model::Preset &Preset) {
       Preset.Callers_.IdleTimeout_ = milliseconds(500);
     });
@@ -232,6 +235,11 @@
     return Out;
   }
 
+  /// Waits until connections count as idle whose answers have been read.
+  static void awaitIdle(FrontEnd &Front) {
+    RawCaller(Front.port()).call(request("GET", "/search/later"));
+  }
+
   static adapters::HttpLimits fewConnections() {
     adapters::HttpLimits Out;
     Out.Descriptors_ = 2 * MostConnections;
