Record the wait for credit of calls that end meanwhile

What callers saw: under overload of one workspace about 25,000 calls ended without an answer, and their log lines had creditMs -1, as if they had never waited for credit.

Cause: the wait was added to the call when the answer arrived, so a call that its deadline or its caller ended first had none, neither in the log nor in the histogram.

Change: the call knows when its request was made, and the end of the wait is recorded for an answer and for the end of the call alike.

--- a/src/libcumingauge/adapters/httpworker.cpp
+++ b/src/libcumingauge/adapters/httpworker.cpp
@@ -231,11 +231,11 @@
     Call->decide(Decision);
 }
 
-void HttpWorker::removeFromQueue(const HttpCall &Call) {
+void HttpWorker::removeFromQueue(HttpCall &Call) {
   if (QueuedCalls_.erase(Call.facts().Call_) > 0)
     policy::removeFromQueue(*Balancer_, Call.facts().Call_);
   LoadQueries_.erase(Call.facts().Call_);
-  CreditWaits_.erase(Call.credit().Request_);
+  endCreditWait(Call);
   if (FreshViewWaits_.empty())
     return;
   FreshViewWaits_.erase(std::remove_if(FreshViewWaits_.begin(),
--- a/src/libcumingauge/adapters/httpworker.h
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -131,7 +131,7 @@
   /// Places a call, or lets it wait while the control view is stale.
   void admit(const std::shared_ptr<HttpCall> &Call);
   /// Removes a call that has ended from all queues.
-  void removeFromQueue(const HttpCall &Call);
+  void removeFromQueue(HttpCall &Call);
   HttpPool &pool(policy::ServerHandle Server);
   void recordCallStart();
   /// Returns the state of a server that has just been chosen, for the call log.
@@ -188,7 +188,6 @@
   struct CreditWait {
     std::weak_ptr<HttpCall> Call_;
     std::string Workspace_;
-    model::TimePoint Since_;
   };
 
   /// A call that waits for load reports of servers before it is placed.
@@ -224,6 +223,8 @@
   void handleCredit(std::uint64_t Request,
                     const control::CreditDecision &Decision);
   CreditWait takeCreditWait(std::uint64_t Request);
+  /// Ends the wait of a call that ends without an answer to its request.
+  void endCreditWait(HttpCall &Call);
   /// Returns whether the present configuration handles a call in the same way
   /// as the one that admitted it.
   bool isAdmittedAsBefore(const HttpCall &Call) const;
--- a/src/libcumingauge/adapters/httpworkercredit.cpp
+++ b/src/libcumingauge/adapters/httpworkercredit.cpp
@@ -12,7 +12,8 @@
   const std::uint64_t Request =
       traffic::numberOf({Index_, ++LastCreditRequest_});
   Call->credit().Request_ = Request;
-  CreditWaits_[Request] = {Call, Call->workspace(), now()};
+  Call->credit().RequestedAt_ = now();
+  CreditWaits_[Request] = {Call, Call->workspace()};
   Common_->Hooks_.RequestCredit_(Request, Call->workspace());
 }
 
@@ -26,24 +27,29 @@
                               const control::CreditDecision &Decision) {
   const CreditWait Wait = takeCreditWait(Request);
   const auto Call = Wait.Call_.lock();
-  const model::Duration Waited = now() - Wait.Since_;
+  const auto Waited = Call ? traffic::endCreditWait(Call->credit(), now())
+                           : std::optional<model::Duration>();
   {
     const std::lock_guard<std::mutex> Lock(PublishedMutex_);
-    traffic::recordCredit(Stats_.Credit_, Decision.Answer_,
-                          Call ? std::optional(Waited) : std::nullopt);
+    traffic::recordCredit(Stats_.Credit_, Decision.Answer_, Waited);
   }
   if (!Call)
     return;
-  traffic::CallCredit &Credit = Call->credit();
-  Credit.Request_ = 0;
-  Credit.Waited_ = Credit.Waited_.value_or(model::milliseconds(0)) +
-                   std::chrono::duration_cast<model::milliseconds>(Waited);
   if (const auto Refusal = traffic::refusalBy(Decision))
     return Call->decide(*Refusal);
-  Credit.GrantedTo_ = Wait.Workspace_;
+  Call->credit().GrantedTo_ = Wait.Workspace_;
   admit(Call);
 }
 
+void HttpWorker::endCreditWait(HttpCall &Call) {
+  CreditWaits_.erase(Call.credit().Request_);
+  const auto Waited = traffic::endCreditWait(Call.credit(), now());
+  if (!Waited)
+    return;
+  const std::lock_guard<std::mutex> Lock(PublishedMutex_);
+  traffic::recordCreditWaitEnd(Stats_.Credit_, *Waited);
+}
+
 /// Returns an empty one when its call has ended.
 HttpWorker::CreditWait HttpWorker::takeCreditWait(std::uint64_t Request) {
   const auto Found = CreditWaits_.find(Request);
--- a/src/libcumingauge/traffic/callcredit.cpp
+++ b/src/libcumingauge/traffic/callcredit.cpp
@@ -22,6 +22,17 @@
          Call.Attempts_ == Call.Withdrawn_;
 }
 
+std::optional<model::Duration> endCreditWait(CallCredit &Credit,
+                                             model::TimePoint Now) {
+  if (Credit.Request_ == 0)
+    return std::nullopt;
+  const model::Duration Waited = Now - Credit.RequestedAt_;
+  Credit.Request_ = 0;
+  Credit.Waited_ = Credit.Waited_.value_or(model::milliseconds(0)) +
+                   std::chrono::duration_cast<model::milliseconds>(Waited);
+  return Waited;
+}
+
 std::optional<policy::Decision>
 refusalBy(const control::CreditDecision &Decision) {
   switch (Decision.Answer_) {
--- a/src/libcumingauge/traffic/callcredit.h
+++ b/src/libcumingauge/traffic/callcredit.h
@@ -13,9 +13,11 @@
 
 /// What a call knows of its credit.
 struct CallCredit {
-  std::uint64_t Request_ = 0; ///< number of the request that waits; 0: none
-  std::string GrantedTo_;     ///< workspace whose credit it has; empty: none
-  /// Time that the call has waited for answers; absent: none has arrived.
+  std::uint64_t Request_ = 0;    ///< number of the request that waits; 0: none
+  model::TimePoint RequestedAt_; ///< when that request was made
+  std::string GrantedTo_;        ///< workspace whose credit it has; empty: none
+  /// Time that the call has waited for requests that have ended; absent: none
+  /// has.
   std::optional<model::milliseconds> Waited_;
 };
 
@@ -25,6 +27,11 @@
 bool needsCredit(const CallerIdentity &Caller, const policy::CallFacts &Call,
                  const CallCredit &Credit);
 
+/// Ends the request that waits, if there is one, and adds its time to that of
+/// the call. Returns the time of this request.
+std::optional<model::Duration> endCreditWait(CallCredit &Credit,
+                                             model::TimePoint Now);
+
 /// Returns the refusal of a call that gets no credit; nothing for a call that
 /// does. Callers are told to wait whole seconds, at least one.
 std::optional<policy::Decision>
--- a/src/libcumingauge/traffic/trafficstats.cpp
+++ b/src/libcumingauge/traffic/trafficstats.cpp
@@ -27,6 +27,11 @@
     ++Stats.UnusedGrants_;
 }
 
+void recordCreditWaitEnd(CreditStats &Stats, model::Duration Waited) {
+  record(Stats.Waits_, Waited);
+  ++Stats.EndedWaits_;
+}
+
 void recordFaultyAnswer(TrafficStats &Stats, std::string_view Server,
                         model::AnswerFault Fault) {
   const AnswerFaultKey Key(Server, Fault);
@@ -73,6 +78,7 @@
   for (const auto &[Answer, Count] : Part.Credit_.Answers_)
     Sum.Credit_.Answers_[Answer] += Count;
   add(Sum.Credit_.Waits_, Part.Credit_.Waits_);
+  Sum.Credit_.EndedWaits_ += Part.Credit_.EndedWaits_;
   Sum.Credit_.UnusedGrants_ += Part.Credit_.UnusedGrants_;
   Sum.Credit_.Waiting_ += Part.Credit_.Waiting_;
 }
--- a/src/libcumingauge/traffic/trafficstats.h
+++ b/src/libcumingauge/traffic/trafficstats.h
@@ -24,8 +24,9 @@
 /// Counters of the credit of calls whose workspace has a quota.
 struct CreditStats {
   std::map<control::CreditAnswer, std::uint64_t> Answers_;
-  /// Time from request to answer, without answers to calls that had ended.
+  /// Time from request to answer, or to the end of a call without one.
   LatencyHistogram Waits_;
+  std::uint64_t EndedWaits_ = 0;   ///< of calls that ended without an answer
   std::uint64_t UnusedGrants_ = 0; ///< that came when their calls had ended
   std::uint64_t Waiting_ = 0;      ///< calls that wait now
 };
@@ -82,6 +83,9 @@
 void recordCredit(CreditStats &Stats, control::CreditAnswer Answer,
                   std::optional<model::Duration> Waited);
 
+/// Counts a wait for credit that ended without an answer.
+void recordCreditWaitEnd(CreditStats &Stats, model::Duration Waited);
+
 /// Counts one faulty answer. Those of servers beyond the first few hundred are
 /// counted together, as of the server "other".
 void recordFaultyAnswer(TrafficStats &Stats, std::string_view Server,
--- a/tests/http/quotatest.cpp
+++ b/tests/http/quotatest.cpp
@@ -88,6 +88,17 @@
            std::to_string(Answers[CreditAnswer::Unknown]);
   }
 
+  /// Returns the waits that ended without an answer, each of which is in the
+  /// histogram.
+  std::uint64_t endedWaits() {
+    const auto Credit = Front_->traffic().stats().Credit_;
+    std::uint64_t Waits = 0;
+    for (const std::uint64_t Count : Credit.Waits_.Buckets_)
+      Waits += Count;
+    CPPUNIT_ASSERT(Waits >= Credit.EndedWaits_);
+    return Credit.EndedWaits_;
+  }
+
   static std::string refusedWith(const RawCaller::Answer &Answer) {
     CPPUNIT_ASSERT(Answer.Whole_);
     return std::to_string(Answer.Status_) + " " + Answer.ResultCode_;
@@ -223,6 +234,7 @@
     decide(0, Granted);
     CPPUNIT_ASSERT(eventually(
         [&] { return Front_->traffic().stats().Credit_.UnusedGrants_ == 1; }));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), endedWaits());
     Front_->credit().setDecision(Granted);
     CPPUNIT_ASSERT_EQUAL(200U, call(search(NorthKey)).Status_);
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), served());
--- a/tests/traffic/callcredittest.cpp
+++ b/tests/traffic/callcredittest.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(isNeededBeforeTheFirstAttemptOfAWorkspaceWithAQuota);
   CPPUNIT_TEST(isRequestedByANumberOfItsOwn);
   CPPUNIT_TEST(tellsRefusedCallersToWaitNoShorterThanDecided);
+  CPPUNIT_TEST(isWaitedForUntilTheRequestEnds);
   CPPUNIT_TEST(isNotClaimedToBeUsedUpWhenNobodyKnows);
   CPPUNIT_TEST_SUITE_END();
 
@@ -52,6 +53,22 @@
     }));
   }
 
+  /// Guards against waits that are in no log as their calls end meanwhile.
+  void isWaitedForUntilTheRequestEnds() {
+    const model::TimePoint Start{model::seconds(100)};
+    traffic::CallCredit Credit;
+    CPPUNIT_ASSERT(!endCreditWait(Credit, Start));
+    CPPUNIT_ASSERT(!Credit.Waited_);
+    for (const int Sum : {40, 80}) {
+      Credit.Request_ = 7;
+      Credit.RequestedAt_ = Start;
+      const model::TimePoint End = Start + milliseconds(40);
+      CPPUNIT_ASSERT(endCreditWait(Credit, End) == milliseconds(40));
+      CPPUNIT_ASSERT(!endCreditWait(Credit, End + milliseconds(5)));
+      CPPUNIT_ASSERT(Credit.Waited_ == milliseconds(Sum));
+    }
+  }
+
   void tellsRefusedCallersToWaitNoShorterThanDecided() {
     CPPUNIT_ASSERT(!traffic::refusalBy({CreditAnswer::Granted, {}}));
     CPPUNIT_ASSERT(rc::check("whole seconds, rounded up", [] {
