Refuse calls beyond a quota without asking while all parts are empty

Cause: each call beyond the quota asked three issuers or more, one after the other, also when all parts had just told this process that they were empty. So the six issuers got several questions for each call of the whole fleet; what queues is their handling of messages, each on a tenth of a core.

Change: a part that has refused a workspace is closed to the process for the time it said, at most 500 ms. A call for which all parts are closed is refused at once with the shortest of the times that they said. When the time is over, one call asks the part and the others find it closed until it has answered; a grant opens it. A call of which the time to wait is over asks no further part.

Test: QuotaUnderOverload, in virtual time with issuers that take 2.5 ms for a message.

goesToThreePartsThatAreKnownToBeEmpty asserted the questions that were the fault. It is replaced by isRefusedWithoutAQuestionWhileAllPartsAreClosed, isForOneCallAtATimeOnceThePartsTimeIsOver and goesToAPartAgainBeforeALongTimeIsOver, which fix when a part is and is not asked.

--- a/src/libcumingauge/control/core.h
+++ b/src/libcumingauge/control/core.h
@@ -101,6 +101,8 @@
 struct CreditWanted {
   std::uint64_t Request_ = 0; ///< chosen by the runtime, unique in the process
   std::string Workspace_;
+  /// When the call stops to wait.
+  model::TimePoint Until_ = model::TimePoint::max();
 };
 struct Stopping {}; ///< the process shuts down and announces it to the fleet
 
--- a/src/libcumingauge/control/credit.cpp
+++ b/src/libcumingauge/control/credit.cpp
@@ -140,8 +140,11 @@
     if (const auto Out = fail(State, Want))
       return Out;
   while (true) {
+    if (!Want.Part_ && State.Now_ >= Want.Until_)
+      return concludeWant(Want);
     if (!Want.Part_ && !chooseNextPart(State, Want)) {
-      if (Want.Tried_.any() || isOverdue(Want, State.Now_) ||
+      if (Want.Tried_.any() || Want.IsKnownEmpty_ ||
+          isOverdue(Want, State.Now_) ||
           areSilent(Asker, usableParts(State), State.Now_))
         return concludeWant(Want);
       return std::nullopt;
@@ -173,9 +176,11 @@
       ByPart[*Found->second.Part_].push_back(Request);
   }
   for (unsigned Part = 0; Part < CreditParts; ++Part) {
+    if (ByPart[Part].empty())
+      continue;
     const ports::CreditClaim *Issuer = issuerOf(State, Part);
     const Link *To = Issuer ? issuerLink(State, Issuer->Process_) : nullptr;
-    if (ByPart[Part].empty() || !To)
+    if (!To)
       continue;
     CreditRequest Message{++Asker.LastMessage_, Part, {}};
     for (const std::uint64_t Request : ByPart[Part]) {
@@ -267,6 +272,7 @@
   CreditWant Want;
   Want.Workspace_ = Input.Workspace_;
   Want.WantedAt_ = State.Now_;
+  Want.Until_ = Input.Until_;
   State.Credit_.Asker_.Wants_[Input.Request_] = std::move(Want);
   advance(State, RequestIds{Input.Request_});
 }
--- a/src/libcumingauge/control/creditasker.cpp
+++ b/src/libcumingauge/control/creditasker.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+using model::milliseconds;
 using model::TimePoint;
 
 constexpr unsigned MaxFailures = 2;
@@ -47,6 +48,27 @@
     Since = Now;
 }
 
+/// Keeps for a call the shortest time after which a part is to have credit.
+void shortenRetry(CreditWant &Want, milliseconds RetryAfter) {
+  const bool IsFirst = Want.Refusals_ == 0 && !Want.IsKnownEmpty_;
+  Want.RetryAfter_ =
+      IsFirst ? RetryAfter : std::min(Want.RetryAfter_, RetryAfter);
+}
+
+/// Takes what closed parts have said for their answers to a call.
+void applyKnownRefusals(CreditWant &Want, const CreditTurn &Turn,
+                        const PartSet &Usable, TimePoint Now) {
+  for (unsigned Part = 0; Part < CreditParts; ++Part) {
+    const CreditOutlook &Outlook = Turn.Outlooks_[Part];
+    if (!Usable[Part] || Want.Tried_[Part] || Now >= Outlook.ClosedUntil_)
+      continue;
+    const auto Left =
+        std::chrono::ceil<milliseconds>(Outlook.EmptyUntil_ - Now);
+    shortenRetry(Want, std::max(Left, milliseconds(1)));
+    Want.IsKnownEmpty_ = true;
+  }
+}
+
 /// Ends the question to the present part.
 void closeStep(CreditWant &Want) {
   Want.Part_.reset();
@@ -62,18 +84,29 @@
           .first->second;
   const auto Rank = [&](unsigned Part) {
     return std::make_tuple(isAvoided(Asker, Part, Now),
-                           Turn.EmptyUntil_[Part] > Now,
+                           Turn.Outlooks_[Part].EmptyUntil_ > Now,
                            (Part + CreditParts - Turn.Next_) % CreditParts);
   };
   std::optional<unsigned> Best;
-  for (unsigned Part = 0; Part < CreditParts; ++Part)
-    if (Usable[Part] && !Want.Tried_[Part] &&
-        (!Best || Rank(Part) < Rank(*Best)))
+  bool HasRefused = Want.Refusals_ > 0;
+  for (unsigned Part = 0; Part < CreditParts; ++Part) {
+    if (!Usable[Part] || Want.Tried_[Part])
+      continue;
+    const bool IsClosed = Now < Turn.Outlooks_[Part].ClosedUntil_;
+    HasRefused = HasRefused || IsClosed;
+    if (!IsClosed && (!Best || Rank(Part) < Rank(*Best)))
       Best = Part;
+  }
   if (!Best || isSilent(Asker, *Best, Now) ||
-      (Want.Refusals_ >= MaxCreditRefusals && Turn.EmptyUntil_[*Best] > Now) ||
-      (Want.Refusals_ > 0 && isAvoided(Asker, *Best, Now)))
+      (Want.Refusals_ >= MaxCreditRefusals &&
+       Turn.Outlooks_[*Best].ClosedUntil_ != TimePoint()) ||
+      (HasRefused && isAvoided(Asker, *Best, Now))) {
+    applyKnownRefusals(Want, Turn, Usable, Now);
     return false;
+  }
+  TimePoint &ClosedUntil = Turn.Outlooks_[*Best].ClosedUntil_;
+  if (ClosedUntil != TimePoint())
+    ClosedUntil = Now + CreditTimeout;
   Turn.Next_ = (*Best + 1) % CreditParts;
   Want.Part_ = Best;
   Want.AskedAt_ = Now;
@@ -102,13 +135,14 @@
     return applyCreditFailure(Asker, Want, Now);
   Asker.AvoidUntil_[*Want.Part_] = Now;
   Asker.OwesSince_[*Want.Part_].reset();
-  if (Answer.Answer_ == CreditAnswer::Granted)
+  CreditOutlook &Outlook = Asker.Turns_[Want.Workspace_].Outlooks_[*Want.Part_];
+  if (Answer.Answer_ == CreditAnswer::Granted) {
+    Outlook = {};
     return Answer;
-  Asker.Turns_[Want.Workspace_].EmptyUntil_[*Want.Part_] =
-      Now + Answer.RetryAfter_;
-  Want.RetryAfter_ = Want.Refusals_ == 0
-                         ? Answer.RetryAfter_
-                         : std::min(Want.RetryAfter_, Answer.RetryAfter_);
+  }
+  Outlook.EmptyUntil_ = Now + Answer.RetryAfter_;
+  Outlook.ClosedUntil_ = Now + std::min(Answer.RetryAfter_, MaxClosedTime);
+  shortenRetry(Want, Answer.RetryAfter_);
   ++Want.Refusals_;
   closeStep(Want);
   return std::nullopt;
@@ -125,7 +159,7 @@
 }
 
 CreditDecision concludeWant(const CreditWant &Want) {
-  if (Want.Refusals_ == 0)
+  if (Want.Refusals_ == 0 && !Want.IsKnownEmpty_)
     return {};
   return {CreditAnswer::Refused, Want.RetryAfter_};
 }
--- a/src/libcumingauge/control/creditasker.h
+++ b/src/libcumingauge/control/creditasker.h
@@ -18,12 +18,19 @@
 /// later is lost: the call would start outside the window of its grant.
 constexpr model::milliseconds CreditTimeout{300};
 
+/// Longest time for which the refusal of a part counts for further calls. An
+/// issuer counts callers that may never return, so that it may have credit
+/// earlier than it said.
+constexpr model::milliseconds MaxClosedTime{500};
+
 using PartSet = std::bitset<CreditParts>;
 
 /// A call that waits for credit.
 struct CreditWant {
   std::string Workspace_;
   model::TimePoint WantedAt_;
+  /// No further part is asked from then on, as the call does not wait longer.
+  model::TimePoint Until_ = model::TimePoint::max();
   /// The part that is asked now; absent: none yet.
   std::optional<unsigned> Part_;
   model::TimePoint AskedAt_; ///< when Part_ was chosen
@@ -31,14 +38,23 @@
   std::uint64_t Message_ = 0;
   PartSet Tried_;
   unsigned Refusals_ = 0;
+  bool IsKnownEmpty_ = false;         ///< a part was not asked, as it is closed
   unsigned Failures_ = 0;             ///< parts that did not answer
   model::milliseconds RetryAfter_{0}; ///< shortest of the refusals
 };
 
+/// What this process knows of one part for one workspace. A part that has
+/// refused is closed for a time; then one call asks it, and it stays closed for
+/// the others until that call has an answer.
+struct CreditOutlook {
+  model::TimePoint EmptyUntil_;  ///< by the last refusal
+  model::TimePoint ClosedUntil_; ///< zero: the last answer was a grant
+};
+
 /// Where the next request of a workspace goes.
 struct CreditTurn {
   unsigned Next_ = 0;
-  std::array<model::TimePoint, CreditParts> EmptyUntil_;
+  std::array<CreditOutlook, CreditParts> Outlooks_;
 };
 
 /// A message with requests that has not been answered.
@@ -60,9 +76,10 @@
 };
 
 /// Chooses the part to ask for a call. Returns false when none of the usable
-/// parts is left, or only ones that have been silent for long, that are known
-/// to be empty after some refusals, or do not answer after the first one. Parts
-/// that have not answered are tried by one call at a time. \param Start part
+/// parts is left, or only ones that are closed, that have been silent for long,
+/// that do not answer while another one has refused, or that refused last, when
+/// others have refused this call. Parts that have refused
+/// or not answered are tried by one call at a time. \param Start part
 /// that is asked first for a workspace that is new.
 bool choosePart(CreditAsker &Asker, CreditWant &Want, const PartSet &Usable,
                 unsigned Start, model::TimePoint Now);
--- a/src/libcumingauge/control/creditbucket.h
+++ b/src/libcumingauge/control/creditbucket.h
@@ -10,7 +10,8 @@
 /// Number of parts into which each quota is divided. A process is the issuer of
 /// whole parts.
 constexpr unsigned CreditParts = 6;
-/// Number of refusals after which only parts that are not known to be empty are
+
+/// Number of refusals after which only parts that have not refused last are
 /// asked for a call.
 constexpr unsigned MaxCreditRefusals = 3;
 
--- a/tests/control/quotafleet.h
+++ b/tests/control/quotafleet.h
@@ -15,6 +15,13 @@
   unsigned Workspace_ = 0;
 };
 
+/// A decision on a call.
+struct CallDecision {
+  unsigned Workspace_ = 0;
+  CreditAnswer Answer_ = CreditAnswer::Unknown;
+  model::Duration Waited_{0};
+};
+
 /// Processes in virtual time with a directory that has conditional writes, and
 /// callers of workspaces with quotas. Messages take time; each process has a
 /// clock of its own that goes slightly wrong.
@@ -54,6 +61,9 @@
   void holdReplies(model::milliseconds Time) { HeldUntil_ = Now_ + Time; }
   /// Makes messages about credit be lost, late or doubled, in percent.
   void setCreditFaults(unsigned Percent) { CreditFaults_ = Percent; }
+  /// Makes each process take a time for each message about credit and each
+  /// request of its own, one after the other.
+  void setCreditCost(model::Duration Time) { CreditCost_ = Time; }
   /// Accepts a configuration in which all quotas are multiplied.
   void configure(double Factor);
 
@@ -67,6 +77,7 @@
 
   // Observations.
   const std::vector<CallStart> &starts() const { return Starts_; }
+  const std::vector<CallDecision> &decisions() const { return Decisions_; }
   unsigned refused() const { return Refused_; }
   unsigned unknown() const { return Unknown_; }
   unsigned granted() const { return static_cast<unsigned>(Starts_.size()); }
@@ -94,6 +105,7 @@
     std::uint64_t Incarnation_ = 0;
     double ClockRate_ = 1;
     model::TimePoint PausedUntil_;
+    model::TimePoint BusyUntil_; ///< with earlier inputs about credit
     bool IsCutFromPeers_ = false;
     bool IsCutFromStore_ = false;
     model::milliseconds StoreDelay_{0};
@@ -103,6 +115,7 @@
     unsigned Process_;
     unsigned Workspace_;
     unsigned Returns_;
+    model::TimePoint Since_;
   };
   /// What the store loses when it is restored.
   struct Content {
@@ -132,6 +145,9 @@
   /// Feeds an input to an incarnation of a process, after its pause if it has
   /// one.
   void feed(unsigned Number, std::uint64_t Incarnation, const CoreInput &Input);
+  /// Feeds an input after those about credit that the process has not handled.
+  void feedInTurn(unsigned Number, std::uint64_t Incarnation,
+                  const CoreInput &Input);
   template <class T> void execute(unsigned, const T &) {}
   void execute(unsigned Number, const PublishView &Command);
   void execute(unsigned Number, const OpenLink &Command);
@@ -159,6 +175,7 @@
 
   StoreFault Store_ = StoreFault::None;
   unsigned CreditFaults_ = 0;
+  model::Duration CreditCost_{0};
   Content Stored_;
   std::map<model::TimePoint, Content> Copies_; ///< after each claim
   std::uint64_t Era_ = 0;
@@ -171,6 +188,7 @@
   unsigned Returns_ = 0;
   std::map<std::uint64_t, WaitingCall> Waiting_;
   std::vector<CallStart> Starts_;
+  std::vector<CallDecision> Decisions_;
   unsigned Refused_ = 0;
   unsigned Unknown_ = 0;
   unsigned ExcessDecisions_ = 0;
