Bound how long and how many calls wait for credit

Cause: a call waited as long as its deadline allowed, and any number of calls of a workspace did, so that one workspace filled the control thread's queue.

Change: the traffic thread refuses a call as NotRunCreditUnknown when it has waited for http.creditWaitMs (400 ms), or for a third of the time that it had left. At most 256 calls of a workspace wait in one thread; further ones are refused at once and counted in cumingauge_credit_waits_refused_total. The control thread gets the end of the wait with the request.

--- a/src/cumingauged/entryprocess.cpp
+++ b/src/cumingauged/entryprocess.cpp
@@ -72,9 +72,10 @@
       Control->recordSighting(std::move(Sighting));
   };
   Hooks.RequestCredit_ = [this](std::uint64_t Request,
-                                const std::string &Workspace) {
+                                const std::string &Workspace,
+                                model::TimePoint Until) {
     if (auto *Control = StartedControl_.load())
-      Control->requestCredit(Request, Workspace);
+      Control->requestCredit(Request, Workspace, Until);
     else
       Traffic_->applyCredit(Request, {});
   };
--- a/src/libcumingauge/adapters/controlruntime.cpp
+++ b/src/libcumingauge/adapters/controlruntime.cpp
@@ -147,9 +147,10 @@
     Sightings_[{Sighting.Server_, Sighting.Vm_}] = std::move(Sighting);
   }
 
-  void requestCredit(std::uint64_t Request, std::string Workspace) override {
-    asio::post(Io_, [this, Request, Name = std::move(Workspace)] {
-      processInput(control::CreditWanted{Request, Name});
+  void requestCredit(std::uint64_t Request, std::string Workspace,
+                     model::TimePoint Until) override {
+    asio::post(Io_, [this, Request, Name = std::move(Workspace), Until] {
+      processInput(control::CreditWanted{Request, Name, Until});
     });
   }
 
--- a/src/libcumingauge/adapters/controlruntime.h
+++ b/src/libcumingauge/adapters/controlruntime.h
@@ -121,7 +121,9 @@
   /// Requests credit to start a call of a workspace with a quota. OnCredit_
   /// gets the answer. Thread-safe.
   /// \param Request number of the request, unique in the process.
-  virtual void requestCredit(std::uint64_t Request, std::string Workspace) = 0;
+  /// \param Until when the call stops to wait.
+  virtual void requestCredit(std::uint64_t Request, std::string Workspace,
+                             model::TimePoint Until) = 0;
 
   virtual ControlStats stats() const = 0;
 
--- a/src/libcumingauge/adapters/httpsettings.cpp
+++ b/src/libcumingauge/adapters/httpsettings.cpp
@@ -49,6 +49,7 @@
   checkTimeout(Limits.BackendIdleTimeout_, Path + "/backendIdleTimeoutMs",
                Found);
   checkTimeout(Limits.FreshWait_, Path + "/freshWaitMs", Found);
+  checkTimeout(Limits.CreditWait_, Path + "/creditWaitMs", Found);
   checkTimeout(Limits.DrainIdleTime_, Path + "/drainIdleTimeMs", Found);
   checkTimeout(Limits.TickPeriod_, Path + "/tickPeriodMs", Found);
   checkTimeout(Limits.DrainTimeout_, Path + "/drainTimeoutMs", Found);
--- a/src/libcumingauge/adapters/httpsettings.h
+++ b/src/libcumingauge/adapters/httpsettings.h
@@ -38,6 +38,8 @@
   model::milliseconds BackendIdleTimeout_{30000};
   /// How long a call waits for a fresh control view.
   model::milliseconds FreshWait_{1000};
+  /// How long a call waits for credit, within a third of the time it has left.
+  model::milliseconds CreditWait_{400};
   /// How long new connections are accepted while the process stops.
   model::milliseconds DrainAcceptTime_{0};
   /// How long idle connections are kept while the process stops.
@@ -53,8 +55,9 @@
                       (HeaderBytes_, KeptBodyBytes_, KeptAnswerBytes_,
                        MaxCallerConnections_, MemoryMb_, Descriptors_,
                        HeadTimeout_, IdleTimeout_, BodyTimeout_, WriteTimeout_,
-                       BackendIdleTimeout_, FreshWait_, DrainAcceptTime_,
-                       DrainIdleTime_, DrainTimeout_, RetryAfter_, TickPeriod_))
+                       BackendIdleTimeout_, FreshWait_, CreditWait_,
+                       DrainAcceptTime_, DrainIdleTime_, DrainTimeout_,
+                       RetryAfter_, TickPeriod_))
 
 /// Checks the ranges of the limits.
 /// \param Path JSON path of the limits, which precedes the key in each problem.
--- a/src/libcumingauge/adapters/httptraffic.h
+++ b/src/libcumingauge/adapters/httptraffic.h
@@ -30,8 +30,10 @@
     /// Passes a backend server's load report on to the control thread.
     std::function<void(control::ServerObservation)> ReportObservation_;
     /// Requests credit for a call of a workspace with a quota; the answer goes
-    /// to applyCredit. Called on a traffic thread.
-    std::function<void(std::uint64_t Request, const std::string &Workspace)>
+    /// to applyCredit. The call waits for it until a time. Called on a traffic
+    /// thread.
+    std::function<void(std::uint64_t Request, const std::string &Workspace,
+                       model::TimePoint Until)>
         RequestCredit_;
     ports::EventSink Events_;
   };
--- a/src/libcumingauge/adapters/httpworker.cpp
+++ b/src/libcumingauge/adapters/httpworker.cpp
@@ -366,6 +366,7 @@
   if (!waitsForFirstView())
     startHeldSessions();
   checkFreshViewWaits();
+  checkCreditWaits();
   releaseWaiting();
   sendProbes();
   checkCallerMemory();
--- a/src/libcumingauge/adapters/httpworker.h
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -188,6 +188,7 @@
   struct CreditWait {
     std::weak_ptr<HttpCall> Call_;
     std::string Workspace_;
+    model::TimePoint Until_;
   };
 
   /// A call that waits for load reports of servers before it is placed.
@@ -223,6 +224,8 @@
   void handleCredit(std::uint64_t Request,
                     const control::CreditDecision &Decision);
   CreditWait takeCreditWait(std::uint64_t Request);
+  /// Refuses the calls that have waited for credit for too long.
+  void checkCreditWaits();
   /// Ends the wait of a call that ends without an answer to its request.
   void endCreditWait(HttpCall &Call);
   /// Returns whether the present configuration handles a call in the same way
@@ -320,6 +323,7 @@
   std::vector<std::shared_ptr<HttpCallerSession>> HeldSessions_;
   std::vector<FreshViewWait> FreshViewWaits_;
   std::unordered_map<std::uint64_t, CreditWait> CreditWaits_; ///< by request
+  std::map<std::string, unsigned> CreditWaiters_;             ///< by workspace
   std::uint64_t LastCreditRequest_ = 0;
   std::unordered_map<policy::CallId, LoadQuery> LoadQueries_;
   std::unordered_set<HttpCallerSession *> Sessions_;
--- a/src/libcumingauge/adapters/httpworkercredit.cpp
+++ b/src/libcumingauge/adapters/httpworkercredit.cpp
@@ -5,16 +5,35 @@
 
 namespace cumingauge::adapters {
 
+namespace {
+
+/// Calls of one workspace that may wait for credit in one thread.
+constexpr unsigned MaxCreditWaiters = 256;
+
+} // namespace
+
 void HttpWorker::requestCredit(const std::shared_ptr<HttpCall> &Call) {
   if (const auto Refusal =
           policy::refuseInAdvance(*Balancer_, Call->facts(), now()))
     return Call->decide(*Refusal);
+  const model::TimePoint Now = now();
+  unsigned &Waiters = CreditWaiters_[Call->workspace()];
+  if (Waiters >= MaxCreditWaiters) {
+    {
+      const std::lock_guard<std::mutex> Lock(PublishedMutex_);
+      ++Stats_.Credit_.RefusedWaits_;
+    }
+    return Call->decide(*traffic::refusalBy({}));
+  }
   const std::uint64_t Request =
       traffic::numberOf({Index_, ++LastCreditRequest_});
   Call->credit().Request_ = Request;
-  Call->credit().RequestedAt_ = now();
-  CreditWaits_[Request] = {Call, Call->workspace()};
-  Common_->Hooks_.RequestCredit_(Request, Call->workspace());
+  Call->credit().RequestedAt_ = Now;
+  const model::TimePoint Until = traffic::creditWaitEnd(
+      Now, Call->facts().Deadline_, limits().CreditWait_);
+  CreditWaits_[Request] = {Call, Call->workspace(), Until};
+  ++Waiters;
+  Common_->Hooks_.RequestCredit_(Request, Call->workspace(), Until);
 }
 
 void HttpWorker::applyCredit(std::uint64_t Request,
@@ -41,8 +60,23 @@
   admit(Call);
 }
 
+void HttpWorker::checkCreditWaits() {
+  const model::TimePoint Now = now();
+  std::vector<std::uint64_t> Overdue;
+  for (const auto &[Request, Wait] : CreditWaits_)
+    if (Now >= Wait.Until_)
+      Overdue.push_back(Request);
+  for (const std::uint64_t Request : Overdue) {
+    const auto Call = takeCreditWait(Request).Call_.lock();
+    if (!Call)
+      continue;
+    endCreditWait(*Call);
+    Call->decide(*traffic::refusalBy({}));
+  }
+}
+
 void HttpWorker::endCreditWait(HttpCall &Call) {
-  CreditWaits_.erase(Call.credit().Request_);
+  takeCreditWait(Call.credit().Request_);
   const auto Waited = traffic::endCreditWait(Call.credit(), now());
   if (!Waited)
     return;
@@ -57,6 +91,9 @@
     return {};
   CreditWait Out = std::move(Found->second);
   CreditWaits_.erase(Found);
+  const auto Waiters = CreditWaiters_.find(Out.Workspace_);
+  if (--Waiters->second == 0)
+    CreditWaiters_.erase(Waiters);
   return Out;
 }
 
--- a/src/libcumingauge/adapters/metricspage.cpp
+++ b/src/libcumingauge/adapters/metricspage.cpp
@@ -135,6 +135,9 @@
   Out.push_back(counter("cumingauge_credit_waits_ended_total",
                         "Waits for credit that ended without an answer",
                         static_cast<double>(Credit.EndedWaits_)));
+  Out.push_back(counter("cumingauge_credit_waits_refused_total",
+                        "Calls refused as too many waited for credit",
+                        static_cast<double>(Credit.RefusedWaits_)));
   Out.push_back(counter("cumingauge_unused_credit_total",
                         "Credit granted to calls that had ended",
                         static_cast<double>(Credit.UnusedGrants_)));
--- a/src/libcumingauge/traffic/callcredit.cpp
+++ b/src/libcumingauge/traffic/callcredit.cpp
@@ -13,6 +13,8 @@
 constexpr unsigned SequenceBits = 48;
 constexpr std::uint64_t SequenceMask = (std::uint64_t(1) << SequenceBits) - 1;
 constexpr model::seconds ShortestPause{1};
+/// Part of its remaining time for which a call waits for credit.
+constexpr int RemainingShare = 3;
 
 } // namespace
 
@@ -22,6 +24,12 @@
          Call.Attempts_ == Call.Withdrawn_;
 }
 
+model::TimePoint creditWaitEnd(model::TimePoint Now, model::TimePoint Deadline,
+                               model::Duration MaxWait) {
+  const model::Duration Share = (Deadline - Now) / RemainingShare;
+  return Now + std::clamp(Share, model::Duration::zero(), MaxWait);
+}
+
 std::optional<model::Duration> endCreditWait(CallCredit &Credit,
                                              model::TimePoint Now) {
   if (Credit.Request_ == 0)
--- a/src/libcumingauge/traffic/callcredit.h
+++ b/src/libcumingauge/traffic/callcredit.h
@@ -27,6 +27,10 @@
 bool needsCredit(const CallerIdentity &Caller, const policy::CallFacts &Call,
                  const CallCredit &Credit);
 
+/// Returns when a call is refused whose credit is not known yet.
+model::TimePoint creditWaitEnd(model::TimePoint Now, model::TimePoint Deadline,
+                               model::Duration MaxWait);
+
 /// Ends the request that waits, if there is one, and adds its time to that of
 /// the call. Returns the time of this request.
 std::optional<model::Duration> endCreditWait(CallCredit &Credit,
--- a/src/libcumingauge/traffic/trafficstats.cpp
+++ b/src/libcumingauge/traffic/trafficstats.cpp
@@ -79,6 +79,7 @@
     Sum.Credit_.Answers_[Answer] += Count;
   add(Sum.Credit_.Waits_, Part.Credit_.Waits_);
   Sum.Credit_.EndedWaits_ += Part.Credit_.EndedWaits_;
+  Sum.Credit_.RefusedWaits_ += Part.Credit_.RefusedWaits_;
   Sum.Credit_.UnusedGrants_ += Part.Credit_.UnusedGrants_;
   Sum.Credit_.Waiting_ += Part.Credit_.Waiting_;
 }
--- a/src/libcumingauge/traffic/trafficstats.h
+++ b/src/libcumingauge/traffic/trafficstats.h
@@ -27,6 +27,7 @@
   /// Time from request to answer, or to the end of a call without one.
   LatencyHistogram Waits_;
   std::uint64_t EndedWaits_ = 0;   ///< of calls that ended without an answer
+  std::uint64_t RefusedWaits_ = 0; ///< as too many of the workspace waited
   std::uint64_t UnusedGrants_ = 0; ///< that came when their calls had ended
   std::uint64_t Waiting_ = 0;      ///< calls that wait now
 };
--- a/tests/traffic/callcredittest.cpp
+++ b/tests/traffic/callcredittest.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(isRequestedByANumberOfItsOwn);
   CPPUNIT_TEST(tellsRefusedCallersToWaitNoShorterThanDecided);
   CPPUNIT_TEST(isWaitedForUntilTheRequestEnds);
+  CPPUNIT_TEST(isWaitedForInAPartOfTheTimeThatIsLeft);
   CPPUNIT_TEST(isNotClaimedToBeUsedUpWhenNobodyKnows);
   CPPUNIT_TEST_SUITE_END();
 
@@ -69,6 +70,20 @@
     }
   }
 
+  /// Guards against a wait that leaves no time for an answer.
+  void isWaitedForInAPartOfTheTimeThatIsLeft() {
+    const model::TimePoint Start{model::seconds(100)};
+    const auto Wait = [&](int Left) {
+      return traffic::creditWaitEnd(Start, Start + milliseconds(Left),
+                                    milliseconds(400)) -
+             Start;
+    };
+    CPPUNIT_ASSERT(Wait(-1) == milliseconds(0));
+    CPPUNIT_ASSERT(Wait(300) == milliseconds(100));
+    CPPUNIT_ASSERT(Wait(1200) == milliseconds(400));
+    CPPUNIT_ASSERT(Wait(60000) == milliseconds(400));
+  }
+
   void tellsRefusedCallersToWaitNoShorterThanDecided() {
     CPPUNIT_ASSERT(!traffic::refusalBy({CreditAnswer::Granted, {}}));
     CPPUNIT_ASSERT(rc::check("whole seconds, rounded up", [] {
