--- a/src/libcumingauge/adapters/httpworker.h
+++ b/src/libcumingauge/adapters/httpworker.h
@@ -136,7 +136,7 @@
   /// Places a call, or lets it wait while the control view is stale.
   void admit(const std::shared_ptr<HttpCall> &Call);
   /// Removes a call that has ended from all queues.
-  void removeFromQueue(const HttpCall &Call);
+  void removeFromQueue(HttpCall &Call);
   HttpPool &pool(policy::ServerHandle Server);
   void recordCallStart();
   /// Returns the state of a server that has just been chosen, for the call log.
@@ -193,7 +193,7 @@
   struct CreditWait {
     std::weak_ptr<HttpCall> Call_;
     std::string Workspace_;
-    model::TimePoint Since_;
+    model::TimePoint Until_;
   };
 
   /// A call that waits for load reports of servers before it is placed.
@@ -229,6 +229,10 @@
   void handleCredit(std::uint64_t Request,
                     const control::CreditDecision &Decision);
   CreditWait takeCreditWait(std::uint64_t Request);
+  /// Refuses the calls that have waited for credit for too long.
+  void checkCreditWaits();
+  /// Ends the wait of a call that ends without an answer to its request.
+  void endCreditWait(HttpCall &Call);
   /// Returns whether the present configuration handles a call in the same way
   /// as the one that admitted it.
   bool isAdmittedAsBefore(const HttpCall &Call) const;
@@ -325,6 +329,7 @@
   std::vector<std::shared_ptr<HttpCallerSession>> HeldSessions_;
   std::vector<FreshViewWait> FreshViewWaits_;
   std::unordered_map<std::uint64_t, CreditWait> CreditWaits_; ///< by request
+  std::map<std::string, unsigned> CreditWaiters_;             ///< by workspace
   std::uint64_t LastCreditRequest_ = 0;
   std::unordered_map<policy::CallId, LoadQuery> LoadQueries_;
   std::unordered_set<HttpCallerSession *> Sessions_;
--- a/tests/traffic/callcredittest.cpp
+++ b/tests/traffic/callcredittest.cpp
@@ -15,6 +15,8 @@
   CPPUNIT_TEST(isNeededBeforeTheFirstAttemptOfAWorkspaceWithAQuota);
   CPPUNIT_TEST(isRequestedByANumberOfItsOwn);
   CPPUNIT_TEST(tellsRefusedCallersToWaitNoShorterThanDecided);
+  CPPUNIT_TEST(isWaitedForUntilTheRequestEnds);
+  CPPUNIT_TEST(isWaitedForInAPartOfTheTimeThatIsLeft);
   CPPUNIT_TEST(isNotClaimedToBeUsedUpWhenNobodyKnows);
   CPPUNIT_TEST_SUITE_END();
 
@@ -52,6 +54,36 @@
     }));
   }
 
+  /// Guards against waits that are in no log as their calls end meanwhile.
+  void isWaitedForUntilTheRequestEnds() {
+    const model::TimePoint Start{model::seconds(100)};
+    traffic::CallCredit Credit;
+    CPPUNIT_ASSERT(!endCreditWait(Credit, Start));
+    CPPUNIT_ASSERT(!Credit.Waited_);
+    for (const int Sum : {40, 80}) {
+      Credit.Request_ = 7;
+      Credit.RequestedAt_ = Start;
+      const model::TimePoint End = Start + milliseconds(40);
+      CPPUNIT_ASSERT(endCreditWait(Credit, End) == milliseconds(40));
+      CPPUNIT_ASSERT(!endCreditWait(Credit, End + milliseconds(5)));
+      CPPUNIT_ASSERT(Credit.Waited_ == milliseconds(Sum));
+    }
+  }
+
+  /// Guards against a wait that leaves no time for an answer.
+  void isWaitedForInAPartOfTheTimeThatIsLeft() {
+    const model::TimePoint Start{model::seconds(100)};
+    const auto Wait = [&](int Left) {
+      return traffic::creditWaitEnd(Start, Start + milliseconds(Left),
+                                    milliseconds(400)) -
+             Start;
+    };
+    CPPUNIT_ASSERT(Wait(-1) == milliseconds(0));
+    CPPUNIT_ASSERT(Wait(300) == milliseconds(100));
+    CPPUNIT_ASSERT(Wait(1200) == milliseconds(400));
+    CPPUNIT_ASSERT(Wait(60000) == milliseconds(400));
+  }
+
   void tellsRefusedCallersToWaitNoShorterThanDecided() {
     CPPUNIT_ASSERT(!traffic::refusalBy({CreditAnswer::Granted, {}}));
     CPPUNIT_ASSERT(rc::check("whole seconds, rounded up", [] {
