Let the soak send on connections that are idle for long

The soak could not show it: its idle limit was 20 s, its callers paused for 0.5 s at most, a stopped process excused what was lost, and a call that had not reached a server did not count as lost.

A caller that has seen the end of its connection opens a new one.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -17,6 +17,7 @@
 PIPELINE_DEPTHS = (3, 4)
 PIPELINED_WORK_MILLISECONDS = 200
 PIPELINE_SPACING_SECONDS = 0.04
+REUSED_SHARE = 0.8  # of the idle limit, for which an idle connection is used again
 PIPELINE_PAUSE_SECONDS = 0.1  # after a refusal and before a new connection
 
 
@@ -58,11 +59,12 @@
 class Caller:
     """Sends calls one after the other on a kept-alive connection.
 
-    change_share is the share of calls before which it opens a new connection."""
+    change_share is the share of calls before which it opens a new connection. A caller with an
+    only_entry calls no other process."""
 
-    def __init__(self, number, balancer, judge, random, change_share):
+    def __init__(self, number, balancer, judge, random, change_share, only_entry=None):
         self.number, self.balancer, self.judge, self.random = number, balancer, judge, random
-        self.change_share = change_share
+        self.change_share, self.only_entry = change_share, only_entry
         self.entry = self.reader = self.writer = None
         self.call_count = 0
 
@@ -76,12 +78,22 @@
             await asyncio.sleep(pause * (0.5 + self.random.random()))
             await self.call()
 
+    async def run_reusing(self, operator):
+        """Sends calls on connections that were idle for up to the share of the limit for which
+        callers may reuse them."""
+        while True:
+            limit = operator.idle_milliseconds / 1000
+            await asyncio.sleep(self.random.uniform(0.1, REUSED_SHARE) * limit)
+            await self.call()
+
     async def call(self):
         method, prefix, is_safe, deadline, _ = self.random.choices(
             ROUTES, weights=[route[4] for route in ROUTES])[0]
+        if self.writer is not None and self.reader.at_eof():
+            self.disconnect()
         if self.writer is None or self.random.random() < self.change_share:
             self.disconnect()
-            self.entry = self.balancer.choose(self.random)
+            self.entry = self.only_entry or self.balancer.choose(self.random)
             try:
                 self.reader, self.writer = await asyncio.wait_for(
                     asyncio.open_connection("127.0.0.1", self.entry.proxy.port), 1.0)
@@ -102,6 +114,8 @@
             return self.disconnect()
         except (wire.Closed, ConnectionError):
             answer = None
+        if answer is None:
+            self.judge.check_closed(call, self.entry.name)
         self.judge.record_answer(call, self.entry.name, answer, signature(call), body_of(call))
         if answer is None or answer.fields.get("connection") == "close":
             self.disconnect()
@@ -188,6 +202,7 @@
     def __init__(self, store, entries, judge, random):
         self.store, self.entries, self.judge, self.random = store, entries, judge, random
         self.version = 1
+        self.idle_milliseconds = 20000
         self.accepted_at = -1e9
         self.check_count = 0
         self.seen = {}  # (process, generation): newest version seen there
@@ -207,7 +222,7 @@
                              for name in ("catalogo", "diritti")],
                 "tenants": workspaces.document(),
                 "limits": {"max-header-bytes": 16384, "max-body-bytes": 65536,
-                           "header-timeout-ms": 5000, "idle-timeout-ms": 20000}}
+                           "header-timeout-ms": 5000, "idle-timeout-ms": self.idle_milliseconds}}
 
     async def configure(self):
         self.version += self.random.randint(1, 3)
--- a/bench/soak/fleet.py
+++ b/bench/soak/fleet.py
@@ -11,9 +11,10 @@
 
 import workspaces
 from callers import ROUTES, Balancer, Caller, Operator, PipeliningCaller, exchange
+from idlefaults import IDLE_MILLISECONDS
 from judge import COLD_OVERSHOOT, COLD_SLACK, GRACE_SECONDS, STALL_SECONDS, Judge
 from proxy import Proxy
-from schedule import FIRST_RESTORED_SEED, draw_schedule, kinds_of_seed
+from schedule import FIRST_IDLE_SEED, FIRST_RESTORED_SEED, draw_schedule, kinds_of_seed
 from servers import Server, signature
 from store import Store
 
@@ -24,6 +25,7 @@
 PIPELINING_INTERVAL = 5  # each fifth caller pipelines
 CHANGING_INTERVAL = 3  # of the others, each third one changes its connection at times
 CHANGE_SHARE = 0.1
+REUSING_INTERVAL = 2  # in seeds with a short idle limit, each second caller waits for long
 MAX_LINGER_SECONDS = 8.0
 HEARTBEAT_SECONDS = 1.5
 READY_SECONDS = 20
@@ -93,6 +95,7 @@
         self.entries, self.servers, self.proxies = [], [], {}
         self.tasks = []
         self.last_server_number = 0
+        self.crowds = 0
 
     # Setup.
 
@@ -108,6 +111,8 @@
             entry.proxy = await Proxy(entry.port).open()
             self.entries.append(entry)
         self.operator = Operator(self.store, self.entries, self.judge, self.random)
+        if self.seed >= FIRST_IDLE_SEED:
+            self.operator.idle_milliseconds = IDLE_MILLISECONDS[0]
         self.balancer = Balancer(self.entries)
         await self.store.put("op/config", self.operator.document())
         for service in ("catalogo", "diritti"):
@@ -203,7 +208,10 @@
                 continue
             change_share = CHANGE_SHARE if i % CHANGING_INTERVAL == 0 else 0.0
             caller = Caller(i, self.balancer, self.judge, self.random, change_share)
-            self.spawn(caller.run(CALLER_PAUSE_SECONDS))
+            if self.seed >= FIRST_IDLE_SEED and i % REUSING_INTERVAL == 0:
+                self.spawn(caller.run_reusing(self.operator))
+            else:
+                self.spawn(caller.run(CALLER_PAUSE_SECONDS))
 
     async def wait_ready(self):
         end = self.clock() + READY_SECONDS
--- a/bench/soak/judge.py
+++ b/bench/soak/judge.py
@@ -23,6 +23,7 @@
 LATE_REQUEST_SECONDS = 3.0  # after the signal, work on later requests may not be cut
 STOP_END_SECONDS = 1.0  # after the grace period
 STALL_SECONDS = 0.15
+CLOSE_SLACK_SECONDS = 0.2  # in which a close may cross a request
 MAX_VIOLATIONS = 20  # kept per seed and rule
 NOT_RUN = (408, 421, 429, 503)
 PAUSE_BEGIN_SECONDS = 0.5  # after an answer that asks for a pause
@@ -281,6 +282,16 @@
         for call in calls:
             self.record_answer(call, process, None, "", b"")
 
+    def check_closed(self, call, process):
+        """Checks a call whose connection ended without an answer. Only a close that crossed the
+        request is allowed; a process that was held up is not excused."""
+        now, at = self.clock(), self.sent[call][0]
+        harmed_at = max(self.harmed_at.get(process, -1e9), self.harmed_at.get(None, -1e9))
+        if at + CLOSE_SLACK_SECONDS < now < self.deadlines[call] \
+                and harmed_at < at - STABLE_SECONDS and not self._is_server_at_fault(call):
+            self.report_violation("LOST", f"{call} was sent to {process}, which closed the "
+                                          f"connection {now - at:.3f} s later, without an answer")
+
     def record_answer(self, call, process, answer, signature, body):
         """Records the answer that a caller received; None when the connection was closed."""
         at, _, is_safe = self.sent[call]
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Callable
 
+from idlefaults import change_idle_limit, crowd, hold_up
 from judge import GRACE_SECONDS, STABLE_SECONDS
 
 DRAIN_SECONDS = 2.5  # time for which a leaving server still serves calls
@@ -360,6 +361,7 @@
 
 FIRST_RESTORED_SEED = 201
 FIRST_EVACUATING_SEED = 301
+FIRST_IDLE_SEED = 401
 FIRST_KINDS = [("kill", kill), ("stop", stop), ("pause", pause), ("reload", reload),
                ("store down", store_flag("down", True, False)),
                ("store slow", store_flag("slow", 0.25, 0.0)),
@@ -378,4 +380,6 @@
 LATER_KINDS = [(101, ("stop series", stop_series))] * 3 + \
               [(FIRST_RESTORED_SEED, ("store restored", store_restored))] * 3 + \
               [(FIRST_EVACUATING_SEED, ("evacuate", evacuate))] * 3 + \
-              [(FIRST_EVACUATING_SEED, ("cold start", cold_start))] * 2
+              [(FIRST_EVACUATING_SEED, ("cold start", cold_start))] * 2 + \
+              [(FIRST_IDLE_SEED, ("hold up", hold_up)), (FIRST_IDLE_SEED, ("crowd", crowd)),
+               (FIRST_IDLE_SEED, ("idle limit", change_idle_limit))] * 3
