--- a/tests/http/closingidletest.cpp
+++ b/tests/http/closingidletest.cpp
@@ -16,6 +16,8 @@
   CPPUNIT_TEST(makesRoomForOneOtherOnly);
   CPPUNIT_TEST(doesNotStayBecauseTheFirstViewArrives);
   CPPUNIT_TEST(doesNotCutTheAnswerThatItsCallerStillReads);
+  CPPUNIT_TEST(isKeptForARequestThatIsReadButNotHandled);
+  CPPUNIT_TEST(isAnnouncedByAnswersThatKeepItOpenOnly);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -80,6 +82,48 @@
     CPPUNIT_ASSERT(Answer.Whole_);
   }
 
+  /// Guards against a close that asks the kernel alone, while a read that has
+  /// ended with the request waits for its turn.
+  void isKeptForARequestThatIsReadButNotHandled() {
+    ScriptedServer Server(
+        [](const auto &) { return ScriptedServer::answer("found"); });
+    adapters::HttpLimits Limits;
+    Limits.DrainIdleTime_ = milliseconds(0);
+    FrontEnd Front({{"cat-1", Server.port()}}, Limits, 2);
+    std::deque<RawCaller> Crowd;
+    while (Crowd.size() < 2)
+      Crowd.emplace_back(Front.port()).call(request("GET", "/search/1"));
+    // Every second connection belongs to the thread that does not accept.
+    Gate Held;
+    Front.holdThread(Held);
+    Crowd[1].send(request("GET", "/search/2"));
+    CPPUNIT_ASSERT(eventually([&] { return Front.isThreadHeld(); }));
+    Crowd.emplace_back(Front.port());
+    Crowd.emplace_back(Front.port()).send(request("GET", "/search/3"));
+    // Time for the connection to be handed over and for the next tick.
+    std::this_thread::sleep_for(milliseconds(300));
+    Front.traffic().drain([] {});
+    std::this_thread::sleep_for(milliseconds(100));
+    Held.open();
+    const RawCaller::Answer Answer = Crowd[3].read();
+    CPPUNIT_ASSERT_EQUAL(503U, Answer.Status_);
+    CPPUNIT_ASSERT(Answer.Whole_);
+  }
+
+  /// Guards against callers who are told no time, or one for a connection that
+  /// closes.
+  void isAnnouncedByAnswersThatKeepItOpenOnly() {
+    FrontEnd Front({}, {}, 1);
+    RawCaller Caller(Front.port());
+    const auto Kept = Caller.call(request("GET", "/search/1"));
+    CPPUNIT_ASSERT_EQUAL(503U, Kept.Status_);
+    CPPUNIT_ASSERT(Kept.Head_.find("Keep-Alive: timeout=60") !=
+                   std::string::npos);
+    const auto Last = Caller.call("GET /search/2 HTTP/1.0\r\n\r\n");
+    CPPUNIT_ASSERT_EQUAL(503U, Last.Status_);
+    CPPUNIT_ASSERT(Last.Head_.find("Keep-Alive") == std::string::npos);
+  }
+
 private:
   /// Which follows from the descriptors.
   static constexpr std::size_t MostConnections = 10;
