--- a/src/libcumingauge/adapters/httpcallerend.cpp
+++ b/src/libcumingauge/adapters/httpcallerend.cpp
@@ -102,17 +102,10 @@
 /// Returns whether the caller still receives the answer before. A reset, which
 /// a further request would cause after the close, would cut it.
 bool HttpCallerSession::isLastAnswerUnsent() {
-  const model::TimePoint Since = End_ ? EndedAt_ : IdleSince_;
-  return Worker_.now() - Since < Worker_.limits().WriteTimeout_ &&
+  return Worker_.now() - IdleSince_ < Worker_.limits().WriteTimeout_ &&
          hasUnsentBytes(Socket_.native_handle());
 }
 
-void HttpCallerSession::onLingerTimeout() {
-  if (!isLastAnswerUnsent())
-    return finishClose();
-  setTimeout(LingerTimeout);
-}
-
 void HttpCallerSession::onIdleTimeout() {
   const model::milliseconds Kept =
       policy::keptIdleFor(IdleTerms_, Worker_.limits().IdleTimeout_);
--- a/src/libcumingauge/adapters/httpcallersession.h
+++ b/src/libcumingauge/adapters/httpcallersession.h
@@ -141,7 +141,6 @@
   void onTimerExpired();
   void onTimeout();
   void onIdleTimeout();
-  void onLingerTimeout();
   bool isLastAnswerUnsent();
 
   boost::asio::ip::tcp::socket Socket_;
--- a/src/libcumingauge/adapters/httpcallertimer.cpp
+++ b/src/libcumingauge/adapters/httpcallertimer.cpp
@@ -54,7 +54,7 @@
 void HttpCallerSession::onTimeout() {
   // Without a reset, the kernel goes on sending what it holds of the answers.
   if (Phase_ == Phase::Closing)
-    return onLingerTimeout();
+    return finishClose();
   if (WriteInProgress_)
     return reset(ConnectionEnd::AnswerNotRead);
   if (Phase_ == Phase::Head && !Reader_.hasPartialRequest())
